--- /dev/null
+++ b/src/dispatch/rendezvous_placement.cpp
@@ -0,0 +1,158 @@
+/** @file rendezvous_placement.cpp Placement by rendezvous ranking with bounded load. */
+#define XXH_INLINE_ALL
+#include "dispatch/rendezvous_placement.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <xxhash.h>
+
+namespace laburnumweir {
+
+namespace {
+
+struct Ranked
+{
+  std::uint64_t weight_ = 0; ///< Rendezvous weight.
+  EngineIndex engine_ = 0;   ///< Engine.
+};
+
+/** Keeps the engines of highest weight, in descending order, without a sort of all of them. */
+class TopRanks
+{
+public:
+  bool Admits(std::uint64_t aWeight) const
+  {
+    return size_ < ranks_.size() || aWeight > ranks_[size_ - 1].weight_;
+  }
+  void Add(std::uint64_t aWeight, EngineIndex aEngine)
+  {
+    std::size_t place = size_ < ranks_.size() ? size_++ : size_ - 1;
+    for (; place > 0 && ranks_[place - 1].weight_ < aWeight; --place) {
+      ranks_[place] = ranks_[place - 1];
+    }
+    ranks_[place] = { aWeight, aEngine };
+  }
+  std::span<const Ranked> Get() const { return { ranks_.data(), size_ }; }
+
+private:
+  std::array<Ranked, kPlacementCandidates> ranks_; ///< Highest weights.
+  std::size_t size_ = 0;                           ///< Entries used.
+};
+
+constexpr std::size_t kNoGroup = SIZE_MAX;
+constexpr std::size_t kHintWays = 2;
+
+} // namespace
+
+RendezvousPlacement::RendezvousPlacement()
+  : hints_(kPlacementResidencyHints)
+{
+}
+
+std::uint64_t
+RendezvousPlacement::HashOf(const AdapterRef& aAdapter)
+{
+  const std::uint64_t name = XXH3_64bits(aAdapter.name_.data(), aAdapter.name_.size());
+  return XXH3_64bits_withSeed(aAdapter.version_.data(), aAdapter.version_.size(), name);
+}
+
+void
+RendezvousPlacement::OnChange()
+{
+  groups_.clear();
+  groupOf_.assign(engines_.size(), kNoGroup);
+  for (EngineIndex i = 0; i < engines_.size(); ++i) {
+    const State& state = engines_[i];
+    if (!state.CanTakeWork()) {
+      continue;
+    }
+    auto group = std::find_if(groups_.begin(), groups_.end(), [&](const Group& aGroup) {
+      return aGroup.model_ == state.engine_.model_;
+    });
+    if (group == groups_.end()) {
+      group = groups_.insert(groups_.end(), Group{ state.engine_.model_, {}, {}, 0 });
+    }
+    groupOf_[i] = static_cast<std::size_t>(group - groups_.begin());
+    group->engines_.push_back(i);
+    group->seeds_.push_back(state.seed_);
+    group->load_ += state.Load();
+  }
+}
+
+void
+RendezvousPlacement::SetLoad(EngineIndex aEngine, std::uint32_t aRunning)
+{
+  const double before = engines_[aEngine].Load();
+  Placement::SetLoad(aEngine, aRunning);
+  if (groupOf_[aEngine] != kNoGroup) {
+    double& load = groups_[groupOf_[aEngine]].load_;
+    load = std::max(0.0, load + engines_[aEngine].Load() - before);
+  }
+}
+
+void
+RendezvousPlacement::NoteResident(const AdapterRef& aAdapter, EngineIndex aEngine, bool aIsResident)
+{
+  const std::uint64_t adapter = HashOf(aAdapter);
+  const std::uint64_t engine = engines_[aEngine].seed_;
+  Hint* const set = &hints_[adapter % (hints_.size() / kHintWays) * kHintWays];
+  const auto isSame = [&](const Hint& aHint) {
+    return aHint.adapter_ == adapter && aHint.engine_ == engine;
+  };
+  Hint* const found = std::find_if(set, set + kHintWays, isSame);
+  if (!aIsResident) {
+    if (found != set + kHintWays) {
+      *found = Hint{};
+    }
+    return;
+  }
+  // The newest hint of a set stands first; the oldest one is dropped.
+  std::rotate(set, found == set + kHintWays ? set + kHintWays - 1 : found, set + kHintWays);
+  set[0] = { adapter, engine };
+}
+
+std::size_t
+RendezvousPlacement::Rank(const PlacementQuery& aQuery, std::span<EngineIndex> aResult)
+{
+  const auto group = std::find_if(groups_.begin(), groups_.end(), [&](const Group& aGroup) {
+    return aGroup.model_ == aQuery.model_;
+  });
+  if (group == groups_.end()) {
+    return 0;
+  }
+  const std::uint64_t adapter = HashOf(aQuery.adapter_);
+  TopRanks top;
+  for (std::size_t i = 0; i < group->seeds_.size(); ++i) {
+    const std::uint64_t weight = XXH3_64bits_withSeed(&adapter, sizeof(adapter), group->seeds_[i]);
+    if (top.Admits(weight)) {
+      top.Add(weight, group->engines_[i]);
+    }
+  }
+  const double mean = group->load_ / static_cast<double>(group->engines_.size());
+  const Hint* const set = &hints_[adapter % (hints_.size() / kHintWays) * kHintWays];
+  const auto tier = [&](EngineIndex aEngine) {
+    const State& state = engines_[aEngine];
+    // One request more than the bound lets an idle fleet place its first requests by rank.
+    const double bound = kPlacementLoadBound * (mean + 1.0 / state.engine_.capacity_);
+    const bool hasRoom = state.running_ < state.engine_.capacity_;
+    const bool isResident = std::any_of(set, set + kHintWays, [&](const Hint& aHint) {
+      return aHint.adapter_ == adapter && aHint.engine_ == state.seed_;
+    });
+    if (isResident && hasRoom) {
+      return 0;
+    }
+    return state.Load() < bound ? 1 : 2;
+  };
+  std::size_t written = 0;
+  for (int wanted = 0; wanted < 3; ++wanted) {
+    for (const Ranked& rank : top.Get()) {
+      if (written < aResult.size() && tier(rank.engine_) == wanted) {
+        aResult[written++] = rank.engine_;
+      }
+    }
+  }
+  return written;
+}
+
+} // namespace laburnumweir
--- /dev/null
+++ b/src/dispatch/rendezvous_placement.h
@@ -0,0 +1,53 @@
+/** @file rendezvous_placement.h Placement by rendezvous ranking with bounded load. */
+#ifndef LABURNUMWEIR_DISPATCH_RENDEZVOUS_PLACEMENT_H
+#define LABURNUMWEIR_DISPATCH_RENDEZVOUS_PLACEMENT_H
+
+#include "dispatch/placement_base.h"
+#include "table/dispatch_const.h"
+
+#include <string>
+#include <vector>
+
+namespace laburnumweir {
+
+/**
+ * Ranks engines by a hash of adapter and engine, so that all hosts agree without a directory. Three
+ * groups follow each other, each in the order of the ranking: engines where this host last found
+ * the adapter and that have room; engines within the load bound; engines beyond it. A rare adapter
+ * thus stays on one engine, and a popular one goes on to the next engines of its ranking while the
+ * first ones are busy. The time does not depend on the number of adapters, and the memory is a
+ * fixed table of residency hints.
+ */
+class RendezvousPlacement : public Placement
+{
+public:
+  RendezvousPlacement();
+  void SetLoad(EngineIndex aEngine, std::uint32_t aRunning) override;
+  void NoteResident(const AdapterRef& aAdapter, EngineIndex aEngine, bool aIsResident) override;
+  std::size_t Rank(const PlacementQuery& aQuery, std::span<EngineIndex> aResult) override;
+
+private:
+  struct Group
+  {
+    std::string model_;                ///< Base model.
+    std::vector<EngineIndex> engines_; ///< Engines that can take work.
+    std::vector<std::uint64_t> seeds_; ///< Their seeds, in the same sequence.
+    double load_ = 0;                  ///< Sum of their loads.
+  };
+  struct Hint
+  {
+    std::uint64_t adapter_ = 0; ///< Hash of the adapter; 0 = unused.
+    std::uint64_t engine_ = 0;  ///< Seed of the engine.
+  };
+
+  void OnChange() override;
+  static std::uint64_t HashOf(const AdapterRef& aAdapter);
+
+  std::vector<Group> groups_;        ///< Engines that can take work, by model.
+  std::vector<std::size_t> groupOf_; ///< Group of each engine; SIZE_MAX if it takes no work.
+  std::vector<Hint> hints_;          ///< Direct-mapped pairs: the two last engines of an adapter.
+};
+
+} // namespace laburnumweir
+
+#endif
--- /dev/null
+++ b/tests/dispatch/fake_clock.h
@@ -0,0 +1,24 @@
+/** @file fake_clock.h Clock that tests advance. */
+#ifndef LABURNUMWEIR_TESTS_DISPATCH_FAKE_CLOCK_H
+#define LABURNUMWEIR_TESTS_DISPATCH_FAKE_CLOCK_H
+
+#include "core/clock_base.h"
+
+namespace laburnumweir {
+
+/** Clock that stands still until it is advanced. */
+class FakeClock : public Clock
+{
+public:
+  TimePoint Now() const override { return now_; }
+  WallTime WallNow() const override { return WallTime{}; }
+  /** Moves time on. */
+  void Advance(Duration aTime) { now_ += aTime; }
+
+private:
+  TimePoint now_{ std::chrono::hours(1) }; ///< Current time.
+};
+
+} // namespace laburnumweir
+
+#endif
