--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -4,7 +4,7 @@
 packages=(
   g++ cmake ninja-build ccache clang-format clang-tidy curl
   libboost1.81-dev libboost-json1.81-dev libboost-program-options1.81-dev
-  libboost-context1.81-dev
+  libboost-context1.81-dev libboost-url1.81-dev
   liblog4cplus-dev libnng-dev libprotobuf-dev libssl-dev libxxhash-dev
   libhowardhinnant-date-dev tzdata
   libgtest-dev libgmock-dev librapidcheck-dev libbenchmark-dev
--- a/src/engine/engine_admin_base.h
+++ b/src/engine/engine_admin_base.h
@@ -38,6 +38,8 @@
   InUse,           ///< The adapter to evict runs requests.
   LoadFailed,      ///< The adapter could not be loaded.
   InvalidAnswer,   ///< The answer could not be understood.
+  NoSlot,          ///< All slots are taken and no resident adapter to evict was named.
+  Refused,         ///< The engine refused before doing anything.
 };
 
 /** @return the category of EngineError. */
