--- a/src/caller/request_handler_base.h
+++ b/src/caller/request_handler_base.h
@@ -18,6 +18,8 @@
 {
 public:
   virtual ~ResponseSink() = default;
+  /** The request left the queue and is being sent to an upstream; reported as its stage only. */
+  virtual void Started() {}
   /** Sends a whole answer. @param aStatus HTTP status. @param aHeaders fields. @param aBody body.
    */
   virtual void Complete(int aStatus, HeaderList aHeaders, std::string aBody) = 0;
--- /dev/null
+++ b/src/http/header_func.h
@@ -0,0 +1,41 @@
+/** @file header_func.h Rules for HTTP header fields that pass through this host. */
+#ifndef LABURNUMWEIR_HTTP_HEADER_FUNC_H
+#define LABURNUMWEIR_HTTP_HEADER_FUNC_H
+
+#include "core/request_type.h"
+
+#include <string>
+#include <string_view>
+
+namespace laburnumweir {
+
+/** @return whether two field names or tokens are the same, ignoring the case of ASCII letters. */
+bool
+EqualsIgnoreCase(std::string_view aLeft, std::string_view aRight);
+
+/** @return the text with ASCII letters in lower case. */
+std::string
+ToLower(std::string_view aText);
+
+/** @return the value of the first field with this name (any case); empty if there is none. */
+std::string_view
+FindField(const HeaderList& aHeaders, std::string_view aName);
+
+/**
+ * @param aName a field name.
+ * @param aConnection value of the message's Connection field, which may name further fields.
+ * @return whether the field belongs to one connection and must not be passed on (RFC 9110, 7.6.1).
+ */
+bool
+IsHopByHop(std::string_view aName, std::string_view aConnection);
+
+/**
+ * @return whether a field holds a secret between the caller and this host: credentials of any form,
+ * and cookies, in which browsers may keep a key.
+ */
+bool
+IsCallerSecret(std::string_view aName);
+
+} // namespace laburnumweir
+
+#endif
