--- /dev/null
+++ b/src/control/config_service.cpp
@@ -0,0 +1,302 @@
+/** @file config_service.cpp Follows the configuration stream and publishes the agreed state. */
+#include "control/config_service.h"
+
+#include "logging/logging_func.h"
+#include "peer/wire.pb.h"
+#include "state/config_codec_func.h"
+
+#include <algorithm>
+
+namespace laburnumweir {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t kMaxReadRecords = 500;
+// Shorter than the freshness bound, so that evidence is renewed in time while nothing changes.
+constexpr std::chrono::milliseconds kReadWait = 800ms;
+constexpr Duration kReadRetry = 200ms;
+constexpr Duration kFetchTimeout = 2s;
+// Longest age of evidence with which requests are admitted (F).
+constexpr Duration kFreshnessBound = 2s;
+
+} // namespace
+
+ConfigService::ConfigService(PeerRouter& aRouter,
+                             const Clock& aClock,
+                             Scheduler& aScheduler,
+                             LogClient& aLog,
+                             StatePublisher& aPublisher,
+                             Metrics& aMetrics)
+  : router_(aRouter)
+  , clock_(aClock)
+  , scheduler_(aScheduler)
+  , log_(aLog)
+  , publisher_(aPublisher)
+  , metrics_(aMetrics)
+{
+  router_.Handle(wire::Envelope::kFetchState,
+                 [this](const wire::Envelope&, const PeerTransport::Responder& aRespond) {
+                   ServeState(aRespond);
+                 });
+}
+
+void
+ConfigService::Start()
+{
+  Read();
+}
+
+bool
+ConfigService::MayAct() const
+{
+  const ConfigState* state = State();
+  return state != nullptr && clock_.Now() < evidence_ + kFreshnessBound &&
+         state->IsMember(router_.Self(), incarnation_);
+}
+
+void
+ConfigService::SetIncarnation(Incarnation aIncarnation)
+{
+  incarnation_ = aIncarnation;
+  router_.SetIncarnation(aIncarnation);
+  Publish();
+}
+
+void
+ConfigService::SetDraining()
+{
+  isDraining_ = true;
+  Publish();
+}
+
+void
+ConfigService::Read()
+{
+  const TimePoint sentAt = clock_.Now();
+  // Without evidence the answer is wanted at once.
+  const bool isFresh = clock_.Now() < evidence_ + kFreshnessBound;
+  const auto wait = isFresh ? kReadWait : std::chrono::milliseconds(0);
+  log_.Read(
+    kConfigStream,
+    reader_.WantedOffset(),
+    kMaxReadRecords,
+    wait,
+    [this, weak = weak_from_this(), sentAt](std::error_code aError, const ReadResult& aResult) {
+      if (weak.expired()) {
+        return;
+      }
+      if (aError == std::error_code()) {
+        if (!isLogReadable_) {
+          LogEvent(LogLevel::Info, "log_readable");
+        }
+        isLogReadable_ = true;
+        OnRead(sentAt, aResult);
+        Read();
+        return;
+      }
+      if (isLogReadable_) {
+        LogEvent(LogLevel::Warn, "log_unreadable", { { "error", aError.message() } });
+      }
+      isLogReadable_ = false;
+      Publish();
+      scheduler_.After(kReadRetry, [this, weak] {
+        if (!weak.expired()) {
+          Read();
+        }
+      });
+    });
+}
+
+void
+ConfigService::OnRead(TimePoint aSentAt, const ReadResult& aResult)
+{
+  streamEnd_ = aResult.end_;
+  if (!reader_.OnExtent(aResult.first_)) {
+    metrics_.GetCounter("laburnumweir_config_gaps_total").Add();
+    LogEvent(LogLevel::Warn, "config_gap", { { "first", std::to_string(aResult.first_) } });
+    Publish();
+    return;
+  }
+  for (const auto& record : aResult.records_) {
+    const bool hadState = State() != nullptr;
+    const FoldOutcome outcome = reader_.Add(record.offset_, record.data_);
+    metrics_.GetCounter("laburnumweir_config_records_total").Add();
+    const ConfigState* state = State();
+    if (state == nullptr) {
+      continue;
+    }
+    if (!hadState) {
+      AfterFold();
+      continue;
+    }
+    if (outcome.rulesChanged_ || outcome.membershipChanged_) {
+      router_.SetOffset(state->NextOffset());
+      for (ConfigListener* listener : listeners_) {
+        listener->OnRecord(*state);
+      }
+      LogEvent(LogLevel::Info,
+               outcome.rulesChanged_ ? "rules_changed" : "membership_changed",
+               { { "offset", std::to_string(record.offset_) },
+                 { "members", std::to_string(state->Members().size()) } });
+    }
+  }
+  if (State() != nullptr && State()->NextOffset() >= aResult.end_) {
+    NoteEvidence(aSentAt);
+  }
+  Publish();
+}
+
+void
+ConfigService::AfterFold()
+{
+  const ConfigState& state = *State();
+  router_.SetOffset(state.NextOffset());
+  for (ConfigListener* listener : listeners_) {
+    listener->OnJump(state);
+  }
+}
+
+void
+ConfigService::NoteEvidence(TimePoint aTime)
+{
+  evidence_ = std::max(evidence_, aTime);
+}
+
+void
+ConfigService::OnHeartbeatAnswer(const HostId& aPeer,
+                                 TimePoint aSentAt,
+                                 const wire::HeartbeatAnswer& aAnswer)
+{
+  if (!aAnswer.has_state()) {
+    return;
+  }
+  const ConfigState* state = State();
+  const LogOffset own = state == nullptr ? 0 : state->NextOffset();
+  if (aAnswer.folded() > own) {
+    // The log gives the records in sequence; the peer's state is needed only if it cannot be read.
+    if (!isLogReadable_) {
+      FetchFrom(aPeer);
+    }
+    return;
+  }
+  if (state != nullptr && aAnswer.has_evidence()) {
+    NoteEvidence(aSentAt - Duration(aAnswer.evidence_age_ns()));
+    Publish();
+  }
+}
+
+void
+ConfigService::FillHeartbeatAnswer(wire::HeartbeatAnswer& aAnswer) const
+{
+  const ConfigState* state = State();
+  aAnswer.set_has_state(state != nullptr);
+  aAnswer.set_folded(state == nullptr ? 0 : state->NextOffset());
+  const bool hasEvidence = state != nullptr && evidence_ != TimePoint();
+  aAnswer.set_has_evidence(hasEvidence);
+  aAnswer.set_evidence_age_ns(hasEvidence ? EvidenceAge().count() : 0);
+  aAnswer.set_is_leaving(isDraining_);
+}
+
+void
+ConfigService::FetchFrom(const HostId& aPeer)
+{
+  if (isFetching_) {
+    return;
+  }
+  isFetching_ = true;
+  wire::Envelope message;
+  message.mutable_fetch_state();
+  router_.Ask(
+    aPeer,
+    std::move(message),
+    kFetchTimeout,
+    [this, weak = weak_from_this()](std::error_code aError, const wire::Envelope& aAnswer) {
+      if (weak.expired()) {
+        return;
+      }
+      isFetching_ = false;
+      if (aError || !aAnswer.has_state_answer() || !aAnswer.state_answer().has_state()) {
+        return;
+      }
+      if (reader_.Adopt(aAnswer.state_answer().snapshot())) {
+        LogEvent(
+          LogLevel::Info,
+          "state_fetched",
+          { { "peer", aAnswer.sender() }, { "offset", std::to_string(State()->NextOffset()) } });
+        AfterFold();
+        Publish();
+      }
+    });
+}
+
+void
+ConfigService::ServeState(const PeerTransport::Responder& aRespond)
+{
+  wire::Envelope answer;
+  auto& body = *answer.mutable_state_answer();
+  const ConfigState* state = State();
+  body.set_has_state(state != nullptr);
+  if (state != nullptr) {
+    body.set_folded(state->NextOffset());
+    body.set_snapshot(EncodeRecord(SnapshotRecord{ state->Image() }));
+  }
+  aRespond(std::move(answer));
+}
+
+bool
+ConfigService::LacksSnapshot() const
+{
+  return isLogReadable_ && State() == nullptr && reader_.Status() != ReaderStatus::Unsupported;
+}
+
+std::string
+ConfigService::NotReadyReason() const
+{
+  if (isDraining_) {
+    return "draining";
+  }
+  if (reader_.Status() == ReaderStatus::Unsupported) {
+    return "the configuration was written by a newer release";
+  }
+  if (State() == nullptr) {
+    return isLogReadable_ ? "the configuration stream holds no snapshot; run rules apply --init"
+                          : "the configuration was not read: the log does not answer";
+  }
+  if (!State()->IsMember(router_.Self(), incarnation_)) {
+    return "this host has not joined yet";
+  }
+  if (!MayAct()) {
+    return "the configuration is not fresh: neither the log nor peers confirm it";
+  }
+  return {};
+}
+
+void
+ConfigService::Publish()
+{
+  const ConfigState* state = State();
+  if (state == nullptr) {
+    copy_.reset();
+  } else if (!copy_ || copy_->NextOffset() != state->NextOffset()) {
+    copy_ = std::make_shared<const ConfigState>(*state);
+  }
+  PublishedState published;
+  published.config_ = copy_;
+  published.evidence_ = evidence_;
+  published.isDraining_ = isDraining_;
+  if (state != nullptr && state->IsMember(router_.Self(), incarnation_)) {
+    published.freshUntil_ = evidence_ + kFreshnessBound;
+  }
+  publisher_.Publish(std::move(published));
+  const std::string reason = NotReadyReason();
+  if (reason.empty() != wasReady_) {
+    wasReady_ = reason.empty();
+    LogEvent(wasReady_ ? LogLevel::Info : LogLevel::Warn,
+             wasReady_ ? "ready" : "not_ready",
+             { { "reason", reason } });
+  }
+}
+
+} // namespace laburnumweir
--- /dev/null
+++ b/src/control/config_service.h
@@ -0,0 +1,111 @@
+/** @file config_service.h Follows the configuration stream and publishes the agreed state. */
+#ifndef LABURNUMWEIR_CONTROL_CONFIG_SERVICE_H
+#define LABURNUMWEIR_CONTROL_CONFIG_SERVICE_H
+
+#include "control/config_view_base.h"
+#include "control/peer_router.h"
+#include "control/published_state.h"
+#include "log/log_client_base.h"
+#include "metrics/metrics.h"
+#include "peer/wire.pb.h"
+#include "state/bootstrap.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace laburnumweir {
+
+/** Name of the stream with rules and membership. */
+constexpr std::string_view kConfigStream = "config";
+
+/**
+ * Reads the configuration stream, folds it, takes newer states from peers while the log cannot be
+ * read, and publishes the result with the time until which it may be acted on. Control thread only.
+ */
+class ConfigService
+  : public ConfigView
+  , public std::enable_shared_from_this<ConfigService>
+{
+public:
+  /**
+   * @param aRouter messages to peers.
+   * @param aClock time source.
+   * @param aScheduler control thread.
+   * @param aLog the log.
+   * @param aPublisher receives the states.
+   * @param aMetrics counts folds and gaps.
+   */
+  ConfigService(PeerRouter& aRouter,
+                const Clock& aClock,
+                Scheduler& aScheduler,
+                LogClient& aLog,
+                StatePublisher& aPublisher,
+                Metrics& aMetrics);
+
+  /** Adds a listener; call before Start(). */
+  void AddListener(ConfigListener& aListener) { listeners_.push_back(&aListener); }
+  /** Starts to read the stream; call once, after the object is owned by a shared pointer. */
+  void Start();
+  const ConfigState* State() const override { return reader_.State(); }
+  bool MayAct() const override;
+  /** Sets the incarnation with which this host is a member; 0 = none. */
+  void SetIncarnation(Incarnation aIncarnation);
+  /** @return the incarnation with which this host is a member. */
+  Incarnation SelfIncarnation() const { return incarnation_; }
+  /** Notes that the host is being shut down; it goes on until its requests have ended. */
+  void SetDraining();
+  /** @return whether the host is being shut down. */
+  bool IsDraining() const { return isDraining_; }
+  /**
+   * Takes the answer of a peer to a heartbeat.
+   * @param aPeer the peer.
+   * @param aSentAt when the heartbeat was sent.
+   * @param aAnswer the answer.
+   */
+  void OnHeartbeatAnswer(const HostId& aPeer,
+                         TimePoint aSentAt,
+                         const wire::HeartbeatAnswer& aAnswer);
+  /** Describes the state of this host for a peer. @param aAnswer receives it. */
+  void FillHeartbeatAnswer(wire::HeartbeatAnswer& aAnswer) const;
+  /** @return why this host is not ready; empty if it is. */
+  std::string NotReadyReason() const;
+  /** @return whether the last read of the log succeeded. */
+  bool IsLogReadable() const { return isLogReadable_; }
+  /** @return end of the stream as last read, for `apply --init`. */
+  LogOffset StreamEnd() const { return streamEnd_; }
+  /** @return whether the stream was read and holds no usable snapshot. */
+  bool LacksSnapshot() const;
+  /** @return age of the evidence that the state is the newest. */
+  Duration EvidenceAge() const { return clock_.Now() - evidence_; }
+
+private:
+  void Read();
+  void OnRead(TimePoint aSentAt, const ReadResult& aResult);
+  void FetchFrom(const HostId& aPeer);
+  void ServeState(const PeerTransport::Responder& aRespond);
+  void NoteEvidence(TimePoint aTime);
+  void AfterFold();
+  void Publish();
+
+  PeerRouter& router_;                      ///< Messages to peers.
+  const Clock& clock_;                      ///< Time source.
+  Scheduler& scheduler_;                    ///< Control thread.
+  LogClient& log_;                          ///< The log.
+  StatePublisher& publisher_;               ///< Receives the states.
+  Metrics& metrics_;                        ///< Counts folds and gaps.
+  std::vector<ConfigListener*> listeners_;  ///< Told of each record.
+  ConfigReader reader_;                     ///< Folds the stream.
+  std::shared_ptr<const ConfigState> copy_; ///< State as published.
+  TimePoint evidence_;                      ///< When the state was certainly the newest.
+  Incarnation incarnation_ = 0;             ///< Incarnation of this host.
+  LogOffset streamEnd_ = 0;                 ///< End of the stream as last read.
+  bool isLogReadable_ = false;              ///< Whether the last read succeeded.
+  bool isFetching_ = false;                 ///< A peer was asked for its state.
+  bool isDraining_ = false;                 ///< The host is being shut down.
+  bool wasReady_ = false;                   ///< For the log line when it changes.
+};
+
+} // namespace laburnumweir
+
+#endif
--- /dev/null
+++ b/src/control/token_service.h
@@ -0,0 +1,43 @@
+/** @file token_service.h Buckets of the workspaces that this host owns. */
+#ifndef LABURNUMWEIR_CONTROL_TOKEN_SERVICE_H
+#define LABURNUMWEIR_CONTROL_TOKEN_SERVICE_H
+
+#include "control/config_view_base.h"
+#include "control/peer_router.h"
+#include "limits/bucket_owner.h"
+
+#include <map>
+
+namespace laburnumweir {
+
+/** Answers TokenRequest for the workspaces that this host owns. Control thread only. */
+class TokenService : public ConfigListener
+{
+public:
+  /**
+   * @param aRouter routes requests of holders here.
+   * @param aView the agreed state.
+   * @param aClock time source.
+   * @param aSettings settings of the buckets.
+   */
+  TokenService(PeerRouter& aRouter,
+               const ConfigView& aView,
+               const Clock& aClock,
+               const LimitSettings& aSettings);
+
+  void OnRecord(const ConfigState& aState) override;
+  void OnJump(const ConfigState& aState) override;
+
+private:
+  void Serve(const wire::Envelope& aRequest, const PeerTransport::Responder& aRespond);
+
+  PeerRouter& router_;                         ///< Routes requests.
+  const ConfigView& view_;                     ///< The agreed state.
+  const Clock& clock_;                         ///< Time source.
+  LimitSettings settings_;                     ///< Settings of the buckets.
+  std::map<WorkspaceId, BucketOwner> buckets_; ///< Buckets that this host owns.
+};
+
+} // namespace laburnumweir
+
+#endif
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -3,8 +3,8 @@
 
 #include <boost/histogram/accumulators/count.hpp>
 #include <boost/histogram/axis/variable.hpp>
-#include <boost/histogram/storage_adaptor.hpp>
 #include <boost/histogram/make_histogram.hpp>
+#include <boost/histogram/storage_adaptor.hpp>
 #include <sstream>
 
 namespace laburnumweir {
--- a/src/peer/nng_transport.cpp
+++ b/src/peer/nng_transport.cpp
@@ -21,8 +21,9 @@
 
 namespace asio = boost::asio;
 
-// Requests that one host answers at the same time; further ones wait in nng.
-constexpr int kReplyContexts = 64;
+// Requests that one host answers at the same time; further ones wait in nng. Requests for a slot
+// are answered when the load is done, so many can be open.
+constexpr int kReplyContexts = 512;
 constexpr std::size_t kMaxMessageBytes = 8U << 20;
 constexpr nng_duration kReconnectMinMs = 50;
 constexpr nng_duration kReconnectMaxMs = 500;
--- a/src/serve/settings_func.cpp
+++ b/src/serve/settings_func.cpp
@@ -125,8 +125,9 @@
     { "logging.file", false, ReadName(AssignTo(s.logFile_)) },
     { "placement.policy",
       false,
-      ReadChoice(s.placement_,
-                 { "bounded-load", "random", "round-robin", "least-loaded", "consistent-hash" }) },
+      ReadChoice(
+        s.placement_,
+        { "bounded-rendezvous", "random", "round-robin", "least-loaded", "consistent-hash" }) },
     { "callers.max_connections", false, ReadNumber(1, 100000, AssignTo(s.maxConnections_)) },
     { "callers.request_timeout_s", false, ReadNumber(1, 3600, AssignTo(s.requestTimeout_)) },
     { "drain.timeout_s", false, ReadNumber(1, 3600, AssignTo(s.drainTimeout_)) },
--- a/src/serve/settings_type.h
+++ b/src/serve/settings_type.h
@@ -28,12 +28,12 @@
   std::uint32_t trafficThreads_ = 2; ///< threads.traffic: threads for callers and upstreams.
   std::string logLevel_ = "info";    ///< logging.level.
   std::string logFile_ = "-";        ///< logging.file: path, or "-" for standard error.
-  std::string placement_ = "bounded-load";      ///< placement.policy.
-  std::uint32_t maxConnections_ = 2000;         ///< callers.max_connections.
-  std::chrono::seconds requestTimeout_{ 60 };   ///< callers.request_timeout_s.
-  std::chrono::seconds drainTimeout_{ 120 };    ///< drain.timeout_s.
-  std::chrono::seconds dedupeWindow_{ 86400 };  ///< once.dedupe_window_s.
-  std::uint32_t oncePartitions_ = 8;            ///< once.partitions; the same on every host.
+  std::string placement_ = "bounded-rendezvous"; ///< placement.policy.
+  std::uint32_t maxConnections_ = 2000;          ///< callers.max_connections.
+  std::chrono::seconds requestTimeout_{ 60 };    ///< callers.request_timeout_s.
+  std::chrono::seconds drainTimeout_{ 120 };     ///< drain.timeout_s.
+  std::chrono::seconds dedupeWindow_{ 86400 };   ///< once.dedupe_window_s.
+  std::uint32_t oncePartitions_ = 8;             ///< once.partitions; the same on every host.
   std::chrono::seconds logRetention_{ 604800 }; ///< platform.log_retention_s: retention of the log.
 };
 
