--- a/src/state/config_codec.cpp
+++ b/src/state/config_codec.cpp
@@ -143,6 +143,12 @@
                                       { "operator", verdict.operator_ } });
     }
     object_["kind"] = "snapshot";
+    object_["written"] = aRecord.written_.count();
+    object_["snapshot"] =
+      image.snapshot_
+        ? json::value(json::object{ { "offset", image.snapshot_->offset_ },
+                                    { "written", image.snapshot_->written_.count() } })
+        : json::value(nullptr);
     object_["next"] = image.next_;
     object_["revision"] = RevisionValue(image.revision_);
     object_["membership"] =
@@ -204,6 +210,13 @@
 {
   SnapshotRecord record;
   ConfigImage& image = record.image_;
+  record.written_ = std::chrono::milliseconds(Count<std::int64_t>(aObject, "written"));
+  if (!aObject.at("snapshot").is_null()) {
+    const json::object& mark = aObject.at("snapshot").as_object();
+    image.snapshot_ =
+      SnapshotMark{ Count(mark, "offset"),
+                    std::chrono::milliseconds(Count<std::int64_t>(mark, "written")) };
+  }
   image.next_ = Count(aObject, "next");
   image.revision_ = Revision(aObject, "revision");
   if (!aObject.at("membership").is_null()) {
--- a/src/state/config_record_type.h
+++ b/src/state/config_record_type.h
@@ -4,6 +4,7 @@
 
 #include "rules/rule_book.h"
 
+#include <chrono>
 #include <cstdint>
 #include <limits>
 #include <map>
@@ -23,6 +24,15 @@
  */
 constexpr LogOffset kNoRevision = std::numeric_limits<LogOffset>::max();
 
+/** One life of a host. */
+struct HostLife
+{
+  HostId host_;                 ///< Name of the host.
+  Incarnation incarnation_ = 0; ///< Its incarnation.
+
+  auto operator<=>(const HostLife&) const = default;
+};
+
 /** A rule line as recorded; the text is not interpreted by the fold. */
 struct RecordedLine
 {
@@ -122,6 +132,15 @@
   bool operator==(const ChangeVerdict&) const = default;
 };
 
+/** The newest snapshot record of the stream. */
+struct SnapshotMark
+{
+  LogOffset offset_ = 0;                ///< Offset of the record.
+  std::chrono::milliseconds written_{}; ///< Wall-clock time of the writer, since the epoch.
+
+  bool operator==(const SnapshotMark&) const = default;
+};
+
 /** The whole folded state. Equal on all hosts that folded up to the same offset. */
 struct ConfigImage
 {
@@ -132,6 +151,7 @@
   std::map<HostId, Member> members_;     ///< Members by name.
   std::vector<MembershipEvent> history_; ///< Newest changes of membership, oldest first.
   std::vector<ChangeVerdict> changes_;   ///< Newest changes, oldest first.
+  std::optional<SnapshotMark> snapshot_; ///< Newest snapshot record, if there is one.
 
   bool operator==(const ConfigImage&) const = default;
 };
@@ -139,7 +159,8 @@
 /** The whole state, so that a reader need not know the records before. */
 struct SnapshotRecord
 {
-  ConfigImage image_; ///< State when the record was written.
+  ConfigImage image_;                   ///< State when the record was written.
+  std::chrono::milliseconds written_{}; ///< Wall-clock time of the writer, since the epoch.
 
   bool operator==(const SnapshotRecord&) const = default;
 };
--- a/src/state/config_state.cpp
+++ b/src/state/config_state.cpp
@@ -42,7 +42,11 @@
     Apply(ConfigCommands::TestRemove(state_, aRecord),
           [&] { ConfigCommands::ExecRemove(state_, offset_, aRecord); });
   }
-  void operator()(const SnapshotRecord& /*aRecord*/) const { outcome_.isSnapshot_ = true; }
+  void operator()(const SnapshotRecord& aRecord) const
+  {
+    ConfigCommands::ExecSnapshot(state_, offset_, aRecord);
+    outcome_.isSnapshot_ = true;
+  }
   void operator()(const UnknownRecord& /*aRecord*/) const {}
 
 private:
--- a/src/state/config_state.h
+++ b/src/state/config_state.h
@@ -2,6 +2,7 @@
 #ifndef LABURNUMWEIR_STATE_CONFIG_STATE_H
 #define LABURNUMWEIR_STATE_CONFIG_STATE_H
 
+#include "core/random_base.h"
 #include "rules/rule_error_type.h"
 #include "state/config_record_type.h"
 #include "state/state_error_type.h"
@@ -50,8 +51,10 @@
 public:
   /** Number of changes whose verdict is kept; 2,600 changes a day are one in 33 s. */
   static constexpr std::size_t kChangeMemory = 256;
-  /** Number of changes of membership kept; 75 hosts a day come and go, so this covers a day. */
-  static constexpr std::size_t kHistoryMemory = 256;
+  /** Number of changes of membership kept. A restart of all 370 hosts within the outage bound is
+   * 740 changes; a change cannot be accepted early if hosts that were removed since are forgotten.
+   */
+  static constexpr std::size_t kHistoryMemory = 1024;
 
   /** The state of an empty stream. */
   ConfigState();
@@ -135,6 +138,9 @@
   /** Ends the membership. */
   static void ExecRemove(ConfigState& aState, LogOffset aOffset, const RemoveRecord& aRecord);
 
+  /** Notes the newest snapshot; a snapshot is always valid and changes nothing else. */
+  static void ExecSnapshot(ConfigState& aState, LogOffset aOffset, const SnapshotRecord& aRecord);
+
 private:
   static void EndMembership(ConfigState& aState,
                             LogOffset aOffset,
@@ -169,6 +175,18 @@
            std::string aId,
            std::string aOperator);
 
+/**
+ * Chooses the incarnation of a new life: the wall-clock time and random bits, but always greater
+ * than the last one known. A life that only counted on from the last one it has read could take the
+ * number of an earlier life whose join record it has not read yet.
+ * @param aLast greatest incarnation known of the host, or 0.
+ * @param aWall wall-clock time.
+ * @param aRandom source of the random bits.
+ * @return the incarnation.
+ */
+Incarnation
+MakeIncarnation(Incarnation aLast, WallTime aWall, RandomSource& aRandom);
+
 /**
  * Makes the snapshot for a stream whose older records are gone (`apply --init`).
  * @param aEnd end of the stream as read; all records before it are given up.
--- a/src/state/config_state_cmd.cpp
+++ b/src/state/config_state_cmd.cpp
@@ -2,6 +2,9 @@
 #include "rules/rule_parser_func.h"
 #include "state/config_state.h"
 
+#include <algorithm>
+#include <chrono>
+
 namespace laburnumweir {
 
 std::error_code
@@ -101,6 +104,12 @@
   EndMembership(aState, aOffset, MembershipKind::Remove, aRecord.host_);
 }
 
+void
+ConfigCommands::ExecSnapshot(ConfigState& aState, LogOffset aOffset, const SnapshotRecord& aRecord)
+{
+  aState.image_.snapshot_ = SnapshotMark{ aOffset, aRecord.written_ };
+}
+
 void
 ConfigCommands::EndMembership(ConfigState& aState,
                               LogOffset aOffset,
@@ -172,6 +181,16 @@
   return plan;
 }
 
+Incarnation
+MakeIncarnation(Incarnation aLast, WallTime aWall, RandomSource& aRandom)
+{
+  constexpr int kRandomBits = 20; // leaves 43 bits for milliseconds, enough until the year 2248
+  const auto time = std::chrono::floor<std::chrono::milliseconds>(aWall.time_since_epoch());
+  const Incarnation upper =
+    std::max((aLast >> kRandomBits) + 1, static_cast<Incarnation>(time.count()));
+  return (upper << kRandomBits) | aRandom.Below(Incarnation{ 1 } << kRandomBits);
+}
+
 SnapshotRecord
 MakeInitialSnapshot(LogOffset aEnd, RuleBook aBook)
 {
