--- a/src/control/change_service.cpp
+++ b/src/control/change_service.cpp
@@ -1,4 +1,5 @@
-/** @file change_service.cpp Appends changes of the rules and follows them until they are in force. */
+/** @file change_service.cpp Appends changes of the rules and follows them until they are in force.
+ */
 #include "control/change_service.h"
 
 #include "logging/logging_func.h"
@@ -109,20 +110,21 @@
 {
   std::vector<NewRecord> records;
   records.push_back({ aId, aData });
-  log_.Append(kConfigStream,
-              std::move(records),
-              [this, weak = weak_from_this(), aId, aData, aUntil](std::error_code aError, LogOffset) {
-                // A record with the same identifier is folded once, so that an append whose answer
-                // was lost can be sent again.
-                if (weak.expired() || !aError || clock_.Now() >= aUntil) {
-                  return;
-                }
-                scheduler_.After(kAppendRetry, [this, weak, aId, aData, aUntil] {
-                  if (!weak.expired()) {
-                    Append(aId, aData, aUntil);
-                  }
-                });
-              });
+  log_.Append(
+    kConfigStream,
+    std::move(records),
+    [this, weak = weak_from_this(), aId, aData, aUntil](std::error_code aError, LogOffset) {
+      // A record with the same identifier is folded once, so that an append whose answer
+      // was lost can be sent again.
+      if (weak.expired() || !aError || clock_.Now() >= aUntil) {
+        return;
+      }
+      scheduler_.After(kAppendRetry, [this, weak, aId, aData, aUntil] {
+        if (!weak.expired()) {
+          Append(aId, aData, aUntil);
+        }
+      });
+    });
 }
 
 AcceptanceResult
--- a/src/control/change_service.h
+++ b/src/control/change_service.h
@@ -14,11 +14,11 @@
 /** A wanted change of the rules. */
 struct ChangeRequest
 {
-  std::string id_;       ///< Identifies the change, chosen by the operator's command.
-  std::string text_;     ///< The whole wanted rule file.
+  std::string id_;               ///< Identifies the change, chosen by the operator's command.
+  std::string text_;             ///< The whole wanted rule file.
   LogOffset base_ = kNoRevision; ///< Revision that the operator saw.
-  std::string operator_; ///< Who ran the command.
-  bool isInitial_ = false; ///< Write a first snapshot, if the log lost all of them.
+  std::string operator_;         ///< Who ran the command.
+  bool isInitial_ = false;       ///< Write a first snapshot, if the log lost all of them.
 };
 
 /** Answer to a wanted change. */
--- a/src/control/config_service.cpp
+++ b/src/control/config_service.cpp
@@ -18,8 +18,6 @@
 constexpr std::chrono::milliseconds kReadWait = 800ms;
 constexpr Duration kReadRetry = 200ms;
 constexpr Duration kFetchTimeout = 2s;
-// Longest age of evidence with which requests are admitted (F).
-constexpr Duration kFreshnessBound = 2s;
 
 } // namespace
 
@@ -28,13 +26,20 @@
                              Scheduler& aScheduler,
                              LogClient& aLog,
                              StatePublisher& aPublisher,
-                             Metrics& aMetrics)
+                             Metrics& aMetrics,
+                             const FreshnessSettings& aFreshness,
+                             const SnapshotSettings& aSnapshots,
+                             RandomSource& aRandom)
   : router_(aRouter)
   , clock_(aClock)
   , scheduler_(aScheduler)
   , log_(aLog)
   , publisher_(aPublisher)
   , metrics_(aMetrics)
+  , freshness_({ aRouter.Self(), 0 }, aFreshness)
+  , freshnessSettings_(aFreshness)
+  , snapshots_(aSnapshots)
+  , random_(aRandom)
 {
   router_.Handle(wire::Envelope::kFetchState,
                  [this](const wire::Envelope&, const PeerTransport::Responder& aRespond) {
@@ -52,7 +57,7 @@
 ConfigService::MayAct() const
 {
   const ConfigState* state = State();
-  return state != nullptr && clock_.Now() < evidence_ + kFreshnessBound &&
+  return state != nullptr && clock_.Now() < freshUntil_ &&
          state->IsMember(router_.Self(), incarnation_);
 }
 
@@ -61,6 +66,10 @@
 {
   incarnation_ = aIncarnation;
   router_.SetIncarnation(aIncarnation);
+  freshness_.OnNewLife({ router_.Self(), aIncarnation });
+  if (const ConfigState* state = State()) {
+    freshness_.OnState(state->NextOffset(), state->Members());
+  }
   Publish();
 }
 
@@ -76,7 +85,7 @@
 {
   const TimePoint sentAt = clock_.Now();
   // Without evidence the answer is wanted at once.
-  const bool isFresh = clock_.Now() < evidence_ + kFreshnessBound;
+  const bool isFresh = clock_.Now() < freshUntil_;
   const auto wait = isFresh ? kReadWait : std::chrono::milliseconds(0);
   log_.Read(
     kConfigStream,
@@ -116,75 +125,122 @@
   if (!reader_.OnExtent(aResult.first_)) {
     metrics_.GetCounter("laburnumweir_config_gaps_total").Add();
     LogEvent(LogLevel::Warn, "config_gap", { { "first", std::to_string(aResult.first_) } });
+    freshness_.OnStateLost();
     Publish();
     return;
   }
+  if (State() != nullptr && !copy_) {
+    AfterJump();
+  }
   for (const auto& record : aResult.records_) {
     const bool hadState = State() != nullptr;
     const FoldOutcome outcome = reader_.Add(record.offset_, record.data_);
     metrics_.GetCounter("laburnumweir_config_records_total").Add();
-    const ConfigState* state = State();
-    if (state == nullptr) {
+    if (State() == nullptr) {
       continue;
     }
-    if (!hadState) {
-      AfterFold();
-      continue;
-    }
-    if (outcome.rulesChanged_ || outcome.membershipChanged_) {
-      router_.SetOffset(state->NextOffset());
-      for (ConfigListener* listener : listeners_) {
-        listener->OnRecord(*state);
-      }
-      LogEvent(LogLevel::Info,
-               outcome.rulesChanged_ ? "rules_changed" : "membership_changed",
-               { { "offset", std::to_string(record.offset_) },
-                 { "members", std::to_string(state->Members().size()) } });
+    if (hadState) {
+      AfterRecord(record, outcome);
+    } else {
+      AfterJump();
     }
   }
-  if (State() != nullptr && State()->NextOffset() >= aResult.end_) {
-    NoteEvidence(aSentAt);
+  if (State() != nullptr) {
+    freshness_.OnState(State()->NextOffset(), State()->Members());
+    freshness_.OnLogAnswer(aSentAt, aResult.end_);
   }
   Publish();
 }
 
 void
-ConfigService::AfterFold()
+ConfigService::AfterRecord(const LogRecord& aRecord, const FoldOutcome& aOutcome)
+{
+  const ConfigState& state = *State();
+  router_.SetOffset(state.NextOffset());
+  if (!aOutcome.rulesChanged_ && !aOutcome.membershipChanged_) {
+    return;
+  }
+  freshness_.OnState(state.NextOffset(), state.Members());
+  for (ConfigListener* listener : listeners_) {
+    listener->OnRecord(state);
+  }
+  LogEvent(LogLevel::Info,
+           aOutcome.rulesChanged_ ? "rules_changed" : "membership_changed",
+           { { "offset", std::to_string(aRecord.offset_) },
+             { "members", std::to_string(state.Members().size()) } });
+}
+
+void
+ConfigService::AfterJump()
 {
   const ConfigState& state = *State();
   router_.SetOffset(state.NextOffset());
+  freshness_.OnState(state.NextOffset(), state.Members());
   for (ConfigListener* listener : listeners_) {
     listener->OnJump(state);
   }
 }
 
 void
-ConfigService::NoteEvidence(TimePoint aTime)
+ConfigService::Tick()
+{
+  Publish();
+  const ConfigState* state = State();
+  if (state == nullptr || isSnapshotting_ || isDraining_ || !isLogReadable_ || !MayAct()) {
+    return;
+  }
+  if (snapshots_.ShouldAppend(*state, router_.Self(), clock_.Now(), clock_.WallNow(), random_)) {
+    AppendSnapshot();
+  }
+}
+
+void
+ConfigService::AppendSnapshot()
+{
+  isSnapshotting_ = true;
+  const std::string data = EncodeRecord(MakeSnapshot(*State(), clock_.WallNow()));
+  std::vector<NewRecord> records;
+  records.push_back(
+    { "snapshot/" + router_.Self().Value() + "/" + std::to_string(State()->NextOffset()), data });
+  LogEvent(LogLevel::Info, "snapshot", { { "through", std::to_string(State()->NextOffset()) } });
+  log_.Append(
+    kConfigStream, std::move(records), [this, weak = weak_from_this()](std::error_code, LogOffset) {
+      if (!weak.expired()) {
+        // If it failed it stays due and is appended again.
+        isSnapshotting_ = false;
+      }
+    });
+}
+
+void
+ConfigService::SetPendingAppend(bool aIsPending)
 {
-  evidence_ = std::max(evidence_, aTime);
+  freshness_.SetPendingAppend(aIsPending);
+  hasPendingAppend_ = aIsPending;
 }
 
 void
-ConfigService::OnHeartbeatAnswer(const HostId& aPeer,
+ConfigService::OnHeartbeatAnswer(const HostLife& aPeer,
                                  TimePoint aSentAt,
                                  const wire::HeartbeatAnswer& aAnswer)
 {
-  if (!aAnswer.has_state()) {
-    return;
+  PeerAnswer answer;
+  answer.life_ = aPeer;
+  answer.asked_ = aSentAt;
+  answer.hasState_ = aAnswer.has_state();
+  answer.next_ = aAnswer.folded();
+  answer.hasPendingAppend_ = aAnswer.has_pending_append();
+  if (aAnswer.has_log_age()) {
+    answer.logAge_ = Duration(aAnswer.log_age_ns());
   }
+  freshness_.OnPeerAnswer(answer);
   const ConfigState* state = State();
   const LogOffset own = state == nullptr ? 0 : state->NextOffset();
-  if (aAnswer.folded() > own) {
-    // The log gives the records in sequence; the peer's state is needed only if it cannot be read.
-    if (!isLogReadable_) {
-      FetchFrom(aPeer);
-    }
-    return;
-  }
-  if (state != nullptr && aAnswer.has_evidence()) {
-    NoteEvidence(aSentAt - Duration(aAnswer.evidence_age_ns()));
-    Publish();
+  // The log gives the records in sequence; the peer's state is needed only if it cannot be read.
+  if (aAnswer.has_state() && aAnswer.folded() > own && !isLogReadable_) {
+    FetchFrom(aPeer.host_);
   }
+  Publish();
 }
 
 void
@@ -193,9 +249,10 @@
   const ConfigState* state = State();
   aAnswer.set_has_state(state != nullptr);
   aAnswer.set_folded(state == nullptr ? 0 : state->NextOffset());
-  const bool hasEvidence = state != nullptr && evidence_ != TimePoint();
-  aAnswer.set_has_evidence(hasEvidence);
-  aAnswer.set_evidence_age_ns(hasEvidence ? EvidenceAge().count() : 0);
+  const auto age = freshness_.LogAge(clock_.Now());
+  aAnswer.set_has_log_age(age.has_value());
+  aAnswer.set_log_age_ns(age.value_or(Duration(0)).count());
+  aAnswer.set_has_pending_append(hasPendingAppend_);
   aAnswer.set_is_leaving(isDraining_);
 }
 
@@ -225,7 +282,7 @@
           LogLevel::Info,
           "state_fetched",
           { { "peer", aAnswer.sender() }, { "offset", std::to_string(State()->NextOffset()) } });
-        AfterFold();
+        AfterJump();
         Publish();
       }
     });
@@ -268,7 +325,8 @@
     return "this host has not joined yet";
   }
   if (!MayAct()) {
-    return "the configuration is not fresh: neither the log nor peers confirm it";
+    return "the configuration is not fresh (" + std::string(ToString(freshness_.Mode())) +
+           "): neither the log nor enough peers confirm it";
   }
   return {};
 }
@@ -277,6 +335,7 @@
 ConfigService::Publish()
 {
   const ConfigState* state = State();
+  freshUntil_ = freshness_.Update(clock_.Now());
   if (state == nullptr) {
     copy_.reset();
   } else if (!copy_ || copy_->NextOffset() != state->NextOffset()) {
@@ -284,10 +343,10 @@
   }
   PublishedState published;
   published.config_ = copy_;
-  published.evidence_ = evidence_;
   published.isDraining_ = isDraining_;
   if (state != nullptr && state->IsMember(router_.Self(), incarnation_)) {
-    published.freshUntil_ = evidence_ + kFreshnessBound;
+    published.freshUntil_ = freshUntil_;
+    published.evidence_ = freshUntil_ - freshnessSettings_.Within(freshnessSettings_.bound_);
   }
   publisher_.Publish(std::move(published));
   const std::string reason = NotReadyReason();
--- a/src/control/config_service.h
+++ b/src/control/config_service.h
@@ -9,6 +9,8 @@
 #include "metrics/metrics.h"
 #include "peer/wire.pb.h"
 #include "state/bootstrap.h"
+#include "state/freshness_tracker.h"
+#include "state/snapshot_scheduler.h"
 
 #include <memory>
 #include <string>
@@ -35,13 +37,19 @@
    * @param aLog the log.
    * @param aPublisher receives the states.
    * @param aMetrics counts folds and gaps.
+   * @param aFreshness bounds of freshness.
+   * @param aSnapshots when snapshots are appended.
+   * @param aRandom source of jitter.
    */
   ConfigService(PeerRouter& aRouter,
                 const Clock& aClock,
                 Scheduler& aScheduler,
                 LogClient& aLog,
                 StatePublisher& aPublisher,
-                Metrics& aMetrics);
+                Metrics& aMetrics,
+                const FreshnessSettings& aFreshness,
+                const SnapshotSettings& aSnapshots,
+                RandomSource& aRandom);
 
   /** Adds a listener; call before Start(). */
   void AddListener(ConfigListener& aListener) { listeners_.push_back(&aListener); }
@@ -59,13 +67,17 @@
   bool IsDraining() const { return isDraining_; }
   /**
    * Takes the answer of a peer to a heartbeat.
-   * @param aPeer the peer.
+   * @param aPeer the peer and its incarnation.
    * @param aSentAt when the heartbeat was sent.
    * @param aAnswer the answer.
    */
-  void OnHeartbeatAnswer(const HostId& aPeer,
+  void OnHeartbeatAnswer(const HostLife& aPeer,
                          TimePoint aSentAt,
                          const wire::HeartbeatAnswer& aAnswer);
+  /** Evaluates freshness and appends a snapshot if one is due; called with each heartbeat. */
+  void Tick();
+  /** An append of this host has, or no longer has, an unknown outcome. */
+  void SetPendingAppend(bool aIsPending);
   /** Describes the state of this host for a peer. @param aAnswer receives it. */
   void FillHeartbeatAnswer(wire::HeartbeatAnswer& aAnswer) const;
   /** @return why this host is not ready; empty if it is. */
@@ -76,16 +88,17 @@
   LogOffset StreamEnd() const { return streamEnd_; }
   /** @return whether the stream was read and holds no usable snapshot. */
   bool LacksSnapshot() const;
-  /** @return age of the evidence that the state is the newest. */
-  Duration EvidenceAge() const { return clock_.Now() - evidence_; }
+  /** @return how the state is known to be the newest. */
+  FreshnessMode Freshness() const { return freshness_.Mode(); }
 
 private:
   void Read();
   void OnRead(TimePoint aSentAt, const ReadResult& aResult);
   void FetchFrom(const HostId& aPeer);
   void ServeState(const PeerTransport::Responder& aRespond);
-  void NoteEvidence(TimePoint aTime);
-  void AfterFold();
+  void AfterJump();
+  void AfterRecord(const LogRecord& aRecord, const FoldOutcome& aOutcome);
+  void AppendSnapshot();
   void Publish();
 
   PeerRouter& router_;                      ///< Messages to peers.
@@ -97,11 +110,17 @@
   std::vector<ConfigListener*> listeners_;  ///< Told of each record.
   ConfigReader reader_;                     ///< Folds the stream.
   std::shared_ptr<const ConfigState> copy_; ///< State as published.
-  TimePoint evidence_;                      ///< When the state was certainly the newest.
+  FreshnessTracker freshness_;              ///< Evidence that the state is the newest.
+  FreshnessSettings freshnessSettings_;     ///< Bounds of freshness.
+  SnapshotScheduler snapshots_;             ///< When to append a snapshot.
+  RandomSource& random_;                    ///< Source of jitter.
+  TimePoint freshUntil_;                    ///< Until when the state may be acted on.
   Incarnation incarnation_ = 0;             ///< Incarnation of this host.
   LogOffset streamEnd_ = 0;                 ///< End of the stream as last read.
   bool isLogReadable_ = false;              ///< Whether the last read succeeded.
   bool isFetching_ = false;                 ///< A peer was asked for its state.
+  bool hasPendingAppend_ = false;           ///< An own append has no known outcome.
+  bool isSnapshotting_ = false;             ///< A snapshot is being appended.
   bool isDraining_ = false;                 ///< The host is being shut down.
   bool wasReady_ = false;                   ///< For the log line when it changes.
 };
--- a/src/control/membership_service.cpp
+++ b/src/control/membership_service.cpp
@@ -16,8 +16,8 @@
 
 constexpr Duration kHeartbeatInterval = 250ms;
 constexpr Duration kHeartbeatTimeout = 1s;
-// A member that is unheard for longer is proposed for removal.
-constexpr Duration kRemoveAfter = 1500ms;
+// A member that was not heard for longer is shown as unheard.
+constexpr Duration kUnheardAfter = 1500ms;
 constexpr Duration kAnnounceInterval = 2s;
 constexpr Duration kFetchInterval = 1s;
 constexpr Duration kAppendRetry = 500ms;
@@ -38,6 +38,7 @@
   , log_(aLog)
   , hostList_(aHostList)
   , self_(std::move(aSelf))
+  , liveness_({ aRouter.Self(), 0 }, LivenessSettings())
 {
   router_.Handle(wire::Envelope::kHeartbeat,
                  [this](const wire::Envelope& aRequest, const PeerTransport::Responder& aRespond) {
@@ -77,7 +78,6 @@
     if (peer.incarnation_ != member.incarnation_) {
       peer = Peer();
       peer.incarnation_ = member.incarnation_;
-      peer.since_ = clock_.Now();
     }
     router_.Transport().SetPeer(host, { member.address_, member.port_ });
   }
@@ -88,9 +88,11 @@
     }
   }
   members_ = std::move(members);
+  liveness_.SetMembers(aState.Members(), clock_.Now());
   const Member* own = aState.FindMember(router_.Self());
   if (own != nullptr && own->incarnation_ == wanted_ && config_.SelfIncarnation() != wanted_) {
     config_.SetIncarnation(wanted_);
+    liveness_.SetSelf({ router_.Self(), wanted_ });
     LogEvent(LogLevel::Info, "joined", { { "incarnation", std::to_string(wanted_) } });
   }
 }
@@ -99,12 +101,19 @@
 MembershipService::Tick()
 {
   JoinIfNeeded();
+  liveness_.Tick(clock_.Now());
+  std::set<HostId> targets;
+  for (const HostLife& life : liveness_.Targets()) {
+    targets.insert(life.host_);
+  }
   for (auto& [host, peer] : peers_) {
-    if (!peer.isAsking_) {
+    // Hosts of the list are asked too while this host has no state.
+    if (!peer.isAsking_ && (targets.contains(host) || !members_.contains(host))) {
       AskPeer(host);
     }
   }
   RemoveSilent();
+  config_.Tick();
   if (clock_.Now() >= nextAnnounce_ && !isLeaving_) {
     nextAnnounce_ = clock_.Now() + kAnnounceInterval;
     Announce();
@@ -131,30 +140,40 @@
               kHeartbeatTimeout,
               [this, weak = weak_from_this(), aPeer, sentAt](std::error_code aError,
                                                              const wire::Envelope& aAnswer) {
-                const auto found = weak.expired() ? peers_.end() : peers_.find(aPeer);
-                if (weak.expired() || found == peers_.end()) {
-                  return;
-                }
-                Peer& peer = found->second;
-                peer.isAsking_ = false;
-                if (aError || !aAnswer.has_heartbeat_answer() ||
-                    aAnswer.sender() != aPeer.Value()) {
+                if (weak.expired() || !peers_.contains(aPeer)) {
                   return;
                 }
-                const auto& body = aAnswer.heartbeat_answer();
-                // An answer of another life of the host says nothing about this member.
-                if (peer.incarnation_ == 0 || aAnswer.incarnation() == peer.incarnation_) {
-                  peer.heard_ = std::max(peer.heard_, sentAt);
-                  peer.folded_ = body.folded();
-                  peer.unheard_.clear();
-                  for (const auto& host : body.unheard()) {
-                    peer.unheard_.insert(HostId(host));
-                  }
+                peers_[aPeer].isAsking_ = false;
+                if (!aError && aAnswer.has_heartbeat_answer() &&
+                    aAnswer.sender() == aPeer.Value()) {
+                  OnAnswer(aPeer, sentAt, aAnswer);
                 }
-                config_.OnHeartbeatAnswer(aPeer, sentAt, body);
               });
 }
 
+void
+MembershipService::OnAnswer(const HostId& aPeer, TimePoint aSentAt, const wire::Envelope& aAnswer)
+{
+  const auto& body = aAnswer.heartbeat_answer();
+  const HostLife life{ aPeer, aAnswer.incarnation() };
+  Peer& peer = peers_[aPeer];
+  // An answer of another life of the host says nothing about this member.
+  if (life.incarnation_ == peer.incarnation_) {
+    peer.heard_ = std::max(peer.heard_, aSentAt);
+    peer.folded_ = body.folded();
+  }
+  SilenceReport report;
+  for (const auto& silence : body.silences()) {
+    report.emplace_back(HostLife{ HostId(silence.host()), silence.incarnation() },
+                        Duration(silence.silence_ns()));
+  }
+  liveness_.OnAnswer(life, aSentAt, report);
+  if (onProgress_ && life.incarnation_ != 0 && body.has_state()) {
+    onProgress_(life, body.folded());
+  }
+  config_.OnHeartbeatAnswer(life, aSentAt, body);
+}
+
 void
 MembershipService::ServeHeartbeat(const wire::Envelope& aRequest,
                                   const PeerTransport::Responder& aRespond)
@@ -165,10 +184,11 @@
   wire::Envelope answer;
   auto& body = *answer.mutable_heartbeat_answer();
   config_.FillHeartbeatAnswer(body);
-  for (const auto& [host, peer] : peers_) {
-    if (members_.contains(host) && IsUnheard(peer)) {
-      body.add_unheard(host.Value());
-    }
+  for (const auto& [life, duration] : liveness_.Report(clock_.Now())) {
+    auto& silence = *body.add_silences();
+    silence.set_host(life.host_.Value());
+    silence.set_incarnation(life.incarnation_);
+    silence.set_silence_ns(duration.count());
   }
   aRespond(std::move(answer));
 }
@@ -204,57 +224,33 @@
   });
 }
 
-bool
-MembershipService::IsUnheard(const Peer& aPeer) const
-{
-  return clock_.Now() - std::max(aPeer.heard_, aPeer.since_) > kRemoveAfter;
-}
-
 void
 MembershipService::RemoveSilent()
 {
-  const ConfigState* state = config_.State();
-  if (isRemoving_ || state == nullptr || !config_.MayAct()) {
+  if (isRemoving_ || !config_.MayAct() || !config_.IsLogReadable()) {
     return;
   }
-  std::size_t heard = 1;
-  for (const HostId& host : members_) {
-    heard += IsUnheard(peers_[host]) ? 0 : 1;
-  }
-  // A host that hears only a minority is more likely to be cut off itself.
-  if (heard * 2 <= state->Members().size()) {
+  const auto removals = liveness_.Removals(clock_.Now());
+  if (removals.empty()) {
     return;
   }
-  for (const HostId& host : members_) {
-    const Peer& silent = peers_[host];
-    if (!IsUnheard(silent)) {
-      continue;
-    }
-    std::size_t agreeing = 1;
-    for (const HostId& other : members_) {
-      agreeing += other != host && peers_[other].unheard_.contains(host) ? 1 : 0;
-    }
-    if (agreeing * 2 < heard) {
-      continue;
-    }
-    RemoveRecord record;
-    record.host_ = host;
-    record.incarnation_ = silent.incarnation_;
-    record.by_ = router_.Self();
-    record.byIncarnation_ = config_.SelfIncarnation();
-    const std::string id = "remove/" + host.Value() + "/" + std::to_string(record.incarnation_) +
-                           "/" + record.by_.Value();
-    LogEvent(LogLevel::Warn, "member_silent", { { "peer", host.Value() } });
-    isRemoving_ = true;
-    Append(id, EncodeRecord(record), [this](std::error_code) {
-      scheduler_.After(kAppendRetry, [this, weak = weak_from_this()] {
-        if (!weak.expired()) {
-          isRemoving_ = false;
-        }
-      });
+  const HostLife& silent = removals.front();
+  RemoveRecord record;
+  record.host_ = silent.host_;
+  record.incarnation_ = silent.incarnation_;
+  record.by_ = router_.Self();
+  record.byIncarnation_ = config_.SelfIncarnation();
+  const std::string id = "remove/" + silent.host_.Value() + "/" +
+                         std::to_string(silent.incarnation_) + "/" + record.by_.Value();
+  LogEvent(LogLevel::Warn, "member_silent", { { "peer", silent.host_.Value() } });
+  isRemoving_ = true;
+  Append(id, EncodeRecord(record), [this](std::error_code) {
+    scheduler_.After(kAppendRetry, [this, weak = weak_from_this()] {
+      if (!weak.expired()) {
+        isRemoving_ = false;
+      }
     });
-    return;
-  }
+  });
 }
 
 void
@@ -328,7 +324,7 @@
     }
     PeerStatus status;
     status.host_ = host;
-    status.isHeard_ = !IsUnheard(found->second);
+    status.isHeard_ = clock_.Now() - found->second.heard_ <= kUnheardAfter;
     status.folded_ = found->second.folded_;
     status.heardAge_ = clock_.Now() - found->second.heard_;
     result[host] = status;
--- a/src/control/membership_service.h
+++ b/src/control/membership_service.h
@@ -4,6 +4,7 @@
 
 #include "control/config_service.h"
 #include "hostlist/host_list_base.h"
+#include "state/liveness_tracker.h"
 
 #include <functional>
 #include <map>
@@ -32,6 +33,7 @@
 public:
   using PinFiller = std::function<void(const HostId&, wire::Heartbeat&)>;
   using HeartbeatListener = std::function<void(const wire::Envelope&)>;
+  using ProgressListener = std::function<void(const HostLife&, LogOffset)>;
 
   /**
    * @param aRouter messages to peers.
@@ -58,6 +60,8 @@
   void SetPinFiller(PinFiller aFiller) { pinFiller_ = std::move(aFiller); }
   /** Sets who reads the pins in heartbeats of others. */
   void SetHeartbeatListener(HeartbeatListener aListener) { onHeartbeat_ = std::move(aListener); }
+  /** Sets who is told how far members have folded. */
+  void SetProgressListener(ProgressListener aListener) { onProgress_ = std::move(aListener); }
   /**
    * Ends the membership of this host.
    * @param aDone called when the record is in the log, or when it could not be appended.
@@ -81,10 +85,10 @@
 
   void Tick();
   void AskPeer(const HostId& aPeer);
+  void OnAnswer(const HostId& aPeer, TimePoint aSentAt, const wire::Envelope& aAnswer);
   void ServeHeartbeat(const wire::Envelope& aRequest, const PeerTransport::Responder& aRespond);
   void JoinIfNeeded();
   void RemoveSilent();
-  bool IsUnheard(const Peer& aPeer) const;
   void Append(std::string aId, std::string aData, std::function<void(std::error_code)> aDone);
   void Announce();
   void FetchHosts();
@@ -99,8 +103,10 @@
   ListedHost self_;               ///< Entry of this host.
   std::map<HostId, Peer> peers_;  ///< Other members and hosts of the list.
   std::set<HostId> members_;      ///< Other members.
+  LivenessTracker liveness_;      ///< Decides whom to remove.
   PinFiller pinFiller_;           ///< Lists the pins to renew at a host.
   HeartbeatListener onHeartbeat_; ///< Reads the pins of others.
+  ProgressListener onProgress_;   ///< Told how far members have folded.
   bool isJoining_ = false;        ///< A join record is being appended.
   bool isRemoving_ = false;       ///< A remove record is being appended.
   bool isLeaving_ = false;        ///< The host leaves and does not join again.
--- a/src/operator/operator_handler.cpp
+++ b/src/operator/operator_handler.cpp
@@ -143,10 +143,9 @@
 std::shared_ptr<RunningRequest>
 OperatorHandler::Start(CallerRequest aRequest, std::shared_ptr<ResponseSink> aSink)
 {
-  parts_.scheduler_.Post(
-    [self = shared_from_this(), request = std::move(aRequest), sink = std::move(aSink)] {
-      self->Serve(request, sink);
-    });
+  parts_.scheduler_.Post([self = shared_from_this(),
+                          request = std::move(aRequest),
+                          sink = std::move(aSink)] { self->Serve(request, sink); });
   return std::make_shared<Uncancellable>();
 }
 
@@ -305,9 +304,9 @@
   /** Collects the answers of all hosts. */
   struct Collection
   {
-    json::array hosts_;        ///< Hosts that know the request.
-    std::size_t open_ = 0;     ///< Hosts that did not answer yet.
-    Sink sink_;                ///< Receives the result.
+    json::array hosts_;    ///< Hosts that know the request.
+    std::size_t open_ = 0; ///< Hosts that did not answer yet.
+    Sink sink_;            ///< Receives the result.
   };
   const auto collection = std::make_shared<Collection>();
   collection->sink_ = aSink;
--- a/src/operator/operator_handler.h
+++ b/src/operator/operator_handler.h
@@ -31,8 +31,8 @@
 
 /**
  * Answers /healthz, /readyz and /metrics, and with the operators' token /v1/rules, /v1/changes/ID,
- * /v1/status and /v1/explain/ID. Requests may come from any thread; they are answered on the control
- * thread.
+ * /v1/status and /v1/explain/ID. Requests may come from any thread; they are answered on the
+ * control thread.
  */
 class OperatorHandler
   : public RequestHandler
--- a/src/pipeline/completion_request.cpp
+++ b/src/pipeline/completion_request.cpp
@@ -232,6 +232,7 @@
     Fail(std::move(error));
     return;
   }
+  context_.engines_.Follow(context_.state_.Get());
   if (!context_.engines_.BeginSend(grant_)) {
     Explain("engine=" + grant_.engine_.Value() + " may no longer be used, queued again");
     context_.engines_.Release(grant_, {});
--- a/src/serve/drain.cpp
+++ b/src/serve/drain.cpp
@@ -10,7 +10,8 @@
 
 using namespace std::chrono_literals;
 
-// The balancer in front needs time to see that the host is not ready and to send requests elsewhere.
+// The balancer in front needs time to see that the host is not ready and to send requests
+// elsewhere.
 constexpr Duration kShortestDrain = 1s;
 // The leave record needs the log; without it the membership ends by removal.
 constexpr Duration kLeaveLimit = 3s;
--- a/src/serve/drain_sm.h
+++ b/src/serve/drain_sm.h
@@ -10,36 +10,28 @@
 
 /** The host is asked to end. */
 struct StopAsked
-{
-};
+{};
 /** No request is open and every report is confirmed. */
 struct RequestsEnded
-{
-};
+{};
 /** The membership was ended. */
 struct MembershipEnded
-{
-};
+{};
 /** The time limit has passed, or the host is asked to end a second time. */
 struct LimitPassed
-{
-};
+{};
 
 /** Shutdown of a host; the order of the states is that of DrainStage. */
 struct DrainSmDef : boost::msm::front::state_machine_def<DrainSmDef>
 {
   struct Serving : boost::msm::front::state<>
-  {
-  };
+  {};
   struct Draining : boost::msm::front::state<>
-  {
-  };
+  {};
   struct Leaving : boost::msm::front::state<>
-  {
-  };
+  {};
   struct Stopped : boost::msm::front::state<>
-  {
-  };
+  {};
 
   using initial_state = Serving; // NOLINT(readability-identifier-naming)
 
--- a/src/serve/host.cpp
+++ b/src/serve/host.cpp
@@ -52,6 +52,14 @@
   return settings;
 }
 
+SnapshotSettings
+SnapshotSettingsOf(const Settings& aSettings)
+{
+  SnapshotSettings settings;
+  settings.retention_ = aSettings.logRetention_;
+  return settings;
+}
+
 CallerSettings
 CallerSettingsOf(const Settings& aSettings)
 {
@@ -101,7 +109,16 @@
     , engineAdmin_(context_)
     , explain_(clock_)
     , router_(aSettings.hostId_, scheduler_, transport_)
-    , config_(std::make_shared<ConfigService>(router_, clock_, scheduler_, log_, publisher_, metrics_))
+    , random_(RandomLife())
+    , config_(std::make_shared<ConfigService>(router_,
+                                              clock_,
+                                              scheduler_,
+                                              log_,
+                                              publisher_,
+                                              metrics_,
+                                              freshness_,
+                                              SnapshotSettingsOf(aSettings),
+                                              random_))
     , membership_(std::make_shared<MembershipService>(
         router_,
         *config_,
@@ -113,7 +130,8 @@
                     { aSettings.peers_.address_, transport_.ListenPort() },
                     aSettings.dataCentre_,
                     false }))
-    , changes_(std::make_shared<ChangeService>(router_, *config_, clock_, scheduler_, log_, freshness_))
+    , changes_(
+        std::make_shared<ChangeService>(router_, *config_, clock_, scheduler_, log_, freshness_))
     , tokens_(router_, *config_, clock_, limits_)
     , slots_(std::make_shared<SlotService>(router_,
                                            *config_,
@@ -146,6 +164,8 @@
     config_->AddListener(*once_);
     membership_->SetHeartbeatListener(
       [this](const wire::Envelope& aRequest) { slots_->RenewPins(aRequest); });
+    membership_->SetProgressListener(
+      [this](const HostLife& aLife, LogOffset aNext) { changes_->OnHeard(aLife, aNext); });
     ListenOrThrow(operatorServer_, aSettings.operators_, "operators");
   }
 
@@ -166,29 +186,30 @@
     aSink->Fail(std::move(error));
   }
 
-  const Settings& settings_;                       ///< Settings.
-  SystemClock clock_;                              ///< Time source.
-  asio::io_context context_{ 1 };                  ///< Runs the control thread.
-  StrandScheduler scheduler_;                      ///< Control thread.
-  NngTransport transport_;                         ///< Messages to other hosts.
-  HttpLogClient log_;                              ///< The log.
-  HttpHostListClient hostList_;                    ///< The host list.
-  HttpWeightStoreClient weights_;                  ///< The weight store.
-  EngineAdminClient engineAdmin_;                  ///< Orders to engines.
-  Metrics metrics_;                                ///< Counters.
-  ExplainLog explain_;                             ///< What was decided.
-  StatePublisher publisher_;                       ///< Agreed state for the traffic side.
-  LimitSettings limits_;                           ///< Settings of the buckets.
-  FreshnessSettings freshness_;                    ///< Bounds of freshness.
-  PeerRouter router_;                              ///< Routes messages.
-  std::shared_ptr<ConfigService> config_;          ///< The agreed state.
-  std::shared_ptr<MembershipService> membership_;  ///< Other hosts.
-  std::shared_ptr<ChangeService> changes_;         ///< Changes of the rules.
-  TokenService tokens_;                            ///< Owned buckets.
-  std::shared_ptr<SlotService> slots_;             ///< Owned engines.
-  std::shared_ptr<OnceService> once_;              ///< Owned partitions.
-  std::shared_ptr<OperatorHandler> operators_;     ///< Operators' interface.
-  CallerServer operatorServer_;                    ///< Operators' HTTP server.
+  const Settings& settings_;                      ///< Settings.
+  SystemClock clock_;                             ///< Time source.
+  asio::io_context context_{ 1 };                 ///< Runs the control thread.
+  StrandScheduler scheduler_;                     ///< Control thread.
+  NngTransport transport_;                        ///< Messages to other hosts.
+  HttpLogClient log_;                             ///< The log.
+  HttpHostListClient hostList_;                   ///< The host list.
+  HttpWeightStoreClient weights_;                 ///< The weight store.
+  EngineAdminClient engineAdmin_;                 ///< Orders to engines.
+  Metrics metrics_;                               ///< Counters.
+  ExplainLog explain_;                            ///< What was decided.
+  StatePublisher publisher_;                      ///< Agreed state for the traffic side.
+  LimitSettings limits_;                          ///< Settings of the buckets.
+  FreshnessSettings freshness_;                   ///< Bounds of freshness.
+  PeerRouter router_;                             ///< Routes messages.
+  SeededRandom random_;                           ///< Jitter.
+  std::shared_ptr<ConfigService> config_;         ///< The agreed state.
+  std::shared_ptr<MembershipService> membership_; ///< Other hosts.
+  std::shared_ptr<ChangeService> changes_;        ///< Changes of the rules.
+  TokenService tokens_;                           ///< Owned buckets.
+  std::shared_ptr<SlotService> slots_;            ///< Owned engines.
+  std::shared_ptr<OnceService> once_;             ///< Owned partitions.
+  std::shared_ptr<OperatorHandler> operators_;    ///< Operators' interface.
+  CallerServer operatorServer_;                   ///< Operators' HTTP server.
 };
 
 /** Everything that runs on the traffic threads. */
@@ -214,10 +235,21 @@
     , adapters_(aControl.weights_, aControl.clock_, scheduler_)
     , engineClient_(pipelineContext_, aControl.clock_)
     , serviceClient_(pipelineContext_, aControl.clock_)
-    , pipelineParts_{ aSettings.hostId_, life_,      aControl.clock_, scheduler_,
-                      aControl.publisher_, tokens_,  once_,           engines_,
-                      queue_,              retries_, adapters_,       engineClient_,
-                      serviceClient_,      aControl.explain_,         aControl.metrics_ }
+    , pipelineParts_{ aSettings.hostId_,
+                      life_,
+                      aControl.clock_,
+                      scheduler_,
+                      aControl.publisher_,
+                      tokens_,
+                      once_,
+                      engines_,
+                      queue_,
+                      retries_,
+                      adapters_,
+                      engineClient_,
+                      serviceClient_,
+                      aControl.explain_,
+                      aControl.metrics_ }
     , pipeline_(std::make_shared<RequestPipeline>(pipelineParts_, random_))
     , server_(callerContext_,
               aControl.clock_,
@@ -327,31 +359,31 @@
   using Renewals = std::map<HostId, std::vector<std::pair<UpstreamId, PinRenewal>>>;
   using WorkGuard = asio::executor_work_guard<asio::io_context::executor_type>;
 
-  ControlSide& control_;                           ///< Control thread.
-  asio::io_context pipelineContext_{ 1 };          ///< Runs the pipeline and the upstream clients.
-  asio::io_context callerContext_;                 ///< Runs the connections of callers.
+  ControlSide& control_;                  ///< Control thread.
+  asio::io_context pipelineContext_{ 1 }; ///< Runs the pipeline and the upstream clients.
+  asio::io_context callerContext_;        ///< Runs the connections of callers.
   WorkGuard pipelineWork_{ pipelineContext_.get_executor() }; ///< Keeps the thread running.
   WorkGuard callerWork_{ callerContext_.get_executor() };     ///< Keeps the threads running.
-  StrandScheduler scheduler_;                      ///< Strand of the pipeline.
-  SeededRandom random_;                            ///< Jitter and ties.
-  std::uint64_t life_;                             ///< Names this process in messages.
-  RouterPort port_;                                ///< Messages to other hosts.
-  TokenHolder holder_;                             ///< Tokens of this host.
-  TokenGate tokens_;                               ///< Carries the holder's messages.
-  OnceRequester requester_;                        ///< Requests that may not be repeated.
-  OnceGate once_;                                  ///< Carries the requester's messages.
-  EngineGate engines_;                             ///< Slots of engines.
-  RequestQueue queue_;                             ///< Waiting requests.
-  RetryPolicy retries_;                            ///< Decides on retries.
-  AdapterCatalogue adapters_;                      ///< Known adapters.
-  EngineRequestClient engineClient_;               ///< Sends to engines.
-  ServiceClient serviceClient_;                    ///< Sends to plain services.
-  PipelineContext pipelineParts_;                  ///< Shared parts of the pipeline.
-  std::shared_ptr<RequestPipeline> pipeline_;      ///< Path of requests.
-  CallerServer server_;                            ///< Callers' HTTP server.
-  std::shared_ptr<Renewals> renewals_;             ///< Pins to renew; control thread only.
-  std::atomic<std::size_t> openEnds_{ 0 };         ///< Unconfirmed reports and pins.
-  std::vector<std::thread> threads_;               ///< Traffic threads.
+  StrandScheduler scheduler_;                                 ///< Strand of the pipeline.
+  SeededRandom random_;                                       ///< Jitter and ties.
+  std::uint64_t life_;                                        ///< Names this process in messages.
+  RouterPort port_;                                           ///< Messages to other hosts.
+  TokenHolder holder_;                                        ///< Tokens of this host.
+  TokenGate tokens_;                                          ///< Carries the holder's messages.
+  OnceRequester requester_;                   ///< Requests that may not be repeated.
+  OnceGate once_;                             ///< Carries the requester's messages.
+  EngineGate engines_;                        ///< Slots of engines.
+  RequestQueue queue_;                        ///< Waiting requests.
+  RetryPolicy retries_;                       ///< Decides on retries.
+  AdapterCatalogue adapters_;                 ///< Known adapters.
+  EngineRequestClient engineClient_;          ///< Sends to engines.
+  ServiceClient serviceClient_;               ///< Sends to plain services.
+  PipelineContext pipelineParts_;             ///< Shared parts of the pipeline.
+  std::shared_ptr<RequestPipeline> pipeline_; ///< Path of requests.
+  CallerServer server_;                       ///< Callers' HTTP server.
+  std::shared_ptr<Renewals> renewals_;        ///< Pins to renew; control thread only.
+  std::atomic<std::size_t> openEnds_{ 0 };    ///< Unconfirmed reports and pins.
+  std::vector<std::thread> threads_;          ///< Traffic threads.
 };
 
 } // namespace
--- a/src/serve/host.h
+++ b/src/serve/host.h
@@ -12,7 +12,8 @@
  * @return whether all requests ended before the time limit of the shutdown.
  * @throws std::system_error if an address cannot be listened at.
  */
-bool RunHost(const Settings& aSettings);
+bool
+RunHost(const Settings& aSettings);
 
 } // namespace laburnumweir
 
