--- a/src/hostlist/http_host_list.cpp
+++ b/src/hostlist/http_host_list.cpp
@@ -133,7 +133,14 @@
   client_.Send(
     std::move(exchange),
     [callback = std::move(aCallback)](std::error_code aError, const HttpAnswer& aAnswer) {
-      callback(CheckExchange(aError, aAnswer));
+      auto error = CheckExchange(aError, aAnswer);
+      json::object object;
+      bool isOk = false;
+      if (!error &&
+          (!ParseJsonObject(aAnswer.body_, object) || !ReadField(object, "ok", isOk) || !isOk)) {
+        error = HostListError::InvalidAnswer;
+      }
+      callback(error);
     });
 }
 
--- a/src/http/json_client.cpp
+++ b/src/http/json_client.cpp
@@ -91,7 +91,9 @@
     while (!idle_.empty()) {
       auto connection = idle_.back();
       idle_.pop_back();
-      if (now - connection->lastUsed_ < kMaxIdle && !IsClosedByPeer(*connection)) {
+      // Bytes after an answer would be taken for the answer to the next request.
+      const bool isClean = connection->buffer_.size() == 0;
+      if (isClean && now - connection->lastUsed_ < kMaxIdle && !IsClosedByPeer(*connection)) {
         return connection;
       }
     }
--- a/standin/engine_admin_stand_in.cpp
+++ b/standin/engine_admin_stand_in.cpp
@@ -93,21 +93,35 @@
   exchange.method_ = "POST";
   exchange.target_ = "/loads";
   exchange.timeout_ = kLoadTimeout;
+  const auto lease = epoch + "-" + std::to_string(model_.Counts().loads_);
+  leases_[aAdapter] = lease;
   exchange.body_ =
-    json::serialize(json::object{ { "id", epoch + "-" + std::to_string(model_.Counts().loads_) },
-                                  { "adapter", aAdapter.ToString() } });
+    json::serialize(json::object{ { "id", lease }, { "adapter", aAdapter.ToString() } });
   weights_->Send(std::move(exchange),
                  [finish, isFailing](std::error_code aError, const HttpAnswer& aAnswer) {
                    finish(!isFailing && !aError && aAnswer.status_ == 200);
                  });
 }
 
+void
+EngineStandIn::AbortLeases()
+{
+  for (const auto& [adapter, lease] : leases_) {
+    HttpExchange exchange;
+    exchange.method_ = "DELETE";
+    exchange.target_ = "/loads/" + lease;
+    weights_->Send(std::move(exchange), [](std::error_code, const HttpAnswer&) {});
+  }
+  leases_.clear();
+}
+
 void
 EngineStandIn::AnswerLoad(const AdapterRef& aAdapter, const std::string& aEpoch, bool aIsLoaded)
 {
   if (aEpoch != model_.Epoch()) {
     return;
   }
+  leases_.erase(aAdapter);
   model_.FinishLoad(aAdapter, aIsLoaded);
   if (aIsLoaded) {
     AddEvent("loaded", aAdapter);
--- a/standin/engine_stand_in.cpp
+++ b/standin/engine_stand_in.cpp
@@ -465,6 +465,7 @@
     run->timer_.cancel();
   }
   runs_.clear();
+  AbortLeases();
   loading_.clear();
   reports_.clear();
   events_.clear();
--- a/standin/engine_stand_in.h
+++ b/standin/engine_stand_in.h
@@ -62,6 +62,7 @@
 
   void Load(const Request& aRequest, const std::shared_ptr<Reply>& aReply);
   void FetchWeights(const Request& aRequest, const AdapterRef& aAdapter);
+  void AbortLeases();
   void AnswerLoad(const AdapterRef& aAdapter, const std::string& aEpoch, bool aIsLoaded);
   void Cancel(const std::string& aId, Reply& aReply);
   void SendState(Reply& aReply);
@@ -83,7 +84,8 @@
   std::uint64_t maxTokens_;             ///< Most tokens of an answer.
   std::unordered_map<std::uint64_t, std::shared_ptr<Run>> runs_; ///< Requests that run or wait.
   std::uint64_t nextRun_ = 0;                                    ///< Identifies the next request.
-  std::map<AdapterRef, Replies> loading_; ///< Answers owed, by adapter that is loaded.
+  std::map<AdapterRef, std::string> leases_; ///< Loads at the weight store, by adapter.
+  std::map<AdapterRef, Replies> loading_;    ///< Answers owed, by adapter that is loaded.
   std::deque<std::pair<TimePoint, EngineReport>> reports_; ///< Recent states, oldest first.
   std::deque<Event> events_;                               ///< Recent events.
   std::uint64_t nextEvent_ = 0;                            ///< Number of the next event.
--- a/standin/stand_in.cpp
+++ b/standin/stand_in.cpp
@@ -114,11 +114,8 @@
   } else if (fault->kind_ == "reset") {
     aReply->Reset();
   } else {
-    After(fault->ms_, [this, request = std::move(aRequest), aReply] {
-      if (!aReply->IsDone()) {
-        ServeNow(request, aReply);
-      }
-    });
+    // The effect comes also if the client has left by then, as with a request that was queued.
+    After(fault->ms_, [this, request = std::move(aRequest), aReply] { ServeNow(request, aReply); });
   }
 }
 
