--- a/standin/engine_stand_in.cpp
+++ b/standin/engine_stand_in.cpp
@@ -282,7 +282,9 @@
     const auto& text = aRun->fault_->text_;
     aRun->model_ = aRun->adapter_.name_ + "@" + (text.empty() ? "another-version" : text);
   }
-  if (aRun->isStream_ && !(aRun->fault_ && aRun->fault_->kind_ == "fail_after_start")) {
+  const bool failsAtOnce =
+    aRun->fault_ && aRun->fault_->kind_ == "fail_after_start" && aRun->fault_->tokens_ == 0;
+  if (aRun->isStream_ && !failsAtOnce) {
     aRun->reply_->StartStream();
   }
   ScheduleToken(aRun,
@@ -323,6 +325,18 @@
   return false;
 }
 
+void
+EngineStandIn::SendFailure(Run& aRun)
+{
+  const auto body = ErrorBody("internal", "the request failed after it was started");
+  if (aRun.isStream_ && aRun.tokens_ > 0) {
+    aRun.reply_->Write("data: " + body + "\n\n");
+    aRun.reply_->End();
+  } else {
+    aRun.reply_->Send(aRun.fault_->status_ == 0 ? 500 : aRun.fault_->status_, body);
+  }
+}
+
 void
 EngineStandIn::NextToken(const std::shared_ptr<Run>& aRun)
 {
@@ -336,8 +350,7 @@
     }
     if (aRun->fault_ && aRun->fault_->kind_ == "fail_after_start" &&
         aRun->tokens_ >= aRun->fault_->tokens_) {
-      aRun->reply_->Send(aRun->fault_->status_ == 0 ? 500 : aRun->fault_->status_,
-                         ErrorBody("internal", "the request failed after it was started"));
+      SendFailure(*aRun);
       EndRun(aRun);
       return;
     }
--- a/standin/engine_stand_in.h
+++ b/standin/engine_stand_in.h
@@ -57,6 +57,7 @@
   void CancelRun(const std::shared_ptr<Run>& aRun);
   static const std::string& RequestIdOf(const Run& aRun);
   bool ApplyTokenFault(Run& aRun);
+  static void SendFailure(Run& aRun);
   std::string EventText(const Run& aRun, std::string_view aText, std::string_view aReason) const;
   std::string AnswerText(const Run& aRun, std::string_view aReason) const;
 
