--- a/src/dispatch/placement_base.h
+++ b/src/dispatch/placement_base.h
@@ -21,6 +21,7 @@
   std::string model_;           ///< Base model.
   bool takesNewWork_ = true;    ///< Data centre in service and the engine not leaving.
   std::uint32_t capacity_ = 32; ///< Most concurrent requests; weighs the load.
+  DataCentreId dataCentre_;     ///< Data centre; alternatives are in another one where possible.
 };
 
 /** Position of an engine in the list given to Placement::SetEngines(). */
@@ -29,9 +30,11 @@
 /** What a request needs. */
 struct PlacementQuery
 {
-  AdapterRef adapter_;         ///< Adapter and version.
-  std::string_view model_;     ///< Base model of the adapter.
-  std::uint32_t attempts_ = 0; ///< Engines that refused this request as busy before.
+  AdapterRef adapter_;     ///< Adapter and version.
+  std::string_view model_; ///< Base model of the adapter.
+  /** Hash of workspace and body; 0 = none. One such request uses at most kSuspectEngines engines.
+   */
+  std::uint64_t digest_ = 0;
 };
 
 /** Ways to place adapters. */
--- a/src/dispatch/rendezvous_placement.cpp
+++ b/src/dispatch/rendezvous_placement.cpp
@@ -34,6 +34,25 @@
     ranks_[place] = { aWeight, aEngine };
   }
   std::span<const Ranked> Get() const { return { ranks_.data(), size_ }; }
+  /** Keeps the three engines of a digest: the first, one in another data centre, one of the rest.
+   */
+  template<typename DataCentreOf>
+  void Restrict(std::uint64_t aDigest, DataCentreOf aDataCentreOf)
+  {
+    if (size_ <= kSuspectEngines) {
+      return;
+    }
+    const auto isElsewhere = [&](const Ranked& aRank) {
+      return aDataCentreOf(aRank.engine_) != aDataCentreOf(ranks_[0].engine_);
+    };
+    const auto end = ranks_.begin() + static_cast<std::ptrdiff_t>(size_);
+    const auto second = std::find_if(ranks_.begin() + 1, end, isElsewhere);
+    if (second != end) {
+      std::rotate(ranks_.begin() + 1, second, second + 1);
+    }
+    ranks_[2] = ranks_[2 + aDigest % (size_ - 2)];
+    size_ = kSuspectEngines;
+  }
 
 private:
   std::array<Ranked, kPlacementCandidates> ranks_; ///< Highest weights.
@@ -64,19 +83,20 @@
   groupOf_.assign(engines_.size(), kNoGroup);
   for (EngineIndex i = 0; i < engines_.size(); ++i) {
     const State& state = engines_[i];
-    if (!state.CanTakeWork()) {
+    if (!state.engine_.takesNewWork_) {
       continue;
     }
     auto group = std::find_if(groups_.begin(), groups_.end(), [&](const Group& aGroup) {
       return aGroup.model_ == state.engine_.model_;
     });
     if (group == groups_.end()) {
-      group = groups_.insert(groups_.end(), Group{ state.engine_.model_, {}, {}, 0 });
+      group = groups_.insert(groups_.end(), Group{ state.engine_.model_, {}, {}, 0, 0 });
     }
     groupOf_[i] = static_cast<std::size_t>(group - groups_.begin());
     group->engines_.push_back(i);
     group->seeds_.push_back(state.seed_);
-    group->load_ += state.Load();
+    group->load_ += state.isHealthy_ ? state.Load() : 0.0;
+    group->healthy_ += state.isHealthy_ ? 1 : 0;
   }
 }
 
@@ -85,7 +105,7 @@
 {
   const double before = engines_[aEngine].Load();
   Placement::SetLoad(aEngine, aRunning);
-  if (groupOf_[aEngine] != kNoGroup) {
+  if (groupOf_[aEngine] != kNoGroup && engines_[aEngine].isHealthy_) {
     double& load = groups_[groupOf_[aEngine]].load_;
     load = std::max(0.0, load + engines_[aEngine].Load() - before);
   }
@@ -125,11 +145,18 @@
   TopRanks top;
   for (std::size_t i = 0; i < group->seeds_.size(); ++i) {
     const std::uint64_t weight = XXH3_64bits_withSeed(&adapter, sizeof(adapter), group->seeds_[i]);
-    if (top.Admits(weight)) {
-      top.Add(weight, group->engines_[i]);
+    const EngineIndex engine = group->engines_[i];
+    if (top.Admits(weight) && (aQuery.digest_ != 0 || engines_[engine].isHealthy_)) {
+      top.Add(weight, engine);
     }
   }
-  const double mean = group->load_ / static_cast<double>(group->engines_.size());
+  if (aQuery.digest_ != 0) {
+    top.Restrict(aQuery.digest_, [&](EngineIndex aEngine) -> const DataCentreId& {
+      return engines_[aEngine].engine_.dataCentre_;
+    });
+  }
+  const auto healthy = static_cast<double>(std::max<std::size_t>(group->healthy_, 1));
+  const double mean = group->load_ / healthy;
   const Hint* const set = &hints_[adapter % (hints_.size() / kHintWays) * kHintWays];
   const auto tier = [&](EngineIndex aEngine) {
     const State& state = engines_[aEngine];
@@ -139,6 +166,9 @@
     const bool isResident = std::any_of(set, set + kHintWays, [&](const Hint& aHint) {
       return aHint.adapter_ == adapter && aHint.engine_ == state.seed_;
     });
+    if (!state.isHealthy_) {
+      return 3;
+    }
     if (isResident && hasRoom) {
       return 0;
     }
--- a/src/dispatch/rendezvous_placement.h
+++ b/src/dispatch/rendezvous_placement.h
@@ -30,9 +30,10 @@
   struct Group
   {
     std::string model_;                ///< Base model.
-    std::vector<EngineIndex> engines_; ///< Engines that can take work.
+    std::vector<EngineIndex> engines_; ///< Engines in service, also those that are not healthy.
     std::vector<std::uint64_t> seeds_; ///< Their seeds, in the same sequence.
-    double load_ = 0;                  ///< Sum of their loads.
+    double load_ = 0;                  ///< Sum of the loads of the healthy ones.
+    std::size_t healthy_ = 0;          ///< Number of healthy ones.
   };
   struct Hint
   {
@@ -43,8 +44,8 @@
   void OnChange() override;
   static std::uint64_t HashOf(const AdapterRef& aAdapter);
 
-  std::vector<Group> groups_;        ///< Engines that can take work, by model.
-  std::vector<std::size_t> groupOf_; ///< Group of each engine; SIZE_MAX if it takes no work.
+  std::vector<Group> groups_;        ///< Engines in service, by model.
+  std::vector<std::size_t> groupOf_; ///< Group of each engine; SIZE_MAX if it is not in service.
   std::vector<Hint> hints_;          ///< Direct-mapped pairs: the two last engines of an adapter.
 };
 
--- a/src/table/dispatch_const.h
+++ b/src/table/dispatch_const.h
@@ -100,11 +100,28 @@
 
 /** Time for which marks count and a suspect is refused. */
 constexpr Duration kSuspectTime = std::chrono::minutes(10);
-/** Marks that cause a refusal. */
-constexpr std::size_t kSuspectMarks = 2;
-/** Digests with marks that are kept; about 200 bytes each. */
+/** Engines on which one request may run within that time, and thus the most that it can crash. */
+constexpr std::size_t kSuspectEngines = 3;
+/** Requests with one mark that an engine runs at once; after 32 victims, a next crash leaves 4. */
+constexpr std::size_t kMarkedOnceTogether = 4;
+/** Requests with two marks that an engine runs at once; a third crash then names the cause. */
+constexpr std::size_t kMarkedTwiceTogether = 1;
+/** Digests with marks that are kept; about 300 bytes each. */
 constexpr std::size_t kSuspectsKept = 4096;
 
+/** Successive failed attempts after which an upstream is suspect. */
+constexpr std::uint32_t kSuspectFailures = 3;
+/** Successive failed reports that make an upstream suspect; a report is only a hint. */
+constexpr std::uint32_t kSuspectReports = 4;
+/** Successive failed probes after which an upstream is down. */
+constexpr std::uint32_t kDownProbes = 2;
+/** Successes that warm an upstream up. */
+constexpr std::uint32_t kWarmSuccesses = 32;
+/** Mean time between probes; each wait is drawn from half to one and a half of it. */
+constexpr Duration kProbeInterval = std::chrono::milliseconds(500);
+/** Longest mean time between probes of an upstream that stays down. */
+constexpr Duration kProbeIntervalMax = std::chrono::seconds(4);
+
 } // namespace laburnumweir
 
 #endif
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -14,7 +14,11 @@
 {
   std::vector<PlacementEngine> engines;
   for (int i = 0; i < aCount; ++i) {
-    engines.push_back({ UpstreamId("e" + std::to_string(i)), "base", true, 32 });
+    engines.push_back({ UpstreamId("e" + std::to_string(i)),
+                        "base",
+                        true,
+                        32,
+                        DataCentreId("dc-" + std::to_string(i % 3)) });
   }
   return engines;
 }
@@ -26,10 +30,10 @@
 }
 
 std::vector<std::string>
-Ranked(Placement& aPlacement, const AdapterRef& aAdapter)
+Ranked(Placement& aPlacement, const AdapterRef& aAdapter, std::uint64_t aDigest = 0)
 {
   std::array<EngineIndex, 8> result{};
-  const std::size_t count = aPlacement.Rank({ aAdapter, "base", 0 }, result);
+  const std::size_t count = aPlacement.Rank({ aAdapter, "base", aDigest }, result);
   std::vector<std::string> names;
   for (std::size_t i = 0; i < count; ++i) {
     names.push_back(aPlacement.Engine(result[i]).id_.Value());
@@ -159,6 +163,41 @@
   EXPECT_EQ(names[4], now[1]);
 }
 
+/** Guards against a crashing request that reaches a fourth engine because three are down. */
+TEST_F(BoundedRendezvous, OneRequestReachesThreeEnginesAtMost)
+{
+  std::set<std::string> third;
+  for (std::uint64_t digest = 1; digest <= 100; ++digest) {
+    const std::vector<std::string> names = Ranked(*placement_, Adapter(1), digest);
+    ASSERT_EQ(3U, names.size());
+    EXPECT_EQ(Ranked(*placement_, Adapter(1))[0], names[0]);
+    third.insert(names[2]);
+    for (const std::string& name : names) {
+      placement_->SetHealthy(placement_->IndexOf(UpstreamId(name)), false);
+    }
+    EXPECT_TRUE(Ranked(*placement_, Adapter(1), digest).empty());
+    for (const std::string& name : names) {
+      placement_->SetHealthy(placement_->IndexOf(UpstreamId(name)), true);
+    }
+  }
+  // Other bodies for the same adapter go on to other engines.
+  EXPECT_EQ(6U, third.size());
+}
+
+/** Guards against requests that cannot run anywhere while one data centre has failed. */
+TEST_F(BoundedRendezvous, TheThreeEnginesAreNotAllInOneDataCentre)
+{
+  for (int i = 0; i < 1000; ++i) {
+    std::set<std::string> dataCentres;
+    for (const std::string& name :
+         Ranked(*placement_, Adapter(i), static_cast<std::uint64_t>(i) + 1)) {
+      dataCentres.insert(
+        placement_->Engine(placement_->IndexOf(UpstreamId(name))).dataCentre_.Value());
+    }
+    EXPECT_GE(dataCentres.size(), 2U);
+  }
+}
+
 /** Guards against round robin that starts with the same engine each time. */
 TEST(RoundRobin, TakesTurns)
 {
