--- a/src/engine/answer_check.cpp
+++ b/src/engine/answer_check.cpp
@@ -89,6 +89,9 @@
     aResult.engineEpoch_ = FindField(aHeaders, "x-engine-epoch");
     status_ = aStatus;
     refused_ = EqualsIgnoreCase(FindField(aHeaders, "x-run"), "not_run");
+    if (refused_ && aStatus < 400) {
+      return { UpstreamError::InvalidAnswer };
+    }
     if (refused_ || aStatus >= 400) {
       return { {}, BodyMode::Hold, refused_ };
     }
--- a/src/service/service_client.cpp
+++ b/src/service/service_client.cpp
@@ -22,6 +22,9 @@
       return { UpstreamError::WrongAnswer };
     }
     if (EqualsIgnoreCase(FindField(aHeaders, "x-run"), "not_run")) {
+      if (aStatus < 400) {
+        return { UpstreamError::InvalidAnswer };
+      }
       refusal_ = aStatus == 503 ? UpstreamError::Overloaded : UpstreamError::RefusedNotRun;
       return { {}, BodyMode::Hold, true };
     }
--- a/tests/support/net_support.h
+++ b/tests/support/net_support.h
@@ -75,8 +75,10 @@
 class Peer
 {
 public:
-  explicit Peer(tcp::socket aSocket)
+  /** @param aSocket a connected socket. @param aIsStopped ends reads when it becomes true. */
+  explicit Peer(tcp::socket aSocket, const std::atomic<bool>* aIsStopped = nullptr)
     : socket_(std::move(aSocket))
+    , isStopped_(aIsStopped)
   {
     socket_.set_option(tcp::no_delay(true));
   }
@@ -93,8 +95,7 @@
   bool ReadSome(std::chrono::milliseconds aTimeout = kTestTimeout)
   {
     isEnded_ = isReset_ = false;
-    pollfd wait{ socket_.native_handle(), POLLIN, 0 };
-    if (::poll(&wait, 1, static_cast<int>(aTimeout.count())) <= 0) {
+    if (!WaitReadable(aTimeout)) {
       return false;
     }
     char bytes[65536];
@@ -122,8 +123,9 @@
   {
     const auto end = std::chrono::steady_clock::now() + aTimeout;
     while (std::chrono::steady_clock::now() < end) {
-      if (!ReadSome(aTimeout) && isEnded_) {
-        return true;
+      if (!ReadSome(std::chrono::duration_cast<std::chrono::milliseconds>(
+            end - std::chrono::steady_clock::now()))) {
+        return isEnded_;
       }
     }
     return false;
@@ -185,10 +187,24 @@
   tcp::socket& Socket() { return socket_; }
 
 private:
-  tcp::socket socket_;   ///< The connection.
-  std::string input_;    ///< Bytes read but not taken.
-  bool isEnded_ = false; ///< The last read found the end or an error.
-  bool isReset_ = false; ///< The last read found a reset.
+  bool WaitReadable(std::chrono::milliseconds aTimeout)
+  {
+    const auto end = std::chrono::steady_clock::now() + aTimeout;
+    while (std::chrono::steady_clock::now() < end &&
+           (isStopped_ == nullptr || !isStopped_->load())) {
+      pollfd wait{ socket_.native_handle(), POLLIN, 0 };
+      if (::poll(&wait, 1, 20) > 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  tcp::socket socket_;                 ///< The connection.
+  const std::atomic<bool>* isStopped_; ///< Ends reads; may be null.
+  std::string input_;                  ///< Bytes read but not taken.
+  bool isEnded_ = false;               ///< The last read found the end or an error.
+  bool isReset_ = false;               ///< The last read found a reset.
 };
 
 /** Connects to a server on loopback. */
@@ -237,7 +253,7 @@
         continue;
       }
       connections_.emplace_back(
-        [this, number = accepted_++, peer = Peer(acceptor_.accept())]() mutable {
+        [this, number = accepted_++, peer = Peer(acceptor_.accept(), &isStopped_)]() mutable {
           script_(peer, number);
         });
     }
