Answer a booking once its outcome is in the log; start new buckets full

Cause: a second try right after a booking found no outcome yet and got 409; the first requests of a new workspace were refused because its bucket waited for a former owner that cannot exist. Ruled out: letting the reader hold back the second try, since the first caller's host may be gone then. Change: the answer of a never-repeat route waits up to 1 s for the confirmation of its record; a bucket whose workspace was added by a folded record starts full unless the host is younger than a lease.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -4,6 +4,7 @@
 
 import json
 import sys
+import time
 
 from fleet import Fleet, request
 
@@ -11,7 +12,7 @@
 
 
 def main():
-    with Fleet() as fleet:
+    with Fleet(keep="--keep" in sys.argv) as fleet:
         fleet.start_platform()
         engines = ["engine-%d" % i for i in range(1, 5)]
         fleet.start_standins(
@@ -62,6 +63,8 @@
             )
         print("== rules apply")
         print(fleet.apply(rules).stdout)
+        # A new bucket starts after the authority of a possible former owner has ended.
+        time.sleep(3)
         print("== completions")
         failures = 0
         last_id = None
--- a/src/control/token_service.cpp
+++ b/src/control/token_service.cpp
@@ -38,8 +38,39 @@
     if (!isNew) {
       bucket->second.SetEpoch(aState.FencingToken());
       bucket->second.SetRule(limit);
+    } else if (IsJustAdded(id)) {
+      bucket->second.StartFull();
     }
   }
+  NoteWorkspaces(*rules);
+}
+
+bool
+TokenService::IsJustAdded(const WorkspaceId& aWorkspace) const
+{
+  // A workspace that was removed a moment ago may have chunks out; before since_ it is not known.
+  const Duration lapse = settings_.WithClockError(settings_.lease_ + settings_.freshnessBound_);
+  const TimePoint now = clock_.Now();
+  const auto removed = removed_.find(aWorkspace);
+  return !known_.contains(aWorkspace) && now >= since_ + lapse &&
+         (removed == removed_.end() || now >= removed->second + lapse);
+}
+
+void
+TokenService::NoteWorkspaces(const RuleSet& aRules)
+{
+  const TimePoint now = clock_.Now();
+  const Duration lapse = settings_.WithClockError(settings_.lease_ + settings_.freshnessBound_);
+  std::erase_if(removed_, [&](const auto& aEntry) { return now >= aEntry.second + lapse; });
+  for (const WorkspaceId& id : known_) {
+    if (!aRules.workspaces_.contains(id)) {
+      removed_[id] = now;
+    }
+  }
+  known_.clear();
+  for (const auto& [id, rule] : aRules.workspaces_) {
+    known_.insert(id);
+  }
 }
 
 void
@@ -47,6 +78,7 @@
 {
   // Another host may have owned a workspace in between, so each bucket starts anew.
   buckets_.clear();
+  since_ = clock_.Now();
   OnRecord(aState);
 }
 
--- a/src/control/token_service.h
+++ b/src/control/token_service.h
@@ -7,6 +7,7 @@
 #include "limits/bucket_owner.h"
 
 #include <map>
+#include <set>
 
 namespace laburnumweir {
 
@@ -29,6 +30,8 @@
   void OnJump(const ConfigState& aState) override;
 
 private:
+  bool IsJustAdded(const WorkspaceId& aWorkspace) const;
+  void NoteWorkspaces(const RuleSet& aRules);
   void Serve(const wire::Envelope& aRequest, const PeerTransport::Responder& aRespond);
 
   PeerRouter& router_;                         ///< Routes requests.
@@ -36,6 +39,9 @@
   const Clock& clock_;                         ///< Time source.
   LimitSettings settings_;                     ///< Settings of the buckets.
   std::map<WorkspaceId, BucketOwner> buckets_; ///< Buckets that this host owns.
+  std::set<WorkspaceId> known_;                ///< Workspaces of the rules folded before.
+  std::map<WorkspaceId, TimePoint> removed_;   ///< When workspaces were removed, the newest ones.
+  TimePoint since_;                            ///< Since when every record was seen.
 };
 
 } // namespace laburnumweir
--- a/src/limits/bucket_owner.cpp
+++ b/src/limits/bucket_owner.cpp
@@ -27,6 +27,14 @@
 {
 }
 
+void
+BucketOwner::StartFull()
+{
+  grantsFrom_ = clock_.Now();
+  filled_ = grantsFrom_;
+  level_ = rule_.burst_;
+}
+
 void
 BucketOwner::SetRule(const BucketRule& aRule)
 {
--- a/src/limits/bucket_owner.h
+++ b/src/limits/bucket_owner.h
@@ -41,6 +41,11 @@
               const Clock& aClock,
               const LimitSettings& aSettings);
 
+  /**
+   * Starts full and at once, for a workspace that was just added by a rule: no host can hold tokens
+   * of it.
+   */
+  void StartFull();
   /**
    * Follows a membership change that left the ownership with this host.
    * @param aEpoch offset of the newest membership record.
--- a/src/pipeline/once_gate.cpp
+++ b/src/pipeline/once_gate.cpp
@@ -44,8 +44,12 @@
 void
 OnceGate::Finish(const OnceKey& aKey,
                  const AttemptId& aAttempt,
-                 std::optional<OnceOutcome> aOutcome)
+                 std::optional<OnceOutcome> aOutcome,
+                 std::function<void()> aStored)
 {
+  if (aStored) {
+    storing_[aAttempt] = std::move(aStored);
+  }
   OnceRequesterOutput output;
   requester_.Finish(aKey, aAttempt, std::move(aOutcome), output);
   Carry(output);
@@ -104,8 +108,15 @@
             ToWire(aReport),
             kAnswerTimeout,
             [this, aReport](std::error_code aError, const wire::Envelope& aAnswer) {
-              if (!aError && aAnswer.has_done()) {
-                requester_.Receive(OnceStored{ aReport.attempt_ });
+              if (aError || !aAnswer.has_done()) {
+                return;
+              }
+              requester_.Receive(OnceStored{ aReport.attempt_ });
+              const auto storing = storing_.find(aReport.attempt_);
+              if (storing != storing_.end()) {
+                const auto stored = std::move(storing->second);
+                storing_.erase(storing);
+                stored();
               }
             });
 }
--- a/src/pipeline/once_gate.h
+++ b/src/pipeline/once_gate.h
@@ -36,8 +36,17 @@
   OnceTicket Start(const OnceKey& aKey, std::string aRequestDigest, Callback aCallback);
   /** Gives up a request without a verdict. @param aTicket the request. */
   void Cancel(OnceTicket aTicket);
-  /** Reports how a permitted attempt ended; parameters as OnceRequester::Finish(). */
-  void Finish(const OnceKey& aKey, const AttemptId& aAttempt, std::optional<OnceOutcome> aOutcome);
+  /**
+   * Reports how a permitted attempt ended.
+   * @param aKey workspace and idempotency key.
+   * @param aAttempt attempt from the permit.
+   * @param aOutcome as for OnceRequester::Finish().
+   * @param aStored called once the report is in the log; may be empty.
+   */
+  void Finish(const OnceKey& aKey,
+              const AttemptId& aAttempt,
+              std::optional<OnceOutcome> aOutcome,
+              std::function<void()> aStored = {});
   /** Does what is due; to be called about every 20 ms. */
   void Tick();
   /** @return reports that are not confirmed yet. */
@@ -49,11 +58,12 @@
   void Send(const OnceReport& aReport);
   HostId ReaderOf(const OnceKey& aKey) const;
 
-  OnceRequester& requester_;                  ///< Decides.
-  ControlPort& port_;                         ///< Messages to the readers.
-  std::uint32_t partitions_;                  ///< Number of partitions.
-  std::shared_ptr<const ConfigState> config_; ///< State last followed.
-  std::map<OnceTicket, Callback> waiting_;    ///< Requests without a verdict.
+  OnceRequester& requester_;                           ///< Decides.
+  ControlPort& port_;                                  ///< Messages to the readers.
+  std::uint32_t partitions_;                           ///< Number of partitions.
+  std::shared_ptr<const ConfigState> config_;          ///< State last followed.
+  std::map<OnceTicket, Callback> waiting_;             ///< Requests without a verdict.
+  std::map<AttemptId, std::function<void()>> storing_; ///< Told when a report is in the log.
 };
 
 } // namespace laburnumweir
--- a/src/pipeline/service_request.cpp
+++ b/src/pipeline/service_request.cpp
@@ -14,6 +14,9 @@
 constexpr Duration kProgressTimeout = 10s;
 // A plain service generates no tokens; one token lets the rate limit its calls.
 constexpr TokenCount kServiceTokens = 1;
+// While the log is down the caller gets its answer after this time, although a second try would
+// not.
+constexpr Duration kStoreLimit = 1s;
 // Answers of never-repeat routes are held back until their end, so that a second try can get them.
 constexpr std::size_t kMaxHeldBody = 4U << 20;
 
@@ -340,10 +343,17 @@
   Explain(
     "ended upstream=" + upstream_.id_.Value() + " " +
     (aResult.error_ ? "error=" + aResult.error_.message() : "status=" + std::to_string(status_)));
-  ReportEnd(aResult);
+  if (isOnce_ && !aResult.error_) {
+    StoreOutcome();
+    return;
+  }
+  if (isOnce_ && aResult.run_ == RunState::NotRun) {
+    context_.once_.Finish(onceKey_, permit_.Attempt(), std::nullopt);
+  }
   if (isDone_) {
     Finish();
   } else if (aResult.error_) {
+    // A once request that may have run gets no outcome: it stays unknown.
     RetryOrFail(aResult);
   } else {
     Succeed();
@@ -351,18 +361,20 @@
 }
 
 void
-ServiceRequest::ReportEnd(const AttemptResult& aResult)
+ServiceRequest::StoreOutcome()
 {
-  if (!isOnce_) {
-    return;
-  }
-  if (!aResult.error_) {
-    context_.once_.Finish(
-      onceKey_, permit_.Attempt(), OnceOutcome{ status_, headers_, body_, !hasBegun_ });
-  } else if (aResult.run_ == RunState::NotRun) {
-    context_.once_.Finish(onceKey_, permit_.Attempt(), std::nullopt);
-  }
-  // Otherwise it may have run and its outcome stays unknown.
+  // The caller hears of the answer once it is in the log, so that a second try finds it there.
+  const auto self = shared_from_this();
+  const auto succeed = [self] {
+    if (self->isDone_) {
+      self->Finish();
+    } else {
+      self->Succeed();
+    }
+  };
+  context_.once_.Finish(
+    onceKey_, permit_.Attempt(), OnceOutcome{ status_, headers_, body_, !hasBegun_ }, succeed);
+  context_.scheduler_.After(kStoreLimit, succeed);
 }
 
 void
--- a/src/pipeline/service_request.h
+++ b/src/pipeline/service_request.h
@@ -47,7 +47,7 @@
   void OnHead(int aStatus, HeaderList aHeaders);
   void OnData(std::string aBytes, std::function<void()> aContinue);
   void OnEnd(const AttemptResult& aResult);
-  void ReportEnd(const AttemptResult& aResult);
+  void StoreOutcome();
   void Succeed();
   void RetryOrFail(const AttemptResult& aResult);
   void GivePermitBack();
