--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -31,10 +31,11 @@
 
 
 class Answer:
-    """A whole HTTP answer."""
+    """An HTTP answer; is_whole tells whether the server ended it properly."""
 
-    def __init__(self, status, headers, body):
+    def __init__(self, status, headers, body, is_whole=True):
         self.status = status
+        self.is_whole = is_whole
         self.headers = {name.lower(): value for name, value in headers}
         self.body = body
 
@@ -43,7 +44,7 @@
 
 
 def request(port, method, path, body=None, headers=None, timeout=15):
-    """Sends one HTTP request to loopback; raises OSError if there is no whole answer."""
+    """Sends one HTTP request to loopback; raises OSError if there is no answer."""
     connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
     try:
         data = json.dumps(body) if isinstance(body, (dict, list)) else body
@@ -51,7 +52,10 @@
         all_headers.update(headers or {})
         connection.request(method, path, data, all_headers)
         response = connection.getresponse()
-        return Answer(response.status, response.getheaders(), response.read())
+        try:
+            return Answer(response.status, response.getheaders(), response.read())
+        except http.client.IncompleteRead as error:
+            return Answer(response.status, response.getheaders(), error.partial, False)
     except http.client.HTTPException as error:
         raise OSError(str(error)) from error
     finally:
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -5,6 +5,7 @@
   g++ cmake ninja-build ccache clang-format clang-tidy curl
   libboost1.81-dev libboost-json1.81-dev libboost-program-options1.81-dev
   libboost-context1.81-dev libboost-url1.81-dev
+  python3
   liblog4cplus-dev libnng-dev libprotobuf-dev libssl-dev libxxhash-dev
   libhowardhinnant-date-dev tzdata
   libgtest-dev libgmock-dev librapidcheck-dev libbenchmark-dev
--- a/src/control/once_service.cpp
+++ b/src/control/once_service.cpp
@@ -188,7 +188,7 @@
     aPartition->reader_.NextOffset(),
     kMaxReadRecords,
     wait,
-    [this, weak = weak_from_this(), aPartition](std::error_code aError, ReadResult aResult) {
+    [this, weak = weak_from_this(), aPartition](std::error_code aError, const ReadResult& aResult) {
       if (weak.expired() || !IsCurrent(aPartition)) {
         return;
       }
--- a/src/control/peer_router.cpp
+++ b/src/control/peer_router.cpp
@@ -16,7 +16,7 @@
   , scheduler_(aScheduler)
   , transport_(aTransport)
 {
-  transport_.SetHandler([this](const wire::Envelope& aRequest, PeerTransport::Responder aRespond) {
+  transport_.SetHandler([this](const wire::Envelope& aRequest, const PeerTransport::Responder& aRespond) {
     Serve(aRequest, aRespond);
   });
 }
--- a/src/control/slot_service.cpp
+++ b/src/control/slot_service.cpp
@@ -336,7 +336,7 @@
   const TimePoint askedAt = clock_.Now();
   admin_.Report(aEngine->endpoint_,
                 [this, weak = weak_from_this(), aEngine, askedAt](std::error_code aError,
-                                                                  EngineReport aReport) {
+                                                                  const EngineReport& aReport) {
                   if (weak.expired()) {
                     return;
                   }
--- a/src/core/scheduler_base.h
+++ b/src/core/scheduler_base.h
@@ -34,15 +34,15 @@
 inline void
 RepeatWhileAlive(Scheduler& aScheduler,
                  Duration aInterval,
-                 std::weak_ptr<void> aOwner,
+                 const std::weak_ptr<void>& aOwner,
                  std::function<void()> aTask)
 {
-  aScheduler.After(aInterval, [&aScheduler, aInterval, aOwner, task = std::move(aTask)]() mutable {
-    if (aOwner.expired()) {
+  aScheduler.After(aInterval, [&aScheduler, aInterval, owner = aOwner, task = std::move(aTask)]() mutable {
+    if (owner.expired()) {
       return;
     }
     task();
-    RepeatWhileAlive(aScheduler, aInterval, aOwner, std::move(task));
+    RepeatWhileAlive(aScheduler, aInterval, owner, std::move(task));
   });
 }
 
--- a/src/pipeline/completion_request.cpp
+++ b/src/pipeline/completion_request.cpp
@@ -161,9 +161,9 @@
 }
 
 void
-CompletionRequest::FindEngine(QueueEntry aEntry,
-                              std::function<void(QueueEntry, Duration)> aBusy,
-                              std::function<void()> aSettled)
+CompletionRequest::FindEngine(const QueueEntry& aEntry,
+                              const BusyCallback& aBusy,
+                              const std::function<void()>& aSettled)
 {
   SetTicket(0);
   if (isDone_) {
--- a/src/pipeline/completion_request.h
+++ b/src/pipeline/completion_request.h
@@ -16,6 +16,7 @@
 class CompletionRequest : public std::enable_shared_from_this<CompletionRequest>
 {
 public:
+  using BusyCallback = std::function<void(QueueEntry, Duration)>;
   using PushCallback = std::function<void(std::shared_ptr<CompletionRequest>)>;
 
   /**
@@ -39,9 +40,9 @@
    * @param aBusy called with the entry and the time to wait if all engines are busy.
    * @param aSettled called once an engine was found or the request ended.
    */
-  void FindEngine(QueueEntry aEntry,
-                  std::function<void(QueueEntry, Duration)> aBusy,
-                  std::function<void()> aSettled);
+  void FindEngine(const QueueEntry& aEntry,
+                  const BusyCallback& aBusy,
+                  const std::function<void()>& aSettled);
   /** The queue refused the request. @param aRefusal why. */
   void Refuse(QueueRefusal aRefusal);
   /** The caller went away. */
