--- a/src/limits/bucket_owner.cpp
+++ b/src/limits/bucket_owner.cpp
@@ -22,11 +22,19 @@
   , epoch_(aEpoch)
   , clock_(aClock)
   , settings_(aSettings)
+  , evidence_(aClock.Now())
   , grantsFrom_(aClock.Now() + aSettings.WithClockError(aSettings.freshnessBound_))
   , filled_(grantsFrom_)
 {
 }
 
+void
+BucketOwner::SetMembership(LogOffset aEpoch, TimePoint aEvidence)
+{
+  epoch_ = std::max(epoch_, aEpoch);
+  evidence_ = std::max(evidence_, aEvidence);
+}
+
 void
 BucketOwner::SetRule(const BucketRule& aRule)
 {
@@ -37,39 +45,52 @@
 }
 
 void
-BucketOwner::Lapse(TimePoint aNow)
+BucketOwner::Refill()
 {
-  for (auto& [id, holder] : holders_) {
-    if (holder.hasAccount_ && holder.account_.leaseEnd_ <= aNow) {
-      CloseAccount(holder);
+  const TimePoint now = clock_.Now();
+  // A chunk keeps the bucket from being refilled until it lapses, however late that is noticed.
+  for (;;) {
+    Holder* first = nullptr;
+    for (auto& [id, holder] : holders_) {
+      if (holder.hasAccount_ &&
+          (first == nullptr || holder.account_.leaseEnd_ < first->account_.leaseEnd_)) {
+        first = &holder;
+      }
+    }
+    const bool isSingle = !singles_.empty() && (first == nullptr || singles_.front().leaseEnd_ <
+                                                                      first->account_.leaseEnd_);
+    if (isSingle && singles_.front().leaseEnd_ <= now) {
+      RefillUntil(singles_.front().leaseEnd_);
+      chunks_ -= singles_.front().tokens_;
+      singles_.pop_front();
+    } else if (!isSingle && first != nullptr && first->account_.leaseEnd_ <= now) {
+      RefillUntil(first->account_.leaseEnd_);
+      CloseAccount(*first);
+    } else {
+      break;
     }
   }
+  RefillUntil(now);
   std::erase_if(holders_, [&](const auto& aEntry) {
-    return !aEntry.second.hasAccount_ && aEntry.second.heard_ + settings_.lease_ * 2 <= aNow;
+    return !aEntry.second.hasAccount_ && aEntry.second.heard_ + settings_.lease_ * 2 <= now;
   });
-  while (!singles_.empty() && singles_.front().leaseEnd_ <= aNow) {
-    chunks_ -= singles_.front().tokens_;
-    singles_.pop_front();
-  }
   // A holder that stopped asking must not keep others from the tokens.
   const Duration patience = std::max(settings_.maxWait_, settings_.renewEveryMany_);
-  std::erase_if(waiters_, [&](const Waiter& aWaiter) { return aWaiter.heard_ + patience <= aNow; });
+  std::erase_if(waiters_, [&](const Waiter& aWaiter) { return aWaiter.heard_ + patience <= now; });
 }
 
 void
-BucketOwner::Refill()
+BucketOwner::RefillUntil(TimePoint aTime)
 {
-  const TimePoint now = clock_.Now();
-  Lapse(now);
-  if (now <= filled_) {
+  if (aTime <= filled_) {
     return;
   }
   const TokenCount room = std::max<TokenCount>(0, rule_.burst_ - level_ - chunks_);
   // Bounds the product below; longer times fill the bucket anyway.
   const std::int64_t longest =
     rule_.rate_ == 0 ? 0 : (rule_.burst_ - std::min<TokenCount>(level_, 0) + 1) / rule_.rate_ + 1;
-  const std::int64_t elapsed = std::min((now - filled_).count(), longest * kNanos);
-  filled_ = now;
+  const std::int64_t elapsed = std::min((aTime - filled_).count(), longest * kNanos);
+  filled_ = aTime;
   remainder_ += elapsed * rule_.rate_;
   const TokenCount added = remainder_ / kNanos;
   remainder_ %= kNanos;
@@ -312,11 +333,11 @@
 GrantAnswer
 BucketOwner::Handle(const GrantRequest& aRequest)
 {
-  if (aRequest.epoch_ != epoch_) {
+  const TimePoint now = clock_.Now();
+  if (aRequest.epoch_ != epoch_ || evidence_ + settings_.freshnessBound_ <= now) {
     return MakeAnswer(aRequest, GrantStatus::WrongEpoch);
   }
   Refill();
-  const TimePoint now = clock_.Now();
   Holder& holder = holders_[aRequest.holder_];
   if (aRequest.sequence_ <= holder.sequence_) {
     return aRequest.sequence_ == holder.sequence_ ? holder.answer_
@@ -363,9 +384,10 @@
   answer.sequence_ = aRequest.sequence_;
   answer.epoch_ = epoch_;
   Refill();
-  // Tokens given back are not used again: the time of the reservation is not known here.
-  if (aRequest.epoch_ != epoch_ || aRequest.tokens_ <= 0 || clock_.Now() < grantsFrom_) {
-    answer.availableIn_ = std::max(Duration::zero(), grantsFrom_ - clock_.Now());
+  const TimePoint now = clock_.Now();
+  if (aRequest.epoch_ != epoch_ || aRequest.tokens_ < 0 || now < grantsFrom_ ||
+      evidence_ + settings_.freshnessBound_ <= now) {
+    answer.availableIn_ = std::max(Duration::zero(), grantsFrom_ - now);
     return answer;
   }
   answer.isGranted_ = aRequest.tokens_ <= level_;
@@ -373,7 +395,7 @@
     level_ -= aRequest.tokens_;
     chunks_ += aRequest.tokens_;
     const Duration lease = settings_.WithClockError(settings_.answerTimeout_);
-    singles_.push_back(Single{ aRequest.tokens_, clock_.Now() + lease });
+    singles_.push_back(Single{ aRequest.tokens_, now + lease });
   } else {
     answer.availableIn_ = TimeFor(aRequest.tokens_ - level_);
   }
--- a/src/limits/bucket_owner.h
+++ b/src/limits/bucket_owner.h
@@ -42,10 +42,12 @@
               const LimitSettings& aSettings);
 
   /**
-   * Follows a membership change that left the ownership with this host.
-   * @param aEpoch offset of the newest membership record.
+   * Follows the membership while the ownership stays with this host. To be called whenever evidence
+   * is renewed; without fresh evidence the owner may hold an outdated rule and grants nothing.
+   * @param aEpoch offset of the newest membership record folded.
+   * @param aEvidence time at which it was certainly the newest.
    */
-  void SetEpoch(LogOffset aEpoch) { epoch_ = aEpoch; }
+  void SetMembership(LogOffset aEpoch, TimePoint aEvidence);
   /**
    * Changes rate and burst. Chunks already granted run on until their leases end.
    * @param aRule the new rule.
@@ -117,7 +119,7 @@
   };
 
   void Refill();
-  void Lapse(TimePoint aNow);
+  void RefillUntil(TimePoint aTime);
   void Reduce(TokenCount aTokens);
   void EraseBatch(Account& aAccount, std::uint64_t aNumber);
   void CloseAccount(Holder& aHolder);
@@ -134,6 +136,7 @@
   LogOffset epoch_;                        ///< Epoch named in answers.
   const Clock& clock_;                     ///< Time source.
   LimitSettings settings_;                 ///< Settings.
+  TimePoint evidence_;                     ///< Newest evidence of the membership.
   TimePoint grantsFrom_;                   ///< End of the takeover wait.
   TimePoint filled_;                       ///< Time up to which the bucket is refilled.
   std::int64_t remainder_ = 0;             ///< Part of a token, in token nanoseconds.
--- a/src/limits/limit_message_type.h
+++ b/src/limits/limit_message_type.h
@@ -54,8 +54,8 @@
 /** How the owner answered a request. */
 enum class GrantStatus : std::uint8_t
 {
-  Ok,             ///< The lease is renewed; tokens may have been added.
-  WrongEpoch,     ///< The two sides have folded different memberships; nothing was done.
+  Ok,         ///< The lease is renewed; tokens may have been added.
+  WrongEpoch, ///< The sides know different memberships or the owner's is not fresh; nothing done.
   UnknownAccount, ///< The account has lapsed or belongs to an earlier owner.
   Stale,          ///< A newer request of this holder was seen; nothing was done.
 };
@@ -83,7 +83,7 @@
   HolderId holder_;            ///< Sender.
   std::uint64_t sequence_ = 0; ///< Identifies the request of this holder.
   LogOffset epoch_ = 0;        ///< Epoch of the sender.
-  TokenCount tokens_ = 0;      ///< Tokens wanted; negative = tokens given back.
+  TokenCount tokens_ = 0;      ///< Tokens wanted.
 };
 
 /** Owner to requester, for the grant-per-request baseline. */
--- a/src/once/once_reader.cpp
+++ b/src/once/once_reader.cpp
@@ -185,10 +185,10 @@
 }
 
 void
-OnceReader::OnAppend(std::error_code aError, OnceOutput& aOutput)
+OnceReader::OnAppend(AppendResult aResult, OnceOutput& aOutput)
 {
   const TimePoint now = clock_.Now();
-  const bool hadNoEffect = aError == LogError::Refused || aError == LogError::Unreachable;
+  const bool hadNoEffect = aResult == AppendResult::NoEffect;
   isAppending_ = false;
   if (hadNoEffect) {
     appendAfter_ = now + settings_.backoff_;
@@ -203,7 +203,7 @@
     Outgoing& outgoing = found->second;
     outgoing.since_ = now;
     if (!hadNoEffect) {
-      outgoing.stage_ = aError ? Stage::InDoubt : Stage::Appended;
+      outgoing.stage_ = aResult == AppendResult::Done ? Stage::Appended : Stage::InDoubt;
     } else if (outgoing.record_.kind_ == OnceRecordKind::Begin) {
       const AttemptId attempt = outgoing.record_.attempt_;
       outgoing_.erase(found);
--- a/src/once/once_reader.h
+++ b/src/once/once_reader.h
@@ -9,11 +9,18 @@
 #include <map>
 #include <set>
 #include <string>
-#include <system_error>
 #include <vector>
 
 namespace laburnumweir {
 
+/** Result of an append, as far as it is known. */
+enum class AppendResult : std::uint8_t
+{
+  Done,     ///< The records are in the log.
+  NoEffect, ///< The log certainly took nothing (LogError::Refused, LogError::Unreachable).
+  InDoubt,  ///< The records may be in the log, now or later (any other error).
+};
+
 /** Messages that a call led to. */
 struct OnceOutput
 {
@@ -58,10 +65,10 @@
   std::vector<NewRecord> TakeAppend();
   /**
    * Takes the result of the append under way.
-   * @param aError error of the log client, or none.
+   * @param aResult result.
    * @param aOutput receives answers.
    */
-  void OnAppend(std::error_code aError, OnceOutput& aOutput);
+  void OnAppend(AppendResult aResult, OnceOutput& aOutput);
   /**
    * Takes the result of a read from NextOffset().
    * @param aResult result.
