--- a/src/once/once_reader.cpp
+++ b/src/once/once_reader.cpp
@@ -90,7 +90,8 @@
     Finish(begin.attempt_, MakeAnswer(OnceDecision::NotRun, "the attempt was given up"), aOutput);
     return;
   }
-  if (const OnceEntry* entry = ledger_.Find(begin.key_, clock_.WallNow()); entry != nullptr) {
+  const OnceEntry* entry = ledger_.Find(begin.key_, clock_.WallNow());
+  if (entry != nullptr && !IsBeingReleased(*entry)) {
     Finish(begin.attempt_, FromEntry(*entry, begin), aOutput);
     return;
   }
@@ -107,6 +108,15 @@
   Enqueue(std::move(record));
 }
 
+bool
+OnceReader::IsBeingReleased(const OnceEntry& aEntry) const
+{
+  OnceRecord release;
+  release.kind_ = OnceRecordKind::Release;
+  release.attempt_ = aEntry.attempt_;
+  return aEntry.state_ == OnceState::Begun && outgoing_.contains(EncodeOnceRecord(release, 0).id_);
+}
+
 void
 OnceReader::Finish(const AttemptId& aAttempt, OnceAnswer aAnswer, OnceOutput& aOutput)
 {
@@ -242,10 +252,13 @@
     case OnceFold::Effect::Lost:
       if (const auto pending = pending_.find(record.attempt_); pending != pending_.end()) {
         const OnceEntry* entry = ledger_.Find(record.key_, clock_.WallNow());
-        Finish(record.attempt_,
-               entry != nullptr ? FromEntry(*entry, pending->second.begin_)
-                                : MakeAnswer(OnceDecision::Unknown),
-               aOutput);
+        OnceAnswer answer = MakeAnswer(OnceDecision::Unknown);
+        if (entry != nullptr) {
+          // A new attempt wins once the release is in the log.
+          answer = IsBeingReleased(*entry) ? MakeAnswer(OnceDecision::AlreadyPermitted)
+                                           : FromEntry(*entry, pending->second.begin_);
+        }
+        Finish(record.attempt_, std::move(answer), aOutput);
       }
       break;
     case OnceFold::Effect::Stored:
--- a/src/once/once_reader.h
+++ b/src/once/once_reader.h
@@ -117,6 +117,7 @@
   void Finish(const AttemptId& aAttempt, OnceAnswer aAnswer, OnceOutput& aOutput);
   void WakeFollowers(const OnceKey& aKey, OnceOutput& aOutput);
   void Apply(const OnceFold& aFold, OnceOutput& aOutput);
+  bool IsBeingReleased(const OnceEntry& aEntry) const;
   OnceAnswer FromEntry(const OnceEntry& aEntry, const OnceBegin& aBegin) const;
 
   ReaderId id_;                              ///< Tenure.
--- a/src/once/once_type.h
+++ b/src/once/once_type.h
@@ -78,7 +78,9 @@
   Unknown,          ///< Another attempt may have run; no outcome is recorded.
   OtherRequest,     ///< The key was used for another request; not run.
   NotRun,           ///< Nothing was permitted for this attempt, and nothing will be.
-  AlreadyPermitted, ///< A permit was or may have been issued for this attempt before.
+  AlreadyPermitted, ///< A permit may have been issued for this attempt before, or the key is just
+                    ///< being
+  ///< released; the host gives this attempt up and begins a new one.
 };
 
 /** Reader to host. */
