--- a/src/control/config_service.cpp
+++ b/src/control/config_service.cpp
@@ -61,6 +61,12 @@
          state->IsMember(router_.Self(), incarnation_);
 }
 
+TimePoint
+ConfigService::Evidence() const
+{
+  return freshUntil_ - freshnessSettings_.Within(freshnessSettings_.bound_);
+}
+
 void
 ConfigService::SetIncarnation(Incarnation aIncarnation)
 {
@@ -346,7 +352,7 @@
   published.isDraining_ = isDraining_;
   if (state != nullptr && state->IsMember(router_.Self(), incarnation_)) {
     published.freshUntil_ = freshUntil_;
-    published.evidence_ = freshUntil_ - freshnessSettings_.Within(freshnessSettings_.bound_);
+    published.evidence_ = Evidence();
   }
   publisher_.Publish(std::move(published));
   const std::string reason = NotReadyReason();
--- a/src/control/config_service.h
+++ b/src/control/config_service.h
@@ -57,6 +57,7 @@
   void Start();
   const ConfigState* State() const override { return reader_.State(); }
   bool MayAct() const override;
+  TimePoint Evidence() const override;
   /** Sets the incarnation with which this host is a member; 0 = none. */
   void SetIncarnation(Incarnation aIncarnation);
   /** @return the incarnation with which this host is a member. */
--- a/src/control/config_view_base.h
+++ b/src/control/config_view_base.h
@@ -16,6 +16,8 @@
   virtual const ConfigState* State() const = 0;
   /** @return whether this host may act on the state now: it is fresh and this host is a member. */
   virtual bool MayAct() const = 0;
+  /** @return time at which the folded state was certainly the newest. */
+  virtual TimePoint Evidence() const = 0;
 };
 
 /** Told of changes of the agreed state, on the control thread. */
--- a/src/control/token_service.cpp
+++ b/src/control/token_service.cpp
@@ -36,7 +36,6 @@
     const auto [bucket, isNew] =
       buckets_.try_emplace(id, id, limit, aState.FencingToken(), clock_, settings_);
     if (!isNew) {
-      bucket->second.SetEpoch(aState.FencingToken());
       bucket->second.SetRule(limit);
     } else if (IsJustAdded(id)) {
       bucket->second.StartFull();
@@ -95,6 +94,7 @@
     aRespond(ToWire(answer));
     return;
   }
+  bucket->second.SetMembership(view_.State()->FencingToken(), view_.Evidence());
   aRespond(ToWire(bucket->second.Handle(request)));
 }
 
--- a/src/once/once_reader.cpp
+++ b/src/once/once_reader.cpp
@@ -90,7 +90,8 @@
     Finish(begin.attempt_, MakeAnswer(OnceDecision::NotRun, "the attempt was given up"), aOutput);
     return;
   }
-  if (const OnceEntry* entry = ledger_.Find(begin.key_, clock_.WallNow()); entry != nullptr) {
+  const OnceEntry* entry = ledger_.Find(begin.key_, clock_.WallNow());
+  if (entry != nullptr && !IsBeingReleased(*entry)) {
     Finish(begin.attempt_, FromEntry(*entry, begin), aOutput);
     return;
   }
@@ -107,6 +108,15 @@
   Enqueue(std::move(record));
 }
 
+bool
+OnceReader::IsBeingReleased(const OnceEntry& aEntry) const
+{
+  OnceRecord release;
+  release.kind_ = OnceRecordKind::Release;
+  release.attempt_ = aEntry.attempt_;
+  return aEntry.state_ == OnceState::Begun && outgoing_.contains(EncodeOnceRecord(release, 0).id_);
+}
+
 void
 OnceReader::Finish(const AttemptId& aAttempt, OnceAnswer aAnswer, OnceOutput& aOutput)
 {
@@ -185,10 +195,10 @@
 }
 
 void
-OnceReader::OnAppend(std::error_code aError, OnceOutput& aOutput)
+OnceReader::OnAppend(AppendResult aResult, OnceOutput& aOutput)
 {
   const TimePoint now = clock_.Now();
-  const bool hadNoEffect = aError == LogError::Refused || aError == LogError::Unreachable;
+  const bool hadNoEffect = aResult == AppendResult::NoEffect;
   isAppending_ = false;
   if (hadNoEffect) {
     appendAfter_ = now + settings_.backoff_;
@@ -203,7 +213,7 @@
     Outgoing& outgoing = found->second;
     outgoing.since_ = now;
     if (!hadNoEffect) {
-      outgoing.stage_ = aError ? Stage::InDoubt : Stage::Appended;
+      outgoing.stage_ = aResult == AppendResult::Done ? Stage::Appended : Stage::InDoubt;
     } else if (outgoing.record_.kind_ == OnceRecordKind::Begin) {
       const AttemptId attempt = outgoing.record_.attempt_;
       outgoing_.erase(found);
@@ -242,10 +252,13 @@
     case OnceFold::Effect::Lost:
       if (const auto pending = pending_.find(record.attempt_); pending != pending_.end()) {
         const OnceEntry* entry = ledger_.Find(record.key_, clock_.WallNow());
-        Finish(record.attempt_,
-               entry != nullptr ? FromEntry(*entry, pending->second.begin_)
-                                : MakeAnswer(OnceDecision::Unknown),
-               aOutput);
+        OnceAnswer answer = MakeAnswer(OnceDecision::Unknown);
+        if (entry != nullptr) {
+          // A new attempt wins once the release is in the log.
+          answer = IsBeingReleased(*entry) ? MakeAnswer(OnceDecision::AlreadyPermitted)
+                                           : FromEntry(*entry, pending->second.begin_);
+        }
+        Finish(record.attempt_, std::move(answer), aOutput);
       }
       break;
     case OnceFold::Effect::Stored:
