Test the callers' server and the service client, and fix what the tests found

Cause: the limits of the server and the fault cases of plain services had no tests. Ruled out: taking the last of two equal names in a JSON body, as the parser does: an engine may take the first, so that model and token limit could differ from what was admitted and reserved.

--- a/src/caller/answer_func.cpp
+++ b/src/caller/answer_func.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <boost/beast/http/status.hpp>
 #include <boost/json.hpp>
+#include <charconv>
 
 namespace laburnumweir {
 
@@ -98,6 +99,19 @@
   return text.append("\r\n");
 }
 
+std::optional<std::uint64_t>
+AnnouncedLength(const HeaderList& aHeaders)
+{
+  const auto text = FindField(aHeaders, "content-length");
+  const auto* end = text.data() + text.size();
+  std::uint64_t length = 0;
+  const auto result = std::from_chars(text.data(), end, length);
+  if (text.empty() || result.ec != std::errc() || result.ptr != end) {
+    return std::nullopt;
+  }
+  return length;
+}
+
 std::string
 ErrorBody(const CallerError& aError, const RequestId& aId)
 {
--- a/src/caller/answer_func.h
+++ b/src/caller/answer_func.h
@@ -23,6 +23,10 @@
 std::string
 AnswerHead(int aStatus, const HeaderList& aHeaders, const AnswerFrame& aFrame);
 
+/** @return the value of Content-Length, if there is a valid one. */
+std::optional<std::uint64_t>
+AnnouncedLength(const HeaderList& aHeaders);
+
 /** @return the JSON body of an error. */
 std::string
 ErrorBody(const CallerError& aError, const RequestId& aId);
--- /dev/null
+++ b/src/caller/answer_writer.cpp
@@ -0,0 +1,137 @@
+/** @file answer_writer.cpp Queue of bytes to one caller. */
+#include "caller/answer_writer.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <charconv>
+#include <utility>
+
+namespace laburnumweir {
+
+namespace {
+
+namespace asio = boost::asio;
+using BoostError = boost::system::error_code;
+
+constexpr std::size_t kMaxGather = 32;
+// A stalled caller is noticed between steps, so a step must be small against a large answer.
+constexpr std::size_t kWriteStep = std::size_t{ 64 } << 10;
+
+} // namespace
+
+AnswerWriter::AnswerWriter(CallerSocket& aSocket, std::size_t aBuffered)
+  : socket_(aSocket)
+  , buffered_(aBuffered)
+{
+}
+
+void
+AnswerWriter::Enqueue(std::string aBytes)
+{
+  if (!isClosed_ && !aBytes.empty()) {
+    unsentBytes_ += aBytes.size();
+    unsent_.push_back(std::move(aBytes));
+  }
+}
+
+void
+AnswerWriter::EnqueueChunk(std::string aBytes)
+{
+  std::array<char, 20> size{};
+  const auto end = std::to_chars(size.data(), size.data() + size.size(), aBytes.size(), 16).ptr;
+  Enqueue(std::string(size.data(), end) + "\r\n");
+  aBytes.append("\r\n");
+  Enqueue(std::move(aBytes));
+}
+
+void
+AnswerWriter::NotifyWhenBuffered(std::function<void()> aFunction)
+{
+  if (isClosed_) {
+    return;
+  }
+  if (unsentBytes_ <= buffered_) {
+    asio::post(socket_.get_executor(), std::move(aFunction));
+  } else {
+    waiting_.push_back(std::move(aFunction));
+  }
+}
+
+void
+AnswerWriter::Write(const std::shared_ptr<void>& aOwner, const Done& aDone)
+{
+  if (isWriting_ || unsent_.empty() || isClosed_) {
+    return;
+  }
+  isWriting_ = true;
+  progress_ = std::chrono::steady_clock::now();
+  const auto count = std::min(unsent_.size(), kMaxGather);
+  std::vector<asio::const_buffer> buffers;
+  buffers.reserve(count);
+  for (std::size_t i = 0; i < count; ++i) {
+    buffers.emplace_back(asio::buffer(unsent_[i]));
+  }
+  asio::async_write(
+    socket_,
+    buffers,
+    [this, aOwner](BoostError aError, std::size_t) {
+      progress_ = std::chrono::steady_clock::now();
+      return aError ? 0 : kWriteStep;
+    },
+    [this, aOwner, aDone, count](BoostError aError, std::size_t) {
+      OnWritten(aOwner, aDone, !aError, count);
+    });
+}
+
+void
+AnswerWriter::OnWritten(const std::shared_ptr<void>& aOwner,
+                        const Done& aDone,
+                        bool aIsWritten,
+                        std::size_t aCount)
+{
+  isWriting_ = false;
+  if (isClosed_) {
+    unsent_.clear();
+    return;
+  }
+  if (!aIsWritten) {
+    aDone(false);
+    return;
+  }
+  for (std::size_t i = 0; i < aCount; ++i) {
+    unsentBytes_ -= unsent_.front().size();
+    unsent_.pop_front();
+  }
+  if (unsentBytes_ <= buffered_) {
+    for (auto& function : std::exchange(waiting_, {})) {
+      asio::post(socket_.get_executor(), std::move(function));
+    }
+  }
+  if (unsent_.empty()) {
+    aDone(true);
+  } else {
+    Write(aOwner, aDone);
+  }
+}
+
+void
+AnswerWriter::Close()
+{
+  isClosed_ = true;
+  waiting_.clear();
+  if (!isWriting_) {
+    unsent_.clear();
+  }
+}
+
+std::chrono::steady_clock::time_point
+AnswerWriter::WaitingSince() const
+{
+  return isWriting_ ? progress_ : std::chrono::steady_clock::time_point::max();
+}
+
+} // namespace laburnumweir
--- a/src/caller/caller_connection.cpp
+++ b/src/caller/caller_connection.cpp
@@ -7,16 +7,12 @@
 #include "http/header_func.h"
 
 #include <algorithm>
-#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
-#include <charconv>
-#include <deque>
 #include <optional>
 #include <vector>
 
@@ -35,8 +31,6 @@
 constexpr std::size_t kBodyReadBytes = std::size_t{ 64 } << 10;
 // Bytes of pipelined requests that are read while one is served; more wait in the kernel.
 constexpr std::size_t kPipelineBytes = std::size_t{ 16 } << 10;
-constexpr std::size_t kMaxGather = 32;
-constexpr std::size_t kWriteStep = std::size_t{ 64 } << 10;
 
 class Connection;
 
@@ -74,6 +68,7 @@
   Connection(std::shared_ptr<CallerShared> aShared, tcp::socket aSocket, bool aIsRefused)
     : shared_(std::move(aShared))
     , socket_(std::move(aSocket))
+    , writer_(socket_, shared_->settings_.sendBufferBytes_)
     , timer_(socket_.get_executor())
     , isRefused_(aIsRefused)
   {
@@ -122,9 +117,9 @@
     if (hasBody && !frame.contentLength_) {
       frame.contentLength_ = aBody.size();
     }
-    Enqueue(AnswerHead(aStatus, aHeaders, frame));
+    writer_.Enqueue(AnswerHead(aStatus, aHeaders, frame));
     if (hasBody && !isHead_) {
-      Enqueue(std::move(aBody));
+      writer_.Enqueue(std::move(aBody));
     }
     FinishAnswer();
   }
@@ -142,7 +137,7 @@
       mustClose_ = true;
     }
     AnswerFrame frame{ id_, remaining_, isChunked_, IsClosing() };
-    Enqueue(AnswerHead(aStatus, aHeaders, frame));
+    writer_.Enqueue(AnswerHead(aStatus, aHeaders, frame));
     Write();
   }
 
@@ -159,16 +154,12 @@
       }
       EnqueueChunk(std::move(aBytes));
     }
-    if (unsentBytes_ > shared_->settings_.maxUnsentBytes_) {
-      Disconnected();
+    if (writer_.UnsentBytes() > shared_->settings_.maxUnsentBytes_) {
+      Close();
       return;
     }
     if (aWritten) {
-      if (unsentBytes_ <= shared_->settings_.sendBufferBytes_) {
-        asio::post(socket_.get_executor(), std::move(aWritten));
-      } else {
-        waiting_.push_back(std::move(aWritten));
-      }
+      writer_.NotifyWhenBuffered(std::move(aWritten));
     }
     Write();
   }
@@ -184,7 +175,7 @@
       return;
     }
     if (isChunked_) {
-      Enqueue("0\r\n\r\n");
+      writer_.Enqueue("0\r\n\r\n");
     }
     FinishAnswer();
   }
@@ -263,7 +254,7 @@
       return;
     }
     if (aError) {
-      Disconnected();
+      Close();
       return;
     }
     OnInput();
@@ -328,7 +319,7 @@
       SetLimit(shared_->settings_.bodyTime_);
       if (!parser_->is_done() &&
           beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
-        Enqueue("HTTP/1.1 100 Continue\r\n\r\n");
+        writer_.Enqueue("HTTP/1.1 100 Continue\r\n\r\n");
         Write();
       }
     }
@@ -374,6 +365,9 @@
     if (lifecycle_.Apply(RequestEvent::Fail)) {
       phase_ = Phase::Answering;
       ReleaseBody();
+      const auto id =
+        parser_->is_header_done() ? parser_->get()["X-Request-Id"] : beast::string_view();
+      id_ = RequestIdFrom({ id.data(), id.size() });
       EnqueueError(aError);
       FinishAnswer();
     }
@@ -428,18 +422,6 @@
 
   bool IsClosing() const { return mustClose_ || shared_->isDraining_; }
 
-  static std::optional<std::uint64_t> AnnouncedLength(const HeaderList& aHeaders)
-  {
-    const auto text = FindField(aHeaders, "content-length");
-    std::uint64_t length = 0;
-    const auto end = text.data() + text.size();
-    const auto result = std::from_chars(text.data(), end, length);
-    if (text.empty() || result.ec != std::errc() || result.ptr != end) {
-      return std::nullopt;
-    }
-    return length;
-  }
-
   void EnqueueError(const CallerError& aError)
   {
     auto body = ErrorBody(aError, id_);
@@ -447,9 +429,9 @@
     if (aError.retryAfter_.count() > 0) {
       headers.emplace_back("Retry-After", std::to_string(aError.retryAfter_.count()));
     }
-    Enqueue(AnswerHead(aError.status_, headers, { id_, body.size(), false, IsClosing() }));
+    writer_.Enqueue(AnswerHead(aError.status_, headers, { id_, body.size(), false, IsClosing() }));
     if (!isHead_) {
-      Enqueue(std::move(body));
+      writer_.Enqueue(std::move(body));
     }
   }
 
@@ -459,85 +441,31 @@
       *remaining_ -= aBytes.size();
     }
     if (!isChunked_) {
-      Enqueue(std::move(aBytes));
+      writer_.Enqueue(std::move(aBytes));
       return;
     }
-    std::array<char, 20> size{};
-    const auto end = std::to_chars(size.data(), size.data() + size.size(), aBytes.size(), 16).ptr;
-    Enqueue(std::string(size.data(), end) + "\r\n");
-    aBytes.append("\r\n");
-    Enqueue(std::move(aBytes));
-  }
-
-  void Enqueue(std::string aBytes)
-  {
-    if (phase_ != Phase::Closed && !aBytes.empty()) {
-      unsentBytes_ += aBytes.size();
-      unsent_.push_back(std::move(aBytes));
-    }
+    writer_.EnqueueChunk(std::move(aBytes));
   }
 
   void Write()
   {
-    if (isWriting_ || unsent_.empty() || phase_ == Phase::Closed) {
-      return;
-    }
-    isWriting_ = true;
-    writeProgress_ = SteadyClock::now();
-    ArmTimer();
-    const auto count = std::min(unsent_.size(), kMaxGather);
-    std::vector<asio::const_buffer> buffers;
-    buffers.reserve(count);
-    for (std::size_t i = 0; i < count; ++i) {
-      buffers.emplace_back(asio::buffer(unsent_[i]));
-    }
-    asio::async_write(
-      socket_,
-      buffers,
-      [self = shared_from_this()](BoostError aError, std::size_t) {
-        self->writeProgress_ = SteadyClock::now();
-        return aError ? 0 : kWriteStep;
-      },
-      [self = shared_from_this(), count](BoostError aError, std::size_t) {
-        self->OnWritten(aError, count);
-      });
-  }
-
-  void OnWritten(BoostError aError, std::size_t aCount)
-  {
-    isWriting_ = false;
-    if (phase_ == Phase::Closed) {
-      unsent_.clear();
-      return;
-    }
-    if (aError) {
-      Disconnected();
-      return;
-    }
-    for (std::size_t i = 0; i < aCount; ++i) {
-      unsentBytes_ -= unsent_.front().size();
-      unsent_.pop_front();
-    }
-    if (unsentBytes_ <= shared_->settings_.sendBufferBytes_) {
-      for (auto& written : std::exchange(waiting_, {})) {
-        asio::post(socket_.get_executor(), std::move(written));
+    writer_.Write(shared_from_this(), [this](bool aIsWritten) {
+      if (!aIsWritten) {
+        Close();
+      } else if (isAnswered_) {
+        OnAnswerSent();
       }
-    }
-    if (!unsent_.empty()) {
-      Write();
-    } else if (isAnswered_) {
-      OnAnswerSent();
-    }
+    });
+    ArmTimer();
   }
 
   /** The whole answer is queued. */
   void FinishAnswer()
   {
     running_.reset();
-    waiting_.clear();
     isAnswered_ = true;
     mustClose_ = IsClosing();
-    if (unsent_.empty() && !isWriting_) {
+    if (writer_.IsEmpty()) {
       OnAnswerSent();
     } else {
       Write();
@@ -585,8 +513,8 @@
 
   SteadyClock::time_point WriteLimit() const
   {
-    return isWriting_ ? writeProgress_ + shared_->settings_.writeStall_
-                      : SteadyClock::time_point::max();
+    const auto since = writer_.WaitingSince();
+    return since == SteadyClock::time_point::max() ? since : since + shared_->settings_.writeStall_;
   }
 
   /** Makes the timer fire no later than the next limit. A limit that moved away is found out when
@@ -611,7 +539,7 @@
     armedFor_ = SteadyClock::time_point::max();
     const auto now = SteadyClock::now();
     if (now >= WriteLimit()) {
-      Disconnected();
+      Close();
       return;
     }
     if (now >= readLimit_) {
@@ -627,32 +555,21 @@
     ArmTimer();
   }
 
-  /** The caller went away, or does not read. */
-  void Disconnected()
-  {
-    if (lifecycle_.Apply(RequestEvent::Disconnect) && running_) {
-      running_->Cancel();
-    }
-    Close();
-  }
-
+  /** Ends the connection; the caller went away, does not read, or is not wanted any more. */
   void Close()
   {
     if (phase_ == Phase::Closed) {
       return;
     }
-    if (running_ && lifecycle_.Apply(RequestEvent::Disconnect)) {
+    if (lifecycle_.Apply(RequestEvent::Disconnect) && running_) {
       running_->Cancel();
     }
     phase_ = Phase::Closed;
     running_.reset();
-    waiting_.clear();
+    writer_.Close();
     parser_.reset();
     ReleaseBody();
     EndRequest();
-    if (!isWriting_) {
-      unsent_.clear();
-    }
     timer_.cancel();
     BoostError ignored;
     socket_.close(ignored);
@@ -670,27 +587,23 @@
 
   const std::shared_ptr<CallerShared> shared_; ///< Shared with other connections.
   tcp::socket socket_;                         ///< The connection.
+  AnswerWriter writer_;                        ///< Bytes to the caller.
   asio::steady_timer timer_;                   ///< Next limit.
   std::vector<char> input_;   ///< Receives a read, which may be under way while buffer_ is parsed.
   beast::flat_buffer buffer_; ///< Bytes read but not parsed.
-  std::optional<ParserType> parser_;           ///< Reads the request.
-  RequestLifecycle lifecycle_;                 ///< Stage of the request.
-  std::shared_ptr<RunningRequest> running_;    ///< Cancels the request.
-  RequestId id_;                               ///< Identifier of the request.
-  std::deque<std::string> unsent_;             ///< Bytes to write.
-  std::vector<std::function<void()>> waiting_; ///< Calls due when enough was written.
-  std::optional<std::uint64_t> remaining_;     ///< Announced bytes that have not come.
+  std::optional<ParserType> parser_;        ///< Reads the request.
+  RequestLifecycle lifecycle_;              ///< Stage of the request.
+  std::shared_ptr<RunningRequest> running_; ///< Cancels the request.
+  RequestId id_;                            ///< Identifier of the request.
+  std::optional<std::uint64_t> remaining_;  ///< Announced bytes that have not come.
   SteadyClock::time_point readLimit_ = SteadyClock::time_point::max(); ///< End of the phase.
   SteadyClock::time_point armedFor_ = SteadyClock::time_point::max();  ///< When the timer fires.
-  SteadyClock::time_point writeProgress_;                              ///< Last byte taken.
-  std::size_t unsentBytes_ = 0;                                        ///< Size of unsent_.
   std::size_t accounted_ = 0;  ///< Bytes counted in shared_->bodyBytes_.
   std::uint64_t sequence_ = 0; ///< Number of the request.
   Phase phase_ = Phase::Idle;  ///< What happens now.
   const bool isRefused_;       ///< There are too many connections.
   bool isCounted_ = false;     ///< Counted in shared_->inFlight_.
   bool isReading_ = false;     ///< A read is under way.
-  bool isWriting_ = false;     ///< A write is under way.
   bool isAnswered_ = false;    ///< The whole answer is queued.
   bool mustClose_ = false;     ///< The connection ends after the answer.
   bool isHead_ = false;        ///< The method is HEAD.
--- a/src/caller/caller_connection.h
+++ b/src/caller/caller_connection.h
@@ -2,6 +2,7 @@
 #ifndef LABURNUMWEIR_CALLER_CALLER_CONNECTION_H
 #define LABURNUMWEIR_CALLER_CALLER_CONNECTION_H
 
+#include "caller/answer_writer.h"
 #include "caller/caller_server.h"
 
 #include <atomic>
@@ -9,21 +10,8 @@
 #include <mutex>
 #include <unordered_map>
 
-// Asio's headers stay out of this one: only the names of its types are needed.
-namespace boost::asio {
-template<typename Protocol, typename Executor>
-class basic_stream_socket;
-class any_io_executor;
-namespace ip {
-class tcp;
-}
-}
-
 namespace laburnumweir {
 
-using CallerSocket =
-  boost::asio::basic_stream_socket<boost::asio::ip::tcp, boost::asio::any_io_executor>;
-
 class CallerConnection;
 
 /** What the connections of one server share. */
--- a/src/caller/completion_parse.cpp
+++ b/src/caller/completion_parse.cpp
@@ -1,6 +1,8 @@
 /** @file completion_parse.cpp Reads the JSON bodies of the completion endpoints. */
 #include "caller/completion_parse.h"
 
+#include "caller/duplicate_key.h"
+
 #include <algorithm>
 #include <array>
 #include <boost/json.hpp>
@@ -41,6 +43,9 @@
     if (!value.is_object()) {
       return Refuse("invalid_json", "the body must be a JSON object");
     }
+    if (const auto name = FindDuplicateKey(request_.body_)) {
+      return Refuse("invalid_json", "field \"" + *name + "\" occurs twice");
+    }
     const auto& body = value.get_object();
     return ReadModel(body) && ReadStream(body) && ReadPrompt(body) && ReadMaxTokens(body);
   }
--- a/src/caller/request_head.cpp
+++ b/src/caller/request_head.cpp
@@ -129,12 +129,17 @@
          });
 }
 
+RequestId
+RequestIdFrom(std::string_view aField)
+{
+  return IsValidRequestId(aField) ? RequestId(aField)
+                                  : RequestId(SecureRandomHex(kGeneratedIdBytes));
+}
+
 bool
 ParseHead(const HeaderList& aFields, CallerRequest& aRequest, CallerError& aError)
 {
-  const auto id = FindField(aFields, "x-request-id");
-  aRequest.id_ =
-    IsValidRequestId(id) ? RequestId(id) : RequestId(SecureRandomHex(kGeneratedIdBytes));
+  aRequest.id_ = RequestIdFrom(FindField(aFields, "x-request-id"));
   std::string_view key;
   if (!ReadTarget(aRequest, aError) || !ReadKey(aFields, key, aError)) {
     return false;
--- a/src/caller/request_head.h
+++ b/src/caller/request_head.h
@@ -15,6 +15,10 @@
 bool
 IsValidRequestId(std::string_view aId);
 
+/** @return the identifier from a caller if it may be used, else a new random one. */
+RequestId
+RequestIdFrom(std::string_view aField);
+
 /**
  * Takes what this host needs from the head of a request and leaves in headers_ what may go to an
  * upstream. The key is digested and dropped, together with every field whose value contains it.
--- /dev/null
+++ b/tests/caller/caller_limit_test.cpp
@@ -0,0 +1,381 @@
+/** @file caller_limit_test.cpp Contract of the callers' server: malformed, large and slow callers.
+ */
+#include "caller_support.h"
+
+#include "support/upstream_support.h"
+
+namespace laburnumweir {
+namespace {
+
+using namespace testing_support;
+
+constexpr std::size_t kMegabyte = std::size_t{ 1 } << 20;
+
+struct RefusedCase
+{
+  std::string name_;         ///< Name of the test.
+  std::string bytes_;        ///< What the caller sends.
+  unsigned status_ = 400;    ///< Status of the answer.
+  std::string message_ = {}; ///< Part of the error's message.
+};
+
+void
+PrintTo(const RefusedCase& aCase, std::ostream* aStream)
+{
+  *aStream << aCase.name_;
+}
+
+std::vector<RefusedCase>
+RefusedCases()
+{
+  const auto completion = [](const std::string& aBody) { return Post(aBody); };
+  const auto chat = [](const std::string& aBody) {
+    return Post(aBody, "", "/v1/chat/completions");
+  };
+  const std::string model = R"({"model":"a@b",)";
+  return {
+    { "NoHttp", "\x16\x03\x01\x02\r\n\r\n" },
+    { "InvalidMethod", "G@T / HTTP/1.1\r\n\r\n" },
+    { "InvalidVersion", "GET / HTTP/9.9\r\n\r\n" },
+    { "FieldWithoutColon", "GET / HTTP/1.1\r\nabc\r\n\r\n" },
+    { "InvalidLength", "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n" },
+    { "TwoLengths", "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab" },
+    { "LengthAndChunks",
+      "POST / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" },
+    { "InvalidChunk", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n" },
+    { "LargeHead", "GET / HTTP/1.1\r\nX: " + std::string(kMegabyte, 'x') + "\r\n\r\n", 431 },
+    { "LargeTarget", "GET /" + std::string(kMegabyte, 'x') + " HTTP/1.1\r\n\r\n", 431 },
+    { "LargeBody", "POST /v1/completions HTTP/1.1\r\nContent-Length: 104857600\r\n\r\n", 413 },
+    { "BodyOverTheLimitByOne",
+      "POST /v1/completions HTTP/1.1\r\nContent-Length: 1048577\r\n\r\n",
+      413 },
+    { "LargeChunkedBody",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+        ChunkOf(std::string(kMegabyte + 1, 'x')),
+      413 },
+    { "TwoKeys", "GET / HTTP/1.1\r\nAuthorization: Bearer a\r\nAuthorization: Bearer b\r\n\r\n" },
+    { "MalformedKey", "GET / HTTP/1.1\r\nAuthorization: Bearer a b\r\n\r\n", 401 },
+    { "KeyInTarget", "GET /x?k=abcdef HTTP/1.1\r\nAuthorization: Bearer abcdef\r\n\r\n" },
+    { "DotSegment", "GET /a/../bookings HTTP/1.1\r\n\r\n" },
+    { "EncodedDot", "GET /a/%2E%2e/bookings HTTP/1.1\r\n\r\n" },
+    { "EncodedSlash", "GET /a%2fb HTTP/1.1\r\n\r\n" },
+    { "EmptySegment", "GET //bookings HTTP/1.1\r\n\r\n" },
+    { "AbsoluteTarget", "GET http://x/y HTTP/1.1\r\n\r\n" },
+    { "Connect", "CONNECT /a HTTP/1.1\r\n\r\n", 405 },
+    { "GetCompletion", "GET /v1/completions HTTP/1.1\r\n\r\n", 405 },
+    { "PostModels", "POST /v1/models HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 405 },
+    { "LongIdempotencyKey",
+      "GET / HTTP/1.1\r\nIdempotency-Key: " + std::string(129, 'x') + "\r\n\r\n" },
+    { "InvalidClass", "GET / HTTP/1.1\r\nX-Request-Class: a b\r\n\r\n" },
+    { "EmptyBody", completion(""), 400, "JSON" },
+    { "NoJson", completion("model=a"), 400, "JSON" },
+    { "DeepJson", completion(std::string(100000, '[')), 400, "JSON" },
+    { "JsonList", completion("[]"), 400, "object" },
+    { "NoModel", completion(R"({"prompt":"x"})"), 400, "\"model\"" },
+    { "ModelWithoutVersion", completion(R"({"model":"a","prompt":"x"})"), 400, "\"model\"" },
+    { "ModelNumber", completion(R"({"model":1,"prompt":"x"})"), 400, "\"model\"" },
+    { "NoPrompt", completion(model + R"("x":1})"), 400, "\"prompt\"" },
+    { "PromptObject", completion(model + R"("prompt":{}})"), 400, "\"prompt\"" },
+    { "PromptList", completion(model + R"("prompt":["a",null]})"), 400, "\"prompt\"" },
+    { "StreamText", completion(model + R"("prompt":"x","stream":"yes"})"), 400, "\"stream\"" },
+    { "NoTokens", completion(model + R"("prompt":"x","max_tokens":0})"), 400, "\"max_tokens\"" },
+    { "NegativeTokens",
+      completion(model + R"("prompt":"x","max_tokens":-5})"),
+      400,
+      "\"max_tokens\"" },
+    { "TooManyTokens",
+      completion(model + R"("prompt":"x","max_tokens":99999999999999999999})"),
+      400,
+      "\"max_tokens\"" },
+    { "NullTokens",
+      completion(model + R"("prompt":"x","max_tokens":null})"),
+      400,
+      "\"max_tokens\"" },
+    { "FractionOfTokens",
+      completion(model + R"("prompt":"x","max_tokens":1.5})"),
+      400,
+      "\"max_tokens\"" },
+    { "TooManyChoices", completion(model + R"("prompt":"x","n":1000})"), 400, "\"n\"" },
+    { "NoMessages", chat(model + R"("prompt":"x"})"), 400, "\"messages\"" },
+    { "EmptyMessages", chat(model + R"("messages":[]})"), 400, "\"messages\"" },
+    { "MessageText", chat(model + R"("messages":["x"]})"), 400, "\"messages[0]\"" },
+    { "MessageWithoutRole",
+      chat(model + R"("messages":[{"role":"user","content":"a"},{"content":"b"}]})"),
+      400,
+      "\"messages[1].role\"" },
+    { "MessageWithoutContent",
+      chat(model + R"("messages":[{"role":"user"}]})"),
+      400,
+      "\"messages[0].content\"" },
+    { "TwoModels", completion(R"({"model":"a@b","prompt":"x","model":"a@c"})"), 400, "\"model\"" },
+    { "TwoMaxima",
+      completion(model + R"("prompt":"x","max_tokens":1,"max\u005ftokens":9})"),
+      400,
+      "\"max_tokens\"" },
+  };
+}
+
+struct RefusedTest
+  : CallerServerTest
+  , testing::WithParamInterface<RefusedCase>
+{};
+
+/** Guards against a malformed or too large request reaching the handler, and against an error that
+ * does not tell the caller what is wrong. The strict mock fails if the handler is called. */
+TEST_P(RefusedTest, IsAnsweredAsNotRun)
+{
+  Listen();
+  auto caller = Connect();
+  std::thread writer([&caller] { caller.Send(GetParam().bytes_); });
+  const auto answer = caller.ReadAnswer();
+  writer.join();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(GetParam().status_, answer->result_int()) << answer->body();
+  EXPECT_EQ("not_run", ErrorMember(answer->body(), "run"));
+  EXPECT_THAT(ErrorMember(answer->body(), "message"), testing::HasSubstr(GetParam().message_));
+  EXPECT_NE("", ErrorMember(answer->body(), "request_id"));
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases,
+                         RefusedTest,
+                         testing::ValuesIn(RefusedCases()),
+                         [](const auto& aInfo) { return aInfo.param.name_; });
+
+/** Short limits, so that the tests do not wait long. */
+CallerSettings
+ShortLimits()
+{
+  CallerSettings settings;
+  settings.headTime_ = 150ms;
+  settings.bodyTime_ = 150ms;
+  settings.idleTime_ = 150ms;
+  settings.writeStall_ = 200ms;
+  settings.lingerTime_ = 100ms;
+  return settings;
+}
+
+/** Guards against a caller that sends its head or body slowly and holds a connection for ever. */
+TEST_F(CallerServerTest, SlowHeadAndBodyGet408)
+{
+  Listen(ShortLimits());
+  const std::string bodyStart = "POST /v1/completions HTTP/1.1\r\nContent-Length: 1000\r\n\r\n";
+  for (const auto& start : { std::string("POST /"), bodyStart }) {
+    auto caller = Connect();
+    caller.Send(start);
+    // Progress does not extend the limit.
+    std::thread writer([&caller] {
+      for (int i = 0; i < 20 && caller.Send("a"); ++i) {
+        std::this_thread::sleep_for(20ms);
+      }
+    });
+    const auto answer = caller.ReadAnswer();
+    writer.join();
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(408U, answer->result_int());
+    EXPECT_EQ("not_run", ErrorMember(answer->body(), "run"));
+    EXPECT_TRUE(caller.WaitClosed());
+  }
+}
+
+/** Guards against idle connections that are kept for ever, before and after a request. */
+TEST_F(CallerServerTest, IdleConnectionsAreClosed)
+{
+  Listen(ShortLimits());
+  AnswerAtOnce();
+  auto silent = Connect();
+  auto used = Connect();
+  used.Send(Post());
+  EXPECT_TRUE(used.ReadAnswer());
+  EXPECT_TRUE(silent.WaitClosed());
+  EXPECT_TRUE(used.WaitClosed());
+  EXPECT_EQ("", silent.Input());
+  EXPECT_EQ("", used.Input());
+}
+
+/** Guards against a caller that does not read making this host hold its whole answer, and against
+ * its request running on. */
+TEST_F(CallerServerTest, SlowReaderIsCutOff)
+{
+  Listen(ShortLimits());
+  HoldSinks();
+  std::atomic<bool> isCancelled = false;
+  EXPECT_CALL(*running_, Cancel).WillOnce([&isCancelled] { isCancelled = true; });
+  auto caller = Connect();
+  caller.Socket().set_option(boost::asio::socket_base::receive_buffer_size(4096));
+  caller.Send(Post());
+  const auto sink = TakeSink(0);
+  ASSERT_TRUE(sink);
+  std::atomic<int> written = 0;
+  sink->Begin(200, kEventFields);
+  std::function<void()> next = [&] {
+    if (++written < 10000) {
+      sink->Chunk(std::string(32768, 'x'), next);
+    }
+  };
+  next();
+  EXPECT_TRUE(WaitUntil([&isCancelled] { return isCancelled.load(); }));
+  // The kernel's send buffer takes some megabytes before the stall.
+  EXPECT_LT(written * std::size_t{ 32768 }, 16 * kMegabyte);
+  EXPECT_TRUE(WaitUntil([this] { return server_->Connections() == 0; }));
+}
+
+/** Guards against a stream that is cut although its caller reads, only slowly. */
+TEST_F(CallerServerTest, ReaderWithPausesIsServed)
+{
+  Listen(ShortLimits());
+  EXPECT_CALL(handler_, Start).WillOnce([](const CallerRequest&, const SinkPtr& aSink) {
+    aSink->Complete(200, {}, std::string(8 * kMegabyte, 'x'));
+    return nullptr;
+  });
+  auto caller = Connect();
+  caller.Send(Post());
+  std::size_t size = 0;
+  while (size < 8 * kMegabyte && caller.ReadSome()) {
+    size += caller.Input().size();
+    caller.Input().clear();
+    std::this_thread::sleep_for(3ms);
+  }
+  EXPECT_GE(size, 8 * kMegabyte);
+}
+
+/** Guards against a handler that ignores aWritten filling the memory. */
+TEST_F(CallerServerTest, UnsentBytesAreBounded)
+{
+  auto settings = ShortLimits();
+  settings.maxUnsentBytes_ = kMegabyte;
+  settings.writeStall_ = 10s;
+  Listen(settings);
+  HoldSinks();
+  std::atomic<bool> isCancelled = false;
+  EXPECT_CALL(*running_, Cancel).WillOnce([&isCancelled] { isCancelled = true; });
+  auto caller = Connect();
+  caller.Send(Post());
+  const auto sink = TakeSink(0);
+  ASSERT_TRUE(sink);
+  sink->Begin(200, kEventFields);
+  for (int i = 0; i < 1000 && !isCancelled; ++i) {
+    sink->Chunk(std::string(65536, 'x'), nullptr);
+    std::this_thread::sleep_for(1ms);
+  }
+  EXPECT_TRUE(WaitUntil([&isCancelled] { return isCancelled.load(); }));
+}
+
+/** Guards against connections without number. */
+TEST_F(CallerServerTest, TooManyConnectionsAreRefused)
+{
+  CallerSettings settings;
+  settings.maxConnections_ = 3;
+  Listen(settings);
+  AnswerAtOnce();
+  std::vector<Peer> callers;
+  for (std::size_t i = 0; i < 3; ++i) {
+    callers.push_back(Connect());
+    EXPECT_TRUE(WaitUntil([&] { return server_->Connections() == callers.size(); }));
+  }
+  auto fourth = Connect();
+  fourth.Send(Post());
+  const auto answer = fourth.ReadAnswer();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(503U, answer->result_int());
+  EXPECT_EQ("not_run", ErrorMember(answer->body(), "run"));
+  callers[0].Send(Post());
+  const auto served = callers[0].ReadAnswer();
+  ASSERT_TRUE(served);
+  EXPECT_EQ(200U, served->result_int());
+  callers.clear();
+  fourth.Close();
+  EXPECT_TRUE(WaitUntil([this] { return server_->Connections() == 0; }));
+  auto later = Connect();
+  later.Send(Post());
+  const auto last = later.ReadAnswer();
+  ASSERT_TRUE(last);
+  EXPECT_EQ(200U, last->result_int());
+}
+
+/**
+ * Guards against memory that grows with what hostile callers send, and against other callers being
+ * delayed by them: 64 callers send bodies of almost 1 MB without an end, 64 send heads without an
+ * end, and 64 ask for 4 MB in a stream and do not read.
+ */
+TEST_F(CallerServerTest, HostileCallersCostLittleMemoryAndDelayNobody)
+{
+  CallerSettings settings;
+  settings.maxBodyBytesInAll_ = 8 * kMegabyte;
+  Listen(settings);
+  const auto part = std::make_shared<std::string>(32768, 'x');
+  EXPECT_CALL(handler_, Start)
+    .WillRepeatedly([&](const CallerRequest& aRequest, const SinkPtr& aSink) -> RunningPtr {
+      if (!aRequest.stream_) {
+        aSink->Complete(200, {}, "ok");
+        return nullptr;
+      }
+      aSink->Begin(200, kEventFields);
+      struct Pump : std::enable_shared_from_this<Pump>
+      {
+        void Run()
+        {
+          if (++parts_ <= 128) {
+            sink_->Chunk(*part_, [self = shared_from_this()] { self->Run(); });
+          } else {
+            sink_->End();
+          }
+        }
+        SinkPtr sink_;
+        std::shared_ptr<std::string> part_;
+        int parts_ = 0;
+      };
+      auto pump = std::make_shared<Pump>();
+      pump->sink_ = aSink;
+      pump->part_ = part;
+      pump->Run();
+      return nullptr;
+    });
+  const std::string body = "POST /v1/completions HTTP/1.1\r\nContent-Length: 1048576\r\n\r\n" +
+                           std::string(kMegabyte - 1000, 'x');
+  const std::string head = "POST / HTTP/1.1\r\nX: " + std::string(16000, 'x');
+  const std::string stream = Post(R"({"model":"a@b","prompt":"x","stream":true})");
+  auto friendly = Connect();
+  friendly.Send(Post());
+  ASSERT_TRUE(friendly.ReadAnswer());
+  const auto before = ResidentBytes();
+  std::vector<Peer> callers;
+  for (int i = 0; i < 64; ++i) {
+    for (const auto* bytes : { &body, &head, &stream }) {
+      callers.push_back(Connect());
+      if (bytes == &stream) {
+        callers.back().Socket().set_option(boost::asio::socket_base::receive_buffer_size(4096));
+      }
+      callers.back().Send(*bytes);
+    }
+  }
+  std::chrono::steady_clock::duration worst{};
+  for (int i = 0; i < 100; ++i) {
+    const auto start = std::chrono::steady_clock::now();
+    friendly.Send(Post());
+    const auto answer = friendly.ReadAnswer();
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(200U, answer->result_int());
+    worst = std::max(worst, std::chrono::steady_clock::now() - start);
+  }
+  EXPECT_LT(worst, 250ms);
+  const auto after = ResidentBytes();
+  // Bodies 8 MB; heads 64 * 16 KB; streams 64 * (64 KB queued + one part); the rest is slack.
+  EXPECT_LT(after, before + 32 * kMegabyte);
+}
+
+/** Guards against the announcement of a large body costing its memory. */
+TEST_F(CallerServerTest, AnnouncedBodiesCostNoMemory)
+{
+  Listen();
+  const auto before = ResidentBytes();
+  std::vector<Peer> callers;
+  for (int i = 0; i < 100; ++i) {
+    callers.push_back(Connect());
+    callers.back().Send("POST /v1/completions HTTP/1.1\r\nContent-Length: 1048576\r\n\r\nx");
+  }
+  EXPECT_TRUE(WaitUntil([this] { return server_->InFlight() == 100; }));
+  EXPECT_LT(ResidentBytes(), before + 24 * kMegabyte);
+}
+
+} // namespace
+} // namespace laburnumweir
--- a/tests/service/service_client_test.cpp
+++ b/tests/service/service_client_test.cpp
@@ -57,5 +57,169 @@
   EXPECT_EQ(0U, request->count("authorization"));
 }
 
+struct FaultCase
+{
+  std::string name_;                 ///< Name of the test.
+  std::string answer_;               ///< What the service sends before it closes the connection.
+  UpstreamError error_;              ///< Error that must be reported.
+  RunState run_ = RunState::Unknown; ///< Run state that must be reported.
+  std::string body_ = {};            ///< Bytes that may have been passed on.
+};
+
+void
+PrintTo(const FaultCase& aCase, std::ostream* aStream)
+{
+  *aStream << aCase.name_;
+}
+
+std::vector<FaultCase>
+FaultCases()
+{
+  using enum UpstreamError;
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string notRun = "X-Run: not_run\r\n";
+  return {
+    { "AnotherRequestsAnswer", Answer("200 OK", "X-Request-Id: req-2\r\n", "x"), WrongAnswer },
+    { "TruncatedBody",
+      "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc",
+      Truncated,
+      RunState::Unknown,
+      "abc" },
+    { "ChunksWithoutEnd", chunked + ChunkOf("abc"), Truncated, RunState::Unknown, "abc" },
+    { "BodyWithoutLength", "HTTP/1.1 200 OK\r\n\r\nabc", InvalidAnswer },
+    { "NoAnswer", "", ConnectionLost },
+    { "InvalidHttp", "hello\r\n\r\n", InvalidAnswer },
+    { "Refusal", Answer("409 Conflict", notRun, "no"), RefusedNotRun, RunState::NotRun },
+    { "Overload", Answer("503 Busy", notRun, "no"), Overloaded, RunState::NotRun },
+    { "RefusalOfAnotherRequest",
+      Answer("503 Busy", notRun + "X-Request-Id: req-2\r\n", ""),
+      WrongAnswer },
+    { "MarkerOnASuccess", Answer("200 OK", notRun, "x"), InvalidAnswer },
+  };
+}
+
+struct ServiceFaultTest
+  : ServiceClientTest
+  , testing::WithParamInterface<FaultCase>
+{};
+
+/** Guards against a faulty answer that counts as complete, and against a wrong statement on whether
+ * a request ran that may not be repeated. */
+TEST_P(ServiceFaultTest, IsReported)
+{
+  const auto& fault = GetParam();
+  std::atomic<int> requests = 0;
+  ScriptedServer server([&](Peer& aPeer, int) {
+    if (aPeer.ReadRequest()) {
+      ++requests;
+      aPeer.Send(fault.answer_);
+    }
+  });
+  client_.Send(server.Address(), MakeRequest(clock_), sink_);
+  const auto result = sink_->Wait();
+  EXPECT_EQ(make_error_code(fault.error_), result.error_) << result.error_.message();
+  EXPECT_EQ(fault.run_, result.run_);
+  EXPECT_TRUE(fault.body_.starts_with(sink_->body_)) << sink_->body_;
+  EXPECT_EQ(1, requests);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases,
+                         ServiceFaultTest,
+                         testing::ValuesIn(FaultCases()),
+                         [](const auto& aInfo) { return aInfo.param.name_; });
+
+/** Guards against answers without a body being taken for endless ones. */
+TEST_F(ServiceClientTest, AnswersWithoutABody)
+{
+  ScriptedServer server([](Peer& aPeer, int) {
+    while (const auto request = aPeer.ReadRequest()) {
+      aPeer.Send(request->method_string() == "HEAD"
+                   ? "HTTP/1.1 200 OK\r\nContent-Length: 77\r\n\r\n"
+                   : "HTTP/1.1 204 No Content\r\n\r\n");
+    }
+  });
+  for (const std::string method : { "HEAD", "DELETE", "HEAD" }) {
+    auto sink = std::make_shared<MockUpstreamSink>();
+    auto request = MakeRequest(clock_);
+    request.method_ = method;
+    request.body_.clear();
+    client_.Send(server.Address(), request, sink);
+    EXPECT_FALSE(sink->Wait().error_);
+    EXPECT_EQ(method == "HEAD" ? "77" : "", FindField(sink->headers_, "content-length"));
+  }
+  EXPECT_EQ(1, server.Accepted());
+  client_.Send(server.Address(), MakeRequest(clock_), sink_);
+  EXPECT_FALSE(sink_->Wait().error_);
+}
+
+/** Guards against a server error of a service being hidden from its caller. */
+TEST_F(ServiceClientTest, PassesOnAServerError)
+{
+  ScriptedServer server([](Peer& aPeer, int) {
+    aPeer.ReadRequest();
+    aPeer.Send(Answer("500 Oops", "", "why"));
+  });
+  client_.Send(server.Address(), MakeRequest(clock_), sink_);
+  const auto result = sink_->Wait();
+  EXPECT_FALSE(result.error_);
+  EXPECT_EQ(RunState::Ran, result.run_);
+  EXPECT_EQ(500, sink_->status_);
+  EXPECT_EQ("why", sink_->body_);
+}
+
+/** Guards against a large answer being refused or buffered: 64 MB must pass in small parts. */
+TEST_F(ServiceClientTest, StreamsALargeBody)
+{
+  constexpr std::size_t kPart = std::size_t{ 1 } << 20;
+  ScriptedServer server([](Peer& aPeer, int) {
+    aPeer.ReadRequest();
+    aPeer.Send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(64 * kPart) + "\r\n\r\n");
+    const std::string part(kPart, 'x');
+    for (int i = 0; i < 64; ++i) {
+      aPeer.Send(part);
+    }
+  });
+  std::size_t size = 0;
+  std::size_t largest = 0;
+  ON_CALL(*sink_, OnData(testing::_, testing::_))
+    .WillByDefault([&](const std::string& aBytes, const std::function<void()>& aContinue) {
+      size += aBytes.size();
+      largest = std::max(largest, aBytes.size());
+      aContinue();
+    });
+  client_.Send(server.Address(), MakeRequest(clock_), sink_);
+  EXPECT_FALSE(sink_->Wait().error_);
+  EXPECT_EQ(64 * kPart, size);
+  EXPECT_LE(largest, std::size_t{ 256 } << 10);
+}
+
+/** Guards against a refused connection counting as sent: a booking could not be tried elsewhere. */
+TEST_F(ServiceClientTest, RefusedConnectionIsNotRun)
+{
+  client_.Send(RefusingEndpoint(), MakeRequest(clock_), sink_);
+  const auto result = sink_->Wait();
+  EXPECT_EQ(UpstreamError::ConnectFailed, result.error_);
+  EXPECT_EQ(RunState::NotRun, result.run_);
+}
+
+/** Guards against a cancelled attempt that keeps its connection, or counts as not run. */
+TEST_F(ServiceClientTest, CancelClosesTheConnection)
+{
+  std::atomic<bool> isRead = false;
+  std::atomic<bool> isClosed = false;
+  ScriptedServer server([&](Peer& aPeer, int) {
+    aPeer.ReadRequest();
+    isRead = true;
+    isClosed = aPeer.WaitClosed();
+  });
+  const auto attempt = client_.Send(server.Address(), MakeRequest(clock_), sink_);
+  ASSERT_TRUE(WaitUntil([&isRead] { return isRead.load(); }));
+  attempt->Cancel();
+  const auto result = sink_->Wait();
+  EXPECT_EQ(UpstreamError::Cancelled, result.error_);
+  EXPECT_EQ(RunState::Unknown, result.run_);
+  EXPECT_TRUE(WaitUntil([&isClosed] { return isClosed.load(); }));
+}
+
 } // namespace
 } // namespace laburnumweir
