--- a/src/dispatch/engine_slots.cpp
+++ b/src/dispatch/engine_slots.cpp
@@ -56,7 +56,7 @@
     count += pin.state_ != PinState::Waiting ? 1 : 0;
   }
   for (const auto& [adapter, resident] : residents_) {
-    count += resident.orphans_;
+    count += static_cast<std::uint32_t>(resident.orphanEnds_.size());
   }
   return count;
 }
@@ -123,6 +123,10 @@
   if (pin != pins_.end() && pin->second.state_ == PinState::Ghost) {
     RemovePin(pin);
     pin = pins_.end();
+  } else if (pin != pins_.end() && pin->second.state_ == PinState::Uncertain) {
+    // A late copy of the question says nothing about the run.
+    MakeOrphan(pin);
+    pin = pins_.end();
   }
   if (pin != pins_.end()) {
     return AcquireAgain(pin, aRequest);
@@ -270,6 +274,17 @@
   aPin.since_ = clock_.Now();
 }
 
+EngineSlots::Pins::iterator
+EngineSlots::MakeOrphan(Pins::iterator aPin)
+{
+  if (const auto resident = residents_.find(aPin->second.adapter_); resident != residents_.end()) {
+    resident->second.hasOrphans_ = true;
+    resident->second.orphanEnds_.push_back(aPin->second.deadline_ + kUncertainRunTime);
+    --resident->second.pins_;
+  }
+  return pins_.erase(aPin);
+}
+
 void
 EngineSlots::Renew(const HostId& aHost, std::span<const PinRenewal> aPins)
 {
@@ -406,7 +421,11 @@
     return std::nullopt;
   }
   const TimePoint now = clock_.Now();
-  if (!window_.MayLoad(now)) {
+  // Orders may overtake each other: a late eviction would remove what was just loaded.
+  const bool isVictim = std::any_of(loads_.begin(), loads_.end(), [&](const auto& aItem) {
+    return aItem.second.state_ != LoadState::Pending && aItem.second.evict_ == aAdapter;
+  });
+  if (isVictim || !window_.MayLoad(now)) {
     return std::nullopt;
   }
   LoadOrder order{ nextNumber_, aAdapter, {} };
@@ -483,11 +502,21 @@
 EngineSlots::LoadFinished(std::uint64_t aNumber, LoadOutcome aOutcome)
 {
   const auto found = std::find_if(loads_.begin(), loads_.end(), [&](const auto& aItem) {
-    return aItem.second.state_ == LoadState::Ordered && aItem.second.number_ == aNumber;
+    const bool isUnderWay = aItem.second.state_ == LoadState::Ordered || aItem.second.isOldEpoch_;
+    return isUnderWay && aItem.second.number_ == aNumber;
   });
   if (found == loads_.end()) {
     return;
   }
+  if (found->second.isOldEpoch_) {
+    // Which process carried the order out is not known; a report shows what is resident.
+    if (aOutcome != LoadOutcome::Unknown) {
+      FinishEviction(found->second.evict_);
+      DropWaiters(AdapterRef(found->first), SlotReason::Restarted);
+      loads_.erase(found);
+    }
+    return;
+  }
   const AdapterRef adapter = found->first;
   const Load load = found->second;
   switch (aOutcome) {
@@ -511,7 +540,7 @@
       if (!load.evict_.name_.empty()) {
         BecomeResident(load.evict_);
         residents_[load.evict_].hasOrphans_ = true;
-        residents_[load.evict_].orphans_ = 1;
+        residents_[load.evict_].orphanEnds_.push_back(clock_.Now() + kMaxRunTime);
       }
       break;
     case LoadOutcome::Unknown:
--- a/src/dispatch/engine_slots.h
+++ b/src/dispatch/engine_slots.h
@@ -120,14 +120,15 @@
   };
   struct Resident
   {
-    TimePoint loadedAt_;             ///< When it was found resident.
-    TimePoint keepUntil_;            ///< Grace after the load.
-    TimePoint lastUse_;              ///< Last grant.
-    TimePoint quietSince_;           ///< Last release of a pin.
-    std::uint32_t pins_ = 0;         ///< Pins in any state but Ghost.
-    std::uint32_t running_ = 0;      ///< As last reported.
-    std::uint32_t orphans_ = 0;      ///< Reported runs beyond the pins.
-    bool hasOrphans_ = false;        ///< May run requests that have no pin.
+    TimePoint loadedAt_;        ///< When it was found resident.
+    TimePoint keepUntil_;       ///< Grace after the load.
+    TimePoint lastUse_;         ///< Last grant.
+    TimePoint quietSince_;      ///< Last release of a pin.
+    std::uint32_t pins_ = 0;    ///< Pins in any state but Ghost.
+    std::uint32_t running_ = 0; ///< As last reported.
+    bool hasOrphans_ = false;   ///< May run requests that have no pin.
+    /** Latest ends of runs that have no pin; they count against the window. */
+    std::vector<TimePoint> orphanEnds_;
     std::deque<TimePoint> releases_; ///< Latest releases, whose runs a report may still show.
   };
   enum class LoadState : std::uint8_t
@@ -143,6 +144,7 @@
     AdapterRef evict_;                     ///< Victim.
     TimePoint since_;                      ///< When the state began.
     bool isSpeculative_ = false;           ///< Nobody waits for it.
+    bool isOldEpoch_ = false;              ///< Ordered before the present epoch was known.
     std::uint32_t waiters_ = 0;            ///< Requests that wait.
   };
   struct Failure
@@ -165,6 +167,8 @@
   void Grant(Pin& aPin);
   Pins::iterator RemovePin(Pins::iterator aPin);
   void MakeUncertain(Pin& aPin);
+  Pins::iterator MakeOrphan(Pins::iterator aPin);
+  static void CountRuns(Resident& aResident, std::uint32_t aRunning, TimePoint aNow);
   void Promote();
   void NewEpoch(const std::string& aEpoch);
   void DropWaiters(const AdapterRef& aAdapter, SlotReason aReason);
--- a/src/dispatch/engine_slots_report.cpp
+++ b/src/dispatch/engine_slots_report.cpp
@@ -3,6 +3,8 @@
 #include "dispatch/engine_slots.h"
 
 #include <algorithm>
+#include <functional>
+#include <iterator>
 
 namespace laburnumweir {
 
@@ -24,8 +26,16 @@
   const bool isRestart = !epoch_.empty();
   epoch_ = aEpoch;
   residents_.clear();
-  loads_.clear();
   evicted_.clear();
+  // An order under way may reach the new process, so its victim must not be used yet.
+  std::erase_if(loads_,
+                [](const auto& aItem) { return aItem.second.state_ == LoadState::Pending; });
+  for (auto& [adapter, load] : loads_) {
+    load.state_ = LoadState::Unknown;
+    load.since_ = clock_.Now();
+    load.isOldEpoch_ = true;
+    load.waiters_ = 0;
+  }
   for (auto pin = pins_.begin(); pin != pins_.end();) {
     if (pin->second.state_ == PinState::Waiting) {
       notices_.push_back({ pin->first, { SlotVerdict::Busy, SlotReason::Restarted, {} } });
@@ -130,10 +140,9 @@
     resident.running_ = running;
     const TimePoint shows = aAskedAt - settings_.reportLag_;
     std::erase_if(resident.releases_, [&](TimePoint aReleased) { return aReleased < shows; });
-    const auto known = static_cast<std::uint32_t>(resident.pins_ + resident.releases_.size());
-    resident.orphans_ = running > known ? running - known : 0;
+    CountRuns(resident, running, clock_.Now());
     // At a takeover a run may be that of an adopted pin or of one that nobody renews.
-    if (resident.orphans_ > 0 || (!isReady_ && running > 0)) {
+    if (!resident.orphanEnds_.empty() || (!isReady_ && running > 0)) {
       resident.hasOrphans_ = true;
     } else if (running == 0 && resident.quietSince_ <= shows) {
       resident.hasOrphans_ = false;
@@ -141,6 +150,20 @@
   }
 }
 
+void
+EngineSlots::CountRuns(Resident& aResident, std::uint32_t aRunning, TimePoint aNow)
+{
+  // No run begins without a pin, so runs without one only become fewer. Which of the runs they are
+  // is not known, so those that may last longest are kept.
+  std::vector<TimePoint>& ends = aResident.orphanEnds_;
+  std::sort(ends.begin(), ends.end(), std::greater<>());
+  ends.resize(std::min<std::size_t>(ends.size(), aRunning));
+  const std::size_t known = aResident.pins_ + aResident.releases_.size() + ends.size();
+  for (std::size_t i = known; i < aRunning; ++i) {
+    ends.push_back(aNow + kMaxRunTime);
+  }
+}
+
 void
 EngineSlots::SettleUnknownLoads(const EngineReport& aReport, TimePoint aAskedAt)
 {
@@ -158,7 +181,9 @@
     }
   }
   for (const auto& [adapter, victim] : ended) {
-    NoteFailure(adapter);
+    if (!loads_.at(adapter).isOldEpoch_) {
+      NoteFailure(adapter);
+    }
     DropWaiters(adapter, SlotReason::LoadBackoff);
     loads_.erase(adapter);
     if (!victim.name_.empty() && isReported(victim)) {
@@ -170,7 +195,8 @@
 void
 EngineSlots::SettlePins(TimePoint aAskedAt)
 {
-  std::map<AdapterRef, std::uint32_t> kept;
+  // The report counts runs without naming them, so as many lapsed pins as it shows runs are kept as
+  // runs without a pin, until they have certainly ended.
   for (auto pin = pins_.begin(); pin != pins_.end();) {
     const bool isSettled = pin->second.state_ == PinState::Uncertain &&
                            aAskedAt >= pin->second.since_ + settings_.reportLag_;
@@ -179,21 +205,11 @@
       continue;
     }
     const auto resident = residents_.find(pin->second.adapter_);
-    const std::uint32_t running = resident == residents_.end() ? 0 : resident->second.running_;
-    if (kept[pin->second.adapter_] >= running) {
-      pin = RemovePin(pin);
-      continue;
-    }
-    ++kept[pin->second.adapter_];
-    // A run ends by its deadline. After that the runs that are seen belong to other pins, or
-    // are counted as orphans.
-    if (clock_.Now() >= pin->second.deadline_ + kUncertainRunTime) {
-      resident->second.hasOrphans_ = true;
-      ++resident->second.orphans_;
-      pin = RemovePin(pin);
-    } else {
-      ++pin;
-    }
+    const bool mayRun = resident != residents_.end() && resident->second.running_ > 0;
+    pin = mayRun ? MakeOrphan(pin) : RemovePin(pin);
+  }
+  for (auto& [adapter, resident] : residents_) {
+    CountRuns(resident, resident.running_, clock_.Now());
   }
 }
 
@@ -231,6 +247,9 @@
     }
     ++pin;
   }
+  for (auto& [adapter, resident] : residents_) {
+    std::erase_if(resident.orphanEnds_, [&](TimePoint aEnd) { return aEnd <= now; });
+  }
   std::erase_if(loads_, [](const auto& aItem) {
     return aItem.second.state_ == LoadState::Pending && aItem.second.waiters_ == 0 &&
            !aItem.second.isSpeculative_;
--- a/src/dispatch/held_pins.h
+++ b/src/dispatch/held_pins.h
@@ -51,6 +51,8 @@
   void Renewed(const RequestId& aRequest, TimePoint aAskedAt);
   /** Removes a pin that was released. */
   void Remove(const RequestId& aRequest) { pins_.erase(aRequest); }
+  /** Removes all pins, for a host that joins with a new incarnation. */
+  void Clear() { pins_.clear(); }
   /**
    * Lists the pins to renew at the owner of an engine; unsent grants of another owner are left out.
    * @param aFencing fencing token of the owner.
--- a/src/table/dispatch_const.h
+++ b/src/table/dispatch_const.h
@@ -46,6 +46,8 @@
 constexpr Duration kReportLag = std::chrono::milliseconds(500);
 /** A run whose holder is gone ends at most this long after the deadline of its request. */
 constexpr Duration kUncertainRunTime = std::chrono::seconds(5);
+/** Longest run that is assumed where the deadline of its request is not known. */
+constexpr Duration kMaxRunTime = std::chrono::minutes(2);
 /** Releases of an adapter that are remembered until a report cannot show their runs any more. */
 constexpr std::size_t kReleasesKept = 256;
 /** Most requests that wait for one load; more go to the next candidate. */
