Test outage bound, restarts and a full history with directed histories

Cause: copies of the code with one broken mechanism each were run against the tests to see whether they notice. Random histories alone missed some: they rarely last longer than the outage bound. Ruled out: longer random histories, which would exceed the time for the tests. Change: directed histories of a cut-off majority and of a host that restarts with an old state; a test of acceptance when removed hosts are forgotten; names of the acceptance states.

--- a/src/state/acceptance_tracker.cpp
+++ b/src/state/acceptance_tracker.cpp
@@ -6,6 +6,36 @@
 
 namespace laburnumweir {
 
+std::string_view
+ToString(AcceptanceStatus aStatus)
+{
+  switch (aStatus) {
+    case AcceptanceStatus::Pending:
+      return "pending";
+    case AcceptanceStatus::Accepted:
+      return "accepted";
+    case AcceptanceStatus::Rejected:
+      return "rejected";
+    case AcceptanceStatus::Unknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+std::string_view
+ToString(HostChangeStatus aStatus)
+{
+  switch (aStatus) {
+    case HostChangeStatus::Folded:
+      return "folded";
+    case HostChangeStatus::Lapsed:
+      return "lapsed";
+    case HostChangeStatus::Waiting:
+      return "waiting";
+  }
+  return "unknown";
+}
+
 void
 HostProgress::OnState(const ConfigState& aState, TimePoint aNow)
 {
--- a/src/state/acceptance_tracker.h
+++ b/src/state/acceptance_tracker.h
@@ -65,6 +65,13 @@
   Waiting ///< Neither is certain yet.
 };
 
+/** @return name of the status for logs and answers to operators. */
+std::string_view
+ToString(AcceptanceStatus aStatus);
+/** @return name of the status for logs and answers to operators. */
+std::string_view
+ToString(HostChangeStatus aStatus);
+
 /** Status line of one host. */
 struct HostChangeLine
 {
--- a/tests/state/acceptance_test.cpp
+++ b/tests/state/acceptance_test.cpp
@@ -166,6 +166,25 @@
   EXPECT_EQ(offset_, result_.revision_);
 }
 
+/** Guards against an early acceptance when removed hosts are forgotten because so many came and
+ * went. */
+TEST_F(AcceptanceTest, WaitsWhenTheHistoryIsFull)
+{
+  Join("a");
+  Join("removed");
+  Remove("removed", kStart);
+  for (std::size_t i = 0; i <= ConfigState::kHistoryMemory / 2; ++i) {
+    const std::string host = "x" + std::to_string(i);
+    Join(host);
+    Append(LeaveRecord{ HostId(host), 1 }, kStart);
+  }
+  Change("c", kStart);
+  const TimePoint lapse = kStart + settings_.Beyond(settings_.outageBound_);
+  EXPECT_EQ(AcceptanceStatus::Pending, At(kStart));
+  EXPECT_EQ(AcceptanceStatus::Pending, At(lapse - milliseconds(1)));
+  EXPECT_EQ(AcceptanceStatus::Accepted, At(lapse));
+}
+
 /** Guards against waiting for a host that left by itself. */
 TEST_F(AcceptanceTest, HostsThatLeftDoNotMatter)
 {
--- a/tests/state/cluster_sim.cpp
+++ b/tests/state/cluster_sim.cpp
@@ -205,7 +205,7 @@
 }
 
 void
-Cluster::Apply(int aHost)
+Cluster::Apply(int aHost, std::optional<Duration> aLimit)
 {
   Host& host = hosts_.at(aHost);
   const ConfigState* state = host.reader_.State();
@@ -224,11 +224,9 @@
   Require(!plan.error_, "a plan on the newest revision is refused: " + plan.error_.message());
   Operation operation;
   operation.record_ = plan.record_;
-  operation.tracker_ =
-    std::make_unique<AcceptanceTracker>(id,
-                                        HostLife{ host.id_, host.incarnation_ },
-                                        settings_,
-                                        Local(host) + seconds(3 + random_.Below(22)));
+  const Duration limit = aLimit.value_or(seconds(4 + random_.Below(21)));
+  operation.tracker_ = std::make_unique<AcceptanceTracker>(
+    id, HostLife{ host.id_, host.incarnation_ }, settings_, Local(host) + limit);
   operation.sent_ = Local(host);
   host.operations_.push_back(std::move(operation));
   host.freshness_->SetPendingAppend(true);
--- a/tests/state/cluster_sim.h
+++ b/tests/state/cluster_sim.h
@@ -92,8 +92,8 @@
   void SetFault(LogFault aFault) { fault_ = aFault; }
   /** Drops old records, but not those that the newest snapshot needs. */
   void Expire(int aCount);
-  /** An operator asks a host for a change. */
-  void Apply(int aHost);
+  /** An operator asks a host for a change and waits for some time, or for a random one. */
+  void Apply(int aHost, std::optional<Duration> aLimit = std::nullopt);
   /** Repairs everything, waits and checks that all hosts agree and all changes are decided. */
   void Settle();
   /** @return counts of this history. */
--- a/tests/state/history_test.cpp
+++ b/tests/state/history_test.cpp
@@ -232,6 +232,77 @@
   }
 }
 
+/**
+ * Guards against a restarted host that confirms an old state: it acknowledged a change, lost its
+ * memory, took the state of a cut-off host and would complete a majority for it. Random histories
+ * rarely come this far.
+ */
+TEST(DirectedHistory, ARestartedHostDoesNotConfirmAnOldState)
+{
+  Cluster cluster(1);
+  for (int i = 0; i < kHosts; ++i) {
+    cluster.Start(i);
+  }
+  cluster.Advance(std::chrono::seconds(4));
+  const auto cut = [&cluster](int aLeft, int aRight, bool aIsCut) {
+    cluster.SetCut(aLeft, aRight, aIsCut);
+    cluster.SetCut(aRight, aLeft, aIsCut);
+  };
+  for (const int outside : { 0, 1 }) {
+    cluster.SetLogCut(outside, true);
+    for (const int inside : { 2, 3, 4 }) {
+      cut(outside, inside, true);
+    }
+  }
+  cluster.Advance(milliseconds(100));
+  cluster.Apply(2);
+  cluster.Advance(milliseconds(3600));
+  ASSERT_EQ(1U, cluster.Counts().accepted_);
+  ASSERT_GE(cluster.Counts().lapsed_, 1U);
+  cluster.SetLogUp(false);
+  cluster.Kill(2);
+  for (const int other : { 3, 4 }) {
+    cut(2, other, true);
+  }
+  for (const int other : { 0, 1 }) {
+    cut(2, other, false);
+  }
+  cluster.Start(2);
+  EXPECT_NO_THROW(cluster.Advance(std::chrono::seconds(10)));
+  EXPECT_EQ(1U, cluster.Counts().adopted_);
+  EXPECT_NO_THROW(cluster.Settle());
+}
+
+/**
+ * Guards against a majority that is cut off and goes on with the old rules after the minority that
+ * reaches the log was told that its change is in force. Random histories rarely last long enough.
+ */
+TEST(DirectedHistory, ACutOffMajorityLapsesBeforeAcceptance)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Cluster cluster(seed);
+    for (int i = 0; i < kHosts; ++i) {
+      cluster.Start(i);
+    }
+    cluster.Advance(std::chrono::seconds(5));
+    for (const int outside : { 2, 3, 4 }) {
+      cluster.SetLogCut(outside, true);
+      for (const int inside : { 0, 1 }) {
+        cluster.SetCut(outside, inside, true);
+        cluster.SetCut(inside, outside, true);
+      }
+    }
+    cluster.Advance(milliseconds(100));
+    cluster.Apply(0, std::chrono::seconds(30));
+    ASSERT_NO_THROW(cluster.Advance(std::chrono::seconds(7))) << seed;
+    EXPECT_EQ(0U, cluster.Counts().accepted_) << seed;
+    EXPECT_GT(cluster.Counts().outage_, 0U) << seed;
+    ASSERT_NO_THROW(cluster.Advance(std::chrono::seconds(5))) << seed;
+    EXPECT_EQ(1U, cluster.Counts().accepted_) << seed;
+    EXPECT_NO_THROW(cluster.Settle()) << seed;
+  }
+}
+
 class HistoryTest : public testing::TestWithParam<std::uint64_t>
 {};
 
