--- a/src/control/once_service.cpp
+++ b/src/control/once_service.cpp
@@ -18,6 +18,16 @@
 constexpr std::chrono::milliseconds kReadWait = 5s;
 constexpr std::size_t kProcessNameBytes = 8;
 
+AppendResult
+ResultOf(std::error_code aError)
+{
+  if (!aError) {
+    return AppendResult::Done;
+  }
+  const bool hasNoEffect = aError == LogError::Refused || aError == LogError::Unreachable;
+  return hasNoEffect ? AppendResult::NoEffect : AppendResult::InDoubt;
+}
+
 /** Makes the sender ask again, by then at the new reader. */
 void
 AnswerUnsupported(const PeerTransport::Responder& aRespond)
@@ -226,7 +236,7 @@
                 }
                 aPartition->isAppending_ = false;
                 OnceOutput output;
-                aPartition->reader_.OnAppend(aError, output);
+                aPartition->reader_.OnAppend(ResultOf(aError), output);
                 Deliver(output);
                 if (IsCurrent(aPartition)) {
                   Append(aPartition);
