Take buckets and engines over only after the members know of the change

Cause: a former owner that lost the log goes on while a majority in its view agrees; a new owner that counts its wait from its own fold can act at the same time. Ruled out: ending service in a log outage; a second record for each change of membership. Change: a takeover begins when all current members have folded the record; removed hosts that may not know it are still open and follow with the full rule. Buckets and owners show in the status. The at-most-once service wakes 20 instead of 200 times a second.

--- a/src/control/change_service.cpp
+++ b/src/control/change_service.cpp
@@ -34,31 +34,6 @@
 {
 }
 
-HostLife
-ChangeService::SelfLife() const
-{
-  return { router_.Self(), config_.SelfIncarnation() };
-}
-
-void
-ChangeService::NoteSelf(const ConfigState& aState)
-{
-  progress_.OnState(aState, clock_.Now());
-  progress_.OnHeard(SelfLife(), aState.NextOffset());
-}
-
-void
-ChangeService::OnRecord(const ConfigState& aState)
-{
-  NoteSelf(aState);
-}
-
-void
-ChangeService::OnJump(const ConfigState& aState)
-{
-  NoteSelf(aState);
-}
-
 ChangeReply
 ChangeService::Submit(const ChangeRequest& aRequest)
 {
@@ -135,15 +110,14 @@
     if (trackers_.size() >= kMaxTrackers) {
       trackers_.erase(trackers_.begin());
     }
-    found = trackers_
-              .emplace(aId, AcceptanceTracker(aId, SelfLife(), settings_, clock_.Now() + kTrackFor))
-              .first;
+    found =
+      trackers_
+        .emplace(aId,
+                 AcceptanceTracker(aId, config_.SelfLife(), settings_, clock_.Now() + kTrackFor))
+        .first;
   }
   const ConfigState* state = config_.State();
-  if (state != nullptr) {
-    NoteSelf(*state);
-  }
-  return found->second.Update(state, progress_, clock_.Now());
+  return found->second.Update(state, config_.Progress(), clock_.Now());
 }
 
 } // namespace laburnumweir
--- a/src/control/change_service.h
+++ b/src/control/change_service.h
@@ -30,9 +30,7 @@
 };
 
 /** Appends changes and evaluates their acceptance. Control thread only. */
-class ChangeService
-  : public ConfigListener
-  , public std::enable_shared_from_this<ChangeService>
+class ChangeService : public std::enable_shared_from_this<ChangeService>
 {
 public:
   /**
@@ -50,12 +48,6 @@
                 LogClient& aLog,
                 FreshnessSettings aSettings);
 
-  void OnRecord(const ConfigState& aState) override;
-  void OnJump(const ConfigState& aState) override;
-  /** A member said how far it has folded. */
-  void OnHeard(const HostLife& aLife, LogOffset aNext) { progress_.OnHeard(aLife, aNext); }
-  /** @return what is known of the progress of all hosts. */
-  const HostProgress& Progress() const { return progress_; }
   /** Checks a change and appends it. @param aRequest the change. @return whether it was taken. */
   ChangeReply Submit(const ChangeRequest& aRequest);
   /** Evaluates a change. @param aId its identifier. @return what became of it so far. */
@@ -64,8 +56,6 @@
 private:
   ChangeReply SubmitInitial(const ChangeRequest& aRequest);
   void Append(const std::string& aId, const std::string& aData, TimePoint aUntil);
-  HostLife SelfLife() const;
-  void NoteSelf(const ConfigState& aState);
 
   PeerRouter& router_;                                ///< Names this host.
   ConfigService& config_;                             ///< The agreed state.
@@ -73,7 +63,6 @@
   Scheduler& scheduler_;                              ///< Control thread.
   LogClient& log_;                                    ///< The log.
   FreshnessSettings settings_;                        ///< Bounds of freshness.
-  HostProgress progress_;                             ///< How far the hosts have folded.
   std::map<std::string, AcceptanceTracker> trackers_; ///< Changes asked about lately.
 };
 
--- a/src/control/config_service.cpp
+++ b/src/control/config_service.cpp
@@ -67,6 +67,15 @@
   return freshUntil_ - freshnessSettings_.Within(freshnessSettings_.bound_);
 }
 
+bool
+ConfigService::IsMembershipKnown(LogOffset aOffset) const
+{
+  const ConfigState* state = State();
+  return state != nullptr &&
+         laburnumweir::IsMembershipKnown(
+           *state, progress_, SelfLife(), freshnessSettings_, aOffset, clock_.Now());
+}
+
 void
 ConfigService::SetIncarnation(Incarnation aIncarnation)
 {
@@ -158,11 +167,19 @@
   Publish();
 }
 
+void
+ConfigService::NoteProgress()
+{
+  progress_.OnState(*State(), clock_.Now());
+  progress_.OnHeard(SelfLife(), State()->NextOffset());
+}
+
 void
 ConfigService::AfterRecord(const LogRecord& aRecord, const FoldOutcome& aOutcome)
 {
   const ConfigState& state = *State();
   router_.SetOffset(state.NextOffset());
+  NoteProgress();
   if (!aOutcome.rulesChanged_ && !aOutcome.membershipChanged_) {
     return;
   }
@@ -181,6 +198,7 @@
 {
   const ConfigState& state = *State();
   router_.SetOffset(state.NextOffset());
+  NoteProgress();
   freshness_.OnState(state.NextOffset(), state.Members());
   for (ConfigListener* listener : listeners_) {
     listener->OnJump(state);
@@ -192,7 +210,13 @@
 {
   Publish();
   const ConfigState* state = State();
-  if (state == nullptr || isSnapshotting_ || isDraining_ || !isLogReadable_ || !MayAct()) {
+  if (state == nullptr) {
+    return;
+  }
+  for (ConfigListener* listener : listeners_) {
+    listener->OnTick(*state);
+  }
+  if (isSnapshotting_ || isDraining_ || !isLogReadable_ || !MayAct()) {
     return;
   }
   if (snapshots_.ShouldAppend(*state, router_.Self(), clock_.Now(), clock_.WallNow(), random_)) {
--- a/src/control/config_service.h
+++ b/src/control/config_service.h
@@ -8,6 +8,8 @@
 #include "log/log_client_base.h"
 #include "metrics/metrics.h"
 #include "peer/wire.pb.h"
+#include "state/acceptance_tracker.h"
+#include "state/authority_func.h"
 #include "state/bootstrap.h"
 #include "state/freshness_tracker.h"
 #include "state/snapshot_scheduler.h"
@@ -58,6 +60,13 @@
   const ConfigState* State() const override { return reader_.State(); }
   bool MayAct() const override;
   TimePoint Evidence() const override;
+  bool IsMembershipKnown(LogOffset aOffset) const override;
+  /** A member said how far it has folded. */
+  void OnHeard(const HostLife& aLife, LogOffset aNext) { progress_.OnHeard(aLife, aNext); }
+  /** @return what is known of the progress of all hosts. */
+  const HostProgress& Progress() const { return progress_; }
+  /** @return this life of this host. */
+  HostLife SelfLife() const { return { router_.Self(), incarnation_ }; }
   /** Sets the incarnation with which this host is a member; 0 = none. */
   void SetIncarnation(Incarnation aIncarnation);
   /** @return the incarnation with which this host is a member. */
@@ -97,6 +106,7 @@
   void OnRead(TimePoint aSentAt, const ReadResult& aResult);
   void FetchFrom(const HostId& aPeer);
   void ServeState(const PeerTransport::Responder& aRespond);
+  void NoteProgress();
   void AfterJump();
   void AfterRecord(const LogRecord& aRecord, const FoldOutcome& aOutcome);
   void AppendSnapshot();
@@ -111,6 +121,7 @@
   std::vector<ConfigListener*> listeners_;  ///< Told of each record.
   ConfigReader reader_;                     ///< Folds the stream.
   std::shared_ptr<const ConfigState> copy_; ///< State as published.
+  HostProgress progress_;                   ///< How far the hosts have folded.
   FreshnessTracker freshness_;              ///< Evidence that the state is the newest.
   FreshnessSettings freshnessSettings_;     ///< Bounds of freshness.
   SnapshotScheduler snapshots_;             ///< When to append a snapshot.
--- a/src/control/config_view_base.h
+++ b/src/control/config_view_base.h
@@ -16,6 +16,11 @@
   virtual const ConfigState* State() const = 0;
   /** @return whether this host may act on the state now: it is fresh and this host is a member. */
   virtual bool MayAct() const = 0;
+  /**
+   * @param aOffset offset of a membership record.
+   * @return whether so many members know of it that nobody can go on for long without it.
+   */
+  virtual bool IsMembershipKnown(LogOffset aOffset) const = 0;
   /** @return time at which the folded state was certainly the newest. */
   virtual TimePoint Evidence() const = 0;
 };
@@ -35,6 +40,11 @@
    * @param aState the new state.
    */
   virtual void OnJump(const ConfigState& aState) = 0;
+  /**
+   * Called some times a second while there is a state.
+   * @param aState the state.
+   */
+  virtual void OnTick(const ConfigState& aState) { (void)aState; }
 };
 
 } // namespace laburnumweir
--- a/src/control/once_service.cpp
+++ b/src/control/once_service.cpp
@@ -11,7 +11,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr Duration kTickInterval = 5ms;
+constexpr Duration kTickInterval = 50ms;
 constexpr Duration kReadRetry = 200ms;
 constexpr std::size_t kMaxReadRecords = 1000;
 // The log answers a waiting read as soon as there is a record.
@@ -157,7 +157,7 @@
   OnceOutput output;
   partition->reader_.Begin(begin, output);
   Deliver(output);
-  Append(partition);
+  AppendSoon(partition);
 }
 
 void
@@ -173,7 +173,22 @@
   OnceOutput output;
   partition->reader_.Report(report, output);
   Deliver(output);
-  Append(partition);
+  AppendSoon(partition);
+}
+
+void
+OnceService::AppendSoon(const PartitionPointer& aPartition)
+{
+  Append(aPartition);
+  if (aPartition->isAppending_) {
+    return;
+  }
+  // Records wait a little for others, so that one append carries several.
+  scheduler_.After(settings_.batchWait_, [this, weak = weak_from_this(), aPartition] {
+    if (!weak.expired() && IsCurrent(aPartition)) {
+      Append(aPartition);
+    }
+  });
 }
 
 void
--- a/src/control/once_service.h
+++ b/src/control/once_service.h
@@ -68,6 +68,7 @@
   void DropPartition(std::uint32_t aNumber);
   void Read(const PartitionPointer& aPartition);
   void Append(const PartitionPointer& aPartition);
+  void AppendSoon(const PartitionPointer& aPartition);
   void Deliver(const OnceOutput& aOutput);
 
   PeerRouter& router_;                                   ///< Routes requests.
--- a/src/control/peer_router.cpp
+++ b/src/control/peer_router.cpp
@@ -16,9 +16,10 @@
   , scheduler_(aScheduler)
   , transport_(aTransport)
 {
-  transport_.SetHandler([this](const wire::Envelope& aRequest, const PeerTransport::Responder& aRespond) {
-    Serve(aRequest, aRespond);
-  });
+  transport_.SetHandler(
+    [this](const wire::Envelope& aRequest, const PeerTransport::Responder& aRespond) {
+      Serve(aRequest, aRespond);
+    });
 }
 
 void
--- a/src/control/slot_service.cpp
+++ b/src/control/slot_service.cpp
@@ -128,13 +128,23 @@
   OnRecord(aState);
 }
 
+void
+SlotService::OnTick(const ConfigState&)
+{
+  for (const auto& [id, engine] : engines_) {
+    if (!engine->isTakenOver_ && view_.IsMembershipKnown(engine->fencing_)) {
+      engine->isTakenOver_ = true;
+      engine->slots_.TakeOver(clock_.Now() + authorityLapse_);
+    }
+  }
+}
+
 SlotService::EnginePointer
 SlotService::TakeOver(const UpstreamRule& aRule, const ConfigState& aState)
 {
   auto engine = std::make_shared<Engine>(clock_, SettingsOf(aRule));
   engine->endpoint_ = { aRule.address_, aRule.port_ };
   engine->fencing_ = aState.FencingToken();
-  engine->slots_.TakeOver(clock_.Now() + authorityLapse_);
   LogEvent(LogLevel::Info,
            "engine_owned",
            { { "upstream", aRule.id_.Value() }, { "fencing", std::to_string(engine->fencing_) } });
@@ -258,7 +268,8 @@
   for (const auto& [id, engine] : engines) {
     engine->slots_.Tick();
     Advance(id, engine);
-    if (clock_.Now() >= engine->nextReport_ && !engine->isReporting_) {
+    // Without a takeover a report must not make the engine ready.
+    if (engine->isTakenOver_ && clock_.Now() >= engine->nextReport_ && !engine->isReporting_) {
       AskForReport(engine);
     }
   }
--- a/src/control/slot_service.h
+++ b/src/control/slot_service.h
@@ -56,6 +56,7 @@
   void Start();
   void OnRecord(const ConfigState& aState) override;
   void OnJump(const ConfigState& aState) override;
+  void OnTick(const ConfigState& aState) override;
   /** Renews the pins of a host, as listed in its heartbeat. @param aRequest the heartbeat. */
   void RenewPins(const wire::Envelope& aRequest);
   /** @return what an operator sees of the owned engines. */
@@ -78,6 +79,7 @@
     EngineSlots slots_;                ///< Decides.
     Endpoint endpoint_;                ///< Address of the engine.
     std::uint64_t fencing_ = 0;        ///< Fencing token of this host's ownership.
+    bool isTakenOver_ = false;         ///< Waits only for the former owner to lapse.
     bool isReporting_ = false;         ///< A report was asked for.
     TimePoint nextReport_;             ///< When to ask for the next report.
     std::map<PinKey, Waiter> waiters_; ///< Requests that wait.
--- a/src/control/token_service.cpp
+++ b/src/control/token_service.cpp
@@ -24,26 +24,62 @@
 TokenService::OnRecord(const ConfigState& aState)
 {
   const auto rules = aState.Rules();
-  std::erase_if(buckets_, [&](const auto& aEntry) {
+  const auto isLost = [&](const auto& aEntry) {
     return !rules->workspaces_.contains(aEntry.first) ||
            aState.OwnerOf(aEntry.first) != router_.Self();
-  });
+  };
+  std::erase_if(buckets_, isLost);
+  std::erase_if(takeovers_, isLost);
   for (const auto& [id, rule] : rules->workspaces_) {
-    if (aState.OwnerOf(id) != router_.Self()) {
-      continue;
-    }
-    const BucketRule limit{ rule.rate_, rule.burst_ };
-    const auto [bucket, isNew] =
-      buckets_.try_emplace(id, id, limit, aState.FencingToken(), clock_, settings_);
-    if (!isNew) {
-      bucket->second.SetRule(limit);
-    } else if (IsJustAdded(id)) {
-      bucket->second.StartFull();
+    if (aState.OwnerOf(id) == router_.Self()) {
+      Follow(aState, rule);
     }
   }
   NoteWorkspaces(*rules);
 }
 
+void
+TokenService::Follow(const ConfigState& aState, const WorkspaceRule& aRule)
+{
+  const BucketRule limit{ aRule.rate_, aRule.burst_ };
+  const auto bucket = buckets_.find(aRule.id_);
+  if (bucket != buckets_.end()) {
+    bucket->second.SetRule(limit);
+  } else if (IsJustAdded(aRule.id_)) {
+    buckets_.try_emplace(aRule.id_, aRule.id_, limit, aState.FencingToken(), clock_, settings_)
+      .first->second.StartFull();
+  } else {
+    takeovers_.try_emplace(aRule.id_, aState.FencingToken());
+  }
+}
+
+void
+TokenService::OnTick(const ConfigState& aState)
+{
+  const auto rules = aState.Rules();
+  std::erase_if(takeovers_, [&](const auto& aEntry) {
+    const auto& [id, offset] = aEntry;
+    if (!view_.IsMembershipKnown(offset)) {
+      return false;
+    }
+    // The bucket waits from now until the authority of the former owner has ended.
+    const WorkspaceRule& rule = rules->workspaces_.at(id);
+    buckets_.try_emplace(
+      id, id, BucketRule{ rule.rate_, rule.burst_ }, aState.FencingToken(), clock_, settings_);
+    return true;
+  });
+}
+
+std::vector<WorkspaceId>
+TokenService::Owned() const
+{
+  std::vector<WorkspaceId> result;
+  for (const auto& [id, bucket] : buckets_) {
+    result.push_back(id);
+  }
+  return result;
+}
+
 bool
 TokenService::IsJustAdded(const WorkspaceId& aWorkspace) const
 {
@@ -77,6 +113,7 @@
 {
   // Another host may have owned a workspace in between, so each bucket starts anew.
   buckets_.clear();
+  takeovers_.clear();
   since_ = clock_.Now();
   OnRecord(aState);
 }
--- a/src/control/token_service.h
+++ b/src/control/token_service.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <set>
+#include <vector>
 
 namespace laburnumweir {
 
@@ -28,8 +29,13 @@
 
   void OnRecord(const ConfigState& aState) override;
   void OnJump(const ConfigState& aState) override;
+  void OnTick(const ConfigState& aState) override;
+
+  /** @return workspaces whose buckets this host keeps. */
+  std::vector<WorkspaceId> Owned() const;
 
 private:
+  void Follow(const ConfigState& aState, const WorkspaceRule& aRule);
   bool IsJustAdded(const WorkspaceId& aWorkspace) const;
   void NoteWorkspaces(const RuleSet& aRules);
   void Serve(const wire::Envelope& aRequest, const PeerTransport::Responder& aRespond);
@@ -39,6 +45,7 @@
   const Clock& clock_;                         ///< Time source.
   LimitSettings settings_;                     ///< Settings of the buckets.
   std::map<WorkspaceId, BucketOwner> buckets_; ///< Buckets that this host owns.
+  std::map<WorkspaceId, LogOffset> takeovers_; ///< Record that made this host the owner.
   std::set<WorkspaceId> known_;                ///< Workspaces of the rules folded before.
   std::map<WorkspaceId, TimePoint> removed_;   ///< When workspaces were removed, the newest ones.
   TimePoint since_;                            ///< Since when every record was seen.
--- a/src/operator/operator_handler.cpp
+++ b/src/operator/operator_handler.cpp
@@ -295,6 +295,11 @@
                                     { "adapters", engine.residents_ } });
   }
   body["owned_engines"] = std::move(engines);
+  json::array buckets;
+  for (const WorkspaceId& id : parts_.tokens_.Owned()) {
+    buckets.emplace_back(id.Value());
+  }
+  body["owned_buckets"] = std::move(buckets);
   SendJson(aSink, 200, body);
 }
 
--- a/src/operator/operator_handler.h
+++ b/src/operator/operator_handler.h
@@ -7,6 +7,7 @@
 #include "control/explain_log.h"
 #include "control/membership_service.h"
 #include "control/slot_service.h"
+#include "control/token_service.h"
 #include "metrics/metrics.h"
 
 #include <boost/json/fwd.hpp>
@@ -24,6 +25,7 @@
   MembershipService& membership_; ///< Other hosts.
   ChangeService& changes_;        ///< Changes of the rules.
   SlotService& slots_;            ///< Owned engines.
+  TokenService& tokens_;          ///< Owned buckets.
   ExplainLog& explain_;           ///< What was decided.
   Metrics& metrics_;              ///< Counters.
   std::string tokenDigest_;       ///< SHA-256 of the operators' token.
--- a/src/serve/host.cpp
+++ b/src/serve/host.cpp
@@ -152,20 +152,20 @@
                                                                   *membership_,
                                                                   *changes_,
                                                                   *slots_,
+                                                                  tokens_,
                                                                   explain_,
                                                                   metrics_,
                                                                   aSettings.operatorTokenDigest_ }))
     , operatorServer_(context_, clock_, {}, *operators_, RefuseModels)
   {
     config_->AddListener(*membership_);
-    config_->AddListener(*changes_);
     config_->AddListener(tokens_);
     config_->AddListener(*slots_);
     config_->AddListener(*once_);
     membership_->SetHeartbeatListener(
       [this](const wire::Envelope& aRequest) { slots_->RenewPins(aRequest); });
     membership_->SetProgressListener(
-      [this](const HostLife& aLife, LogOffset aNext) { changes_->OnHeard(aLife, aNext); });
+      [this](const HostLife& aLife, LogOffset aNext) { config_->OnHeard(aLife, aNext); });
     ListenOrThrow(operatorServer_, aSettings.operators_, "operators");
   }
 
