Let stand-ins end with requests under way, without leaks

Cause: the address sanitizer reported 4 leaked runs of the stand-in engine after passing tests. Ruled out: clearing the callback only at the end of an answer; a run that is never answered would still hold its reply and be held by it. Change: the callback for a closed connection holds the number of the run. A server that is destroyed closes its connections without calling back, and timers and load answers that outlive their stand-in do nothing; a new test ends a program with requests under way. The thread sanitizer was not run; stand-ins and clients use one thread. Conclusion: the stand-ins can be made and destroyed inside a test program.

--- a/standin/engine_admin_stand_in.cpp
+++ b/standin/engine_admin_stand_in.cpp
@@ -97,10 +97,13 @@
   leases_[aAdapter] = lease;
   exchange.body_ =
     json::serialize(json::object{ { "id", lease }, { "adapter", aAdapter.ToString() } });
-  weights_->Send(std::move(exchange),
-                 [finish, isFailing](std::error_code aError, const HttpAnswer& aAnswer) {
-                   finish(!isFailing && !aError && aAnswer.status_ == 200);
-                 });
+  weights_->Send(
+    std::move(exchange),
+    [finish, isFailing, alive = Alive()](std::error_code aError, const HttpAnswer& aAnswer) {
+      if (!alive.expired()) {
+        finish(!isFailing && !aError && aAnswer.status_ == 200);
+      }
+    });
 }
 
 void
--- a/standin/engine_stand_in.cpp
+++ b/standin/engine_stand_in.cpp
@@ -145,7 +145,12 @@
   NoteChange();
 }
 
-EngineStandIn::~EngineStandIn() = default;
+EngineStandIn::~EngineStandIn()
+{
+  for (auto& [id, run] : runs_) {
+    run->timer_.cancel();
+  }
+}
 
 std::string
 EngineStandIn::NewEpoch()
@@ -247,10 +252,12 @@
   run->reply_ = aReply;
   run->fault_ = Faults().Take(kRunFaults, aRequest);
   runs_[run->id_] = run;
-  aReply->OnClosed([this, run] {
-    if (runs_.count(run->id_) != 0) {
+  // Holds no pointer to the run, which holds the reply.
+  aReply->OnClosed([this, id = run->id_] {
+    const auto found = runs_.find(id);
+    if (found != runs_.end()) {
       ++disconnected_;
-      EndRun(run);
+      EndRun(std::shared_ptr<Run>(found->second));
     }
   });
   if (admission == Admission::Started) {
--- a/standin/http_server.cpp
+++ b/standin/http_server.cpp
@@ -140,6 +140,15 @@
     NotifyClosed();
   }
 
+  /** Resets the connection without a call to the handler's side, which may be gone. */
+  void Drop()
+  {
+    if (reply_) {
+      reply_->onClosed_ = nullptr;
+    }
+    Close(true);
+  }
+
   asio::any_io_executor Executor() { return socket_.get_executor(); }
 
 private:
@@ -460,7 +469,8 @@
     connection->ReadNext();
   }
 
-  void Close()
+  /** @param aIsEnd whether the owner of the handler is being destroyed. */
+  void Close(bool aIsEnd)
   {
     boost::system::error_code ignored;
     acceptor_.close(ignored);
@@ -468,7 +478,11 @@
     connections_.clear();
     for (const auto& item : connections) {
       if (const auto connection = item.lock()) {
-        connection->Close(true);
+        if (aIsEnd) {
+          connection->Drop();
+        } else {
+          connection->Close(true);
+        }
       }
     }
   }
@@ -487,7 +501,7 @@
 
 HttpServer::~HttpServer()
 {
-  impl_->Close();
+  impl_->Close(true);
 }
 
 std::uint16_t
@@ -501,7 +515,7 @@
 void
 HttpServer::TakeDown()
 {
-  impl_->Close();
+  impl_->Close(false);
 }
 
 void
--- a/standin/stand_in.cpp
+++ b/standin/stand_in.cpp
@@ -88,11 +88,12 @@
 StandIn::After(std::chrono::nanoseconds aDelay, std::function<void()> aFunction)
 {
   auto timer = std::make_shared<boost::asio::steady_timer>(context_, aDelay);
-  timer->async_wait([timer, function = std::move(aFunction)](boost::system::error_code aError) {
-    if (!aError) {
-      function();
-    }
-  });
+  timer->async_wait(
+    [timer, alive = Alive(), function = std::move(aFunction)](boost::system::error_code aError) {
+      if (!aError && !alive.expired()) {
+        function();
+      }
+    });
 }
 
 void
--- a/standin/stand_in.h
+++ b/standin/stand_in.h
@@ -71,6 +71,8 @@
   /** @return the scripted faults. */
   FaultList& Faults() { return faults_; }
   boost::asio::io_context& Context() { return context_; }
+  /** @return a pointer that expires with the stand-in, for callbacks that may outlive it. */
+  std::weak_ptr<void> Alive() const { return alive_; }
 
 private:
   void Serve(Request aRequest, const std::shared_ptr<Reply>& aReply);
@@ -89,6 +91,7 @@
   std::uint64_t downGeneration_ = 0;               ///< Counts outages, to end only the newest.
   std::map<std::string, std::uint64_t> runsById_;  ///< Runs by X-Request-Id.
   std::map<std::string, std::uint64_t> runsByKey_; ///< Runs by Idempotency-Key.
+  std::shared_ptr<void> alive_ = std::make_shared<int>(0); ///< Expires with the stand-in.
 };
 
 /** @return the text of an error body. @param aCode stable code. @param aMessage for people. */
--- a/tests/platform/engine_stand_in_test.cpp
+++ b/tests/platform/engine_stand_in_test.cpp
@@ -394,6 +394,37 @@
   EXPECT_EQ(2, late.at("next").as_int64());
 }
 
+/** Guards against calls into a stand-in that ends while requests are under way. */
+TEST_F(EngineStandInTest, EndsWithRequestsUnderWay)
+{
+  auto program = std::make_unique<standin::Program>(context_);
+  std::ostringstream output;
+  program->Start(R"({"standins":[{"kind":"engine","name":"e2","settings":{"token_ms":10000,
+    "load_ms":0}},{"kind":"log","name":"log"},{"kind":"weights","name":"ws"}]})",
+                 output);
+  const auto send = [&](const std::string& aName, HttpExchange aExchange) {
+    clients_.push_back(
+      std::make_unique<JsonClient>(context_, Endpoint{ "127.0.0.1", program->Port(aName) }));
+    clients_.back()->Send(std::move(aExchange), [&](std::error_code aError, const HttpAnswer&) {
+      error_ = aError;
+      order_.push_back(nullptr);
+    });
+  };
+  send("e2", { "POST", "/admin/load", {}, R"({"adapter":"a","version":"1","fencing":1})" });
+  EXPECT_TRUE(RunUntil(context_, [&] { return order_.size() == 1; }));
+  EXPECT_FALSE(error_);
+  send("e2", { "POST", "/v1/completions", {}, Body("a", 9, true) });
+  send("log", { "GET", "/streams/s/records?wait_ms=1000", {}, {} });
+  send("ws", { "POST", "/loads", {}, R"({"id":"1","adapter":"a@1"})" });
+  Pass(std::chrono::milliseconds(50));
+  EXPECT_EQ(1U, order_.size());
+  program.reset();
+  EXPECT_TRUE(RunUntil(
+    context_, [&] { return order_.size() == 4; }, std::chrono::milliseconds(500)));
+  EXPECT_EQ(HttpError::AnswerLost, error_);
+  Pass(std::chrono::milliseconds(300));
+}
+
 /** Guards against a crash that leaves its loads at the weight store and slows others down. */
 TEST_F(EngineStandInTest, CrashEndsLoadsAtTheWeightStore)
 {
