--- a/src/dispatch/rendezvous_placement.cpp
+++ b/src/dispatch/rendezvous_placement.cpp
@@ -21,12 +21,13 @@
 class TopRanks
 {
 public:
-  bool Admits(std::uint64_t aWeight) const
-  {
-    return size_ < ranks_.size() || aWeight > ranks_[size_ - 1].weight_;
-  }
+  /** @return weight below which nothing is kept. */
+  std::uint64_t Least() const { return size_ < ranks_.size() ? 0 : ranks_.back().weight_; }
   void Add(std::uint64_t aWeight, EngineIndex aEngine)
   {
+    if (size_ == ranks_.size() && aWeight <= ranks_.back().weight_) {
+      return;
+    }
     std::size_t place = size_ < ranks_.size() ? size_++ : size_ - 1;
     for (; place > 0 && ranks_[place - 1].weight_ < aWeight; --place) {
       ranks_[place] = ranks_[place - 1];
@@ -143,11 +144,19 @@
   }
   const std::uint64_t adapter = HashOf(aQuery.adapter_);
   TopRanks top;
-  for (std::size_t i = 0; i < group->seeds_.size(); ++i) {
-    const std::uint64_t weight = XXH3_64bits_withSeed(&adapter, sizeof(adapter), group->seeds_[i]);
+  const bool isFixed = aQuery.digest_ != 0;
+  const std::span<const std::uint64_t> seeds(group->seeds_);
+  std::uint64_t least = 0;
+  for (std::size_t i = 0; i < seeds.size(); ++i) {
+    // Both are hashes already, so mixing them is enough.
+    const std::uint64_t weight = XXH64_avalanche(adapter ^ seeds[i]);
+    if (weight < least) {
+      continue;
+    }
     const EngineIndex engine = group->engines_[i];
-    if (top.Admits(weight) && (aQuery.digest_ != 0 || engines_[engine].isHealthy_)) {
+    if (isFixed || engines_[engine].isHealthy_) {
       top.Add(weight, engine);
+      least = top.Least();
     }
   }
   if (aQuery.digest_ != 0) {
