--- a/tests/limits/bucket_test.cpp
+++ b/tests/limits/bucket_test.cpp
@@ -70,7 +70,7 @@
   {
     const auto request = Reserve(aTokens);
     EXPECT_TRUE(request.has_value());
-    const GrantAnswer answer = owner_.Handle(*request);
+    GrantAnswer answer = owner_.Handle(*request);
     Receive(answer);
     LimitOutput output;
     holder_.Settle(result_.id_, 0, output);
--- a/tests/limits/limit_world.cpp
+++ b/tests/limits/limit_world.cpp
@@ -459,7 +459,7 @@
 }
 
 void
-LimitWorld::Transmit(std::size_t aFrom, std::size_t aTo, std::function<void()> aDeliver)
+LimitWorld::Transmit(std::size_t aFrom, std::size_t aTo, const std::function<void()>& aDeliver)
 {
   ++counts_.messages_;
   const auto isCut = [this](std::size_t aHost) { return hosts_[aHost]->peersCutUntil_ > now_; };
--- a/tests/limits/limit_world.h
+++ b/tests/limits/limit_world.h
@@ -137,7 +137,7 @@
   void Refresh(std::size_t aHost, std::uint64_t aLife);
   void Fold(std::size_t aHost, std::size_t aRecords, std::size_t aRules, TimePoint aEvidence);
   void Handle(std::size_t aHost, LimitOutput& aOutput);
-  void Transmit(std::size_t aFrom, std::size_t aTo, std::function<void()> aDeliver);
+  void Transmit(std::size_t aFrom, std::size_t aTo, const std::function<void()>& aDeliver);
   void Deliver(std::size_t aHost, std::function<void()> aAction);
   void SendRequest(std::size_t aFrom, const LimitMessage& aMessage);
   void Decided(std::size_t aHost, const LocalReservation& aDecision);
