Add the cases that broken mechanisms of limits and once still passed

Cause: with one mechanism broken at a time in a scratch copy, these survived the tests: a holder that ignores the age of its evidence, a requester that asks only once, a requester without an end of the wait, a dedupe window that never ends when other keys are used in between.

Change: one case for each. Not covered because a second check has the same effect: an answer of an older epoch that is accepted (its evidence is too old to use it), a late answer of the grant-per-request baseline (the request has been replaced).

--- a/tests/limits/bucket_test.cpp
+++ b/tests/limits/bucket_test.cpp
@@ -154,6 +154,18 @@
   EXPECT_EQ(0, holder_.Usable(kWorkspace));
 }
 
+/** Guards against a holder cut off from the log that uses its chunk while a new owner grants. */
+TEST_F(Bucket, ChunkEndsWithoutFreshEvidence)
+{
+  Stock(1000);
+  clock_.Advance(milliseconds(1999));
+  EXPECT_GT(holder_.Usable(kWorkspace), 0);
+  clock_.Advance(milliseconds(1));
+  EXPECT_EQ(0, holder_.Usable(kWorkspace));
+  Reserve(1);
+  EXPECT_EQ(ReserveStatus::Waiting, result_.status_);
+}
+
 /** Guards against a grant of an epoch that the holder has no evidence for. */
 TEST_F(Bucket, IgnoresAnAnswerOfAnotherEpoch)
 {
--- a/tests/once/once_case_test.cpp
+++ b/tests/once/once_case_test.cpp
@@ -124,6 +124,16 @@
       },
       { OnceDecision::Permit, OnceDecision::Permit },
       2 },
+    { "AfterTheEndOfTheWindowWithOtherKeysInBetween",
+      [](OnceWorld& aWorld) {
+        CallNow(aWorld, 1);
+        aWorld.Run(kWindow * 3 / 5);
+        aWorld.Call(2, 1, 0, milliseconds(5), RunEnd::Answered);
+        aWorld.Run(kWindow * 2 / 5 + seconds(2));
+        CallNow(aWorld, 2);
+      },
+      { OnceDecision::Permit, OnceDecision::Permit, OnceDecision::Permit },
+      3 },
     { "LogOutage",
       [](OnceWorld& aWorld) {
         aWorld.LogOutage(seconds(5));
@@ -200,6 +210,38 @@
   TimePoint now_{ seconds(100) };
 };
 
+/** Guards against a caller that waits without end because messages are lost. */
+TEST(OnceRequester, AsksAgainAndEndsTheWaitTruly)
+{
+  FakeClock clock;
+  const OnceSettings settings;
+  OnceRequester requester(HostId("h"), 1, clock, settings);
+  OnceRequesterOutput output;
+  requester.Start(OnceKey("k"), "digest", output);
+  ASSERT_EQ(1U, output.messages_.size());
+  const OnceBegin first = std::get<OnceBegin>(output.messages_[0]);
+  output = {};
+  clock.Set(clock.Now() + settings.resendAfter_);
+  requester.Tick(output);
+  ASSERT_EQ(1U, output.messages_.size());
+  EXPECT_EQ(first.attempt_, std::get<OnceBegin>(output.messages_[0]).attempt_);
+  output = {};
+  clock.Set(clock.Now() + settings.maxWait_);
+  requester.Tick(output);
+  ASSERT_EQ(1U, output.verdicts_.size());
+  EXPECT_EQ(OnceDecision::NotRun, output.verdicts_[0].decision_);
+  ASSERT_EQ(1U, output.messages_.size());
+  EXPECT_TRUE(std::get<OnceReport>(output.messages_[0]).isReleased_);
+  // A permit that comes later must not make the "not run" untrue.
+  output = {};
+  OnceAnswer permit;
+  permit.attempt_ = first.attempt_;
+  permit.decision_ = OnceDecision::Permit;
+  permit.validity_ = settings.permitValidity_;
+  requester.Receive(permit, output);
+  EXPECT_TRUE(output.verdicts_.empty());
+}
+
 /** Guards against a permit that is used twice, too late or by another life of the host. */
 TEST(OncePermit, IsGoodForOneUseInTimeByOneLife)
 {
