--- a/src/engine/answer_check.cpp
+++ b/src/engine/answer_check.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::size_t kMaxEventBytes = std::size_t{ 1 } << 20;
 constexpr std::size_t kParseBytes = 8192; // Typical answers and events parse without allocation.
+constexpr std::string_view kIdPrefix = "cmpl-";
 constexpr std::string_view kDone = "[DONE]";
 
 /** @return the end of the first event (after its blank line); npos if it is not complete. */
@@ -186,10 +187,37 @@
     if (model == nullptr || !model->is_string() || model->get_string() != model_) {
       return UpstreamError::WrongAnswer;
     }
+    const auto* id = object->if_contains("id");
+    if (id != nullptr && (!id->is_string() || !NamesRequest(id->get_string()))) {
+      return UpstreamError::WrongAnswer;
+    }
+    if (IsCancelled(*object)) {
+      // The engine ended the run early on someone's order; this is not the whole answer.
+      return UpstreamError::Truncated;
+    }
     ReadCounts(*object, aResult);
     return {};
   }
 
+  /** @return whether an `id` of a body or event, `cmpl-REQUEST_ID`, names this request. */
+  bool NamesRequest(std::string_view aId) const
+  {
+    return !aId.starts_with(kIdPrefix) || aId.substr(kIdPrefix.size()) == id_.Value();
+  }
+
+  /** @return whether any choice was ended by a cancel order. */
+  static bool IsCancelled(const json::object& aObject)
+  {
+    const auto* choices = aObject.if_contains("choices");
+    const auto* list = choices != nullptr ? choices->if_array() : nullptr;
+    return list != nullptr && std::any_of(list->begin(), list->end(), [](const json::value& aItem) {
+             const auto* choice = aItem.if_object();
+             const auto* reason =
+               choice != nullptr ? choice->if_contains("finish_reason") : nullptr;
+             return reason != nullptr && reason->is_string() && reason->get_string() == "cancelled";
+           });
+  }
+
   void ReadCounts(const json::object& aObject, AttemptResult& aResult)
   {
     const auto* usage = aObject.if_contains("usage");
--- a/tests/engine/engine_client_test.cpp
+++ b/tests/engine/engine_client_test.cpp
@@ -145,6 +145,29 @@
       Sends(Answer("200 OK", kId + kJson, R"({"model":"kite@v2"})")),
       WrongAnswer },
     { "AnswerWithoutModel", false, Sends(Answer("200 OK", kId + kJson, "{}")), WrongAnswer },
+    { "BodyThatNamesAnotherRequest",
+      false,
+      Sends(Answer("200 OK", kId + kJson, R"({"model":"kite@v3","id":"cmpl-req-2"})")),
+      WrongAnswer },
+    { "EventThatNamesAnotherRequest",
+      true,
+      Sends(kEventHead +
+            ChunkOf("data: {\"model\":\"kite@v3\",\"id\":\"cmpl-req-2\"}\n\n" + kDone) +
+            "0\r\n\r\n"),
+      WrongAnswer },
+    { "CancelledAnswer",
+      false,
+      Sends(Answer(
+        "200 OK", kId + kJson, R"({"model":"kite@v3","choices":[{"finish_reason":"cancelled"}]})")),
+      Truncated },
+    { "CancelledStream",
+      true,
+      Sends(kEventHead +
+            ChunkOf("data: {\"model\":\"kite@v3\",\"id\":\"cmpl-req-1\",\"choices\":"
+                    "[{\"finish_reason\":\"cancelled\"}]}\n\n" +
+                    kDone) +
+            "0\r\n\r\n"),
+      Truncated },
     { "EventOfAnotherVersion",
       true,
       Sends(kEventHead + ChunkOf(kEvent) + ChunkOf(kOtherEvent + kDone) + "0\r\n\r\n"),
