Test that an order under way survives a restart of the engine

Cause: a scratch copy that forgets such orders passed all tests; 4,000 histories rarely reach it. Change: a test with the order, the restart and both reports. The broken copy now fails OrderUnderWaySurvivesARestart.

--- a/tests/dispatch/engine_slots_test.cpp
+++ b/tests/dispatch/engine_slots_test.cpp
@@ -221,6 +221,26 @@
   EXPECT_EQ("epoch-2", slots_.Epoch());
 }
 
+/** Guards against grants on the victim of an order that may still reach the new process. */
+TEST_F(EngineSlotsTest, OrderUnderWaySurvivesARestart)
+{
+  Load(1, Adapter(1));
+  Load(2, Adapter(2));
+  EXPECT_EQ(SlotVerdict::Load, Acquire(3, Adapter(3)).verdict_);
+  const auto order = slots_.StartLoad(Adapter(3));
+  ASSERT_TRUE(order);
+  clock_.Advance(seconds(1));
+  Report({ { Adapter(1), 0 }, { Adapter(2), 0 } }, "epoch-2");
+  EXPECT_EQ("epoch-2", slots_.Epoch());
+  EXPECT_EQ(1U, slots_.Residents());
+  EXPECT_FALSE(slots_.IsResident(order->evict_));
+  // The answer ends it, and a later report shows what is resident.
+  slots_.LoadFinished(order->number_, LoadOutcome::Failed);
+  clock_.Advance(kReportLag);
+  Report({ { Adapter(1), 0 }, { Adapter(2), 0 } }, "epoch-2");
+  EXPECT_TRUE(slots_.IsResident(order->evict_));
+}
+
 /** Guards against load orders that are repeated at once while they fail. */
 TEST_F(EngineSlotsTest, BacksOffAfterFailedLoads)
 {
