Avoid an overflow in the history test's join timer

Cause: the undefined behaviour sanitizer reported a signed overflow where the test subtracted the earliest time from the present one. Ruled out: a fault of the product code; no other report came from it. Change: the earliest time is compared before the subtraction.

--- a/tests/state/cluster_sim.cpp
+++ b/tests/state/cluster_sim.cpp
@@ -252,7 +252,7 @@
     }
   } else {
     if (!state->IsMember(host.id_, host.incarnation_)) {
-      if (Local(host) - host.joinSent_ > kAppendTimeout || host.joinSent_ == TimePoint::min()) {
+      if (host.joinSent_ == TimePoint::min() || Local(host) - host.joinSent_ > kAppendTimeout) {
         const Incarnation last = state->LastIncarnation(host.id_);
         if (last >= host.incarnation_) {
           host.incarnation_ = MakeIncarnation(last, WallTime(now_.time_since_epoch()), random_);
