Stop admitting before the leave record, and choose incarnations that never repeat

Cause: a host that drains still admitted requests while its leave record was on its way, and last incarnation + 1 can repeat that of a dead life whose join was not read yet.

--- a/src/control/config_service.cpp
+++ b/src/control/config_service.cpp
@@ -57,7 +57,7 @@
 ConfigService::MayAct() const
 {
   const ConfigState* state = State();
-  return state != nullptr && clock_.Now() < freshUntil_ &&
+  return state != nullptr && !isStopped_ && clock_.Now() < freshUntil_ &&
          state->IsMember(router_.Self(), incarnation_);
 }
 
@@ -95,6 +95,13 @@
   Publish();
 }
 
+void
+ConfigService::StopAdmitting()
+{
+  isStopped_ = true;
+  Publish();
+}
+
 void
 ConfigService::Read()
 {
@@ -374,7 +381,7 @@
   PublishedState published;
   published.config_ = copy_;
   published.isDraining_ = isDraining_;
-  if (state != nullptr && state->IsMember(router_.Self(), incarnation_)) {
+  if (state != nullptr && !isStopped_ && state->IsMember(router_.Self(), incarnation_)) {
     published.freshUntil_ = freshUntil_;
     published.evidence_ = Evidence();
   }
--- a/src/control/config_service.h
+++ b/src/control/config_service.h
@@ -73,6 +73,8 @@
   Incarnation SelfIncarnation() const { return incarnation_; }
   /** Notes that the host is being shut down; it goes on until its requests have ended. */
   void SetDraining();
+  /** Ends admission for good; a host stops admitting before it appends its leave record. */
+  void StopAdmitting();
   /** @return whether the host is being shut down. */
   bool IsDraining() const { return isDraining_; }
   /**
@@ -134,6 +136,7 @@
   bool hasPendingAppend_ = false;           ///< An own append has no known outcome.
   bool isSnapshotting_ = false;             ///< A snapshot is being appended.
   bool isDraining_ = false;                 ///< The host is being shut down.
+  bool isStopped_ = false;                  ///< The host admits nothing any more.
   bool wasReady_ = false;                   ///< For the log line when it changes.
 };
 
--- a/src/control/membership_service.cpp
+++ b/src/control/membership_service.cpp
@@ -30,7 +30,8 @@
                                      Scheduler& aScheduler,
                                      LogClient& aLog,
                                      HostListClient& aHostList,
-                                     ListedHost aSelf)
+                                     ListedHost aSelf,
+                                     RandomSource& aRandom)
   : router_(aRouter)
   , config_(aConfig)
   , clock_(aClock)
@@ -38,6 +39,7 @@
   , log_(aLog)
   , hostList_(aHostList)
   , self_(std::move(aSelf))
+  , random_(aRandom)
   , liveness_({ aRouter.Self(), 0 }, LivenessSettings())
 {
   router_.Handle(wire::Envelope::kHeartbeat,
@@ -204,8 +206,12 @@
   if (own != nullptr && own->incarnation_ == wanted_) {
     return;
   }
-  // After a removal the host joins as a new incarnation, greater than any seen before.
-  wanted_ = state->LastIncarnation(router_.Self()) + 1;
+  // After a removal the host joins as a new incarnation, greater than any seen before. A join whose
+  // append failed is tried again with the same one.
+  const Incarnation last = state->LastIncarnation(router_.Self());
+  if (wanted_ <= last) {
+    wanted_ = MakeIncarnation(last, clock_.WallNow(), random_);
+  }
   JoinRecord record;
   record.host_ = router_.Self();
   record.incarnation_ = wanted_;
@@ -257,6 +263,7 @@
 MembershipService::Leave(std::function<void()> aDone)
 {
   isLeaving_ = true;
+  config_.StopAdmitting();
   const ConfigState* state = config_.State();
   if (state == nullptr || !state->IsMember(router_.Self(), config_.SelfIncarnation())) {
     aDone();
--- a/src/control/membership_service.h
+++ b/src/control/membership_service.h
@@ -43,6 +43,7 @@
    * @param aLog the log.
    * @param aHostList the host list.
    * @param aSelf entry of this host in the host list.
+   * @param aRandom makes incarnations.
    */
   MembershipService(PeerRouter& aRouter,
                     ConfigService& aConfig,
@@ -50,7 +51,8 @@
                     Scheduler& aScheduler,
                     LogClient& aLog,
                     HostListClient& aHostList,
-                    ListedHost aSelf);
+                    ListedHost aSelf,
+                    RandomSource& aRandom);
 
   /** Starts the timers; call once, after the object is owned by a shared pointer. */
   void Start();
@@ -103,6 +105,7 @@
   ListedHost self_;               ///< Entry of this host.
   std::map<HostId, Peer> peers_;  ///< Other members and hosts of the list.
   std::set<HostId> members_;      ///< Other members.
+  RandomSource& random_;          ///< Makes incarnations.
   LivenessTracker liveness_;      ///< Decides whom to remove.
   PinFiller pinFiller_;           ///< Lists the pins to renew at a host.
   HeartbeatListener onHeartbeat_; ///< Reads the pins of others.
--- a/src/core/scheduler_base.h
+++ b/src/core/scheduler_base.h
@@ -37,13 +37,14 @@
                  const std::weak_ptr<void>& aOwner,
                  std::function<void()> aTask)
 {
-  aScheduler.After(aInterval, [&aScheduler, aInterval, owner = aOwner, task = std::move(aTask)]() mutable {
-    if (owner.expired()) {
-      return;
-    }
-    task();
-    RepeatWhileAlive(aScheduler, aInterval, owner, std::move(task));
-  });
+  aScheduler.After(aInterval,
+                   [&aScheduler, aInterval, owner = aOwner, task = std::move(aTask)]() mutable {
+                     if (owner.expired()) {
+                       return;
+                     }
+                     task();
+                     RepeatWhileAlive(aScheduler, aInterval, owner, std::move(task));
+                   });
 }
 
 } // namespace laburnumweir
--- a/src/serve/host.cpp
+++ b/src/serve/host.cpp
@@ -129,7 +129,8 @@
         ListedHost{ aSettings.hostId_,
                     { aSettings.peers_.address_, transport_.ListenPort() },
                     aSettings.dataCentre_,
-                    false }))
+                    false },
+        random_))
     , changes_(
         std::make_shared<ChangeService>(router_, *config_, clock_, scheduler_, log_, freshness_))
     , tokens_(router_, *config_, clock_, limits_)
