--- a/src/control/membership_service.cpp
+++ b/src/control/membership_service.cpp
@@ -240,6 +240,10 @@
   record.incarnation_ = silent.incarnation_;
   record.by_ = router_.Self();
   record.byIncarnation_ = config_.SelfIncarnation();
+  const auto peer = peers_.find(silent.host_);
+  if (peer != peers_.end() && peer->second.incarnation_ == silent.incarnation_) {
+    record.heardNext_ = peer->second.folded_;
+  }
   const std::string id = "remove/" + silent.host_.Value() + "/" +
                          std::to_string(silent.incarnation_) + "/" + record.by_.Value();
   LogEvent(LogLevel::Warn, "member_silent", { { "peer", silent.host_.Value() } });
@@ -262,6 +266,8 @@
     aDone();
     return;
   }
+  // Other hosts that are cut off must not go on with the confirmation of a host that has left.
+  config_.SetPendingAppend(true);
   LeaveRecord record;
   record.host_ = router_.Self();
   record.incarnation_ = config_.SelfIncarnation();
--- a/src/state/config_codec.cpp
+++ b/src/state/config_codec.cpp
@@ -28,6 +28,13 @@
   return aObject.at(aKey).to_number<Number>();
 }
 
+/** Reads a number that earlier releases did not write. */
+std::uint64_t
+OptionalCount(const json::object& aObject, std::string_view aKey)
+{
+  return aObject.contains(aKey) ? Count(aObject, aKey) : 0;
+}
+
 json::value
 RevisionValue(LogOffset aRevision)
 {
@@ -112,6 +119,7 @@
     object_["incarnation"] = aRecord.incarnation_;
     object_["by"] = aRecord.by_.Value();
     object_["by_incarnation"] = aRecord.byIncarnation_;
+    object_["heard_next"] = aRecord.heardNext_;
   }
   void operator()(const SnapshotRecord& aRecord) const
   {
@@ -132,7 +140,8 @@
                       { "host", event.host_.Value() },
                       { "incarnation", event.incarnation_ },
                       { "joined", event.joined_ },
-                      { "size", event.size_ } });
+                      { "size", event.size_ },
+                      { "heard_next", event.heardNext_ } });
     }
     json::array changes;
     for (const ChangeVerdict& verdict : image.changes_) {
@@ -200,9 +209,13 @@
   if (index == kMembershipKinds.size()) {
     throw std::system_error(make_error_code(StateErrc::MalformedRecord));
   }
-  return MembershipEvent{ Count(aObject, "offset"),      static_cast<MembershipKind>(index),
-                          HostId(Text(aObject, "host")), Count(aObject, "incarnation"),
-                          Count(aObject, "joined"),      Count(aObject, "size") };
+  return MembershipEvent{ Count(aObject, "offset"),
+                          static_cast<MembershipKind>(index),
+                          HostId(Text(aObject, "host")),
+                          Count(aObject, "incarnation"),
+                          Count(aObject, "joined"),
+                          Count(aObject, "size"),
+                          OptionalCount(aObject, "heard_next") };
 }
 
 SnapshotRecord
@@ -266,7 +279,8 @@
     return RemoveRecord{ HostId(Text(aObject, "host")),
                          Count(aObject, "incarnation"),
                          HostId(Text(aObject, "by")),
-                         Count(aObject, "by_incarnation") };
+                         Count(aObject, "by_incarnation"),
+                         OptionalCount(aObject, "heard_next") };
   }
   if (kind == "snapshot") {
     return ReadSnapshot(aObject);
--- a/src/state/config_record_type.h
+++ b/src/state/config_record_type.h
@@ -82,6 +82,9 @@
   Incarnation incarnation_ = 0;   ///< Incarnation to remove.
   HostId by_;                     ///< Member that proposes it.
   Incarnation byIncarnation_ = 0; ///< Incarnation of the proposer.
+  /** Last position that the proposer heard from the host; 0 if none. A host that starts later
+   * cannot ask the removed one any more. */
+  LogOffset heardNext_ = 0;
 
   bool operator==(const RemoveRecord&) const = default;
 };
@@ -116,6 +119,7 @@
   Incarnation incarnation_ = 0;                ///< Incarnation concerned.
   LogOffset joined_ = 0;                       ///< Offset of the join record of the incarnation.
   std::uint64_t size_ = 0;                     ///< Number of members afterwards.
+  LogOffset heardNext_ = 0; ///< With Remove: last position heard from the host; 0 if none.
 
   bool operator==(const MembershipEvent&) const = default;
 };
--- a/src/state/config_state.h
+++ b/src/state/config_state.h
@@ -145,7 +145,8 @@
   static void EndMembership(ConfigState& aState,
                             LogOffset aOffset,
                             MembershipKind aKind,
-                            const HostId& aHost);
+                            const HostId& aHost,
+                            LogOffset aHeardNext = 0);
   static void AddHistory(ConfigState& aState, MembershipEvent aEvent);
   static void AddVerdict(ConfigState& aState, ChangeVerdict aVerdict);
 };
--- a/src/state/config_state_cmd.cpp
+++ b/src/state/config_state_cmd.cpp
@@ -101,7 +101,7 @@
 void
 ConfigCommands::ExecRemove(ConfigState& aState, LogOffset aOffset, const RemoveRecord& aRecord)
 {
-  EndMembership(aState, aOffset, MembershipKind::Remove, aRecord.host_);
+  EndMembership(aState, aOffset, MembershipKind::Remove, aRecord.host_, aRecord.heardNext_);
 }
 
 void
@@ -114,7 +114,8 @@
 ConfigCommands::EndMembership(ConfigState& aState,
                               LogOffset aOffset,
                               MembershipKind aKind,
-                              const HostId& aHost)
+                              const HostId& aHost,
+                              LogOffset aHeardNext)
 {
   const auto found = aState.image_.members_.find(aHost);
   MembershipEvent event{ aOffset,
@@ -122,7 +123,8 @@
                          aHost,
                          found->second.incarnation_,
                          found->second.joined_,
-                         aState.image_.members_.size() - 1 };
+                         aState.image_.members_.size() - 1,
+                         aHeardNext };
   aState.image_.members_.erase(found);
   AddHistory(aState, std::move(event));
 }
--- a/tests/state/config_state_test.cpp
+++ b/tests/state/config_state_test.cpp
@@ -30,9 +30,12 @@
 }
 
 std::string
-Remove(const std::string& aHost, Incarnation aIncarnation, const std::string& aBy)
+Remove(const std::string& aHost,
+       Incarnation aIncarnation,
+       const std::string& aBy,
+       LogOffset aHeardNext = 0)
 {
-  return EncodeRecord(RemoveRecord{ HostId(aHost), aIncarnation, HostId(aBy), 1 });
+  return EncodeRecord(RemoveRecord{ HostId(aHost), aIncarnation, HostId(aBy), 1, aHeardNext });
 }
 
 /** A stream with every kind of record, also with ones that have no effect. */
@@ -47,7 +50,7 @@
            R"({"v":1,"kind":"later"})",
            "no json",
            Change("c2", 1, "dc-b"),
-           Remove("b", 1, "a"),
+           Remove("b", 1, "a", 7),
            Join("b", 1),
            Join("b", 2),
            Change("c4", 3, "dc-a", false),
@@ -69,6 +72,7 @@
     JoinRecord{ HostId("h"), 1ULL << 63, "::1", 65535, DataCentreId("dc") },
     LeaveRecord{ HostId("h"), 3 },
     RemoveRecord{ HostId("h"), 3, HostId("i"), 4 },
+    RemoveRecord{ HostId("h"), 3, HostId("i"), 4, 5 },
     SnapshotRecord{ state.Image(), std::chrono::milliseconds(1'700'000'000'123) },
     SnapshotRecord{},
   };
@@ -79,6 +83,26 @@
   }
 }
 
+/** Guards against a stream of an earlier release that cannot be folded any more. */
+TEST(ConfigCodec, ReadsARemovalWithoutTheLastPosition)
+{
+  ConfigRecord record;
+  ASSERT_FALSE(DecodeRecord(
+    R"({"v":1,"kind":"remove","host":"h","incarnation":3,"by":"i","by_incarnation":4})", record));
+  EXPECT_EQ(ConfigRecord(RemoveRecord{ HostId("h"), 3, HostId("i"), 4 }), record);
+  ConfigState state;
+  state.Fold(0, Join("a", 1));
+  state.Fold(1, Join("b", 1));
+  state.Fold(2, Remove("b", 1, "a"));
+  std::string text = EncodeRecord(SnapshotRecord{ state.Image() });
+  const std::string field = R"(,"heard_next":0)";
+  for (auto at = text.find(field); at != std::string::npos; at = text.find(field)) {
+    text.erase(at, field.size());
+  }
+  ASSERT_FALSE(DecodeRecord(text, record));
+  EXPECT_EQ(ConfigRecord(SnapshotRecord{ state.Image() }), record);
+}
+
 /** Guards against a record of unexpected form that is read as something else or ends the process.
  */
 TEST(ConfigCodec, RefusesMalformedRecords)
