--- a/src/control/config_service.cpp
+++ b/src/control/config_service.cpp
@@ -284,7 +284,9 @@
 ConfigService::FillHeartbeatAnswer(wire::HeartbeatAnswer& aAnswer) const
 {
   const ConfigState* state = State();
-  aAnswer.set_has_state(state != nullptr);
+  // A host that has stopped admitting must not confirm the state of others: its leave record may be
+  // folded elsewhere already.
+  aAnswer.set_has_state(state != nullptr && !isStopped_);
   aAnswer.set_folded(state == nullptr ? 0 : state->NextOffset());
   const auto age = freshness_.LogAge(clock_.Now());
   aAnswer.set_has_log_age(age.has_value());
--- a/src/state/authority_func.h
+++ b/src/state/authority_func.h
@@ -1,27 +1,37 @@
-/** @file authority_func.h Tells when a change of membership is known so widely that it binds all.
- */
+/** @file authority_func.h Decides whether hosts with an older membership can still go on. */
 #ifndef LABURNUMWEIR_STATE_AUTHORITY_FUNC_H
 #define LABURNUMWEIR_STATE_AUTHORITY_FUNC_H
 
+#include "core/clock_base.h"
 #include "state/acceptance_tracker.h"
 #include "state/config_state.h"
+#include "state/freshness_tracker.h"
 
 namespace laburnumweir {
 
 /**
- * Tells whether a new owner may begin to wait out the authority of a former one.
+ * Decides whether the wait of a new owner may begin: once this holds, no host that has not folded
+ * the record admits requests later than the freshness bound plus the clock error.
+ *
+ * Evidence from the log is older than the record, so it ends within the bound. What remains is a
+ * majority that agrees on an older membership. Two conditions exclude it: (i) every current member
+ * has folded the record, and (ii) the hosts that were removed and may not know it are no majority
+ * of any membership that one of them may hold.
  *
- * A former owner that cannot read the log goes on while a majority of the members in its view
- * confirms its state. Once enough members know of the change, each such majority contains one of
- * them, so the former owner's evidence ends within the freshness bound from now.
+ * Relies on the following:
+ * - One process at a time runs under the name of a host. A life ends for certain when a later life
+ *   of the same name joins, so a replaced life does not count in (ii).
+ * - A host that leaves has stopped admitting, and confirms the state of no other host, before its
+ *   record is appended.
+ * - The position that a life reports never goes back.
  *
  * @param aState folded state of this host.
- * @param aProgress how far the hosts are known to have folded.
+ * @param aProgress progress of the hosts.
  * @param aSelf this life of this host.
  * @param aSettings bounds of freshness.
- * @param aOffset offset of the membership record that changed the owner.
+ * @param aOffset offset of the membership record.
  * @param aNow the time.
- * @return whether no host can gather a majority without a member that knows of the change.
+ * @return whether the wait may begin; false if it cannot be told.
  */
 bool
 IsMembershipKnown(const ConfigState& aState,
