--- a/src/control/change_service.cpp
+++ b/src/control/change_service.cpp
@@ -19,14 +19,12 @@
 
 } // namespace
 
-ChangeService::ChangeService(PeerRouter& aRouter,
-                             ConfigService& aConfig,
+ChangeService::ChangeService(ConfigService& aConfig,
                              const Clock& aClock,
                              Scheduler& aScheduler,
                              LogClient& aLog,
                              FreshnessSettings aSettings)
-  : router_(aRouter)
-  , config_(aConfig)
+  : config_(aConfig)
   , clock_(aClock)
   , scheduler_(aScheduler)
   , log_(aLog)
--- a/src/control/change_service.h
+++ b/src/control/change_service.h
@@ -34,15 +34,13 @@
 {
 public:
   /**
-   * @param aRouter names this host.
    * @param aConfig the agreed state.
    * @param aClock time source.
    * @param aScheduler control thread.
    * @param aLog the log.
    * @param aSettings bounds of freshness.
    */
-  ChangeService(PeerRouter& aRouter,
-                ConfigService& aConfig,
+  ChangeService(ConfigService& aConfig,
                 const Clock& aClock,
                 Scheduler& aScheduler,
                 LogClient& aLog,
@@ -57,7 +55,6 @@
   ChangeReply SubmitInitial(const ChangeRequest& aRequest);
   void Append(const std::string& aId, const std::string& aData, TimePoint aUntil);
 
-  PeerRouter& router_;                                ///< Names this host.
   ConfigService& config_;                             ///< The agreed state.
   const Clock& clock_;                                ///< Time source.
   Scheduler& scheduler_;                              ///< Control thread.
--- a/src/peer/nng_transport.cpp
+++ b/src/peer/nng_transport.cpp
@@ -210,18 +210,19 @@
   void Serve(ReplySlot& aSlot, const wire::Envelope& aRequest, bool aIsValid)
   {
     auto answered = std::make_shared<bool>(false);
-    Responder respond = [weak = weak_from_this(), slot = &aSlot, answered](wire::Envelope aAnswer) {
-      const auto self = weak.lock();
-      if (!self || *answered) {
-        return;
-      }
-      *answered = true;
-      nng_msg* message = Encode(aAnswer);
-      self->bytes_ += nng_msg_len(message);
-      nng_aio_set_msg(slot->aio_, message);
-      slot->sending_ = true;
-      nng_ctx_send(slot->context_, slot->aio_);
-    };
+    Responder respond =
+      [weak = weak_from_this(), slot = &aSlot, answered](const wire::Envelope& aAnswer) {
+        const auto self = weak.lock();
+        if (!self || *answered) {
+          return;
+        }
+        *answered = true;
+        nng_msg* message = Encode(aAnswer);
+        self->bytes_ += nng_msg_len(message);
+        nng_aio_set_msg(slot->aio_, message);
+        slot->sending_ = true;
+        nng_ctx_send(slot->context_, slot->aio_);
+      };
     if (!aIsValid || !handler_ || aRequest.body_case() == wire::Envelope::BODY_NOT_SET) {
       wire::Envelope answer;
       answer.mutable_unsupported();
--- a/src/peer/peer_sm.h
+++ b/src/peer/peer_sm.h
@@ -35,10 +35,10 @@
   struct Silent : msm::front::state<>
   {};
 
-  using initial_state = Dialing;
+  using initial_state = Dialing; // NOLINT(readability-identifier-naming)
 
   // clang-format off
-  struct transition_table : boost::mpl::vector<
+  struct transition_table : boost::mpl::vector< // NOLINT(readability-identifier-naming)
     //  from       event          to
     Row<Dialing,   PipeOpened,    Connected, none, none>,
     Row<Dialing,   PipeClosed,    none,      none, none>,
--- a/src/serve/host.cpp
+++ b/src/serve/host.cpp
@@ -131,8 +131,7 @@
                     aSettings.dataCentre_,
                     false },
         random_))
-    , changes_(
-        std::make_shared<ChangeService>(router_, *config_, clock_, scheduler_, log_, freshness_))
+    , changes_(std::make_shared<ChangeService>(*config_, clock_, scheduler_, log_, freshness_))
     , tokens_(router_, *config_, clock_, limits_)
     , slots_(std::make_shared<SlotService>(router_,
                                            *config_,
--- a/src/serve/settings_func.cpp
+++ b/src/serve/settings_func.cpp
@@ -240,8 +240,10 @@
       }
       seen[path] = true;
       if (const std::string expected = found->second->read_(value); !expected.empty()) {
-        errors.push_back(prefix + path + ": expected " + expected + ", found " +
-                         json::serialize(value));
+        std::string error = prefix + path;
+        error.append(": expected ").append(expected).append(", found ");
+        error.append(json::serialize(value));
+        errors.push_back(std::move(error));
       }
     }
   }
