Ask all members up to 96 until positions are relayed

Cause: above 12 members a host heard the positions of its ring successors only, so the takeover of engines and buckets, which waits for all members, never began. Ruled out: counting silent members as informed.

--- a/src/control/membership_service.cpp
+++ b/src/control/membership_service.cpp
@@ -22,6 +22,21 @@
 constexpr Duration kFetchInterval = 1s;
 constexpr Duration kAppendRetry = 500ms;
 
+/**
+ * Members answer only for themselves, and a takeover waits until all are known to have folded the
+ * change. So each host asks every other one up to this number; a ring needs relayed positions
+ * first.
+ */
+constexpr std::size_t kMeshLimit = 96;
+
+LivenessSettings
+MeshSettings()
+{
+  LivenessSettings settings;
+  settings.meshLimit_ = kMeshLimit;
+  return settings;
+}
+
 } // namespace
 
 MembershipService::MembershipService(PeerRouter& aRouter,
@@ -40,7 +55,7 @@
   , hostList_(aHostList)
   , self_(std::move(aSelf))
   , random_(aRandom)
-  , liveness_({ aRouter.Self(), 0 }, LivenessSettings())
+  , liveness_({ aRouter.Self(), 0 }, MeshSettings())
 {
   router_.Handle(wire::Envelope::kHeartbeat,
                  [this](const wire::Envelope& aRequest, const PeerTransport::Responder& aRespond) {
