Hold the window of a cold engine, and take engines of a leaving host over at once

Cause: after a restart the window grew with each success past what the engine bears while it is cold: 4 overload crashes of e1 in 4 restarts under load. Ruled out: a longer bound for requests without a class; taking over before all members know of the change, since a grant of the former owner could still be used. Change: the window does not grow for 5 s after a reset; a takeover after a leave record starts when all members know of it, without the wait for lapsing authority. The test of a leaving engine waits for work at the engine first, since its owner may not be ready when the load starts.

--- a/src/control/slot_service.cpp
+++ b/src/control/slot_service.cpp
@@ -59,6 +59,16 @@
   return wire::SlotAnswer::REFUSED;
 }
 
+/** @return whether the newest record of the state ended the membership of a host by its own wish.
+ */
+bool
+IsAfterLeave(const ConfigState& aState)
+{
+  const auto& history = aState.Image().history_;
+  return !history.empty() && history.back().kind_ == MembershipKind::Leave &&
+         history.back().offset_ + 1 == aState.NextOffset();
+}
+
 bool
 IsWaiting(SlotVerdict aVerdict)
 {
@@ -126,6 +136,9 @@
   // Another host may have owned an engine in between, so each is taken over anew.
   engines_.clear();
   OnRecord(aState);
+  for (const auto& [id, engine] : engines_) {
+    engine->isHandover_ = false;
+  }
 }
 
 void
@@ -134,7 +147,10 @@
   for (const auto& [id, engine] : engines_) {
     if (!engine->isTakenOver_ && view_.IsMembershipKnown(engine->fencing_)) {
       engine->isTakenOver_ = true;
-      engine->slots_.TakeOver(clock_.Now() + authorityLapse_);
+      // A host that left gives out no grants any more, and those that were not used are void at
+      // members that know of the change. Other former owners may act until their authority lapses.
+      const Duration lapse = engine->isHandover_ ? Duration(0) : authorityLapse_;
+      engine->slots_.TakeOver(clock_.Now() + lapse);
     }
   }
 }
@@ -145,6 +161,7 @@
   auto engine = std::make_shared<Engine>(clock_, SettingsOf(aRule));
   engine->endpoint_ = { aRule.address_, aRule.port_ };
   engine->fencing_ = aState.FencingToken();
+  engine->isHandover_ = IsAfterLeave(aState);
   LogEvent(LogLevel::Info,
            "engine_owned",
            { { "upstream", aRule.id_.Value() }, { "fencing", std::to_string(engine->fencing_) } });
--- a/src/control/slot_service.h
+++ b/src/control/slot_service.h
@@ -79,6 +79,7 @@
     EngineSlots slots_;                ///< Decides.
     Endpoint endpoint_;                ///< Address of the engine.
     std::uint64_t fencing_ = 0;        ///< Fencing token of this host's ownership.
+    bool isHandover_ = false;          ///< The former owner left by itself.
     bool isTakenOver_ = false;         ///< Waits only for the former owner to lapse.
     bool isReporting_ = false;         ///< A report was asked for.
     TimePoint nextReport_;             ///< When to ask for the next report.
--- a/src/dispatch/engine_slots.cpp
+++ b/src/dispatch/engine_slots.cpp
@@ -31,7 +31,7 @@
   loads_.clear();
   evicted_.clear();
   notices_.clear();
-  window_.Reset();
+  ResetWindow();
 }
 
 void
--- a/src/dispatch/engine_slots.h
+++ b/src/dispatch/engine_slots.h
@@ -171,6 +171,7 @@
   static void CountRuns(Resident& aResident, std::uint32_t aRunning, TimePoint aNow);
   void Promote();
   void NewEpoch(const std::string& aEpoch);
+  void ResetWindow();
   void DropWaiters(const AdapterRef& aAdapter, SlotReason aReason);
   void BecomeResident(const AdapterRef& aAdapter);
   void NoteFailure(const AdapterRef& aAdapter);
@@ -189,6 +190,7 @@
   const Clock& clock_;                       ///< Time source.
   SlotSettings settings_;                    ///< Sizes and times.
   ColdStartWindow window_;                   ///< Window of concurrent requests.
+  TimePoint growAfter_;                      ///< The window does not grow before.
   PopularityEstimate popularity_;            ///< Popularity of adapters here.
   bool isReady_ = false;                     ///< Whether requests can be granted.
   TimePoint readyAfter_;                     ///< A report asked for from then on ends a takeover.
--- a/src/dispatch/engine_slots_report.cpp
+++ b/src/dispatch/engine_slots_report.cpp
@@ -49,7 +49,7 @@
     }
   }
   if (isRestart) {
-    window_.Reset();
+    ResetWindow();
   }
 }
 
@@ -216,14 +216,23 @@
 void
 EngineSlots::OnSuccess(Duration aLatency)
 {
-  window_.OnSuccess(aLatency, InUse() + 1);
+  // A window that counts as unused does not grow.
+  const bool mayGrow = clock_.Now() >= growAfter_;
+  window_.OnSuccess(aLatency, mayGrow ? InUse() + 1 : 0);
   Promote();
 }
 
 void
-EngineSlots::OnOverload()
+EngineSlots::ResetWindow()
 {
   window_.Reset();
+  growAfter_ = clock_.Now() + kColdHold;
+}
+
+void
+EngineSlots::OnOverload()
+{
+  ResetWindow();
 }
 
 void
--- a/src/table/dispatch_const.h
+++ b/src/table/dispatch_const.h
@@ -76,6 +76,11 @@
 constexpr std::uint32_t kColdWindowInitial = 4;
 /** Growth of the window for each window's worth of successes. */
 constexpr std::uint32_t kColdWindowGrowth = 1;
+/**
+ * Time after a (re)start or an overload during which the window does not grow. Growth with each
+ * success passed the limit of an engine that was cold for 3 s within 100 ms, and it crashed again.
+ */
+constexpr Duration kColdHold = std::chrono::seconds(5);
 /** Time between the first loads after a (re)start. */
 constexpr Duration kColdLoadGap = std::chrono::milliseconds(250);
 /** Loads after a (re)start that keep this gap. */
--- a/tests/process/support.py
+++ b/tests/process/support.py
@@ -16,6 +16,8 @@
 class FleetTest(unittest.TestCase):
     """A test with hosts and stand-ins of its own."""
 
+    maxDiff = None
+
     def make_fleet(self, hosts=3, engines=3, services=(), engine=None, workspaces=None, **platform):
         """Starts everything and applies rules; hosts and engines are spread over dc-a and dc-b."""
         fleet = Fleet()
--- a/tests/process/test_agreed_state.py
+++ b/tests/process/test_agreed_state.py
@@ -170,7 +170,7 @@
         self.assertEqual(0, fleet.hosts[0].process.wait(timeout=20))
         time.sleep(4)
         results = load.stop() + slow.results
-        self.assertEqual([], [r for r in results if r[2] != 200][:3])
+        self.assertEqual([], [r[2:] for r in results if r[2] != 200][:3])
 
 
 if __name__ == "__main__":
--- a/tests/process/test_upstreams.py
+++ b/tests/process/test_upstreams.py
@@ -4,7 +4,7 @@
 import time
 import unittest
 
-from support import FleetTest, Load, request
+from support import FleetTest, Load, request, wait_until
 
 NO_NEW_WORK_AFTER = 3.0
 
@@ -14,15 +14,16 @@
         """Guards against new work at an upstream that is about to go."""
         fleet = self.make_fleet(hosts=3, engines=3)
         self.await_service(fleet)
-        load = Load(fleet, fleet.hosts, callers=4)
-        time.sleep(2)
+        # With few adapters the ranking may never name e2 first.
+        load = Load(fleet, fleet.hosts, callers=4, adapters=9)
+        wait_until(lambda: any(r[4] == "e2" for r in list(load.results)), 15, "work at e2")
         rules = [line.replace("fencing=checked", "fencing=checked leaving")
                  if line.startswith("upstream e2 ") else line for line in fleet.rules]
         fleet.apply(rules)
         accepted = time.monotonic()
         time.sleep(NO_NEW_WORK_AFTER + 2)
         results = load.stop()
-        self.assertEqual([], [r for r in results if r[2] != 200][:3])
+        self.assertEqual([], [r[2:] for r in results if r[2] != 200][:3])
         self.assertTrue([r for r in results if r[4] == "e2"])
         late = [r for r in results if r[0] > accepted + NO_NEW_WORK_AFTER and r[4] == "e2"]
         self.assertEqual([], late)
