Give test processes ports that outgoing connections cannot take

Cause: a host of a fleet of 8 was not ready within 20 s in one run of all tests. Its ports came from the range for outgoing connections, so another process of the fleet could take one before the host listened there. Ruled out: a longer limit, which would hide a host that does not start. Whether this was the cause of that one run is likely but not shown, since the harness did not look at the host's exit; now it does and shows its log. Change: ports below that range, none given out twice; a host that ends at its start fails the test at once; the demonstration prints what was decided for each request.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -90,6 +90,8 @@
             if answer.status != 200 or served != model:
                 failures += 1
             last_id = "demo-%d" % i
+            explained = fleet.command(host, "explain", last_id).stdout.splitlines()[1:]
+            print("        decided: " + "; ".join(line.strip() for line in explained))
         print("== a booking, sent twice with one idempotency key through two hosts")
         for host in fleet.hosts[:2]:
             answer = request(
@@ -107,7 +109,7 @@
         answer = fleet.hosts[0].complete(None, "adapter-1@v1")
         print(answer.status, answer.body.decode())
         failures += answer.status != 401
-        print("== explain", last_id)
+        print("== explain", last_id, "asked from another host")
         print(fleet.command(fleet.hosts[0], "explain", last_id).stdout)
         print("== status of host-1")
         print(fleet.command(fleet.hosts[0], "status").stdout)
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -19,14 +19,24 @@
 TOKEN = "operators-token-for-tests"
 
 
+# Below the range from which the system takes ports for outgoing connections: a port from that range
+# can be taken between this check and the start of the process that is to listen there.
+PORTS = range(10000, 30000)
+_next_port = [PORTS.start + (os.getpid() * 97) % len(PORTS)]
+
+
 def free_ports(count):
-    """Returns TCP ports of loopback that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
+    """Returns TCP ports of loopback that are free; no port is given out twice by one process."""
+    ports = []
+    while len(ports) < count:
+        port = _next_port[0]
+        _next_port[0] = port + 1 if port + 1 in PORTS else PORTS.start
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                ports.append(port)
+            except OSError:
+                pass
     return ports
 
 
@@ -195,7 +205,12 @@
 
     def await_ready(self, limit=20):
         for host in self.hosts:
-            wait_until(host.is_ready, limit, "host " + host.name + " ready")
+            wait_until(
+                lambda h=host: h.is_ready() or h.process.poll() is not None,
+                limit,
+                "host " + host.name + " ready",
+            )
+            assert host.process.poll() is None, self.log_text(host.name)
 
     def command(self, host, *arguments, check=None):
         """Runs a subcommand against a host. Returns the completed process."""
