Let a failing process test end, and give the leaving engine work to lose

Cause: in one run of all tests the test of a leaving engine never saw work at it: with 9 adapters the hosts kept to the engines that held them. Its callers then ran on and the test program did not end.

--- a/tests/process/support.py
+++ b/tests/process/support.py
@@ -73,7 +73,9 @@
         self.options = options
         self.results = []
         self.running = True
-        self.threads = [threading.Thread(target=self.run, args=(i,)) for i in range(callers)]
+        # Daemons, so that a test that fails before stop() still ends.
+        self.threads = [threading.Thread(target=self.run, args=(i,), daemon=True)
+                        for i in range(callers)]
         for thread in self.threads:
             thread.start()
 
--- a/tests/process/test_upstreams.py
+++ b/tests/process/test_upstreams.py
@@ -14,8 +14,9 @@
         """Guards against new work at an upstream that is about to go."""
         fleet = self.make_fleet(hosts=3, engines=3)
         self.await_service(fleet)
-        # With few adapters the ranking may never name e2 first.
-        load = Load(fleet, fleet.hosts, callers=4, adapters=9)
+        # More adapters than slots: with few of them the hosts keep to the engines that hold them, and
+        # an engine that became ready last may get no work at all.
+        load = Load(fleet, fleet.hosts, callers=4, adapters=40)
         wait_until(lambda: any(r[4] == "e2" for r in list(load.results)), 15, "work at e2")
         rules = [line.replace("fencing=checked", "fencing=checked leaving")
                  if line.startswith("upstream e2 ") else line for line in fleet.rules]
