--- /dev/null
+++ b/src/fleet/engine_orders.h
@@ -0,0 +1,98 @@
+/** @file engine_orders.h Decides which models and adapters an engine loads and unloads. */
+#ifndef LABURNUMWEIR_FLEET_ENGINE_ORDERS_H
+#define LABURNUMWEIR_FLEET_ENGINE_ORDERS_H
+
+#include "core/clock_base.h"
+#include "fleet/fleet_type.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace laburnumweir {
+
+/** What an order does. */
+enum class OrderKind : std::uint8_t
+{
+  Load,  ///< Load a model or an adapter.
+  Unload ///< Unload a model or an adapter.
+};
+
+/** An order to an engine. */
+struct EngineOrder
+{
+  OrderKind kind_ = OrderKind::Load; ///< What to do.
+  std::string model_;                ///< Model.
+  std::string adapter_;              ///< Adapter; empty for the model itself.
+  std::int64_t version_ = 0;         ///< Version to load; 0 = the newest.
+
+  auto operator<=>(const EngineOrder&) const = default;
+};
+
+/** A model or adapter that requests wait for. */
+struct AdapterWant
+{
+  std::string model_;        ///< Model.
+  std::string adapter_;      ///< Adapter; empty for the model itself.
+  std::int64_t version_ = 0; ///< Oldest version that serves; 0 = any.
+};
+
+/**
+ * Orders for one engine, decided by its holder. Loads what requests wait for and makes room by the
+ * adapter that was used least recently, never by one that may be in use. Not thread-safe.
+ */
+class EngineOrders
+{
+public:
+  /** Most adapters on their way to an engine at once; the engines take no more. */
+  static constexpr std::size_t kMaxLoading = 4;
+
+  /** @param aClock time source; must outlive this. */
+  explicit EngineOrders(const Clock& aClock)
+    : clock_(aClock)
+  {
+  }
+
+  /** Notes that requests wait for something; repeated while they do. */
+  void Want(const AdapterWant& aWant);
+  /** Notes that a request was sent for an adapter. */
+  void Used(const std::string& aModel, const std::string& aAdapter);
+  /** Forgets what belongs to an earlier life of the engine. */
+  void OnRestart();
+  /**
+   * Decides on the next order.
+   * @param aSpec what the engine can hold.
+   * @param aEntry what it holds.
+   * @return the order; none if nothing is to be done or possible now.
+   */
+  std::optional<EngineOrder> Next(const EngineSpec& aSpec, const UpstreamEntry& aEntry);
+  /** Notes that the engine accepted an order and carries it out. */
+  void OnAccepted(const EngineOrder& aOrder);
+  /** Notes that an order is complete, was refused, or is given up. */
+  void OnFinished(const EngineOrder& aOrder) { pending_.erase(aOrder); }
+  /** @return orders accepted and not known to be complete, with their start. */
+  const std::map<EngineOrder, TimePoint>& Pending() const { return pending_; }
+
+private:
+  using Name = std::pair<std::string, std::string>; ///< Model and adapter.
+  struct Wanted
+  {
+    std::int64_t version_ = 0; ///< Oldest version that serves.
+    TimePoint first_;          ///< When it was first wanted.
+    TimePoint last_;           ///< When it was last wanted.
+  };
+
+  std::optional<EngineOrder> LoadModel(const EngineSpec& aSpec, const UpstreamEntry& aEntry) const;
+  std::optional<EngineOrder> Evict(const UpstreamEntry& aEntry) const;
+  bool IsPending(const Name& aName) const;
+
+  const Clock& clock_;                       ///< Time source.
+  std::map<Name, Wanted> wants_;             ///< What requests wait for.
+  std::map<Name, TimePoint> used_;           ///< Last use of each adapter.
+  std::map<EngineOrder, TimePoint> pending_; ///< Orders under way.
+};
+
+} // namespace laburnumweir
+
+#endif
--- /dev/null
+++ b/src/fleet/fleet_state.cpp
@@ -0,0 +1,158 @@
+/** @file fleet_state.cpp What this host knows of the fleet from the store. */
+#include "fleet/fleet_state.h"
+
+#include "logging/logging_func.h"
+
+namespace laburnumweir {
+
+FleetState::FleetState(const Clock& aClock, const HostId& aHost, const DataCentreId& aDataCentre)
+  : clock_(aClock)
+  , upstreams_(aClock, aHost, aDataCentre)
+{
+}
+
+bool
+FleetState::ApplyOperators(const ChangeBatch& aBatch)
+{
+  const FleetConfig* newest = nullptr;
+  auto evacuated = aBatch.isSnapshot_ ? std::set<DataCentreId>() : evacuated_;
+  for (const auto& change : aBatch.changes_) {
+    if (const auto* config = std::get_if<FleetConfig>(&change)) {
+      newest = config;
+    } else if (const auto* release = std::get_if<AdapterRelease>(&change)) {
+      auto& state = releases_[{ release->model_, release->adapter_ }];
+      if (state.version_ < release->version_) {
+        state = { release->version_, clock_.Now() };
+        LogEvent(LogLevel::Info,
+                 "release_learned",
+                 { { "model", release->model_ },
+                   { "adapter", release->adapter_ },
+                   { "version", std::to_string(release->version_) } });
+      }
+    } else if (const auto* evacuation = std::get_if<EvacuationChange>(&change)) {
+      if (evacuation->isEvacuated_) {
+        evacuated.insert(evacuation->dataCentre_);
+      } else {
+        evacuated.erase(evacuation->dataCentre_);
+      }
+    }
+  }
+  if (aBatch.unreadable_ > 0) {
+    LogEvent(LogLevel::Warn,
+             "operator_records_unreadable",
+             { { "count", std::to_string(aBatch.unreadable_) } });
+  }
+  if (evacuated != evacuated_) {
+    std::string names;
+    for (const auto& dataCentre : evacuated) {
+      names += (names.empty() ? "" : ",") + dataCentre.Value();
+    }
+    LogEvent(LogLevel::Info, "evacuation_changed", { { "data_centres", names } });
+    evacuated_ = evacuated;
+    upstreams_.SetEvacuated(std::move(evacuated));
+  }
+  const bool isNews =
+    newest != nullptr && (!routes_ || routes_->Config().version_ < newest->version_);
+  if (isNews) {
+    LogEvent(LogLevel::Info,
+             "configuration_in_force",
+             { { "version", std::to_string(newest->version_) },
+               { "routes", std::to_string(newest->routes_.size()) },
+               { "workspaces", std::to_string(newest->workspaces_.size()) } });
+    routes_ = std::make_shared<const RouteTable>(*newest);
+    upstreams_.SetServices(routes_->Config().services_);
+  }
+  return isNews;
+}
+
+void
+FleetState::Remove(const UpstreamId& aId, std::string_view aWhy)
+{
+  if (upstreams_.OnRemoved(aId)) {
+    LogEvent(LogLevel::Info,
+             "upstream_gone",
+             { { "upstream", aId.Value() }, { "reason", std::string(aWhy) } });
+  }
+}
+
+void
+FleetState::ApplyUpstream(const UpstreamChange& aChange, bool aHoldRemovals)
+{
+  if (!aChange.entry_) {
+    if (aHoldRemovals && upstreams_.Find(aChange.id_) != nullptr) {
+      held_.insert(aChange.id_);
+    } else {
+      Remove(aChange.id_, "entry removed");
+    }
+    return;
+  }
+  held_.erase(aChange.id_);
+  const auto* known = upstreams_.Find(aChange.id_);
+  const bool wasDraining = known != nullptr && known->entry_.isDraining_;
+  const bool isNewLife = upstreams_.OnEntry(*aChange.entry_);
+  if (isNewLife || wasDraining != aChange.entry_->isDraining_) {
+    LogEvent(LogLevel::Info,
+             "upstream_entry",
+             { { "upstream", aChange.id_.Value() },
+               { "service", aChange.entry_->service_.Value() },
+               { "data_centre", aChange.entry_->dataCentre_.Value() },
+               { "state", aChange.entry_->isDraining_ ? "draining" : "ready" },
+               { "new_life", isNewLife ? "true" : "false" },
+               { "cold_ms", std::to_string(aChange.entry_->coldFor_.count()) } });
+  }
+}
+
+void
+FleetState::ApplyUpstreams(const ChangeBatch& aBatch, bool aHoldRemovals)
+{
+  std::set<UpstreamId> seen;
+  for (const auto& change : aBatch.changes_) {
+    if (const auto* upstream = std::get_if<UpstreamChange>(&change)) {
+      ApplyUpstream(*upstream, aHoldRemovals);
+      if (upstream->entry_) {
+        seen.insert(upstream->id_);
+      }
+    }
+  }
+  if (aBatch.unreadable_ > 0) {
+    LogEvent(LogLevel::Warn,
+             "upstream_entries_unreadable",
+             { { "count", std::to_string(aBatch.unreadable_) } });
+  }
+  if (aBatch.isSnapshot_) {
+    std::vector<UpstreamId> missing;
+    for (const auto& [id, upstream] : upstreams_.All()) {
+      if (!seen.contains(id)) {
+        missing.push_back(id);
+      }
+    }
+    for (const auto& id : missing) {
+      ApplyUpstream({ id, std::nullopt }, aHoldRemovals);
+    }
+  }
+  hasUpstreams_ = true;
+}
+
+void
+FleetState::FlushRemovals()
+{
+  for (const auto& id : held_) {
+    Remove(id, "entry missing after the store returned");
+  }
+  held_.clear();
+}
+
+Duration
+FleetState::ProofAge() const
+{
+  return proof_ ? clock_.Now() - *proof_ : Duration::max();
+}
+
+const ReleaseState*
+FleetState::FindRelease(const std::string& aModel, const std::string& aAdapter) const
+{
+  const auto found = releases_.find({ aModel, aAdapter });
+  return found == releases_.end() ? nullptr : &found->second;
+}
+
+} // namespace laburnumweir
--- /dev/null
+++ b/src/fleet/retry_share.cpp
@@ -0,0 +1,42 @@
+/** @file retry_share.cpp Share of this host in the retries that a service may get. */
+#include "fleet/retry_share.h"
+
+#include "table/fleet_const.h"
+
+namespace laburnumweir {
+
+void
+RetryShare::Expire(Window& aWindow) const
+{
+  const auto oldest = clock_.Now() - bounds_.window_;
+  for (auto* times : { &aWindow.requests_, &aWindow.retries_ }) {
+    while (!times->empty() && times->front() < oldest) {
+      times->pop_front();
+    }
+  }
+}
+
+void
+RetryShare::OnRequest(const ServiceName& aService)
+{
+  auto& window = windows_[aService];
+  Expire(window);
+  window.requests_.push_back(clock_.Now());
+}
+
+bool
+RetryShare::TakeRetry(const ServiceName& aService)
+{
+  auto& window = windows_[aService];
+  Expire(window);
+  const double allowed =
+    kRetryShare * (bounds_.ratio_ * static_cast<double>(window.requests_.size()) +
+                   bounds_.slack_ / static_cast<double>(hosts_));
+  if (static_cast<double>(window.retries_.size()) + 1 > allowed) {
+    return false;
+  }
+  window.retries_.push_back(clock_.Now());
+  return true;
+}
+
+} // namespace laburnumweir
--- /dev/null
+++ b/src/fleet/upstream_table.cpp
@@ -0,0 +1,395 @@
+/** @file upstream_table.cpp Upstreams with their load, health and adapters as this host knows them.
+ */
+#include "fleet/upstream_table.h"
+
+#include "core/hash_func.h"
+#include "table/fleet_const.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace laburnumweir {
+
+namespace {
+
+// Weights of the score by which upstreams are compared. A full upstream scores 1 by its load.
+constexpr double kFailurePenalty = 3.0;     // a part of failed answers costs more than any queue
+constexpr double kOtherCentrePenalty = 0.1; // breaks ties; traffic between data centres is priced
+constexpr double kLatencyWeight = 0.1;      // weight of the newest sample
+// An adapter gets another copy when its engines are this full and another engine is less so.
+constexpr double kCopyAbove = 0.85;
+constexpr double kCopyBelow = 0.6;
+
+double
+Seconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+} // namespace
+
+UpstreamTable::UpstreamTable(const Clock& aClock, HostId aHost, DataCentreId aDataCentre)
+  : clock_(aClock)
+  , host_(std::move(aHost))
+  , dataCentre_(std::move(aDataCentre))
+  , hosts_{ host_ }
+{
+}
+
+bool
+UpstreamTable::OnEntry(const UpstreamEntry& aEntry)
+{
+  const auto now = clock_.Now();
+  auto [position, isNew] = upstreams_.try_emplace(aEntry.id_);
+  auto& upstream = position->second;
+  const bool isNewLife = isNew || upstream.entry_.startedAt_ != aEntry.startedAt_;
+  if (isNewLife) {
+    const auto running = upstream.running_;
+    const auto peers = upstream.peersRunning_;
+    upstream = {};
+    upstream.running_ = running;
+    upstream.peersRunning_ = peers;
+    upstream.coldTick_ = now;
+    upstream.entry_ = aEntry;
+  } else {
+    // What the holder told after an order is newer than an entry written before it.
+    const bool isOlder = !aEntry.listsModels_ || aEntry.orders_ < upstream.entry_.orders_;
+    auto models = std::move(upstream.entry_.models_);
+    const auto orders = upstream.entry_.orders_;
+    upstream.entry_ = aEntry;
+    if (isOlder) {
+      upstream.entry_.models_ = std::move(models);
+      upstream.entry_.orders_ = orders;
+    }
+    upstream.isMissing_ = false;
+  }
+  upstream.coldUntil_ = now + aEntry.coldFor_;
+  return isNewLife;
+}
+
+bool
+UpstreamTable::OnRemoved(const UpstreamId& aId)
+{
+  return upstreams_.erase(aId) > 0;
+}
+
+void
+UpstreamTable::SetServices(std::span<const ServiceSpec> aServices)
+{
+  services_.clear();
+  for (const auto& service : aServices) {
+    services_[service.name_] = service;
+  }
+}
+
+void
+UpstreamTable::SetHosts(std::vector<HostId> aHosts)
+{
+  hosts_ = std::move(aHosts);
+}
+
+bool
+UpstreamTable::OnResidency(const EngineResidency& aResidency)
+{
+  auto* upstream = Find(aResidency.engine_);
+  if (upstream == nullptr || upstream->entry_.startedAt_ != aResidency.startedAt_ ||
+      aResidency.orders_ < upstream->entry_.orders_) {
+    return false;
+  }
+  upstream->entry_.models_ = aResidency.models_;
+  upstream->entry_.orders_ = aResidency.orders_;
+  return true;
+}
+
+void
+UpstreamTable::OnPeerLoad(const HostId& aPeer, std::span<const PeerLoad> aLoad)
+{
+  auto& peer = peers_[aPeer];
+  peer.heard_ = clock_.Now();
+  peer.running_.clear();
+  for (const auto& load : aLoad) {
+    peer.running_[load.upstream_] = load.running_;
+  }
+  SumPeers();
+}
+
+void
+UpstreamTable::ExpirePeers()
+{
+  const auto oldest = clock_.Now() - kPeerCountLife;
+  if (std::erase_if(peers_, [oldest](const auto& aPeer) { return aPeer.second.heard_ < oldest; }) >
+      0) {
+    SumPeers();
+  }
+}
+
+void
+UpstreamTable::SumPeers()
+{
+  for (auto& [id, upstream] : upstreams_) {
+    upstream.peersRunning_ = 0;
+  }
+  for (const auto& [host, peer] : peers_) {
+    for (const auto& [id, running] : peer.running_) {
+      if (auto* upstream = Find(id)) {
+        upstream->peersRunning_ += running;
+      }
+    }
+  }
+}
+
+bool
+UpstreamTable::IsUsable(const Upstream& aUpstream) const
+{
+  return !aUpstream.entry_.isDraining_ && !aUpstream.isMissing_ &&
+         !evacuated_.contains(aUpstream.entry_.dataCentre_) &&
+         aUpstream.pausedUntil_ <= clock_.Now();
+}
+
+bool
+UpstreamTable::HasPlace(const Upstream& aUpstream) const
+{
+  return aUpstream.running_ + aUpstream.peersRunning_ < aUpstream.entry_.slots_;
+}
+
+bool
+UpstreamTable::MayUseCold(Upstream& aUpstream)
+{
+  const auto now = clock_.Now();
+  const auto service = services_.find(aUpstream.entry_.service_);
+  if (aUpstream.coldUntil_ <= now || service == services_.end() ||
+      service->second.coldPerSecond_ <= 0) {
+    return true;
+  }
+  const double allowed = service->second.coldPerSecond_ * kColdShare;
+  auto hosts = static_cast<double>(std::max<std::size_t>(hosts_.size(), 1));
+  if (allowed < hosts) {
+    // One request a second for each of the first hosts in rank; none for the others.
+    const auto own = RendezvousWeight(host_.Value(), aUpstream.entry_.id_.Value());
+    const auto before = std::count_if(hosts_.begin(), hosts_.end(), [&](const HostId& aHost) {
+      return RendezvousWeight(aHost.Value(), aUpstream.entry_.id_.Value()) > own;
+    });
+    if (static_cast<double>(before) + 1 > allowed) {
+      return false;
+    }
+    hosts = std::max(allowed, 1.0);
+  }
+  const double rate = allowed / hosts;
+  aUpstream.coldTokens_ =
+    std::min(1.0, aUpstream.coldTokens_ + rate * Seconds(now - aUpstream.coldTick_));
+  aUpstream.coldTick_ = now;
+  return aUpstream.coldTokens_ >= 1.0;
+}
+
+double
+UpstreamTable::ScoreOf(const Upstream& aUpstream) const
+{
+  const double load =
+    static_cast<double>(aUpstream.running_ + aUpstream.peersRunning_ + 1) / aUpstream.entry_.slots_;
+  return load * (1.0 + aUpstream.latencyAverage_) + kFailurePenalty * aUpstream.failureAverage_ +
+         (aUpstream.entry_.dataCentre_ == dataCentre_ ? 0.0 : kOtherCentrePenalty);
+}
+
+std::optional<std::int64_t>
+UpstreamTable::VersionAt(const Upstream& aUpstream,
+                         std::string_view aModel,
+                         std::string_view aAdapter)
+{
+  for (const auto& model : aUpstream.entry_.models_) {
+    if (model.name_ != aModel) {
+      continue;
+    }
+    if (aAdapter.empty()) {
+      return 0;
+    }
+    for (const auto& adapter : model.adapters_) {
+      if (adapter.name_ == aAdapter) {
+        return adapter.version_;
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<UpstreamId>
+UpstreamTable::HomeFor(const UpstreamNeed& aNeed) const
+{
+  const std::string key = std::string(aNeed.model_) + "/" + std::string(aNeed.adapter_);
+  const Upstream* best = nullptr;
+  std::pair<int, std::uint64_t> bestRank{ -1, 0 };
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.entry_.service_ != aNeed.service_ || !IsUsable(upstream) ||
+        (aNeed.tried_ != nullptr && aNeed.tried_->contains(id)) ||
+        (aNeed.notLoading_ != nullptr && aNeed.notLoading_->contains(id))) {
+      continue;
+    }
+    const auto version = VersionAt(upstream, aNeed.model_, aNeed.adapter_);
+    if (version && *version >= aNeed.minVersion_) {
+      continue;
+    }
+    // An engine without the model needs seconds to load it; one that holds an old version waits
+    // for the runs of that version. Both come after the others.
+    const bool hasModel = VersionAt(upstream, aNeed.model_, {}).has_value();
+    const bool isCold = upstream.coldUntil_ > clock_.Now();
+    const int tier = (hasModel ? 4 : 0) + (version ? 0 : 2) + (isCold ? 0 : 1);
+    const std::pair<int, std::uint64_t> rank{ tier, RendezvousWeight(id.Value(), key) };
+    if (best == nullptr || rank > bestRank) {
+      best = &upstream;
+      bestRank = rank;
+    }
+  }
+  return best == nullptr ? std::nullopt : std::optional(best->entry_.id_);
+}
+
+UpstreamChoice
+UpstreamTable::Choose(const UpstreamNeed& aNeed)
+{
+  UpstreamChoice choice;
+  double bestScore = std::numeric_limits<double>::max();
+  bool isResident = false;
+  double residentLoad = 1.0;
+  double leastLoad = 1.0;
+  for (auto& [id, upstream] : upstreams_) {
+    if (upstream.entry_.service_ != aNeed.service_) {
+      continue;
+    }
+    if (!IsUsable(upstream)) {
+      continue;
+    }
+    if (aNeed.tried_ != nullptr && aNeed.tried_->contains(id)) {
+      continue;
+    }
+    choice.isAnyUntried_ = true;
+    const double load =
+      static_cast<double>(upstream.running_ + upstream.peersRunning_) / upstream.entry_.slots_;
+    leastLoad = std::min(leastLoad, load);
+    std::int64_t version = 0;
+    if (!aNeed.model_.empty()) {
+      const auto at = VersionAt(upstream, aNeed.model_, aNeed.adapter_);
+      if (!at || *at < aNeed.minVersion_) {
+        continue;
+      }
+      version = *at;
+      isResident = true;
+      residentLoad = std::min(residentLoad, load);
+    }
+    if (!HasPlace(upstream) || !MayUseCold(upstream)) {
+      continue;
+    }
+    const double score = ScoreOf(upstream);
+    if (score < bestScore) {
+      bestScore = score;
+      choice.upstream_ = &upstream;
+      choice.adapterVersion_ = version;
+    }
+  }
+  const bool wantsCopy = residentLoad > kCopyAbove && leastLoad < kCopyBelow;
+  if (!aNeed.model_.empty() && (!isResident || wantsCopy)) {
+    choice.loadAt_ = HomeFor(aNeed);
+  }
+  return choice;
+}
+
+void
+UpstreamTable::OnSent(const UpstreamId& aId)
+{
+  if (auto* upstream = Find(aId)) {
+    ++upstream->running_;
+    if (upstream->coldUntil_ > clock_.Now()) {
+      upstream->coldTokens_ = std::max(0.0, upstream->coldTokens_ - 1.0);
+    }
+  }
+}
+
+void
+UpstreamTable::OnEnded(const UpstreamId& aId, AttemptHealth aHealth, Duration aFirstByte)
+{
+  auto* upstream = Find(aId);
+  if (upstream == nullptr) {
+    return;
+  }
+  upstream->running_ -= upstream->running_ > 0 ? 1 : 0;
+  const bool isFailure = aHealth == AttemptHealth::Failed || aHealth == AttemptHealth::Unreachable;
+  upstream->failureAverage_ +=
+    kFailureWeight * ((isFailure ? 1.0 : 0.0) - upstream->failureAverage_);
+  if (aFirstByte > Duration::zero()) {
+    upstream->latencyAverage_ += kLatencyWeight * (Seconds(aFirstByte) - upstream->latencyAverage_);
+  }
+  if (aHealth != AttemptHealth::Unreachable) {
+    upstream->failures_ = 0;
+    return;
+  }
+  if (++upstream->failures_ >= kFailuresToAvoid) {
+    const auto doublings = std::min<std::uint32_t>(upstream->failures_ - kFailuresToAvoid, 5);
+    upstream->pausedUntil_ = clock_.Now() + std::min(kFirstPause * (1 << doublings), kLongestPause);
+  }
+}
+
+void
+UpstreamTable::OnLacking(const UpstreamId& aId, std::string_view aModel, std::string_view aAdapter)
+{
+  auto* upstream = Find(aId);
+  if (upstream == nullptr) {
+    return;
+  }
+  for (auto& model : upstream->entry_.models_) {
+    if (model.name_ == aModel) {
+      std::erase_if(model.adapters_,
+                    [&](const ResidentAdapter& aEntry) { return aEntry.name_ == aAdapter; });
+    }
+  }
+  if (aAdapter.empty()) {
+    std::erase_if(upstream->entry_.models_,
+                  [&](const ResidentModel& aEntry) { return aEntry.name_ == aModel; });
+  }
+}
+
+void
+UpstreamTable::OnMisdirected(const UpstreamId& aId)
+{
+  if (auto* upstream = Find(aId)) {
+    upstream->isMissing_ = true;
+  }
+}
+
+void
+UpstreamTable::OnCold(const UpstreamId& aId, Duration aFor)
+{
+  if (auto* upstream = Find(aId)) {
+    upstream->coldUntil_ = clock_.Now() + aFor;
+  }
+}
+
+Upstream*
+UpstreamTable::Find(const UpstreamId& aId)
+{
+  const auto found = upstreams_.find(aId);
+  return found == upstreams_.end() ? nullptr : &found->second;
+}
+
+std::vector<PeerLoad>
+UpstreamTable::OwnLoad() const
+{
+  std::vector<PeerLoad> result;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.running_ > 0) {
+      result.push_back({ id, upstream.running_ });
+    }
+  }
+  return result;
+}
+
+std::uint32_t
+UpstreamTable::FreePlaces(const ServiceName& aService) const
+{
+  std::uint32_t places = 0;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.entry_.service_ == aService && IsUsable(upstream) && HasPlace(upstream)) {
+      places += upstream.entry_.slots_ - upstream.running_ - upstream.peersRunning_;
+    }
+  }
+  return places;
+}
+
+} // namespace laburnumweir
--- /dev/null
+++ b/src/gateway/caller_session.cpp
@@ -0,0 +1,496 @@
+/** @file caller_session.cpp HTTP connections of callers to a gateway. */
+#include "gateway/caller_session.h"
+
+#include "http/header_func.h"
+#include "logging/logging_func.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <vector>
+
+namespace laburnumweir {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using BoostError = boost::system::error_code;
+using SteadyClock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::size_t kHeadReadBytes = std::size_t{ 4 } << 10;
+constexpr std::size_t kBodyReadBytes = std::size_t{ 32 } << 10;
+// Bytes of further requests that are read while one is served; more wait in the kernel.
+constexpr std::size_t kPipelineBytes = std::size_t{ 64 } << 10;
+// Unsent bytes below which a sender may go on.
+constexpr std::size_t kSentBytes = std::size_t{ 64 } << 10;
+// Granularity of the time limits of connections, which are some seconds long.
+constexpr std::chrono::milliseconds kSweepInterval{ 250 };
+// Accepting fails without a free descriptor; trying again at once would spin.
+constexpr std::chrono::milliseconds kAcceptDelay{ 50 };
+
+} // namespace
+
+std::string
+AnswerHeadText(unsigned aStatus, std::string_view aReason, const http::fields& aFields)
+{
+  std::string text = "HTTP/1.1 " + std::to_string(aStatus) + " ";
+  if (aReason.empty()) {
+    const auto reason = http::obsolete_reason(http::int_to_status(aStatus));
+    text.append(reason.data(), reason.size());
+  } else {
+    text.append(aReason);
+  }
+  text += "\r\n";
+  for (const auto& field : aFields) {
+    text.append(field.name_string().data(), field.name_string().size()).append(": ");
+    text.append(field.value().data(), field.value().size()).append("\r\n");
+  }
+  text += "\r\n";
+  return text;
+}
+
+/** One connection. It answers one request at a time. */
+class CallerSession
+  : public AnswerStream
+  , public std::enable_shared_from_this<CallerSession>
+{
+public:
+  CallerSession(HttpListener& aListener, tcp::socket aSocket)
+    : listener_(aListener)
+    , socket_(std::move(aSocket))
+    , since_(SteadyClock::now())
+  {
+  }
+
+  void Start()
+  {
+    BoostError ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    Read();
+  }
+
+  bool IsBusy() const { return phase_ != Phase::Idle && phase_ != Phase::Closed; }
+
+  /** Applies the time limits. */
+  void Check(SteadyClock::time_point aNow)
+  {
+    const auto& limits = listener_.limits_;
+    if (phase_ == Phase::Idle && aNow - since_ > limits.idleTimeout_) {
+      Close();
+    } else if ((phase_ == Phase::Head || phase_ == Phase::Body) &&
+               aNow - since_ > limits.headTimeout_) {
+      Refuse(408);
+    }
+  }
+
+  void Close()
+  {
+    if (phase_ == Phase::Closed) {
+      return;
+    }
+    const bool isAnswering = phase_ == Phase::Answering;
+    phase_ = Phase::Closed;
+    BoostError ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    socket_.close(ignored);
+    sent_ = nullptr;
+    auto gone = std::exchange(gone_, nullptr);
+    listener_.sessions_.erase(shared_from_this());
+    if (isAnswering && gone) {
+      gone();
+    }
+  }
+
+  void Begin(unsigned aStatus,
+             std::string_view aReason,
+             const http::fields& aFields,
+             std::optional<std::uint64_t> aLength) override
+  {
+    if (phase_ != Phase::Answering || isBegun_) {
+      return;
+    }
+    isBegun_ = true;
+    mustClose_ = mustClose_ || listener_.isDraining_;
+    const bool isBodiless = isHead_ || aStatus == 204 || aStatus == 304;
+    isChunked_ = !isBodiless && !aLength && isHttp11_;
+    mustClose_ = mustClose_ || (!isBodiless && !aLength && !isHttp11_);
+    isBodiless_ = isBodiless;
+    remaining_ = aLength;
+    http::fields fields;
+    const std::string connection(aFields[http::field::connection]);
+    for (const auto& field : aFields) {
+      const std::string_view name(field.name_string().data(), field.name_string().size());
+      if (!IsHopByHop(name, connection) && field.name() != http::field::content_length) {
+        fields.insert(field.name_string(), field.value());
+      }
+    }
+    if (isChunked_) {
+      fields.set(http::field::transfer_encoding, "chunked");
+    } else if (aLength) {
+      fields.set(http::field::content_length, std::to_string(*aLength));
+    }
+    if (mustClose_) {
+      fields.set(http::field::connection, "close");
+    } else {
+      const auto idle =
+        std::chrono::duration_cast<std::chrono::seconds>(listener_.limits_.idleTimeout_);
+      fields.set(http::field::keep_alive, "timeout=" + std::to_string(idle.count()));
+    }
+    queued_ += AnswerHeadText(aStatus, aReason, fields);
+    Write();
+  }
+
+  void Data(std::string_view aBytes) override
+  {
+    if (phase_ != Phase::Answering || !isBegun_ || isBodiless_ || aBytes.empty()) {
+      return;
+    }
+    if (isChunked_) {
+      std::array<char, 16> size{};
+      const int digits = std::snprintf(size.data(), size.size(), "%zx\r\n", aBytes.size());
+      queued_.append(size.data(), static_cast<std::size_t>(digits)).append(aBytes).append("\r\n");
+    } else {
+      if (remaining_ && aBytes.size() > *remaining_) {
+        // More than was announced would be read as the start of another answer.
+        Close();
+        return;
+      }
+      if (remaining_) {
+        *remaining_ -= aBytes.size();
+      }
+      queued_.append(aBytes);
+    }
+    Write();
+  }
+
+  void End() override
+  {
+    if (phase_ != Phase::Answering || !isBegun_) {
+      return;
+    }
+    if (!isBodiless_ && remaining_ && *remaining_ > 0) {
+      Close();
+      return;
+    }
+    if (isChunked_) {
+      queued_ += "0\r\n\r\n";
+    }
+    gone_ = nullptr;
+    sent_ = nullptr;
+    isEnded_ = true;
+    Write();
+  }
+
+  void Abort() override
+  {
+    if (phase_ == Phase::Answering) {
+      gone_ = nullptr;
+      if (!isChunked_ && !remaining_) {
+        // Without chunks or a length, only a reset tells the caller that bytes are missing.
+        BoostError ignored;
+        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+      }
+      Close();
+    }
+  }
+
+  std::size_t UnsentBytes() const override { return queued_.size() + writing_.size(); }
+  void NotifyWhenSent(std::function<void()> aFunction) override { sent_ = std::move(aFunction); }
+  void NotifyWhenGone(std::function<void()> aFunction) override { gone_ = std::move(aFunction); }
+
+private:
+  enum class Phase : std::uint8_t
+  {
+    Idle,      ///< Waits for a request.
+    Head,      ///< Reads a head.
+    Body,      ///< Reads a body.
+    Answering, ///< A request is served.
+    Closed     ///< The end.
+  };
+
+  using Parser = http::request_parser<http::string_body>;
+
+  void Read()
+  {
+    const std::size_t room = phase_ == Phase::Body ? kBodyReadBytes : kHeadReadBytes;
+    if (isReading_ || phase_ == Phase::Closed ||
+        (phase_ == Phase::Answering && buffer_.size() >= kPipelineBytes)) {
+      return;
+    }
+    isReading_ = true;
+    socket_.async_read_some(buffer_.prepare(room),
+                            [self = shared_from_this()](BoostError aError, std::size_t aBytes) {
+                              self->isReading_ = false;
+                              self->buffer_.commit(aBytes);
+                              if (aError) {
+                                self->Close();
+                                return;
+                              }
+                              self->OnInput();
+                            });
+  }
+
+  void OnInput()
+  {
+    if (phase_ == Phase::Answering || phase_ == Phase::Closed) {
+      Read();
+      return;
+    }
+    if (phase_ == Phase::Idle && buffer_.size() > 0) {
+      BeginRequest();
+    }
+    if (phase_ != Phase::Idle) {
+      Parse();
+    } else {
+      Read();
+    }
+  }
+
+  void BeginRequest()
+  {
+    phase_ = Phase::Head;
+    since_ = SteadyClock::now();
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->header_limit(static_cast<std::uint32_t>(listener_.limits_.maxHeadBytes_));
+    parser_->body_limit(listener_.limits_.maxBodyBytes_);
+    isBegun_ = isEnded_ = isHead_ = isChunked_ = isBodiless_ = mustClose_ = false;
+    isHttp11_ = true;
+    remaining_.reset();
+  }
+
+  void Parse()
+  {
+    while (buffer_.size() > 0 && !parser_->is_done()) {
+      BoostError error;
+      buffer_.consume(parser_->put(buffer_.data(), error));
+      if (error == http::error::need_more) {
+        break;
+      }
+      if (error) {
+        Refuse(error == http::error::header_limit ? 431
+               : error == http::error::body_limit ? 413
+                                                  : 400);
+        return;
+      }
+    }
+    if (phase_ == Phase::Head && parser_->is_header_done()) {
+      phase_ = Phase::Body;
+      since_ = SteadyClock::now();
+      if (!parser_->is_done() &&
+          EqualsIgnoreCase(std::string(parser_->get()[http::field::expect]), "100-continue")) {
+        queued_ += "HTTP/1.1 100 Continue\r\n\r\n";
+        Write();
+      }
+    }
+    if (parser_->is_done()) {
+      OnRequest();
+    } else {
+      Read();
+    }
+  }
+
+  /** Answers a request that cannot be read, and ends the connection. */
+  void Refuse(unsigned aStatus)
+  {
+    LogEvent(LogLevel::Info, "request_unreadable", { { "status", std::to_string(aStatus) } });
+    phase_ = Phase::Answering;
+    mustClose_ = true;
+    http::fields fields;
+    Begin(aStatus, {}, fields, 0);
+    End();
+  }
+
+  void OnRequest()
+  {
+    phase_ = Phase::Answering;
+    auto request = parser_->release();
+    parser_.reset();
+    isHttp11_ = request.version() >= 11;
+    isHead_ = request.method() == http::verb::head;
+    mustClose_ = !request.keep_alive();
+    Read(); // notices when the caller goes away
+    listener_.handler_.OnRequest(std::move(request), shared_from_this());
+  }
+
+  void Write()
+  {
+    if (isWriting_ || phase_ == Phase::Closed) {
+      return;
+    }
+    if (queued_.empty()) {
+      if (isEnded_) {
+        FinishAnswer();
+      }
+      return;
+    }
+    isWriting_ = true;
+    writing_.clear();
+    std::swap(writing_, queued_);
+    asio::async_write(
+      socket_, asio::buffer(writing_), [self = shared_from_this()](BoostError aError, std::size_t) {
+        self->OnWritten(aError);
+      });
+  }
+
+  void OnWritten(BoostError aError)
+  {
+    isWriting_ = false;
+    writing_.clear();
+    if (aError) {
+      Close();
+      return;
+    }
+    Write();
+    if (sent_ && UnsentBytes() < kSentBytes) {
+      auto sent = std::exchange(sent_, nullptr);
+      sent();
+    }
+  }
+
+  void FinishAnswer()
+  {
+    isEnded_ = false;
+    if (mustClose_) {
+      Close();
+      return;
+    }
+    phase_ = Phase::Idle;
+    since_ = SteadyClock::now();
+    OnInput();
+  }
+
+  HttpListener& listener_;                 ///< Owner; outlives the session.
+  tcp::socket socket_;                     ///< Connection.
+  boost::beast::flat_buffer buffer_;       ///< Bytes read and not parsed.
+  std::optional<Parser> parser_;           ///< Request being read.
+  SteadyClock::time_point since_;          ///< Start of the phase, for its time limit.
+  std::string queued_;                     ///< Bytes to write next.
+  std::string writing_;                    ///< Bytes being written.
+  std::function<void()> sent_;             ///< Called when few bytes are unsent.
+  std::function<void()> gone_;             ///< Called when the caller goes away.
+  std::optional<std::uint64_t> remaining_; ///< Bytes of the body still to come, if announced.
+  Phase phase_ = Phase::Idle;              ///< What the connection does.
+  bool isReading_ = false;                 ///< A read is under way.
+  bool isWriting_ = false;                 ///< A write is under way.
+  bool isBegun_ = false;                   ///< The head of the answer was queued.
+  bool isEnded_ = false;                   ///< The answer is complete.
+  bool isHead_ = false;                    ///< The request is a HEAD request.
+  bool isHttp11_ = true;                   ///< The caller understands chunked bodies.
+  bool isChunked_ = false;                 ///< The answer's body is chunked.
+  bool isBodiless_ = false;                ///< The answer has no body.
+  bool mustClose_ = false;                 ///< The connection ends after this answer.
+};
+
+HttpListener::HttpListener(asio::io_context& aContext, HttpHandler& aHandler, SessionLimits aLimits)
+  : context_(aContext)
+  , handler_(aHandler)
+  , limits_(aLimits)
+  , acceptor_(aContext)
+  , timer_(aContext)
+{
+}
+
+HttpListener::~HttpListener()
+{
+  Stop();
+}
+
+std::error_code
+HttpListener::Listen(const Endpoint& aEndpoint)
+{
+  BoostError error;
+  const tcp::endpoint endpoint(asio::ip::make_address(aEndpoint.address_, error), aEndpoint.port_);
+  if (!error) {
+    acceptor_.open(endpoint.protocol(), error);
+  }
+  if (!error) {
+    acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor_.bind(endpoint, error);
+  }
+  if (!error) {
+    acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return error;
+  }
+  Accept();
+  Sweep();
+  return {};
+}
+
+void
+HttpListener::Accept()
+{
+  acceptor_.async_accept([this](BoostError aError, tcp::socket aSocket) {
+    if (isStopped_ || aError == asio::error::operation_aborted) {
+      return;
+    }
+    if (aError) {
+      auto delay = std::make_shared<asio::steady_timer>(context_, kAcceptDelay);
+      delay->async_wait([this, delay](BoostError aWaitError) {
+        if (!aWaitError && !isStopped_) {
+          Accept();
+        }
+      });
+      return;
+    }
+    if (sessions_.size() < limits_.maxSessions_) {
+      const auto session = std::make_shared<CallerSession>(*this, std::move(aSocket));
+      sessions_.insert(session);
+      session->Start();
+    } else {
+      LogEvent(
+        LogLevel::Warn, "connection_refused", { { "sessions", std::to_string(sessions_.size()) } });
+    }
+    Accept();
+  });
+}
+
+void
+HttpListener::Sweep()
+{
+  timer_.expires_after(kSweepInterval);
+  timer_.async_wait([this](BoostError aError) {
+    if (aError || isStopped_) {
+      return;
+    }
+    const auto now = SteadyClock::now();
+    const std::vector<std::shared_ptr<CallerSession>> sessions(sessions_.begin(), sessions_.end());
+    for (const auto& session : sessions) {
+      session->Check(now);
+    }
+    Sweep();
+  });
+}
+
+void
+HttpListener::Stop()
+{
+  if (isStopped_) {
+    return;
+  }
+  isStopped_ = true;
+  BoostError ignored;
+  acceptor_.close(ignored);
+  timer_.cancel();
+  const std::vector<std::shared_ptr<CallerSession>> sessions(sessions_.begin(), sessions_.end());
+  for (const auto& session : sessions) {
+    session->Close();
+  }
+}
+
+std::size_t
+HttpListener::BusySessions() const
+{
+  return static_cast<std::size_t>(std::count_if(
+    sessions_.begin(), sessions_.end(), [](const auto& aSession) { return aSession->IsBusy(); }));
+}
+
+} // namespace laburnumweir
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,486 @@
+/** @file gateway.cpp A host between callers and upstreams on the users' platform. */
+#include "gateway/gateway.h"
+
+#include "core/random_base.h"
+#include "core/system_clock.h"
+#include "gateway/gossip_service.h"
+#include "gateway/holder_service.h"
+#include "gateway/request_flow.h"
+#include "gateway/store_watch.h"
+#include "http/strand_scheduler.h"
+#include "logging/logging_func.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <random>
+#include <unordered_map>
+
+namespace laburnumweir {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using BoostError = boost::system::error_code;
+using std::chrono::milliseconds;
+
+namespace {
+
+// Waiting requests are tried this often besides each change, to repeat wants and apply time limits.
+constexpr Duration kPumpInterval = milliseconds(50);
+// Part of the revocation bound after which a host without proof asks not to get new connections.
+constexpr double kReadyProofShare = 0.5;
+// The balancer notices a host that is not ready after two checks a second apart.
+constexpr Duration kNoticeTime = milliseconds(2500);
+// Time kept back from the grace period to close what is left.
+constexpr Duration kGraceMargin = milliseconds(700);
+// Descriptors that are not for callers: files, the store, peers, engines.
+constexpr std::size_t kOtherDescriptors = 400;
+// Between looks at the settings file, which may change without a signal.
+constexpr Duration kReloadInterval = std::chrono::seconds(2);
+constexpr Duration kNotReadyRetryAfter = milliseconds(500);
+
+/** Answers requests for a page that this host itself provides. */
+class PageHandler : public HttpHandler
+{
+public:
+  using Page = std::function<std::pair<unsigned, std::string>(std::string_view aTarget)>;
+
+  explicit PageHandler(Page aPage)
+    : page_(std::move(aPage))
+  {
+  }
+  void OnRequest(HttpRequest aRequest, std::shared_ptr<AnswerStream> aAnswer) override
+  {
+    const auto target = aRequest.target();
+    const auto [status, body] = page_({ target.data(), target.size() });
+    http::fields fields;
+    fields.set(http::field::content_type, "text/plain");
+    aAnswer->Begin(status, {}, fields, body.size());
+    aAnswer->Data(body);
+    aAnswer->End();
+  }
+
+private:
+  Page page_; ///< Makes status and body.
+};
+
+class Gateway : public HttpHandler
+{
+public:
+  Gateway(asio::io_context& aContext, const GatewaySettings& aSettings, const GatewayPorts& aPorts)
+    : context_(aContext)
+    , settings_(aSettings)
+    , ports_(aPorts)
+    , scheduler_(aContext)
+    , random_(std::random_device()())
+    , life_(std::chrono::duration_cast<milliseconds>(clock_.WallNow().time_since_epoch()).count())
+    , fleet_(clock_, settings_.host_, settings_.dataCentre_)
+    , quota_(clock_)
+    , retries_(clock_, RetryBoundsOf(settings_.bounds_))
+    , queue_(clock_)
+    , peers_(clock_, settings_.host_)
+    , link_(aContext)
+    , flowContext_{ aContext,
+                    clock_,
+                    aPorts.codec_,
+                    fleet_,
+                    quota_,
+                    retries_,
+                    queue_,
+                    link_,
+                    metrics_,
+                    settings_.bounds_,
+                    [this](const auto& aEngine, const auto& aWant) {
+                      gossip_->Want(aEngine, aWant);
+                    },
+                    [this](const auto& aEngine, const auto& aModel, const auto& aAdapter) {
+                      gossip_->Used(aEngine, aModel, aAdapter);
+                    },
+                    [this] { SchedulePump(); },
+                    [this](WaitTicket aTicket, const std::shared_ptr<RequestFlow>& aFlow) {
+                      waiting_[aTicket] = aFlow;
+                    } }
+    , gossipLink_(aContext, [this](std::string_view aPayload) { gossip_->OnPayload(aPayload); })
+    , readyPage_([this](std::string_view) { return ReadyPage(); })
+    , metricsPage_([this](std::string_view) { return std::pair(200U, metrics_.Print()); })
+    , callers_(aContext, *this, CallerSessionLimits())
+    , readiness_(aContext, readyPage_, SessionLimits())
+    , metricsServer_(aContext, metricsPage_, SessionLimits())
+    , signals_(aContext, SIGTERM, SIGHUP, SIGINT)
+  {
+    gossip_ = std::make_shared<GossipService>(
+      fleet_, quota_, peers_, scheduler_, settings_.host_, settings_.gossip_, life_, [this] {
+        SchedulePump();
+      });
+    HolderSettings holder;
+    holder.member_ = HostId(settings_.host_.Value() + "#" + std::to_string(life_));
+    holder.host_ = settings_.host_;
+    holder.memberLife_ = std::max(holder.memberLife_, settings_.groupLifeMin_);
+    holder.lease_ = settings_.bounds_.lease_;
+    holder.partitions_ = settings_.groupPartitions_;
+    holder_ = std::make_shared<HolderService>(
+      ports_.store_,
+      ports_.engines_,
+      fleet_,
+      clock_,
+      scheduler_,
+      holder,
+      [this](const EngineResidency& aResidency) { gossip_->TellResidency(aResidency); });
+    WatchSettings watch;
+    watch.upstreamInterval_ = settings_.bounds_.drain_ / 5;
+    watch_ = std::make_shared<StoreWatch>(
+      ports_.store_, fleet_, clock_, scheduler_, watch, [this] { OnFleetChange(); });
+    gossip_->Connect(gossipLink_, *holder_);
+  }
+
+  bool Start()
+  {
+    LogEvent(LogLevel::Info,
+             "start",
+             { { "data_centre", settings_.dataCentre_.Value() },
+               { "life", std::to_string(life_) },
+               { "callers", std::to_string(settings_.callers_.port_) } });
+    for (const auto& [error, name] : {
+           std::pair(callers_.Listen(settings_.callers_), "callers"),
+           std::pair(readiness_.Listen(settings_.readiness_), "readiness"),
+           std::pair(metricsServer_.Listen(settings_.metrics_), "metrics"),
+           std::pair(gossipLink_.Open(settings_.gossip_), "gossip"),
+         }) {
+      if (error) {
+        LogEvent(
+          LogLevel::Error, "listen_failed", { { "address", name }, { "error", error.message() } });
+        return false;
+      }
+    }
+    metrics_.SetGauge("laburnumweir_gateway_sessions",
+                      [this] { return static_cast<double>(callers_.Sessions()); });
+    metrics_.SetGauge("laburnumweir_gateway_waiting_requests",
+                      [this] { return static_cast<double>(queue_.Size()); });
+    metrics_.SetGauge("laburnumweir_gateway_proof_age_seconds", [this] {
+      return std::chrono::duration<double>(
+               std::min<Duration>(fleet_.ProofAge(), std::chrono::hours(1)))
+        .count();
+    });
+    metrics_.SetGauge("laburnumweir_gateway_live_peers",
+                      [this] { return static_cast<double>(peers_.Live()); });
+    metrics_.SetGauge("laburnumweir_gateway_upstream_connects",
+                      [this] { return static_cast<double>(link_.Connects()); });
+    AwaitSignal();
+    watch_->Start();
+    holder_->Start();
+    gossip_->Start();
+    PublishHost();
+    ReadHosts();
+    RepeatWhileAlive(scheduler_, kPumpInterval, gossip_, [this] { OnTick(); });
+    RepeatWhileAlive(scheduler_, kReloadInterval, gossip_, [this] { Reload("interval"); });
+    return true;
+  }
+
+  void OnRequest(HttpRequest aRequest, std::shared_ptr<AnswerStream> aAnswer) override
+  {
+    AdmittedRequest admitted;
+    admitted.arrived_ = clock_.Now();
+    admitted.facts_ = ports_.codec_.ReadRequest(aRequest);
+    admitted.routes_ = fleet_.Routes();
+    if (!admitted.routes_ || !fleet_.HasUpstreams()) {
+      Refuse(*aAnswer, admitted, 503, "no_configuration", kNotReadyRetryAfter);
+      return;
+    }
+    const auto host = aRequest[http::field::host];
+    const auto target = aRequest.target();
+    admitted.route_ =
+      admitted.routes_->Find({ host.data(), host.size() }, { target.data(), target.size() });
+    if (admitted.route_ == nullptr) {
+      Refuse(*aAnswer, admitted, 404, "no_route", std::nullopt);
+      return;
+    }
+    if (admitted.routes_->NeedsKeys() && !admitted.route_->isOpen_) {
+      admitted.workspace_ = admitted.routes_->FindWorkspace(admitted.facts_.key_);
+      if (admitted.workspace_ == nullptr) {
+        Refuse(*aAnswer, admitted, 401, "key_unknown", std::nullopt);
+        return;
+      }
+    }
+    admitted.service_ = ChooseService(*admitted.route_, random_.Below(kDrawRange));
+    if (const auto* workspace = admitted.workspace_) {
+      admitted.tokens_ =
+        workspace->countsTokens_ ? admitted.facts_.tokens_.value_or(workspace->plainTokens_) : 1;
+      quota_.NoteDemand(*workspace, admitted.tokens_);
+      const auto wait = quota_.Take(*workspace, admitted.tokens_);
+      if (wait > Duration::zero()) {
+        Refuse(*aAnswer, admitted, 429, "over_quota", wait);
+        return;
+      }
+    }
+    retries_.OnRequest(admitted.service_);
+    admitted.message_ = std::move(aRequest);
+    std::make_shared<RequestFlow>(flowContext_, std::move(admitted), std::move(aAnswer))->Start();
+  }
+
+private:
+  static constexpr std::uint64_t kDrawRange = std::uint64_t{ 1 } << 32;
+
+  static RetryBounds RetryBoundsOf(const GatewayBounds& aBounds)
+  {
+    return { aBounds.retryRatio_, aBounds.retrySlack_, aBounds.retryWindow_ };
+  }
+
+  SessionLimits CallerSessionLimits() const
+  {
+    SessionLimits limits;
+    if (fleet_.Routes()) {
+      const auto& callers = fleet_.Routes()->Config().limits_;
+      limits.maxHeadBytes_ = callers.maxHeadBytes_;
+      limits.maxBodyBytes_ = callers.maxBodyBytes_;
+      limits.headTimeout_ = callers.headTimeout_;
+      limits.idleTimeout_ = callers.idleTimeout_;
+    }
+    // One half of the descriptors for callers, the other for upstreams.
+    limits.maxSessions_ = settings_.maxDescriptors_ > 2 * kOtherDescriptors
+                            ? (settings_.maxDescriptors_ - kOtherDescriptors) / 2
+                            : kOtherDescriptors / 2;
+    return limits;
+  }
+
+  void Refuse(AnswerStream& aAnswer,
+              const AdmittedRequest& aRequest,
+              unsigned aStatus,
+              std::string_view aWhy,
+              std::optional<Duration> aRetryAfter)
+  {
+    http::fields fields;
+    fields.set(http::field::content_type, "text/plain");
+    if (aRetryAfter) {
+      fields.set(http::field::retry_after,
+                 std::to_string(std::chrono::duration<double>(*aRetryAfter).count()));
+    }
+    ports_.codec_.MarkOwnAnswer(fields, aRequest.facts_.id_);
+    const std::string body = std::string(aWhy) + "\n";
+    aAnswer.Begin(aStatus, {}, fields, body.size());
+    aAnswer.Data(body);
+    aAnswer.End();
+    LogEvent(
+      LogLevel::Info,
+      "request_refused",
+      { { "id", aRequest.facts_.id_.Value() },
+        { "reason", std::string(aWhy) },
+        { "status", std::to_string(aStatus) },
+        { "route", aRequest.route_ == nullptr ? "" : aRequest.route_->name_ },
+        { "workspace", aRequest.workspace_ == nullptr ? "" : aRequest.workspace_->id_.Value() },
+        { "tokens", std::to_string(aRequest.tokens_) },
+        { "config",
+          aRequest.routes_ ? std::to_string(aRequest.routes_->Config().version_) : "none" },
+        { "proof_ms",
+          std::to_string(std::min<Duration>(fleet_.ProofAge(), std::chrono::hours(1)) /
+                         milliseconds(1)) } });
+    metrics_.GetCounter("laburnumweir_gateway_requests_total", "outcome", aWhy).Add();
+  }
+
+  std::pair<unsigned, std::string> ReadyPage()
+  {
+    std::string why;
+    if (isDraining_) {
+      why = "draining";
+    } else if (!fleet_.Routes() || !fleet_.HasUpstreams()) {
+      why = "no configuration";
+    } else if (fleet_.ProofAge() > std::chrono::duration_cast<Duration>(
+                                     kReadyProofShare * settings_.bounds_.revocation_)) {
+      why = "configuration not proven";
+    }
+    if (isReady_ != why.empty()) {
+      isReady_ = why.empty();
+      LogEvent(LogLevel::Info, isReady_ ? "ready" : "not_ready", { { "reason", why } });
+    }
+    return { why.empty() ? 200 : 503, why.empty() ? "ready\n" : why + "\n" };
+  }
+
+  void OnFleetChange()
+  {
+    callers_.SetLimits(CallerSessionLimits());
+    SchedulePump();
+  }
+
+  void SchedulePump()
+  {
+    if (isPumpPending_ || queue_.Size() == 0) {
+      return;
+    }
+    isPumpPending_ = true;
+    asio::post(context_, [this] {
+      isPumpPending_ = false;
+      Pump();
+    });
+  }
+
+  std::shared_ptr<RequestFlow> FindWaiting(WaitTicket aTicket)
+  {
+    const auto found = waiting_.find(aTicket);
+    return found == waiting_.end() ? nullptr : found->second;
+  }
+
+  /** Starts waiting requests for which a place has become free. */
+  void Pump()
+  {
+    for (const auto& service : queue_.Services()) {
+      for (const auto ticket : queue_.InOrder(service)) {
+        // Later requests may need another adapter, so each one is tried.
+        if (const auto flow = FindWaiting(ticket)) {
+          flow->TryStart();
+        }
+      }
+    }
+    for (const auto ticket : queue_.Hopeless()) {
+      if (const auto flow = FindWaiting(ticket)) {
+        flow->RefuseWaiting();
+      }
+    }
+    std::erase_if(waiting_, [this](const auto& aEntry) { return !queue_.Contains(aEntry.first); });
+  }
+
+  void OnTick()
+  {
+    if (queue_.Size() > 0 || !waiting_.empty()) {
+      Pump();
+    }
+    holder_->Tick();
+    if (isDraining_) {
+      CheckDrain();
+    }
+  }
+
+  void PublishHost()
+  {
+    ports_.store_.PublishHost(
+      { settings_.host_, settings_.gossip_ }, [this](std::error_code aError) {
+        if (aError) {
+          LogEvent(LogLevel::Warn, "host_not_published", { { "error", aError.message() } });
+          scheduler_.After(kNotReadyRetryAfter, [this] { PublishHost(); });
+        }
+      });
+  }
+
+  void ReadHosts()
+  {
+    ports_.store_.ReadHosts([this](std::error_code aError, const std::vector<HostRecord>& aHosts) {
+      if (aError) {
+        LogEvent(LogLevel::Warn, "hosts_not_read", { { "error", aError.message() } });
+        scheduler_.After(kNotReadyRetryAfter, [this] { ReadHosts(); });
+        return;
+      }
+      for (const auto& host : aHosts) {
+        peers_.OnRecorded(host.id_, host.gossip_);
+      }
+    });
+  }
+
+  void AwaitSignal()
+  {
+    signals_.async_wait([this](BoostError aError, int aSignal) {
+      if (aError) {
+        return;
+      }
+      if (aSignal == SIGHUP) {
+        Reload("signal");
+      } else if (!isDraining_) {
+        StartDrain();
+      } else {
+        Stop("second signal");
+      }
+      AwaitSignal();
+    });
+  }
+
+  void Reload(std::string_view aWhy)
+  {
+    const auto settings = ports_.reload_();
+    if (!settings) {
+      LogEvent(LogLevel::Warn, "settings_unusable", { { "trigger", std::string(aWhy) } });
+      return;
+    }
+    // Addresses and names belong to the life of the process; bounds may change.
+    settings_.bounds_ = settings->bounds_;
+    retries_.SetBounds(RetryBoundsOf(settings_.bounds_));
+    if (aWhy == "signal") {
+      LogEvent(LogLevel::Info, "reload", { { "trigger", std::string(aWhy) } });
+    }
+  }
+
+  void StartDrain()
+  {
+    isDraining_ = true;
+    drainStart_ = clock_.Now();
+    LogEvent(
+      LogLevel::Info, "drain_start", { { "sessions", std::to_string(callers_.Sessions()) } });
+    callers_.StartDrain();
+    holder_->Leave();
+  }
+
+  void CheckDrain()
+  {
+    const auto since = clock_.Now() - drainStart_;
+    const bool isQuiet = callers_.BusySessions() == 0;
+    if ((isQuiet && since > kNoticeTime) || since > settings_.bounds_.grace_ - kGraceMargin) {
+      Stop(isQuiet ? "drained" : "grace period over");
+    }
+  }
+
+  void Stop(std::string_view aWhy)
+  {
+    LogEvent(LogLevel::Info,
+             "stop",
+             { { "reason", std::string(aWhy) },
+               { "cut_requests", std::to_string(callers_.BusySessions()) } });
+    callers_.Stop();
+    readiness_.Stop();
+    metricsServer_.Stop();
+    gossipLink_.Close();
+    context_.stop();
+  }
+
+  asio::io_context& context_; ///< Runs everything.
+  GatewaySettings settings_;  ///< Settings.
+  GatewayPorts ports_;        ///< Adapters to the platform.
+  SystemClock clock_;         ///< Time source.
+  StrandScheduler scheduler_; ///< Delays.
+  SeededRandom random_;       ///< Choice of services.
+  const std::int64_t life_;   ///< Start of the process, Unix ms.
+  Metrics metrics_;           ///< Counters.
+  FleetState fleet_;          ///< Fleet.
+  QuotaShare quota_;          ///< Quotas.
+  RetryShare retries_;        ///< Retries.
+  WaitQueue queue_;           ///< Order of waiting requests.
+  PeerTable peers_;           ///< Peers.
+  UpstreamLink link_;         ///< Connections to upstreams.
+  FlowContext flowContext_;   ///< What flows share.
+  std::unordered_map<WaitTicket, std::shared_ptr<RequestFlow>> waiting_; ///< Waiting requests.
+  std::shared_ptr<GossipService> gossip_;                                ///< Gossip.
+  std::shared_ptr<HolderService> holder_;                                ///< Orders to engines.
+  std::shared_ptr<StoreWatch> watch_;                                    ///< Reads the store.
+  GossipLink gossipLink_;                                                ///< Datagrams.
+  PageHandler readyPage_;                                                ///< Readiness.
+  PageHandler metricsPage_;                                              ///< Metrics.
+  HttpListener callers_;                                                 ///< Callers.
+  HttpListener readiness_;                                               ///< Balancer.
+  HttpListener metricsServer_;                                           ///< Scrapers.
+  asio::signal_set signals_;                                             ///< SIGTERM, SIGHUP.
+  bool isPumpPending_ = false;                                           ///< Pump() was posted.
+  bool isReady_ = false;    ///< Last answer to the balancer.
+  bool isDraining_ = false; ///< SIGTERM came.
+  TimePoint drainStart_;    ///< When it came.
+};
+
+} // namespace
+
+bool
+RunGateway(asio::io_context& aContext, const GatewaySettings& aSettings, const GatewayPorts& aPorts)
+{
+  Gateway gateway(aContext, aSettings, aPorts);
+  if (!gateway.Start()) {
+    return false;
+  }
+  aContext.run();
+  return true;
+}
+
+} // namespace laburnumweir
--- /dev/null
+++ b/src/gateway/holder_service.cpp
@@ -0,0 +1,385 @@
+/** @file holder_service.cpp Orders to the engines that this host holds. */
+#include "gateway/holder_service.h"
+
+#include "logging/logging_func.h"
+
+#include <algorithm>
+
+namespace laburnumweir {
+
+namespace {
+
+// First report after an order. An adapter that the engine held recently is loaded by then, and the
+// report lags by about a tenth of a second.
+constexpr Duration kFirstReport = std::chrono::milliseconds(120);
+// Between further reports while adapters are on their way.
+constexpr Duration kReportInterval = std::chrono::milliseconds(100);
+// Part of the allowed loads of weights that is used; the rest covers loads that others started.
+constexpr double kWeightLoadShare = 0.8;
+// An accepted order that no report confirms within this time is given up and may be ordered again.
+constexpr Duration kOrderLife = std::chrono::seconds(15);
+
+std::string
+NameOf(OrderAnswer aAnswer)
+{
+  switch (aAnswer) {
+    case OrderAnswer::Accepted:
+      return "accepted";
+    case OrderAnswer::AlreadyDone:
+      return "already_done";
+    case OrderAnswer::Conflict:
+      return "conflict";
+    case OrderAnswer::Fenced:
+      return "fenced";
+    case OrderAnswer::OtherEngine:
+      return "other_engine";
+    case OrderAnswer::Invalid:
+      return "invalid";
+    case OrderAnswer::NoAnswer:
+      break;
+  }
+  return "no_answer";
+}
+
+ResidentModel*
+FindModel(UpstreamEntry& aEntry, const std::string& aName)
+{
+  const auto found =
+    std::find_if(aEntry.models_.begin(), aEntry.models_.end(), [&](const ResidentModel& aModel) {
+      return aModel.name_ == aName;
+    });
+  return found == aEntry.models_.end() ? nullptr : &*found;
+}
+
+/** Removes what an unload order names. */
+void
+RemoveResident(UpstreamEntry& aEntry, const EngineOrder& aOrder)
+{
+  if (aOrder.adapter_.empty()) {
+    std::erase_if(aEntry.models_,
+                  [&](const auto& aModel) { return aModel.name_ == aOrder.model_; });
+  } else if (auto* model = FindModel(aEntry, aOrder.model_)) {
+    std::erase_if(model->adapters_,
+                  [&](const auto& aAdapter) { return aAdapter.name_ == aOrder.adapter_; });
+  }
+}
+
+} // namespace
+
+HolderService::HolderService(FleetStore& aStore,
+                             EngineControl& aEngines,
+                             FleetState& aState,
+                             const Clock& aClock,
+                             Scheduler& aScheduler,
+                             HolderSettings aSettings,
+                             ResidencyCallback aOnResidency)
+  : store_(aStore)
+  , engineControl_(aEngines)
+  , state_(aState)
+  , clock_(aClock)
+  , scheduler_(aScheduler)
+  , settings_(std::move(aSettings))
+  , onResidency_(std::move(aOnResidency))
+  , lease_(aClock, settings_.memberLife_, settings_.lease_)
+  , weightLoadsAt_(aClock.Now())
+{
+}
+
+void
+HolderService::Start()
+{
+  Join();
+}
+
+void
+HolderService::Leave()
+{
+  isLeaving_ = true;
+  lease_.OnLost();
+  store_.LeaveGroup(settings_.member_, [](std::error_code aError) {
+    LogEvent(LogLevel::Info, "group_left", { { "error", aError ? aError.message() : "" } });
+  });
+}
+
+void
+HolderService::Join()
+{
+  if (isLeaving_) {
+    return;
+  }
+  const auto asked = clock_.Now();
+  store_.JoinGroup(
+    settings_.member_,
+    lease_.Token(),
+    settings_.memberLife_,
+    [weak = weak_from_this(), asked](std::error_code aError, const GroupMembership& aMembership) {
+      if (const auto self = weak.lock()) {
+        self->OnJoined(asked, aError, aMembership);
+      }
+    });
+}
+
+void
+HolderService::OnJoined(TimePoint aAsked,
+                        std::error_code aError,
+                        const GroupMembership& aMembership)
+{
+  if (isLeaving_) {
+    return;
+  }
+  if (isJoined_ != !aError) {
+    isJoined_ = !aError;
+    LogEvent(isJoined_ ? LogLevel::Info : LogLevel::Warn,
+             isJoined_ ? "group_joined" : "group_lost",
+             { { "error", aError ? aError.message() : "" } });
+  }
+  if (aError == make_error_code(StoreError::NotMember)) {
+    lease_.OnLost();
+  }
+  if (!aError && lease_.OnMembership(aAsked, aMembership)) {
+    std::string partitions;
+    for (const auto partition : aMembership.partitions_) {
+      partitions += (partitions.empty() ? "" : ",") + std::to_string(partition);
+    }
+    LogEvent(
+      LogLevel::Info,
+      "partitions_held",
+      { { "generation", std::to_string(aMembership.generation_) }, { "partitions", partitions } });
+  }
+  scheduler_.After(settings_.joinInterval_, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->Join();
+    }
+  });
+}
+
+std::uint32_t
+HolderService::PartitionOfEngine(const UpstreamId& aEngine) const
+{
+  return PartitionOf(aEngine, settings_.partitions_);
+}
+
+void
+HolderService::Want(const UpstreamId& aEngine, const AdapterWant& aWant)
+{
+  auto& engine = engines_.try_emplace(aEngine, clock_).first->second;
+  engine.orders_.Want(aWant);
+  TickEngine(aEngine, engine);
+}
+
+void
+HolderService::Used(const UpstreamId& aEngine,
+                    const std::string& aModel,
+                    const std::string& aAdapter)
+{
+  engines_.try_emplace(aEngine, clock_).first->second.orders_.Used(aModel, aAdapter);
+}
+
+void
+HolderService::Tick()
+{
+  for (const auto& [id, upstream] : state_.Upstreams().All()) {
+    // An empty engine gets a model although nothing asks for it.
+    if (upstream.entry_.listsModels_ && upstream.entry_.models_.empty()) {
+      engines_.try_emplace(id, clock_);
+    }
+  }
+  std::erase_if(
+    engines_, [this](auto& aEngine) { return state_.Upstreams().Find(aEngine.first) == nullptr; });
+  for (auto& [id, engine] : engines_) {
+    TickEngine(id, engine);
+  }
+}
+
+bool
+HolderService::MayLoadWeights(const EngineSpec& aSpec)
+{
+  const auto now = clock_.Now();
+  if (aSpec.loadsPerSecond_ <= 0) {
+    return true;
+  }
+  const double rate = aSpec.loadsPerSecond_ * kWeightLoadShare / static_cast<double>(hosts_);
+  weightLoads_ = std::min(
+    1.0, weightLoads_ + rate * std::chrono::duration<double>(now - weightLoadsAt_).count());
+  weightLoadsAt_ = now;
+  return weightLoads_ >= 1.0;
+}
+
+void
+HolderService::TickEngine(const UpstreamId& aId, Engine& aEngine)
+{
+  auto* upstream = state_.Upstreams().Find(aId);
+  if (upstream == nullptr || !state_.Routes() || isLeaving_ ||
+      !lease_.MayOrder(PartitionOfEngine(aId)) || upstream->entry_.isDraining_ ||
+      upstream->isMissing_) {
+    return;
+  }
+  const auto* service = state_.Routes()->FindService(upstream->entry_.service_);
+  if (service == nullptr || !service->engine_ || aEngine.isCalling_ ||
+      (aEngine.fencedToken_ && *aEngine.fencedToken_ >= lease_.Token())) {
+    return;
+  }
+  if (aEngine.startedAt_ != upstream->entry_.startedAt_) {
+    aEngine.startedAt_ = upstream->entry_.startedAt_;
+    aEngine.orders_.OnRestart();
+    // An entry may be older than orders of the holder before.
+    aEngine.mustReport_ = true;
+  }
+  const auto now = clock_.Now();
+  if (aEngine.mustReport_ || !aEngine.orders_.Pending().empty()) {
+    if (now >= aEngine.nextReport_) {
+      SendReport(aId);
+      return;
+    }
+    if (aEngine.mustReport_) {
+      return;
+    }
+  }
+  const auto order = aEngine.orders_.Next(*service->engine_, upstream->entry_);
+  if (!order) {
+    return;
+  }
+  if (order->kind_ == OrderKind::Load && order->adapter_.empty()) {
+    if (!MayLoadWeights(*service->engine_)) {
+      return;
+    }
+    weightLoads_ -= 1.0;
+  }
+  SendOrder(aId, *order);
+}
+
+void
+HolderService::SendOrder(const UpstreamId& aId, const EngineOrder& aOrder)
+{
+  const auto& entry = state_.Upstreams().Find(aId)->entry_;
+  engines_.at(aId).isCalling_ = true;
+  engineControl_.Send(
+    { aOrder, aId, entry.endpoint_, settings_.host_, lease_.Token(), entry.orders_ },
+    [weak = weak_from_this(), aId, aOrder](OrderAnswer aAnswer) {
+      if (const auto self = weak.lock()) {
+        self->OnOrderAnswer(aId, aOrder, aAnswer);
+      }
+    });
+}
+
+void
+HolderService::OnOrderAnswer(const UpstreamId& aId, const EngineOrder& aOrder, OrderAnswer aAnswer)
+{
+  const auto found = engines_.find(aId);
+  auto* upstream = state_.Upstreams().Find(aId);
+  if (found == engines_.end() || upstream == nullptr) {
+    return;
+  }
+  auto& engine = found->second;
+  engine.isCalling_ = false;
+  LogEvent(LogLevel::Info,
+           "engine_order",
+           { { "engine", aId.Value() },
+             { "order", aOrder.kind_ == OrderKind::Load ? "load" : "unload" },
+             { "adapter", aOrder.model_ + "/" + aOrder.adapter_ },
+             { "version", std::to_string(aOrder.version_) },
+             { "token", std::to_string(lease_.Token()) },
+             { "orders", std::to_string(upstream->entry_.orders_) },
+             { "answer", NameOf(aAnswer) } });
+  const auto now = clock_.Now();
+  switch (aAnswer) {
+    case OrderAnswer::Accepted:
+    case OrderAnswer::AlreadyDone:
+      if (aOrder.kind_ == OrderKind::Unload) {
+        ++upstream->entry_.orders_;
+        RemoveResident(upstream->entry_, aOrder);
+        Publish(*upstream);
+      } else if (aAnswer == OrderAnswer::Accepted) {
+        ++upstream->entry_.orders_;
+        engine.orders_.OnAccepted(aOrder);
+        engine.nextReport_ = now + kFirstReport;
+      } else {
+        // It holds already, so what is known of the engine is out of date.
+        engine.mustReport_ = true;
+        engine.nextReport_ = now;
+      }
+      break;
+    case OrderAnswer::Fenced:
+      engine.fencedToken_ = lease_.Token();
+      break;
+    case OrderAnswer::OtherEngine:
+      state_.Upstreams().OnMisdirected(aId);
+      break;
+    case OrderAnswer::Conflict:
+    case OrderAnswer::Invalid:
+    case OrderAnswer::NoAnswer:
+      engine.mustReport_ = true;
+      engine.nextReport_ = now + kReportInterval;
+      break;
+  }
+  TickEngine(aId, engine);
+}
+
+void
+HolderService::SendReport(const UpstreamId& aId)
+{
+  const auto& entry = state_.Upstreams().Find(aId)->entry_;
+  engines_.at(aId).isCalling_ = true;
+  engineControl_.Report(entry.endpoint_,
+                        [weak = weak_from_this(), aId](bool aWasRead, const EngineReport& aReport) {
+                          if (const auto self = weak.lock()) {
+                            self->OnReport(aId, aWasRead, aReport);
+                          }
+                        });
+}
+
+void
+HolderService::OnReport(const UpstreamId& aId, bool aWasRead, const EngineReport& aReport)
+{
+  const auto found = engines_.find(aId);
+  auto* upstream = state_.Upstreams().Find(aId);
+  if (found == engines_.end() || upstream == nullptr) {
+    return;
+  }
+  auto& engine = found->second;
+  const auto now = clock_.Now();
+  engine.isCalling_ = false;
+  engine.nextReport_ = now + kReportInterval;
+  if (!aWasRead) {
+    LogEvent(LogLevel::Info, "engine_report_lost", { { "engine", aId.Value() } });
+    return;
+  }
+  auto& entry = upstream->entry_;
+  if (aReport.startedAt_ != 0 && aReport.startedAt_ != entry.startedAt_) {
+    return; // the entry of its new life comes with its next heartbeat
+  }
+  if (aReport.orders_ < entry.orders_) {
+    return; // taken before the last order
+  }
+  entry.orders_ = aReport.orders_;
+  engine.mustReport_ = false;
+  entry.models_ = aReport.models_;
+  std::vector<EngineOrder> finished;
+  for (const auto& [order, since] : engine.orders_.Pending()) {
+    const bool isLoading =
+      order.adapter_.empty()
+        ? aReport.isBusy_
+        : std::any_of(aReport.loading_.begin(),
+                      aReport.loading_.end(),
+                      [&key = order](const EngineOrder& aLoading) {
+                        return aLoading.model_ == key.model_ && aLoading.adapter_ == key.adapter_;
+                      });
+    if (!isLoading || now - since > kOrderLife) {
+      finished.push_back(order);
+    }
+  }
+  for (const auto& order : finished) {
+    engine.orders_.OnFinished(order);
+  }
+  Publish(*upstream);
+  TickEngine(aId, engine);
+}
+
+void
+HolderService::Publish(const Upstream& aUpstream)
+{
+  const auto& entry = aUpstream.entry_;
+  onResidency_({ entry.id_, entry.startedAt_, entry.orders_, entry.models_ });
+}
+
+} // namespace laburnumweir
--- /dev/null
+++ b/src/gateway/request_flow.cpp
@@ -0,0 +1,704 @@
+/** @file request_flow.cpp The path of one request through a gateway. */
+#include "gateway/request_flow.h"
+
+#include "logging/logging_func.h"
+#include "table/fleet_const.h"
+
+#include <algorithm>
+#include <array>
+
+namespace laburnumweir {
+
+namespace http = boost::beast::http;
+using BoostError = boost::system::error_code;
+using std::chrono::milliseconds;
+
+namespace {
+
+// A connection within the deployment takes a few milliseconds; a lost packet is sent again after a
+// second, which another upstream beats.
+constexpr Duration kConnectLimit = milliseconds(250);
+// After the deadline the upstream's own answer may still be on its way.
+constexpr Duration kDeadlineGrace = milliseconds(80);
+// Least time in which an upstream can answer; a request with less left is not sent.
+constexpr Duration kLeastAnswerTime = milliseconds(40);
+constexpr Duration kLeastStreamTime = milliseconds(200);
+// An upstream without a first byte after this multiple of the target latency is taken as silent.
+constexpr int kSilentTargets = 3;
+constexpr Duration kLeastSilence = milliseconds(400);
+// A resumable stream goes on elsewhere after a pause of this multiple of the target pause.
+constexpr int kSilentPauses = 5;
+constexpr Duration kLeastStreamSilence = milliseconds(1200);
+// A want is told again at this interval, since datagrams may be lost.
+constexpr Duration kWantInterval = milliseconds(150);
+// An engine that has not loaded an adapter after this time is not waited for any longer.
+constexpr Duration kLoadPatience = milliseconds(1000);
+// Retry-After when the wait cannot be estimated.
+constexpr Duration kDefaultRetryAfter = milliseconds(300);
+// Answers up to this size are checked as a whole before they are passed on.
+constexpr std::size_t kHoldBytes = std::size_t{ 256 } << 10;
+// Unsent bytes of a slow caller at which reading from the upstream pauses.
+constexpr std::size_t kMaxUnsentBytes = std::size_t{ 256 } << 10;
+// Ranks of routes within one rank of workspaces; engines know ten ranks in all.
+constexpr std::uint32_t kRouteRanks = 4;
+constexpr std::uint32_t kLastEngineRank = 9;
+// Clock errors and the way of the last message; part of the revocation bound.
+constexpr Duration kRevocationMargin = milliseconds(700);
+
+std::int64_t
+Milliseconds(Duration aDuration)
+{
+  return std::chrono::duration_cast<milliseconds>(aDuration).count();
+}
+
+} // namespace
+
+RequestFlow::RequestFlow(FlowContext& aContext,
+                         AdmittedRequest aRequest,
+                         std::shared_ptr<AnswerStream> aAnswer)
+  : context_(aContext)
+  , admitted_(std::move(aRequest))
+  , answer_(std::move(aAnswer))
+  , timer_(aContext.context_)
+{
+  const auto& route = *admitted_.route_;
+  Duration patience = std::chrono::hours(1);
+  if (admitted_.facts_.patience_) {
+    patience = *admitted_.facts_.patience_;
+  }
+  if (route.timeout_.count() > 0) {
+    patience = std::min<Duration>(patience, route.timeout_);
+  }
+  deadline_ = admitted_.arrived_ + patience;
+}
+
+void
+RequestFlow::Start()
+{
+  answer_->NotifyWhenGone([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->OnGone();
+    }
+  });
+  if (!TryStart() && answer_) {
+    Wait();
+  }
+  ArmTimer();
+}
+
+bool
+RequestFlow::MayRepeat() const
+{
+  return admitted_.route_->repeat_ == RepeatRule::Repeatable ||
+         (IsStream() && admitted_.route_->isResumable_);
+}
+
+std::uint32_t
+RequestFlow::Rank() const
+{
+  const auto workspace = admitted_.workspace_ == nullptr ? 0 : admitted_.workspace_->priority_;
+  return workspace * kRouteRanks + std::min(admitted_.route_->priority_, kRouteRanks - 1);
+}
+
+bool
+RequestFlow::IsProofTooOld() const
+{
+  return context_.bounds_.isRevocationStrict_ && admitted_.workspace_ != nullptr &&
+         context_.fleet_.ProofAge() > context_.bounds_.revocation_ - kRevocationMargin;
+}
+
+UpstreamChoice
+RequestFlow::ChooseUpstream()
+{
+  const auto& facts = admitted_.facts_;
+  const auto* service = admitted_.routes_->FindService(admitted_.service_);
+  const bool isEngine = service != nullptr && service->engine_.has_value();
+  UpstreamNeed need;
+  need.service_ = admitted_.service_;
+  if (isEngine) {
+    need.model_ = facts.model_;
+    need.adapter_ = facts.adapter_;
+  }
+  need.tried_ = &tried_;
+  need.notLoading_ = &notLoading_;
+  const auto* release =
+    facts.adapter_.empty() ? nullptr : context_.fleet_.FindRelease(facts.model_, facts.adapter_);
+  need.minVersion_ = release == nullptr ? 0 : release->version_;
+  auto choice = context_.fleet_.Upstreams().Choose(need);
+  const auto now = context_.clock_.Now();
+  if (choice.loadAt_) {
+    if (loadingAt_ != choice.loadAt_) {
+      loadingAt_ = choice.loadAt_;
+      loadAskedAt_ = now;
+      loadRepeatedAt_ = {};
+    }
+    if (now - loadRepeatedAt_ >= kWantInterval) {
+      loadRepeatedAt_ = now;
+      context_.want_(*choice.loadAt_, { facts.model_, facts.adapter_, need.minVersion_ });
+    }
+    if (now - loadAskedAt_ > kLoadPatience) {
+      notLoading_.insert(*choice.loadAt_);
+    }
+  } else if (!notLoading_.empty() && choice.upstream_ == nullptr) {
+    notLoading_.clear();
+  }
+  if (choice.upstream_ == nullptr && release != nullptr &&
+      now - release->learned_ < kOldVersionGrace) {
+    need.minVersion_ = 0;
+    const auto older = context_.fleet_.Upstreams().Choose(need);
+    choice.upstream_ = older.upstream_;
+    choice.adapterVersion_ = 0; // the engine may get the new one at any moment
+  } else if (release == nullptr) {
+    choice.adapterVersion_ = 0;
+  }
+  return choice;
+}
+
+bool
+RequestFlow::TryStart()
+{
+  if (!answer_ || call_) {
+    return true;
+  }
+  if (IsProofTooOld()) {
+    Reply(503, "configuration_not_proven", kDefaultRetryAfter);
+    return true;
+  }
+  if (admitted_.workspace_ != nullptr &&
+      context_.fleet_.Routes()->FindWorkspace(admitted_.facts_.key_) == nullptr) {
+    Reply(401, "key_withdrawn", std::nullopt);
+    return true;
+  }
+  const auto choice = ChooseUpstream();
+  if (choice.upstream_ == nullptr) {
+    if (!choice.isAnyUntried_ && !failed_.empty()) {
+      RefuseWaiting();
+      return true;
+    }
+    tried_ = failed_;
+    return false;
+  }
+  LeaveQueue(true);
+  Send(choice);
+  return true;
+}
+
+void
+RequestFlow::Wait()
+{
+  if (ticket_) {
+    return;
+  }
+  const Duration least = IsStream() ? kLeastStreamTime : kLeastAnswerTime;
+  const auto estimate = context_.queue_.EstimateWait(admitted_.service_, Rank());
+  if (TimeLeft() <= least ||
+      (estimate && *estimate + least >= TimeLeft() && loadingAt_ == std::nullopt)) {
+    RefuseWaiting();
+    return;
+  }
+  ticket_ = context_.queue_.Push({ admitted_.service_, Rank(), deadline_ - least });
+  context_.park_(*ticket_, shared_from_this());
+}
+
+void
+RequestFlow::LeaveQueue(bool aHasStarted)
+{
+  if (ticket_) {
+    context_.queue_.Remove(*ticket_, aHasStarted);
+    ticket_.reset();
+  }
+}
+
+void
+RequestFlow::RefuseWaiting()
+{
+  if (!answer_) {
+    return;
+  }
+  if (isBegun_) {
+    answer_->Abort();
+    Finish(0, "stream_not_resumed");
+  } else {
+    Reply(runs_ > 0 ? 502 : 503, "cannot_start_in_time", RetryDelay());
+  }
+}
+
+Duration
+RequestFlow::RetryDelay() const
+{
+  return context_.queue_.EstimateWait(admitted_.service_, Rank()).value_or(kDefaultRetryAfter);
+}
+
+HttpRequest
+RequestFlow::BuildRequest(const Upstream& aUpstream, std::int64_t aVersion) const
+{
+  HttpRequest request = admitted_.message_;
+  ForwardFacts facts;
+  facts.timeLeft_ = std::chrono::duration_cast<milliseconds>(TimeLeft());
+  facts.upstream_ = aUpstream.entry_.id_;
+  facts.adapterVersion_ = aVersion;
+  if (admitted_.workspace_ != nullptr) {
+    facts.workspace_ = admitted_.workspace_->id_;
+  }
+  if (!admitted_.facts_.model_.empty()) {
+    facts.priority_ = std::min(Rank(), kLastEngineRank);
+  }
+  if (isBegun_ && !events_.LastId().empty()) {
+    facts.resumeAfter_ = events_.LastId();
+  }
+  context_.codec_.PrepareForward(request, facts);
+  request.version(11);
+  request.keep_alive(true);
+  const bool hasBody = !request.body().empty() || request.method() == http::verb::post ||
+                       request.method() == http::verb::put;
+  request.content_length(hasBody ? boost::optional<std::uint64_t>(request.body().size())
+                                 : boost::none);
+  return request;
+}
+
+void
+RequestFlow::Send(const UpstreamChoice& aChoice)
+{
+  auto& upstream = *aChoice.upstream_;
+  upstream_ = upstream.entry_.id_;
+  endpoint_ = upstream.entry_.endpoint_;
+  sent_ = context_.clock_.Now();
+  firstByte_.reset();
+  hasSent_ = false;
+  isSilenceNoted_ = false;
+  verdict_ = Verdict::None;
+  body_.clear();
+  loadingAt_.reset();
+  ++attempts_;
+  LogEvent(LogLevel::Info,
+           "request_sent",
+           { { "id", admitted_.facts_.id_.Value() },
+             { "route", admitted_.route_->name_ },
+             { "upstream", upstream_.Value() },
+             { "attempt", std::to_string(attempts_) },
+             { "waited_ms", std::to_string(Milliseconds(sent_ - admitted_.arrived_)) },
+             { "left_ms", std::to_string(Milliseconds(TimeLeft())) },
+             { "running", std::to_string(upstream.running_) },
+             { "peers_running", std::to_string(upstream.peersRunning_) },
+             { "config", std::to_string(admitted_.routes_->Config().version_) },
+             { "proof_ms", std::to_string(Milliseconds(context_.fleet_.ProofAge())) } });
+  auto request = BuildRequest(upstream, aChoice.adapterVersion_);
+  context_.fleet_.Upstreams().OnSent(upstream_);
+  if (!admitted_.facts_.adapter_.empty()) {
+    context_.use_(upstream_, admitted_.facts_.model_, admitted_.facts_.adapter_);
+  }
+  call_ = context_.link_.Send(endpoint_, std::move(request), shared_from_this());
+  ArmTimer();
+}
+
+void
+RequestFlow::OnSending()
+{
+  // The process may have been suspended since the upstream was chosen.
+  if (IsProofTooOld() || TimeLeft() <= Duration::zero()) {
+    call_->Cancel();
+    call_.reset();
+    EndAttempt(AttemptHealth::Good);
+    if (TimeLeft() <= Duration::zero()) {
+      Reply(runs_ > 0 ? 504 : 503, "deadline_before_send", kDefaultRetryAfter);
+    } else {
+      Reply(runs_ > 0 ? 502 : 503, "configuration_not_proven", kDefaultRetryAfter);
+    }
+    return;
+  }
+  hasSent_ = true;
+  ArmTimer();
+}
+
+HeadAction
+RequestFlow::OnHead(unsigned aStatus,
+                    std::string_view aReason,
+                    const http::fields& aFields,
+                    std::optional<std::uint64_t> aLength)
+{
+  const auto now = context_.clock_.Now();
+  answerFacts_ = context_.codec_.ReadAnswer(aStatus, aFields);
+  const auto& id = admitted_.facts_.id_;
+  if (!answerFacts_.id_.IsEmpty() && answerFacts_.id_ != id) {
+    LogEvent(LogLevel::Warn,
+             "foreign_answer_skipped",
+             { { "id", id.Value() },
+               { "answer_id", answerFacts_.id_.Value() },
+               { "upstream", upstream_.Value() } });
+    return HeadAction::Skip;
+  }
+  firstByte_ = firstByte_.value_or(now);
+  lastByte_ = now;
+  const bool isOwn = id.IsEmpty() || answerFacts_.id_ == id;
+  const bool isProper = answerFacts_.isSigned_ && isOwn && !aFields.count("Content-Encoding");
+  if (answerFacts_.isNotRun_) {
+    verdict_ = Verdict::NotRun;
+  } else if (!isProper) {
+    verdict_ = Verdict::Spoiled;
+  } else {
+    verdict_ = aStatus / 100 == 2 ? Verdict::Good : Verdict::Error;
+  }
+  if (answerFacts_.coldFor_) {
+    context_.fleet_.Upstreams().OnCold(upstream_, *answerFacts_.coldFor_);
+  }
+  isStreaming_ = IsStream() && verdict_ == Verdict::Good;
+  status_ = aStatus;
+  if (!isBegun_) {
+    reason_ = std::string(aReason);
+    fields_ = aFields;
+    length_ = aLength;
+  }
+  return HeadAction::Accept;
+}
+
+bool
+RequestFlow::OnBody(std::string_view aBytes)
+{
+  lastByte_ = context_.clock_.Now();
+  if (verdict_ == Verdict::NotRun || verdict_ == Verdict::Spoiled) {
+    return true;
+  }
+  std::string whole;
+  if (isStreaming_) {
+    if (!events_.Add(aBytes, whole)) {
+      verdict_ = Verdict::Spoiled;
+      return true;
+    }
+  } else if (isBegun_) {
+    whole = std::string(aBytes);
+  } else {
+    body_.append(aBytes);
+    if (body_.size() > kHoldBytes && verdict_ == Verdict::Good) {
+      whole = std::move(body_);
+      body_.clear();
+    }
+  }
+  if (whole.empty()) {
+    return true;
+  }
+  if (!isBegun_) {
+    isBegun_ = true;
+    answer_->Begin(
+      status_, reason_, fields_, isStreaming_ ? std::optional<std::uint64_t>() : length_);
+  }
+  answer_->Data(whole);
+  if (answer_ && answer_->UnsentBytes() > kMaxUnsentBytes) {
+    answer_->NotifyWhenSent([weak = weak_from_this()] {
+      const auto self = weak.lock();
+      if (self && self->call_) {
+        self->lastByte_ = self->context_.clock_.Now();
+        self->call_->Resume();
+      }
+    });
+    return false;
+  }
+  return true;
+}
+
+void
+RequestFlow::EndAttempt(AttemptHealth aHealth)
+{
+  const auto firstByte = firstByte_ ? *firstByte_ - sent_ : Duration::zero();
+  context_.fleet_.Upstreams().OnEnded(upstream_, aHealth, firstByte);
+  if (aHealth == AttemptHealth::Unreachable) {
+    context_.link_.DropIdle(endpoint_);
+  }
+  context_.pump_();
+}
+
+void
+RequestFlow::OnEnd(CallEnd aEnd)
+{
+  const auto self = shared_from_this();
+  call_.reset();
+  if (!answer_) {
+    // The caller left while a request that may not be broken off was running.
+    EndAttempt(aEnd == CallEnd::Complete ? AttemptHealth::Good : AttemptHealth::Failed);
+    Finish(0, "caller_gone");
+    return;
+  }
+  if (aEnd == CallEnd::NotSent || !hasSent_) {
+    EndAttempt(AttemptHealth::Unreachable);
+    failed_.insert(upstream_);
+    OnNotRun("no_connection");
+    return;
+  }
+  if (verdict_ == Verdict::NotRun && (aEnd == CallEnd::Complete || status_ == 421)) {
+    EndAttempt(answerFacts_.isMisdirected_ ? AttemptHealth::Good : AttemptHealth::Busy);
+    OnNotRun(answerFacts_.isMisdirected_ ? "misdirected" : "refused_by_upstream");
+    return;
+  }
+  const bool isWhole = aEnd == CallEnd::Complete && !events_.HasPart();
+  if (isWhole && verdict_ == Verdict::Good) {
+    EndAttempt(AttemptHealth::Good);
+    PassOn();
+  } else if (isWhole && verdict_ == Verdict::Error) {
+    const bool isFailure = status_ / 100 == 5;
+    EndAttempt(isFailure ? AttemptHealth::Failed : AttemptHealth::Good);
+    if (isBegun_ || (isFailure && MayRepeat())) {
+      OnFailed("upstream_error");
+    } else {
+      PassOn();
+    }
+  } else {
+    // A connection that ends before any byte may be the end of the upstream itself.
+    EndAttempt(verdict_ == Verdict::None && aEnd == CallEnd::Lost ? AttemptHealth::Unreachable
+                                                                  : AttemptHealth::Failed);
+    OnFailed(verdict_ == Verdict::Spoiled ? "answer_not_genuine"
+             : aEnd == CallEnd::Malformed ? "answer_malformed"
+                                          : "answer_cut");
+  }
+}
+
+void
+RequestFlow::OnNotRun(std::string_view aWhy)
+{
+  auto& upstreams = context_.fleet_.Upstreams();
+  const auto& facts = admitted_.facts_;
+  if (answerFacts_.isMisdirected_ && hasSent_) {
+    if (!answerFacts_.upstream_.IsEmpty() && answerFacts_.upstream_ != upstream_) {
+      upstreams.OnMisdirected(upstream_);
+    } else {
+      upstreams.OnLacking(upstream_, facts.model_, facts.adapter_);
+    }
+  }
+  LogEvent(LogLevel::Info,
+           "attempt_not_run",
+           { { "id", facts.id_.Value() },
+             { "upstream", upstream_.Value() },
+             { "reason", std::string(aWhy) },
+             { "status", std::to_string(hasSent_ ? status_ : 0) },
+             { "attempt", std::to_string(attempts_) } });
+  tried_.insert(upstream_);
+  if (TimeLeft() <= kLeastAnswerTime || (hasSent_ && !MayTryAgain(false))) {
+    if (isBegun_) {
+      answer_->Abort();
+      Finish(0, "stream_not_resumed");
+    } else {
+      Reply(runs_ > 0 ? 502 : 503, aWhy, RetryDelay());
+    }
+    return;
+  }
+  if (!TryStart() && answer_) {
+    Wait();
+  }
+  ArmTimer();
+}
+
+bool
+RequestFlow::MayTryAgain(bool aHasRun)
+{
+  if (TimeLeft() <= kLeastAnswerTime || (aHasRun && runs_ >= admitted_.route_->maxUpstreams_)) {
+    return false;
+  }
+  return context_.retries_.TakeRetry(admitted_.service_);
+}
+
+void
+RequestFlow::OnFailed(std::string_view aWhy)
+{
+  ++runs_;
+  failed_.insert(upstream_);
+  tried_.insert(upstream_);
+  LogEvent(LogLevel::Info,
+           "attempt_failed",
+           { { "id", admitted_.facts_.id_.Value() },
+             { "upstream", upstream_.Value() },
+             { "reason", std::string(aWhy) },
+             { "attempt", std::to_string(attempts_) },
+             { "status", std::to_string(verdict_ == Verdict::None ? 0 : status_) },
+             { "events", std::to_string(events_.Events()) } });
+  const bool canResume = !isBegun_ || (isStreaming_ && !events_.LastId().empty());
+  const bool isErrorOfUpstream = verdict_ == Verdict::Error && !isBegun_;
+  if (MayRepeat() && canResume && MayTryAgain(true)) {
+    events_.DropPart();
+    if (!TryStart() && answer_) {
+      Wait();
+    }
+    ArmTimer();
+  } else if (isErrorOfUpstream) {
+    PassOn();
+  } else if (isBegun_) {
+    answer_->Abort();
+    Finish(0, aWhy);
+  } else {
+    Reply(502, aWhy, std::nullopt);
+  }
+}
+
+void
+RequestFlow::PassOn()
+{
+  if (!isBegun_) {
+    answer_->Begin(status_, reason_, fields_, body_.size());
+    answer_->Data(body_);
+  }
+  answer_->End();
+  Finish(status_, "answered");
+}
+
+void
+RequestFlow::OnGone()
+{
+  answer_.reset();
+  LeaveQueue(false);
+  if (call_ && (admitted_.route_->repeat_ != RepeatRule::Once || !hasSent_)) {
+    call_->Cancel();
+    call_.reset();
+    EndAttempt(AttemptHealth::Good);
+  }
+  if (!call_) {
+    Finish(0, "caller_gone");
+  }
+}
+
+void
+RequestFlow::ArmTimer()
+{
+  if (!answer_) {
+    timer_.cancel();
+    return;
+  }
+  const auto now = context_.clock_.Now();
+  auto next = deadline_;
+  if (call_) {
+    next += kDeadlineGrace;
+    if (!hasSent_) {
+      next = std::min(next, sent_ + kConnectLimit);
+    } else if (!firstByte_ && !isSilenceNoted_) {
+      next = std::min<TimePoint>(
+        next,
+        sent_ +
+          std::max<Duration>(kSilentTargets * admitted_.route_->targetLatency_, kLeastSilence));
+    } else if (isStreaming_ && MayRepeat()) {
+      next = std::min<TimePoint>(
+        next,
+        lastByte_ +
+          std::max<Duration>(kSilentPauses * admitted_.route_->targetPause_, kLeastStreamSilence));
+    }
+  }
+  timer_.expires_after(std::max<Duration>(next - now, milliseconds(1)));
+  timer_.async_wait([weak = weak_from_this()](BoostError aError) {
+    const auto self = weak.lock();
+    if (!aError && self) {
+      self->OnTimer();
+    }
+  });
+}
+
+void
+RequestFlow::OnTimer()
+{
+  if (!answer_) {
+    return;
+  }
+  const auto now = context_.clock_.Now();
+  if (now >= deadline_ + (call_ ? kDeadlineGrace : Duration::zero())) {
+    if (call_) {
+      const bool mayHaveRun = hasSent_;
+      call_->Cancel();
+      call_.reset();
+      EndAttempt(firstByte_ ? AttemptHealth::Good : AttemptHealth::Unreachable);
+      runs_ += mayHaveRun ? 1 : 0;
+    }
+    if (isBegun_) {
+      answer_->Abort();
+      Finish(0, "deadline_in_stream");
+    } else {
+      Reply(runs_ > 0 ? 504 : 503, "deadline", std::nullopt);
+    }
+    return;
+  }
+  if (call_ && !hasSent_ && now - sent_ >= kConnectLimit) {
+    call_->Cancel();
+    call_.reset();
+    EndAttempt(AttemptHealth::Unreachable);
+    failed_.insert(upstream_);
+    OnNotRun("connect_timeout");
+    return;
+  }
+  if (call_ && hasSent_) {
+    OnSilence();
+  }
+  ArmTimer();
+}
+
+void
+RequestFlow::OnSilence()
+{
+  const auto now = context_.clock_.Now();
+  const auto& route = *admitted_.route_;
+  const Duration firstLimit =
+    std::max<Duration>(kSilentTargets * route.targetLatency_, kLeastSilence);
+  const Duration pauseLimit =
+    std::max<Duration>(kSilentPauses * route.targetPause_, kLeastStreamSilence);
+  const bool isSilent = firstByte_ ? isStreaming_ && MayRepeat() && now - lastByte_ >= pauseLimit
+                                   : !isSilenceNoted_ && now - sent_ >= firstLimit;
+  if (!isSilent) {
+    return;
+  }
+  isSilenceNoted_ = true;
+  if (!MayRepeat() || runs_ + 1 >= route.maxUpstreams_) {
+    LogEvent(LogLevel::Info,
+             "upstream_silent",
+             { { "id", admitted_.facts_.id_.Value() },
+               { "upstream", upstream_.Value() },
+               { "since_ms", std::to_string(Milliseconds(now - sent_)) } });
+    return;
+  }
+  call_->Cancel();
+  call_.reset();
+  EndAttempt(AttemptHealth::Unreachable);
+  OnFailed("silent");
+}
+
+void
+RequestFlow::Reply(unsigned aStatus, std::string_view aWhy, std::optional<Duration> aRetryAfter)
+{
+  LeaveQueue(false);
+  http::fields fields;
+  fields.set(http::field::content_type, "text/plain");
+  if (aRetryAfter && aStatus == 503) {
+    std::array<char, 32> text{};
+    std::snprintf(
+      text.data(), text.size(), "%.3f", std::chrono::duration<double>(*aRetryAfter).count());
+    fields.set(http::field::retry_after, text.data());
+  }
+  context_.codec_.MarkOwnAnswer(fields, admitted_.facts_.id_);
+  const std::string body = std::string(aWhy) + "\n";
+  answer_->Begin(aStatus, {}, fields, body.size());
+  answer_->Data(body);
+  answer_->End();
+  Finish(aStatus, aWhy);
+}
+
+void
+RequestFlow::Finish(unsigned aStatus, std::string_view aWhy)
+{
+  LeaveQueue(false);
+  timer_.cancel();
+  const auto took = context_.clock_.Now() - admitted_.arrived_;
+  const bool hasRun = runs_ > 0 || aWhy == "answered" || (aWhy == "caller_gone" && hasSent_);
+  if (!hasRun && admitted_.workspace_ != nullptr) {
+    context_.quota_.Return(admitted_.workspace_->id_, admitted_.tokens_);
+  }
+  LogEvent(
+    LogLevel::Info,
+    "request_done",
+    { { "id", admitted_.facts_.id_.Value() },
+      { "route", admitted_.route_->name_ },
+      { "workspace", admitted_.workspace_ == nullptr ? "" : admitted_.workspace_->id_.Value() },
+      { "outcome", std::string(aWhy) },
+      { "status", std::to_string(aStatus) },
+      { "upstream", attempts_ > 0 ? upstream_.Value() : "" },
+      { "attempts", std::to_string(attempts_) },
+      { "events", std::to_string(events_.Events()) },
+      { "first_byte_ms",
+        firstByte_ ? std::to_string(Milliseconds(*firstByte_ - admitted_.arrived_)) : "" },
+      { "took_ms", std::to_string(Milliseconds(took)) } });
+  context_.metrics_.GetCounter("laburnumweir_gateway_requests_total", "outcome", aWhy).Add();
+  context_.metrics_.GetHistogram("laburnumweir_gateway_request_seconds").Record(took);
+  answer_.reset();
+}
+
+} // namespace laburnumweir
--- /dev/null
+++ b/src/gateway/store_watch.cpp
@@ -0,0 +1,150 @@
+/** @file store_watch.cpp Keeps the state of the fleet current from the store. */
+#include "gateway/store_watch.h"
+
+#include "logging/logging_func.h"
+
+namespace laburnumweir {
+
+namespace {
+
+// Least time between two polls, in case the store answers at once although nothing is new.
+constexpr Duration kLeastPollGap = std::chrono::milliseconds(20);
+// Reads that fail for this many intervals are an outage, during which entries may lapse.
+constexpr int kOutageIntervals = 3;
+
+} // namespace
+
+StoreWatch::StoreWatch(FleetStore& aStore,
+                       FleetState& aState,
+                       const Clock& aClock,
+                       Scheduler& aScheduler,
+                       WatchSettings aSettings,
+                       std::function<void()> aOnChange)
+  : store_(aStore)
+  , state_(aState)
+  , clock_(aClock)
+  , scheduler_(aScheduler)
+  , settings_(aSettings)
+  , onChange_(std::move(aOnChange))
+{
+}
+
+void
+StoreWatch::Start()
+{
+  upstreamsRead_ = clock_.Now();
+  PollOperators();
+  PollUpstreams();
+}
+
+void
+StoreWatch::After(Duration aDelay, void (StoreWatch::*aStep)())
+{
+  scheduler_.After(aDelay, [weak = weak_from_this(), aStep] {
+    if (const auto self = weak.lock()) {
+      (self.get()->*aStep)();
+    }
+  });
+}
+
+void
+StoreWatch::PollOperators()
+{
+  const auto asked = clock_.Now();
+  auto callback = [weak = weak_from_this(), asked](std::error_code aError,
+                                                   const ChangeBatch& aBatch) {
+    if (const auto self = weak.lock()) {
+      self->OnOperators(asked, aError, aBatch);
+    }
+  };
+  if (operators_) {
+    store_.ReadChanges(ChangeStream::Operators, *operators_, settings_.configWait_, callback);
+  } else {
+    store_.ReadAll(ChangeStream::Operators, callback);
+  }
+}
+
+void
+StoreWatch::OnOperators(TimePoint aAsked, std::error_code aError, const ChangeBatch& aBatch)
+{
+  if (aError == make_error_code(StoreError::HistoryLost)) {
+    LogEvent(LogLevel::Info, "history_lost", { { "stream", "operators" } });
+    operators_.reset();
+    After(kLeastPollGap, &StoreWatch::PollOperators);
+    return;
+  }
+  if (isConnected_ != !aError) {
+    isConnected_ = !aError;
+    LogEvent(
+      isConnected_ ? LogLevel::Info : LogLevel::Warn,
+      isConnected_ ? "store_regained" : "store_lost",
+      { { "error", aError ? aError.message() : "" },
+        { "call_ms", std::to_string((clock_.Now() - aAsked) / std::chrono::milliseconds(1)) } });
+  }
+  if (aError) {
+    After(settings_.retryDelay_, &StoreWatch::PollOperators);
+    return;
+  }
+  operators_ = aBatch.next_;
+  state_.NoteProof(aAsked);
+  state_.ApplyOperators(aBatch);
+  onChange_();
+  // Without a configuration there is nothing to wait for in the topic, which may not exist yet.
+  if (!state_.Routes()) {
+    operators_.reset();
+    After(settings_.retryDelay_, &StoreWatch::PollOperators);
+    return;
+  }
+  After(kLeastPollGap, &StoreWatch::PollOperators);
+}
+
+void
+StoreWatch::PollUpstreams()
+{
+  if (flushAt_ && clock_.Now() >= *flushAt_) {
+    flushAt_.reset();
+    state_.FlushRemovals();
+    onChange_();
+  }
+  auto callback = [weak = weak_from_this()](std::error_code aError, const ChangeBatch& aBatch) {
+    if (const auto self = weak.lock()) {
+      self->OnUpstreams(aError, aBatch);
+    }
+  };
+  if (upstreams_) {
+    store_.ReadChanges(
+      ChangeStream::Upstreams, *upstreams_, std::chrono::milliseconds(0), callback);
+  } else {
+    store_.ReadAll(ChangeStream::Upstreams, callback);
+  }
+}
+
+void
+StoreWatch::OnUpstreams(std::error_code aError, const ChangeBatch& aBatch)
+{
+  if (aError == make_error_code(StoreError::HistoryLost)) {
+    LogEvent(LogLevel::Info, "history_lost", { { "stream", "upstreams" } });
+    upstreams_.reset();
+    After(kLeastPollGap, &StoreWatch::PollUpstreams);
+    return;
+  }
+  if (aError) {
+    After(settings_.retryDelay_, &StoreWatch::PollUpstreams);
+    return;
+  }
+  const auto now = clock_.Now();
+  if (now - upstreamsRead_ > settings_.upstreamInterval_ * kOutageIntervals) {
+    LogEvent(
+      LogLevel::Info,
+      "upstreams_read_again",
+      { { "gap_ms", std::to_string((now - upstreamsRead_) / std::chrono::milliseconds(1)) } });
+    flushAt_ = now + settings_.returnGrace_;
+  }
+  upstreamsRead_ = now;
+  upstreams_ = aBatch.next_;
+  state_.ApplyUpstreams(aBatch, flushAt_.has_value());
+  onChange_();
+  After(settings_.upstreamInterval_, &StoreWatch::PollUpstreams);
+}
+
+} // namespace laburnumweir
--- /dev/null
+++ b/src/gateway/upstream_link.cpp
@@ -0,0 +1,383 @@
+/** @file upstream_link.cpp Requests of a gateway to upstreams over pooled connections. */
+#include "gateway/upstream_link.h"
+
+#include "http/append_body.h"
+#include "http/header_func.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/write.hpp>
+#include <charconv>
+#include <netinet/tcp.h>
+
+namespace laburnumweir {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using BoostError = boost::system::error_code;
+using SteadyClock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::size_t kReadBytes = std::size_t{ 8 } << 10;
+constexpr std::uint32_t kMaxHeadBytes = 32768;
+// Answers to earlier requests or interim answers that are skipped before a call is given up.
+constexpr int kMaxSkipped = 4;
+constexpr std::size_t kMaxIdleConnections = 64;
+// Idle time after which a connection is not used again if the upstream does not tell its limit.
+constexpr std::chrono::seconds kDefaultIdle{ 4 };
+// The upstream counts its idle time from an earlier moment than this host does.
+constexpr std::chrono::milliseconds kIdleMargin{ 800 };
+// Bytes without acknowledgement for this long end a connection: the peer is dark or cut off.
+constexpr unsigned kUnackedMs = 1500;
+// Probes on a connection without traffic: first after 1 s, then each second, gone after two.
+constexpr int kKeepAliveIdleSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+
+void
+SetSocketOptions(tcp::socket& aSocket)
+{
+  BoostError ignored;
+  aSocket.set_option(tcp::no_delay(true), ignored);
+  aSocket.set_option(asio::socket_base::keep_alive(true), ignored);
+  const int handle = aSocket.native_handle();
+  ::setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnackedMs, sizeof(kUnackedMs));
+  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepAliveIdleSeconds, sizeof(int));
+  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &kKeepAliveIdleSeconds, sizeof(int));
+  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveProbes, sizeof(int));
+}
+
+/** @return the idle time that a `Keep-Alive: timeout=N` field allows. */
+SteadyClock::duration
+IdleTimeOf(std::string_view aKeepAlive)
+{
+  const std::string text = ToLower(aKeepAlive);
+  const auto start = text.find("timeout=");
+  int seconds = 0;
+  if (start == std::string::npos) {
+    return kDefaultIdle;
+  }
+  const char* first = text.data() + start + std::string_view("timeout=").size();
+  std::from_chars(first, text.data() + text.size(), seconds);
+  return std::chrono::seconds(seconds) - kIdleMargin;
+}
+
+} // namespace
+
+struct UpstreamConnection
+{
+  explicit UpstreamConnection(asio::io_context& aContext)
+    : socket_(aContext)
+  {
+  }
+  tcp::socket socket_;                  ///< Connection.
+  boost::beast::flat_buffer buffer_;    ///< Bytes read and not parsed.
+  SteadyClock::time_point usableUntil_; ///< When the upstream may close it as idle.
+};
+
+/** One call on one connection. */
+class LinkCall
+  : public UpstreamCall
+  , public std::enable_shared_from_this<LinkCall>
+{
+public:
+  LinkCall(UpstreamLink& aLink,
+           Endpoint aEndpoint,
+           HttpRequest aRequest,
+           std::shared_ptr<CallHandler> aHandler)
+    : link_(aLink)
+    , endpoint_(std::move(aEndpoint))
+    , request_(std::move(aRequest))
+    , handler_(std::move(aHandler))
+  {
+  }
+
+  void Start()
+  {
+    connection_ = link_.TakeIdle(endpoint_);
+    if (connection_) {
+      asio::post(link_.context_, [self = shared_from_this()] { self->Exchange(); });
+      return;
+    }
+    connection_ = std::make_shared<UpstreamConnection>(link_.context_);
+    BoostError error;
+    const auto address = asio::ip::make_address(endpoint_.address_, error);
+    if (error) {
+      asio::post(link_.context_, [self = shared_from_this()] { self->Finish(CallEnd::NotSent); });
+      return;
+    }
+    ++link_.connects_;
+    connection_->socket_.async_connect(tcp::endpoint(address, endpoint_.port_),
+                                       [self = shared_from_this()](BoostError aError) {
+                                         if (aError) {
+                                           self->Finish(CallEnd::NotSent);
+                                           return;
+                                         }
+                                         if (self->handler_) {
+                                           SetSocketOptions(self->connection_->socket_);
+                                         }
+                                         self->Exchange();
+                                       });
+  }
+
+  void Cancel() override
+  {
+    handler_.reset();
+    CloseConnection();
+  }
+
+  void Resume() override
+  {
+    if (isPaused_) {
+      isPaused_ = false;
+      Deliver();
+    }
+  }
+
+private:
+  void Exchange()
+  {
+    if (!handler_) {
+      return;
+    }
+    ResetParser();
+    isWriting_ = true;
+    const auto handler = handler_;
+    handler->OnSending();
+    if (!handler_) {
+      return;
+    }
+    http::async_write(
+      connection_->socket_, request_, [self = shared_from_this()](BoostError aError, std::size_t) {
+        // After a failed write the read reports the failure, or an early answer.
+        self->isWriting_ = aError.failed();
+      });
+    Read();
+  }
+
+  void ResetParser()
+  {
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->header_limit(kMaxHeadBytes);
+    parser_->body_limit(boost::none);
+    parser_->skip(request_.method() == http::verb::head);
+    isHeadSeen_ = false;
+  }
+
+  void Read()
+  {
+    connection_->socket_.async_read_some(
+      connection_->buffer_.prepare(kReadBytes),
+      [self = shared_from_this()](BoostError aError, std::size_t aBytes) {
+        if (!self->handler_) {
+          return;
+        }
+        self->connection_->buffer_.commit(aBytes);
+        self->OnRead(aError);
+      });
+  }
+
+  void OnRead(BoostError aError)
+  {
+    if (aError == asio::error::eof && isHeadSeen_ && !parser_->is_done()) {
+      // A body without a length ends with its connection; any other ends early.
+      BoostError parseError;
+      parser_->put_eof(parseError);
+      if (!parseError && parser_->is_done()) {
+        isClosed_ = true;
+        Deliver();
+        return;
+      }
+    }
+    if (aError) {
+      Finish(CallEnd::Lost);
+      return;
+    }
+    Parse();
+  }
+
+  void Parse()
+  {
+    auto& buffer = connection_->buffer_;
+    while (buffer.size() > 0 && !parser_->is_done()) {
+      BoostError error;
+      buffer.consume(parser_->put(buffer.data(), error));
+      if (error == http::error::need_more) {
+        break;
+      }
+      if (error) {
+        Finish(CallEnd::Malformed);
+        return;
+      }
+      if (!isHeadSeen_ && parser_->is_header_done() && !OnHead()) {
+        return;
+      }
+    }
+    Deliver();
+  }
+
+  /** Handles the head. @return false if the call ended. */
+  bool OnHead()
+  {
+    isHeadSeen_ = true;
+    const auto& message = parser_->get();
+    isSkipped_ = message.result_int() / 100 == 1;
+    if (!isSkipped_) {
+      std::optional<std::uint64_t> length;
+      if (const auto announced = parser_->content_length()) {
+        length = *announced;
+      } else if (!message.chunked() && !message.need_eof()) {
+        length = 0;
+      }
+      const auto handler = handler_;
+      isSkipped_ = handler->OnHead(message.result_int(),
+                                   { message.reason().data(), message.reason().size() },
+                                   message.base(),
+                                   length) == HeadAction::Skip;
+    }
+    if (!handler_) {
+      return false;
+    }
+    if (isSkipped_ && ++skipped_ > kMaxSkipped) {
+      Finish(CallEnd::Malformed);
+      return false;
+    }
+    return true;
+  }
+
+  void Deliver()
+  {
+    if (!handler_) {
+      return;
+    }
+    if (isHeadSeen_) {
+      std::string body = std::move(parser_->get().body());
+      parser_->get().body().clear();
+      if (!body.empty() && !isSkipped_) {
+        const auto handler = handler_;
+        const bool goesOn = handler->OnBody(body);
+        if (!handler_) {
+          return;
+        }
+        if (!goesOn) {
+          isPaused_ = true;
+          return;
+        }
+      }
+      if (parser_->is_done()) {
+        if (!isSkipped_) {
+          Complete();
+          return;
+        }
+        if (!parser_->keep_alive()) {
+          Finish(CallEnd::Lost);
+          return;
+        }
+        ResetParser();
+        if (connection_->buffer_.size() > 0) {
+          Parse();
+          return;
+        }
+      }
+    }
+    Read();
+  }
+
+  void Complete()
+  {
+    // A connection with an unfinished request or with bytes that nobody asked for is not reused.
+    if (!isClosed_ && !isWriting_ && parser_->keep_alive() && connection_->buffer_.size() == 0) {
+      const auto field = parser_->get()[http::field::keep_alive];
+      connection_->usableUntil_ = SteadyClock::now() + IdleTimeOf({ field.data(), field.size() });
+      link_.PutIdle(endpoint_, std::move(connection_));
+    }
+    Finish(CallEnd::Complete);
+  }
+
+  void Finish(CallEnd aEnd)
+  {
+    CloseConnection();
+    if (const auto handler = std::exchange(handler_, nullptr)) {
+      handler->OnEnd(aEnd);
+    }
+  }
+
+  void CloseConnection()
+  {
+    if (connection_) {
+      BoostError ignored;
+      connection_->socket_.close(ignored);
+    }
+  }
+
+  UpstreamLink& link_;                             ///< Owner; outlives the call.
+  const Endpoint endpoint_;                        ///< Where to.
+  HttpRequest request_;                            ///< What is sent.
+  std::shared_ptr<CallHandler> handler_;           ///< Receives the answer; empty after the end.
+  std::shared_ptr<UpstreamConnection> connection_; ///< Connection in use.
+  std::optional<http::response_parser<AppendBody>> parser_; ///< Answer being read.
+  int skipped_ = 0;                                         ///< Answers that were skipped.
+  bool isWriting_ = false;  ///< The request is not written completely.
+  bool isHeadSeen_ = false; ///< The head of the answer was handled.
+  bool isSkipped_ = false;  ///< The answer being read is not the awaited one.
+  bool isPaused_ = false;   ///< The handler takes no more for now.
+  bool isClosed_ = false;   ///< The upstream closed the connection.
+};
+
+UpstreamLink::UpstreamLink(asio::io_context& aContext)
+  : context_(aContext)
+{
+}
+
+UpstreamLink::~UpstreamLink() = default;
+
+std::shared_ptr<UpstreamCall>
+UpstreamLink::Send(const Endpoint& aEndpoint,
+                   HttpRequest aRequest,
+                   std::shared_ptr<CallHandler> aHandler)
+{
+  auto call =
+    std::make_shared<LinkCall>(*this, aEndpoint, std::move(aRequest), std::move(aHandler));
+  call->Start();
+  return call;
+}
+
+std::shared_ptr<UpstreamConnection>
+UpstreamLink::TakeIdle(const Endpoint& aEndpoint)
+{
+  const auto found = idle_.find(aEndpoint);
+  const auto now = SteadyClock::now();
+  while (found != idle_.end() && !found->second.empty()) {
+    auto connection = std::move(found->second.back());
+    found->second.pop_back();
+    // Bytes or an end that came meanwhile make the connection useless.
+    BoostError error;
+    char byte = 0;
+    connection->socket_.non_blocking(true, error);
+    connection->socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    if (error == asio::error::would_block && now < connection->usableUntil_) {
+      return connection;
+    }
+  }
+  return nullptr;
+}
+
+void
+UpstreamLink::PutIdle(const Endpoint& aEndpoint, std::shared_ptr<UpstreamConnection> aConnection)
+{
+  auto& connections = idle_[aEndpoint];
+  if (connections.size() < kMaxIdleConnections) {
+    connections.push_back(std::move(aConnection));
+  }
+}
+
+void
+UpstreamLink::DropIdle(const Endpoint& aEndpoint)
+{
+  idle_.erase(aEndpoint);
+}
+
+} // namespace laburnumweir
--- a/src/http/json_field.h
+++ b/src/http/json_field.h
@@ -64,7 +64,8 @@
  * @param aObject the object. @param aKey key. @param aResult receives the number.
  * @return false if the field is absent, no whole number, or out of the range of the type.
  */
-template<std::integral Number>
+template<typename Number>
+requires std::integral<Number> || std::floating_point<Number>
 bool
 ReadField(const boost::json::object& aObject, std::string_view aKey, Number& aResult)
 {
--- a/src/http/upstream_exchange.cpp
+++ b/src/http/upstream_exchange.cpp
@@ -2,6 +2,7 @@
  */
 #include "http/upstream_exchange.h"
 
+#include "http/append_body.h"
 #include "http/header_func.h"
 
 #include <algorithm>
@@ -34,44 +35,6 @@
 constexpr int kMaxInterimAnswers = 8;
 constexpr std::chrono::seconds kSweepInterval{ 5 };
 
-/** Body of an answer. Unlike http::string_body it reserves nothing for an announced length, so that
- * the announcement of a large body costs no memory. */
-struct AnswerBody
-{
-  using value_type = std::string; // NOLINT(readability-identifier-naming)
-
-  /** Appends what was parsed. */
-  class reader // NOLINT(readability-identifier-naming)
-  {
-  public:
-    template<bool isRequest, class Fields>
-    explicit reader(http::header<isRequest, Fields>& /*aHeader*/, value_type& aBody)
-      : body_(aBody)
-    {
-    }
-    // NOLINTNEXTLINE(readability-identifier-naming)
-    void init(const boost::optional<std::uint64_t>& /*aLength*/, BoostError& aError)
-    {
-      aError = {};
-    }
-    template<class Buffers>
-    std::size_t put(const Buffers& aBuffers, BoostError& aError) // NOLINT
-    {
-      std::size_t size = 0;
-      for (const asio::const_buffer buffer : beast::buffers_range_ref(aBuffers)) {
-        body_.append(static_cast<const char*>(buffer.data()), buffer.size());
-        size += buffer.size();
-      }
-      aError = {};
-      return size;
-    }
-    void finish(BoostError& aError) { aError = {}; } // NOLINT(readability-identifier-naming)
-
-  private:
-    value_type& body_; ///< Receives the bytes.
-  };
-};
-
 struct Connection
 {
   explicit Connection(asio::io_context& aContext)
@@ -218,7 +181,7 @@
     Ended
   };
 
-  using ParserType = http::response_parser<AnswerBody>;
+  using ParserType = http::response_parser<AppendBody>;
 
   void Run()
   {
--- a/src/logging/logging_func.cpp
+++ b/src/logging/logging_func.cpp
@@ -1,12 +1,15 @@
 /** @file logging_func.cpp Structured log lines for changes of state. */
 #include "logging/logging_func.h"
 
+#include "logging/bounded_appender.h"
+
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <unistd.h>
 
 namespace laburnumweir {
 
@@ -69,7 +72,9 @@
 {
   static log4cplus::Initializer initializer;
   log4cplus::SharedAppenderPtr appender;
-  if (aFile == "-") {
+  if (aFile == "stdout") {
+    appender = new BoundedAppender(STDOUT_FILENO);
+  } else if (aFile == "-") {
     appender = new log4cplus::ConsoleAppender(true, true);
   } else {
     appender = new log4cplus::FileAppender(aFile, std::ios_base::app, true);
--- a/src/logging/logging_func.h
+++ b/src/logging/logging_func.h
@@ -23,7 +23,8 @@
 /**
  * Sets logging up; before this call lines are dropped.
  * @param aLevel lowest level written: debug, info, warn or error.
- * @param aFile path of the file, or "-" for standard error.
+ * @param aFile path of the file, "-" for standard error, or "stdout" for standard output, to which
+ *        lines are written without ever blocking.
  * @param aHost name of this host, part of each line.
  */
 void
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,5 @@
 /** @file main.cpp Entry point of the laburnumweir binary: selects the subcommand. */
+#include "cli/gateway_cmd.h"
 #include "cli/rules_cmd.h"
 #include "cli/serve_cmd.h"
 #include "cli/status_cmd.h"
@@ -25,6 +26,7 @@
 {
   static const std::vector<Subcommand> kSubcommands{
     { "serve", "run a host", RunServe },
+    { "gateway", "run a host on the users' platform", RunGatewayCommand },
     { "rules check", "check a rule file", RunRulesCheck },
     { "rules diff", "print what an apply would change", RunRulesDiff },
     { "rules apply", "put a rule file in force on all hosts", RunRulesApply },
--- /dev/null
+++ b/src/table/fleet_const.h
@@ -0,0 +1,50 @@
+/** @file fleet_const.h Constants of quotas, retries, health and placement in a gateway. */
+#ifndef LABURNUMWEIR_TABLE_FLEET_CONST_H
+#define LABURNUMWEIR_TABLE_FLEET_CONST_H
+
+#include "core/clock_base.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace laburnumweir {
+
+/** Interval of gossip; a quota's overshoot grows with it, messages and bytes shrink. */
+constexpr Duration kGossipInterval = std::chrono::milliseconds(250);
+/** Most peers told in one interval; more are told in turn, so that bytes of a host stay bounded. */
+constexpr std::size_t kGossipFanOut = 16;
+/** Counts of a peer expire after this time; twelve intervals, so single losses do no harm. */
+constexpr Duration kPeerCountLife = std::chrono::seconds(3);
+/** A peer counts as a host for equal shares for this long: a partition must not raise the shares.
+ */
+constexpr Duration kPeerShareLife = std::chrono::seconds(20);
+/** Demand of a silent peer stays reserved for this long; after it, its callers are elsewhere. */
+constexpr Duration kPeerDemandLife = std::chrono::seconds(5);
+/** Time constant of the demand average; shorter follows bursts of single large requests. */
+constexpr Duration kDemandAverage = std::chrono::seconds(2);
+
+/** Part of the allowed retries that is used; the rest covers arrivals counted differently. */
+constexpr double kRetryShare = 0.7;
+/** Part of the allowed rate of cold upstreams that is used; the rest covers bunching on the way. */
+constexpr double kColdShare = 0.8;
+
+/** Consecutive failures after which an upstream gets no work for a while. */
+constexpr std::uint32_t kFailuresToAvoid = 2;
+/** First pause of an upstream that fails; doubles with each further failure. */
+constexpr Duration kFirstPause = std::chrono::milliseconds(300);
+/** Longest pause of an upstream that fails; its entry expires after three missed heartbeats. */
+constexpr Duration kLongestPause = std::chrono::seconds(3);
+/** Weight of the newest answer in the failure average of an upstream. */
+constexpr double kFailureWeight = 0.1;
+
+/** Adapter that was used this recently is not evicted: a stream with it may still run. */
+constexpr Duration kAdapterInUse = std::chrono::milliseconds(1500);
+/** A want that was not repeated for this long is dropped; requesters repeat it while they wait. */
+constexpr Duration kWantLife = std::chrono::milliseconds(700);
+/** Old versions of an adapter may serve this long after a release while the new one is loaded. */
+constexpr Duration kOldVersionGrace = std::chrono::milliseconds(2500);
+
+} // namespace laburnumweir
+
+#endif
