--- a/src/fleet/fleet_type.h
+++ b/src/fleet/fleet_type.h
@@ -134,7 +134,6 @@
   bool isDraining_ = false;                ///< It leaves and takes no new requests.
   std::chrono::milliseconds coldFor_{ 0 }; ///< How much longer it is cold.
   std::int64_t startedAt_ = 0;             ///< Start of its process, Unix ms; tells lives apart.
-  std::uint64_t orders_ = 0;               ///< Orders accepted since its start.
   std::vector<ResidentModel> models_;      ///< Models it holds.
   bool listsModels_ = false;               ///< Whether models_ was given.
 };
--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -54,13 +54,12 @@
     upstream.entry_ = aEntry;
   } else {
     // What the holder told after an order is newer than an entry written before it.
-    const bool isOlder = !aEntry.listsModels_ || aEntry.orders_ < upstream.entry_.orders_;
+    const bool isOlder = !aEntry.listsModels_ || (upstream.residencyTold_ &&
+                                                  now - *upstream.residencyTold_ < kEntryLag);
     auto models = std::move(upstream.entry_.models_);
-    const auto orders = upstream.entry_.orders_;
     upstream.entry_ = aEntry;
     if (isOlder) {
       upstream.entry_.models_ = std::move(models);
-      upstream.entry_.orders_ = orders;
     }
     upstream.isMissing_ = false;
   }
@@ -94,11 +93,12 @@
 {
   auto* upstream = Find(aResidency.engine_);
   if (upstream == nullptr || upstream->entry_.startedAt_ != aResidency.startedAt_ ||
-      aResidency.orders_ < upstream->entry_.orders_) {
+      aResidency.orders_ < upstream->orders_) {
     return false;
   }
   upstream->entry_.models_ = aResidency.models_;
-  upstream->entry_.orders_ = aResidency.orders_;
+  upstream->orders_ = aResidency.orders_;
+  upstream->residencyTold_ = clock_.Now();
   return true;
 }
 
--- a/src/gateway/holder_service.cpp
+++ b/src/gateway/holder_service.cpp
@@ -251,10 +251,10 @@
 void
 HolderService::SendOrder(const UpstreamId& aId, const EngineOrder& aOrder)
 {
-  const auto& entry = state_.Upstreams().Find(aId)->entry_;
+  const auto& upstream = *state_.Upstreams().Find(aId);
   engines_.at(aId).isCalling_ = true;
   engineControl_.Send(
-    { aOrder, aId, entry.endpoint_, settings_.host_, lease_.Token(), entry.orders_ },
+    { aOrder, aId, upstream.entry_.endpoint_, settings_.host_, lease_.Token(), upstream.orders_ },
     [weak = weak_from_this(), aId, aOrder](OrderAnswer aAnswer) {
       if (const auto self = weak.lock()) {
         self->OnOrderAnswer(aId, aOrder, aAnswer);
@@ -279,18 +279,18 @@
              { "adapter", aOrder.model_ + "/" + aOrder.adapter_ },
              { "version", std::to_string(aOrder.version_) },
              { "token", std::to_string(lease_.Token()) },
-             { "orders", std::to_string(upstream->entry_.orders_) },
+             { "orders", std::to_string(upstream->orders_) },
              { "answer", NameOf(aAnswer) } });
   const auto now = clock_.Now();
   switch (aAnswer) {
     case OrderAnswer::Accepted:
     case OrderAnswer::AlreadyDone:
       if (aOrder.kind_ == OrderKind::Unload) {
-        ++upstream->entry_.orders_;
+        ++upstream->orders_;
         RemoveResident(upstream->entry_, aOrder);
         Publish(*upstream);
       } else if (aAnswer == OrderAnswer::Accepted) {
-        ++upstream->entry_.orders_;
+        ++upstream->orders_;
         engine.orders_.OnAccepted(aOrder);
         engine.nextReport_ = now + kFirstReport;
       } else {
@@ -345,13 +345,19 @@
     return;
   }
   auto& entry = upstream->entry_;
-  if (aReport.startedAt_ != 0 && aReport.startedAt_ != entry.startedAt_) {
-    return; // the entry of its new life comes with its next heartbeat
-  }
-  if (aReport.orders_ < entry.orders_) {
-    return; // taken before the last order
+  const bool isOtherLife = aReport.startedAt_ != 0 && aReport.startedAt_ != entry.startedAt_;
+  if (isOtherLife || aReport.orders_ < upstream->orders_) {
+    // The entry of a new life comes with its next heartbeat; a report lags behind orders.
+    LogEvent(LogLevel::Debug,
+             "engine_report_old",
+             { { "engine", aId.Value() },
+               { "life", std::to_string(aReport.startedAt_) },
+               { "known_life", std::to_string(entry.startedAt_) },
+               { "orders", std::to_string(aReport.orders_) },
+               { "known_orders", std::to_string(upstream->orders_) } });
+    return;
   }
-  entry.orders_ = aReport.orders_;
+  upstream->orders_ = aReport.orders_;
   engine.mustReport_ = false;
   entry.models_ = aReport.models_;
   std::vector<EngineOrder> finished;
@@ -376,10 +382,11 @@
 }
 
 void
-HolderService::Publish(const Upstream& aUpstream)
+HolderService::Publish(Upstream& aUpstream)
 {
   const auto& entry = aUpstream.entry_;
-  onResidency_({ entry.id_, entry.startedAt_, entry.orders_, entry.models_ });
+  aUpstream.residencyTold_ = clock_.Now();
+  onResidency_({ entry.id_, entry.startedAt_, aUpstream.orders_, entry.models_ });
 }
 
 } // namespace laburnumweir
--- a/src/gateway/holder_service.h
+++ b/src/gateway/holder_service.h
@@ -84,7 +84,7 @@
   void OnOrderAnswer(const UpstreamId& aId, const EngineOrder& aOrder, OrderAnswer aAnswer);
   void SendReport(const UpstreamId& aId);
   void OnReport(const UpstreamId& aId, bool aWasRead, const EngineReport& aReport);
-  void Publish(const Upstream& aUpstream);
+  void Publish(Upstream& aUpstream);
 
   FleetStore& store_;                    ///< The store.
   EngineControl& engineControl_;         ///< Calls to engines.
--- a/src/gateway/upstream_link.cpp
+++ b/src/gateway/upstream_link.cpp
@@ -205,16 +205,17 @@
     while (buffer.size() > 0 && !parser_->is_done()) {
       BoostError error;
       buffer.consume(parser_->put(buffer.data(), error));
-      if (error == http::error::need_more) {
-        break;
-      }
-      if (error) {
+      const bool needsMore = error == http::error::need_more;
+      if (error && !needsMore) {
         Finish(CallEnd::Malformed);
         return;
       }
       if (!isHeadSeen_ && parser_->is_header_done() && !OnHead()) {
         return;
       }
+      if (needsMore) {
+        break;
+      }
     }
     Deliver();
   }
--- a/src/table/fleet_const.h
+++ b/src/table/fleet_const.h
@@ -38,6 +38,9 @@
 /** Weight of the newest answer in the failure average of an upstream. */
 constexpr double kFailureWeight = 0.1;
 
+/** An entry read this long after its holder told of an engine may have been written before that: a
+ * heartbeat of up to 2 s and an interval of reading. */
+constexpr Duration kEntryLag = std::chrono::milliseconds(2500);
 /** Adapter that was used this recently is not evicted: a stream with it may still run. */
 constexpr Duration kAdapterInUse = std::chrono::milliseconds(1500);
 /** A want that was not repeated for this long is dropped; requesters repeat it while they wait. */
