--- a/src/fleet/engine_orders.cpp
+++ b/src/fleet/engine_orders.cpp
@@ -4,6 +4,8 @@
 #include "table/fleet_const.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <vector>
 
 namespace laburnumweir {
@@ -13,6 +15,8 @@
 // Uses older than this no longer tell adapters apart; bounds the memory of the table.
 constexpr Duration kUseMemory = std::chrono::minutes(10);
 constexpr std::size_t kMaxUses = 4096;
+// Demand for adapters shifts within some tens of seconds, and a use counts half after this time.
+constexpr std::chrono::duration<double> kUseHalfLife{ 15.0 };
 
 const ModelSpec*
 FindModel(const EngineSpec& aSpec, const std::string& aName)
@@ -52,12 +56,41 @@
 EngineOrders::Used(const std::string& aModel, const std::string& aAdapter)
 {
   const auto now = clock_.Now();
-  used_[{ aModel, aAdapter }] = now;
+  auto& use = used_[{ aModel, aAdapter }];
+  use.count_ = CountAt(use, now) + 1;
+  use.last_ = now;
   if (used_.size() > kMaxUses) {
-    std::erase_if(used_, [now](const auto& aUse) { return now - aUse.second > kUseMemory; });
+    std::erase_if(used_, [now](const auto& aUse) { return now - aUse.second.last_ > kUseMemory; });
   }
 }
 
+double
+EngineOrders::CountAt(const Use& aUse, TimePoint aNow)
+{
+  return aUse.count_ * std::exp2(-std::chrono::duration<double>(aNow - aUse.last_) / kUseHalfLife);
+}
+
+std::optional<TimePoint>
+EngineOrders::OldestWant() const
+{
+  std::optional<TimePoint> oldest;
+  for (const auto& [name, wanted] : wants_) {
+    if (!IsPending(name) && (!oldest || wanted.first_ < *oldest)) {
+      oldest = wanted.first_;
+    }
+  }
+  return oldest;
+}
+
+std::size_t
+EngineOrders::Loading() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(pending_.begin(), pending_.end(), [](const auto& aEntry) {
+      return aEntry.first.kind_ == OrderKind::Load && !aEntry.first.adapter_.empty();
+    }));
+}
+
 void
 EngineOrders::OnRestart()
 {
@@ -118,17 +151,17 @@
 {
   const auto now = clock_.Now();
   std::optional<EngineOrder> victim;
-  TimePoint oldest = TimePoint::max();
+  double least = std::numeric_limits<double>::max();
   for (const auto& model : aEntry.models_) {
     for (const auto& adapter : model.adapters_) {
       const Name name{ model.name_, adapter.name_ };
       const auto use = used_.find(name);
-      const auto last = use == used_.end() ? TimePoint::min() : use->second;
-      const bool isInUse = use != used_.end() && now - last < kAdapterInUse;
-      if (isInUse || wants_.contains(name) || IsPending(name) || last >= oldest) {
+      const double count = use == used_.end() ? 0.0 : CountAt(use->second, now);
+      const bool isInUse = use != used_.end() && now - use->second.last_ < kAdapterInUse;
+      if (isInUse || wants_.contains(name) || IsPending(name) || count >= least) {
         continue;
       }
-      oldest = last;
+      least = count;
       victim = EngineOrder{ OrderKind::Unload, model.name_, adapter.name_, 0 };
     }
   }
@@ -152,10 +185,7 @@
   if (auto order = LoadModel(aSpec, aEntry)) {
     return order;
   }
-  std::size_t loading = 0;
-  for (const auto& [order, since] : pending_) {
-    loading += order.kind_ == OrderKind::Load && !order.adapter_.empty() ? 1 : 0;
-  }
+  const std::size_t loading = Loading();
   std::size_t held = loading;
   double usedMb = 0;
   for (const auto& resident : aEntry.models_) {
--- a/src/fleet/engine_orders.h
+++ b/src/fleet/engine_orders.h
@@ -40,7 +40,7 @@
 
 /**
  * Orders for one engine, decided by its holder. Loads what requests wait for and makes room by the
- * adapter that was used least recently, never by one that may be in use. Not thread-safe.
+ * adapter that is used least, never by one that may be in use. Not thread-safe.
  */
 class EngineOrders
 {
@@ -67,6 +67,10 @@
    * @return the order; none if nothing is to be done or possible now.
    */
   std::optional<EngineOrder> Next(const EngineSpec& aSpec, const UpstreamEntry& aEntry);
+  /** @return since when the oldest want waits; none without wants. */
+  std::optional<TimePoint> OldestWant() const;
+  /** @return adapters on their way to the engine. */
+  std::size_t Loading() const;
   /** Notes that the engine accepted an order and carries it out. */
   void OnAccepted(const EngineOrder& aOrder);
   /** Notes that an order is complete, was refused, or is given up. */
@@ -76,6 +80,11 @@
 
 private:
   using Name = std::pair<std::string, std::string>; ///< Model and adapter.
+  struct Use
+  {
+    double count_ = 0; ///< Uses, of which older ones count less.
+    TimePoint last_;   ///< Last use.
+  };
   struct Wanted
   {
     std::int64_t version_ = 0; ///< Oldest version that serves.
@@ -86,10 +95,11 @@
   std::optional<EngineOrder> LoadModel(const EngineSpec& aSpec, const UpstreamEntry& aEntry) const;
   std::optional<EngineOrder> Evict(const UpstreamEntry& aEntry) const;
   bool IsPending(const Name& aName) const;
+  static double CountAt(const Use& aUse, TimePoint aNow);
 
   const Clock& clock_;                       ///< Time source.
   std::map<Name, Wanted> wants_;             ///< What requests wait for.
-  std::map<Name, TimePoint> used_;           ///< Last use of each adapter.
+  std::map<Name, Use> used_;                 ///< Uses of each adapter.
   std::map<EngineOrder, TimePoint> pending_; ///< Orders under way.
 };
 
--- a/src/fleet/holder_lease.cpp
+++ b/src/fleet/holder_lease.cpp
@@ -57,6 +57,13 @@
   return IsValid() && found != heldSince_.end() && clock_.Now() - found->second >= settle_;
 }
 
+std::optional<TimePoint>
+HolderLease::HeldSince(std::uint32_t aPartition) const
+{
+  const auto found = heldSince_.find(aPartition);
+  return found == heldSince_.end() ? std::nullopt : std::optional(found->second);
+}
+
 std::vector<std::uint32_t>
 HolderLease::Partitions() const
 {
--- a/src/fleet/holder_lease.h
+++ b/src/fleet/holder_lease.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace laburnumweir {
@@ -45,6 +46,8 @@
   void OnLost();
   /** @return whether this host may order engines of a partition now. */
   bool MayOrder(std::uint32_t aPartition) const;
+  /** @return since when this host holds a partition; none if it does not. */
+  std::optional<TimePoint> HeldSince(std::uint32_t aPartition) const;
   /** @return fencing token; the generation of the group. */
   std::uint64_t Token() const { return generation_; }
   /** @return partitions held, settled or not; none if the membership may have expired. */
--- a/src/fleet/quota_share.cpp
+++ b/src/fleet/quota_share.cpp
@@ -18,36 +18,45 @@
 
 } // namespace
 
+double
+QuotaShare::Average::At(TimePoint aNow) const
+{
+  return perSecond_ * std::exp(-Seconds(aNow - computed_) / Seconds(kDemandAverage));
+}
+
+void
+QuotaShare::Average::Add(TimePoint aNow, double aTokens)
+{
+  perSecond_ = At(aNow) + aTokens / Seconds(kDemandAverage);
+  computed_ = aNow;
+}
+
 void
 QuotaShare::OnPeerDemand(const HostId& aPeer, std::span<const WorkspaceDemand> aDemand)
 {
+  const auto now = clock_.Now();
   auto& peer = peers_[aPeer];
-  peer.heard_ = clock_.Now();
+  peer.heard_ = now;
   peer.demand_.clear();
   for (const auto& demand : aDemand) {
-    peer.demand_[demand.workspace_] = std::max(0.0, demand.tokensPerSecond_);
+    peer.demand_[demand.workspace_] = { demand.workspace_,
+                                        std::max(0.0, demand.askedPerSecond_),
+                                        std::max(0.0, demand.takenPerSecond_) };
   }
-  std::erase_if(peers_, [now = clock_.Now()](const auto& aEntry) {
-    return now - aEntry.second.heard_ > kPeerShareLife;
-  });
-}
-
-double
-QuotaShare::DemandNow(const Bucket& aBucket) const
-{
-  return aBucket.demand_ *
-         std::exp(-Seconds(clock_.Now() - aBucket.demandAt_) / Seconds(kDemandAverage));
+  std::erase_if(peers_,
+                [now](const auto& aEntry) { return now - aEntry.second.heard_ > kPeerDemandLife; });
 }
 
-double
+WorkspaceDemand
 QuotaShare::PeerDemand(const WorkspaceId& aWorkspace) const
 {
   const auto now = clock_.Now();
-  double sum = 0;
+  WorkspaceDemand sum{ aWorkspace, 0, 0 };
   for (const auto& [id, peer] : peers_) {
     const auto found = peer.demand_.find(aWorkspace);
     if (found != peer.demand_.end() && now - peer.heard_ < kPeerDemandLife) {
-      sum += found->second;
+      sum.askedPerSecond_ += found->second.askedPerSecond_;
+      sum.takenPerSecond_ += found->second.takenPerSecond_;
     }
   }
   return sum;
@@ -57,26 +66,41 @@
 QuotaShare::RateShare(const Workspace& aWorkspace) const
 {
   const auto found = buckets_.find(aWorkspace.id_);
-  const double own = found == buckets_.end() ? 0 : DemandNow(found->second);
-  const double all = own + PeerDemand(aWorkspace.id_);
+  const double own = found == buckets_.end() ? 0 : found->second.asked_.At(clock_.Now());
+  const double all = own + PeerDemand(aWorkspace.id_).askedPerSecond_;
   if (all <= aWorkspace.ratePerSecond_) {
     return own + (aWorkspace.ratePerSecond_ - all) / static_cast<double>(hosts_);
   }
   return aWorkspace.ratePerSecond_ * own / all;
 }
 
+bool
+QuotaShare::IsContended(const Workspace& aWorkspace) const
+{
+  const auto found = buckets_.find(aWorkspace.id_);
+  const double own = found == buckets_.end() ? 0 : found->second.asked_.At(clock_.Now());
+  return own + PeerDemand(aWorkspace.id_).askedPerSecond_ >
+         kContendedShare * aWorkspace.ratePerSecond_;
+}
+
 void
 QuotaShare::Fill(const Workspace& aWorkspace, Bucket& aBucket)
 {
   const auto now = clock_.Now();
-  const double rate = RateShare(aWorkspace);
-  const double capacity = aWorkspace.burst_ * rate / aWorkspace.ratePerSecond_;
+  const double burst = aWorkspace.burst_;
+  const double rate = aWorkspace.ratePerSecond_;
+  const double share = RateShare(aWorkspace);
+  const double capacity = burst * share / rate;
   if (aBucket.isNew_) {
-    // A process that starts does not know what its predecessor used, so it begins without burst.
+    // A process that starts does not know what was used before, and its peers may start with it.
     aBucket.isNew_ = false;
-    aBucket.level_ = std::min(capacity, rate);
+    aBucket.fleet_ = burst / static_cast<double>(hosts_);
+    aBucket.own_ = capacity;
   } else {
-    aBucket.level_ = std::min(capacity, aBucket.level_ + rate * Seconds(now - aBucket.filled_));
+    const double elapsed = Seconds(now - aBucket.filled_);
+    const double taken = PeerDemand(aWorkspace.id_).takenPerSecond_;
+    aBucket.fleet_ = std::clamp(aBucket.fleet_ + (rate - taken) * elapsed, -burst, burst);
+    aBucket.own_ = std::clamp(aBucket.own_ + share * elapsed, -capacity, capacity);
   }
   aBucket.filled_ = now;
 }
@@ -84,47 +108,57 @@
 void
 QuotaShare::NoteDemand(const Workspace& aWorkspace, TokenCount aTokens)
 {
-  auto& bucket = buckets_[aWorkspace.id_];
-  bucket.demand_ = DemandNow(bucket) + static_cast<double>(aTokens) / Seconds(kDemandAverage);
-  bucket.demandAt_ = clock_.Now();
+  buckets_[aWorkspace.id_].asked_.Add(clock_.Now(), static_cast<double>(aTokens));
 }
 
-Duration
+QuotaDecision
 QuotaShare::Take(const Workspace& aWorkspace, TokenCount aTokens)
 {
+  QuotaDecision decision;
   if (aWorkspace.ratePerSecond_ <= 0) {
-    return {};
+    return decision;
   }
   auto& bucket = buckets_[aWorkspace.id_];
   Fill(aWorkspace, bucket);
-  const double rate = std::max(RateShare(aWorkspace), 1.0);
-  const double capacity = aWorkspace.burst_ * rate / aWorkspace.ratePerSecond_;
   const auto tokens = static_cast<double>(aTokens);
-  // A request larger than this host's part of the burst runs from a full bucket and leaves a debt:
-  // otherwise no host could ever serve it.
-  const double needed = std::min(tokens, std::max(capacity, 1.0));
-  if (bucket.level_ + 1e-6 < needed) {
-    return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>((needed - bucket.level_) / rate));
+  decision.isContended_ = IsContended(aWorkspace);
+  const bool isContended = decision.isContended_;
+  const double share = std::max(RateShare(aWorkspace), 1.0);
+  decision.perSecond_ = isContended ? share : aWorkspace.ratePerSecond_;
+  decision.level_ = isContended ? bucket.own_ : bucket.fleet_;
+  const double capacity =
+    isContended ? aWorkspace.burst_ * share / aWorkspace.ratePerSecond_ : aWorkspace.burst_;
+  // A request larger than the bucket runs from a full one and leaves a debt: otherwise no host
+  // could ever serve it.
+  decision.needed_ = std::min(tokens, capacity);
+  if (decision.level_ + kRoundingTokens < decision.needed_) {
+    decision.isGranted_ = false;
+    decision.wait_ = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>((decision.needed_ - decision.level_) / decision.perSecond_));
+    return decision;
   }
-  bucket.level_ -= tokens;
-  return {};
+  bucket.own_ -= tokens;
+  bucket.fleet_ -= tokens;
+  bucket.taken_.Add(clock_.Now(), tokens);
+  return decision;
 }
 
 void
 QuotaShare::Return(const WorkspaceId& aWorkspace, TokenCount aTokens)
 {
   if (const auto found = buckets_.find(aWorkspace); found != buckets_.end()) {
-    found->second.level_ += static_cast<double>(aTokens);
+    found->second.own_ += static_cast<double>(aTokens);
+    found->second.fleet_ += static_cast<double>(aTokens);
   }
 }
 
 std::vector<WorkspaceDemand>
 QuotaShare::Demand() const
 {
+  const auto now = clock_.Now();
   std::vector<WorkspaceDemand> result;
   for (const auto& [id, bucket] : buckets_) {
-    result.push_back({ id, DemandNow(bucket) });
+    result.push_back({ id, bucket.asked_.At(now), bucket.taken_.At(now) });
   }
   return result;
 }
--- a/src/fleet/quota_share.h
+++ b/src/fleet/quota_share.h
@@ -16,15 +16,29 @@
 /** Demand of one workspace at one host. */
 struct WorkspaceDemand
 {
-  WorkspaceId workspace_;      ///< Workspace.
-  double tokensPerSecond_ = 0; ///< Average of what its callers ask for.
+  WorkspaceId workspace_;     ///< Workspace.
+  double askedPerSecond_ = 0; ///< Average tokens/s that its callers ask for.
+  double takenPerSecond_ = 0; ///< Average tokens/s that were granted.
+};
+
+/** Answer to QuotaShare::Take(), with what decided it. */
+struct QuotaDecision
+{
+  bool isGranted_ = true;    ///< The tokens were taken.
+  Duration wait_{};          ///< Time after which they are likely to be there, if not granted.
+  bool isContended_ = false; ///< The host keeps to its share.
+  double level_ = 0;         ///< Tokens that were at hand.
+  double needed_ = 0;        ///< Tokens that had to be at hand.
+  double perSecond_ = 0;     ///< Rate at which tokens come.
 };
 
 /**
- * Divides each workspace's rate and burst between the hosts in proportion to their demand, which
- * hosts tell each other. While all demand together is below the rate, the rest is divided equally,
- * so that a host whose demand rises is not refused before its peers hear of it. The shares of all
- * hosts add up to the quota as long as the demand told is current. Not thread-safe.
+ * Keeps workspaces within their rate and burst over all hosts, without a question for each request.
+ * Hosts tell each other what is asked and granted. While a workspace asks for clearly less than its
+ * rate, each host charges one bucket for the whole fleet, which the peers' grants drain at the rate
+ * they tell: uneven demand and large requests are then no reason to refuse. Once it asks for more,
+ * each host charges its own bucket, with a share of rate and burst in proportion to its demand; the
+ * shares add up to the quota, so hosts cannot overshoot together. Not thread-safe.
  */
 class QuotaShare
 {
@@ -51,36 +65,46 @@
    */
   void NoteDemand(const Workspace& aWorkspace, TokenCount aTokens);
   /**
-   * Takes tokens of a request if this host's share allows it.
+   * Takes tokens of a request if the quota allows it.
    * @param aWorkspace workspace with its present quota.
    * @param aTokens tokens of the request.
-   * @return zero if they were taken, or else the time after which they are likely to be there.
+   * @return whether they were taken, and why.
    */
-  Duration Take(const Workspace& aWorkspace, TokenCount aTokens);
+  QuotaDecision Take(const Workspace& aWorkspace, TokenCount aTokens);
   /** Gives tokens back of a request that did not run. */
   void Return(const WorkspaceId& aWorkspace, TokenCount aTokens);
   /** @return the demand at this host, for its peers. */
   std::vector<WorkspaceDemand> Demand() const;
-  /** @return tokens per second that this host may use of a workspace's rate. */
+  /** @return tokens per second that this host may use of a workspace's rate under contention. */
   double RateShare(const Workspace& aWorkspace) const;
+  /** @return whether a workspace asks for so much that the hosts keep to their shares. */
+  bool IsContended(const Workspace& aWorkspace) const;
 
 private:
+  /** Exponential moving average of tokens per second. */
+  struct Average
+  {
+    double perSecond_ = 0; ///< Average when it was computed.
+    TimePoint computed_;   ///< When that was.
+    double At(TimePoint aNow) const;
+    void Add(TimePoint aNow, double aTokens);
+  };
   struct Bucket
   {
-    double level_ = 0;   ///< Tokens at hand; negative after a request larger than them.
-    TimePoint filled_;   ///< When the level was computed.
-    double demand_ = 0;  ///< Average demand in tokens per second.
-    TimePoint demandAt_; ///< When the average was computed.
-    bool isNew_ = true;  ///< No request was seen yet.
+    double fleet_ = 0;  ///< Tokens at hand over all hosts; negative after a large request.
+    double own_ = 0;    ///< Tokens at hand of this host's share.
+    TimePoint filled_;  ///< When the levels were computed.
+    Average asked_;     ///< Tokens that callers ask for.
+    Average taken_;     ///< Tokens that were granted.
+    bool isNew_ = true; ///< No request was seen yet.
   };
   struct Peer
   {
-    TimePoint heard_;                      ///< When it last told its demand.
-    std::map<WorkspaceId, double> demand_; ///< Its demand.
+    TimePoint heard_;                               ///< When it last told its demand.
+    std::map<WorkspaceId, WorkspaceDemand> demand_; ///< Its demand.
   };
 
-  double DemandNow(const Bucket& aBucket) const;
-  double PeerDemand(const WorkspaceId& aWorkspace) const;
+  WorkspaceDemand PeerDemand(const WorkspaceId& aWorkspace) const;
   void Fill(const Workspace& aWorkspace, Bucket& aBucket);
 
   const Clock& clock_;                              ///< Time source.
--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -54,8 +54,8 @@
     upstream.entry_ = aEntry;
   } else {
     // What the holder told after an order is newer than an entry written before it.
-    const bool isOlder = !aEntry.listsModels_ || (upstream.residencyTold_ &&
-                                                  now - *upstream.residencyTold_ < kEntryLag);
+    const bool isOlder = !aEntry.listsModels_ ||
+                         (upstream.residencyTold_ && now - *upstream.residencyTold_ < kEntryLag);
     auto models = std::move(upstream.entry_.models_);
     upstream.entry_ = aEntry;
     if (isOlder) {
--- a/src/fleet/upstream_table.h
+++ b/src/fleet/upstream_table.h
@@ -58,7 +58,7 @@
   double coldTokens_ = 0;          ///< Requests that this host may send it now while it is cold.
   std::uint64_t orders_ = 0;       ///< Orders that an engine has accepted, as its holder tells.
   std::optional<TimePoint> residencyTold_; ///< When its holder last told what it holds.
-  bool isMissing_ = false;         ///< Another upstream answers at its address.
+  bool isMissing_ = false;                 ///< Another upstream answers at its address.
 };
 
 /** What a request needs of an upstream. */
--- a/src/fleet/wait_queue.cpp
+++ b/src/fleet/wait_queue.cpp
@@ -54,6 +54,14 @@
   }
 }
 
+void
+WaitQueue::SetWaitsForLoad(WaitTicket aTicket, bool aWaitsForLoad)
+{
+  if (const auto found = places_.find(aTicket); found != places_.end()) {
+    lines_[found->second.first].requests_[found->second.second].waitsForLoad_ = aWaitsForLoad;
+  }
+}
+
 std::vector<WaitTicket>
 WaitQueue::InOrder(const ServiceName& aService) const
 {
@@ -103,12 +111,14 @@
     double ahead = 0;
     for (const auto& [place, request] : line.requests_) {
       const bool isLate = request.latestStart_ <= now;
-      const bool isBehind = rate && now + std::chrono::duration_cast<Duration>(
-                                            std::chrono::duration<double>(ahead / *rate)) >=
-                                      request.latestStart_;
+      // A request that waits for an adapter is served when that is loaded, whoever waits before it.
+      const bool isBehind =
+        !request.waitsForLoad_ && rate &&
+        now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(ahead / *rate)) >=
+          request.latestStart_;
       if (isLate || isBehind) {
         result.push_back(place.second);
-      } else {
+      } else if (!request.waitsForLoad_) {
         ++ahead;
       }
     }
@@ -129,7 +139,7 @@
   }
   double ahead = 0;
   for (const auto& [place, request] : found->second.requests_) {
-    ahead += place.first <= aRank ? 1 : 0;
+    ahead += place.first <= aRank && !request.waitsForLoad_ ? 1 : 0;
   }
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(ahead / *rate));
 }
--- a/src/fleet/wait_queue.h
+++ b/src/fleet/wait_queue.h
@@ -19,9 +19,10 @@
 /** A request that waits. */
 struct WaitingRequest
 {
-  ServiceName service_;    ///< Service.
-  std::uint32_t rank_ = 0; ///< Rank; lower goes first.
-  TimePoint latestStart_;  ///< It is of no use to start it later.
+  ServiceName service_;       ///< Service.
+  std::uint32_t rank_ = 0;    ///< Rank; lower goes first.
+  TimePoint latestStart_;     ///< It is of no use to start it later.
+  bool waitsForLoad_ = false; ///< It waits for an adapter, whatever places are free.
 };
 
 /**
@@ -42,6 +43,8 @@
   WaitTicket Push(const WaitingRequest& aRequest);
   /** Removes a request. @param aHasStarted whether it left because it started. */
   void Remove(WaitTicket aTicket, bool aHasStarted);
+  /** Sets whether a request waits for an adapter rather than for a place. */
+  void SetWaitsForLoad(WaitTicket aTicket, bool aWaitsForLoad);
   /** @return tickets of a service, first to be served first. */
   std::vector<WaitTicket> InOrder(const ServiceName& aService) const;
   /** @return services with waiting requests. */
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <cmath>
 #include <csignal>
 #include <random>
 #include <unordered_map>
@@ -207,9 +208,19 @@
       admitted.tokens_ =
         workspace->countsTokens_ ? admitted.facts_.tokens_.value_or(workspace->plainTokens_) : 1;
       quota_.NoteDemand(*workspace, admitted.tokens_);
-      const auto wait = quota_.Take(*workspace, admitted.tokens_);
-      if (wait > Duration::zero()) {
-        Refuse(*aAnswer, admitted, 429, "over_quota", wait);
+      const auto quota = quota_.Take(*workspace, admitted.tokens_);
+      if (!quota.isGranted_) {
+        LogEvent(LogLevel::Info,
+                 "quota_refusal",
+                 { { "id", admitted.facts_.id_.Value() },
+                   { "workspace", workspace->id_.Value() },
+                   { "contended", quota.isContended_ ? "true" : "false" },
+                   { "level", std::to_string(std::llround(quota.level_)) },
+                   { "needed", std::to_string(std::llround(quota.needed_)) },
+                   { "per_second", std::to_string(std::llround(quota.perSecond_)) },
+                   { "quota_per_second", std::to_string(std::llround(workspace->ratePerSecond_)) },
+                   { "burst", std::to_string(std::llround(workspace->burst_)) } });
+        Refuse(*aAnswer, admitted, 429, "over_quota", quota.wait_);
         return;
       }
     }
--- a/src/gateway/gossip_message.cpp
+++ b/src/gateway/gossip_message.cpp
@@ -103,8 +103,9 @@
     json::array demand;
     for (const auto& entry : aMessage.demand_) {
       // Whole tokens per second are exact enough and half as long.
-      demand.emplace_back(
-        json::array{ entry.workspace_.Value(), std::llround(entry.tokensPerSecond_) });
+      demand.emplace_back(json::array{ entry.workspace_.Value(),
+                                       std::llround(entry.askedPerSecond_),
+                                       std::llround(entry.takenPerSecond_) });
     }
     json::array running;
     for (const auto& entry : aMessage.load_) {
@@ -160,7 +161,8 @@
   ReadField(object, "c", message.hasCounts_);
   ReadField(object, "g", message.generation_);
   ForRows(object, "d", [&](const json::array& aRow) {
-    message.demand_.push_back({ WorkspaceId(TextAt(aRow, 0)), NumberAt<double>(aRow, 1) });
+    message.demand_.push_back(
+      { WorkspaceId(TextAt(aRow, 0)), NumberAt<double>(aRow, 1), NumberAt<double>(aRow, 2) });
   });
   ForRows(object, "r", [&](const json::array& aRow) {
     message.load_.push_back({ UpstreamId(TextAt(aRow, 0)), NumberAt<std::uint32_t>(aRow, 1) });
--- a/src/gateway/holder_service.cpp
+++ b/src/gateway/holder_service.cpp
@@ -4,6 +4,7 @@
 #include "logging/logging_func.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace laburnumweir {
 
@@ -51,6 +52,16 @@
   return found == aEntry.models_.end() ? nullptr : &*found;
 }
 
+std::size_t
+ResidentCount(const UpstreamEntry& aEntry)
+{
+  std::size_t count = 0;
+  for (const auto& model : aEntry.models_) {
+    count += model.adapters_.size();
+  }
+  return count;
+}
+
 /** Removes what an unload order names. */
 void
 RemoveResident(UpstreamEntry& aEntry, const EngineOrder& aOrder)
@@ -164,7 +175,19 @@
 {
   auto& engine = engines_.try_emplace(aEngine, clock_).first->second;
   engine.orders_.Want(aWant);
-  TickEngine(aEngine, engine);
+  if (Loading() < window_.Size()) {
+    TickEngine(aEngine, engine);
+  }
+}
+
+std::size_t
+HolderService::Loading() const
+{
+  std::size_t loading = 0;
+  for (const auto& [id, engine] : engines_) {
+    loading += engine.orders_.Loading();
+  }
+  return loading;
 }
 
 void
@@ -186,9 +209,18 @@
   }
   std::erase_if(
     engines_, [this](auto& aEngine) { return state_.Upstreams().Find(aEngine.first) == nullptr; });
-  for (auto& [id, engine] : engines_) {
-    TickEngine(id, engine);
+  // The window is for what was wanted first, at whichever engine.
+  std::vector<std::pair<TimePoint, UpstreamId>> order;
+  for (const auto& [id, engine] : engines_) {
+    order.emplace_back(engine.orders_.OldestWant().value_or(TimePoint::max()), id);
+  }
+  std::sort(order.begin(), order.end());
+  std::size_t held = 0;
+  for (const auto& [since, id] : order) {
+    held += lease_.MayOrder(PartitionOfEngine(id)) ? 1 : 0;
+    TickEngine(id, engines_.at(id));
   }
+  window_.SetEngines(held);
 }
 
 bool
@@ -219,10 +251,12 @@
       (aEngine.fencedToken_ && *aEngine.fencedToken_ >= lease_.Token())) {
     return;
   }
-  if (aEngine.startedAt_ != upstream->entry_.startedAt_) {
+  const auto heldSince = lease_.HeldSince(PartitionOfEngine(aId));
+  if (aEngine.startedAt_ != upstream->entry_.startedAt_ || aEngine.heldSince_ != heldSince) {
     aEngine.startedAt_ = upstream->entry_.startedAt_;
+    aEngine.heldSince_ = heldSince;
     aEngine.orders_.OnRestart();
-    // An entry may be older than orders of the holder before.
+    // Entries and gossip may be older than the last orders of the holder before.
     aEngine.mustReport_ = true;
   }
   const auto now = clock_.Now();
@@ -236,7 +270,7 @@
     }
   }
   const auto order = aEngine.orders_.Next(*service->engine_, upstream->entry_);
-  if (!order) {
+  if (!order || (!order->adapter_.empty() && Loading() >= window_.Size())) {
     return;
   }
   if (order->kind_ == OrderKind::Load && order->adapter_.empty()) {
@@ -280,6 +314,8 @@
              { "version", std::to_string(aOrder.version_) },
              { "token", std::to_string(lease_.Token()) },
              { "orders", std::to_string(upstream->orders_) },
+             { "resident", std::to_string(ResidentCount(upstream->entry_)) },
+             { "loading", std::to_string(engine.orders_.Pending().size()) },
              { "answer", NameOf(aAnswer) } });
   const auto now = clock_.Now();
   switch (aAnswer) {
@@ -360,6 +396,16 @@
   upstream->orders_ = aReport.orders_;
   engine.mustReport_ = false;
   entry.models_ = aReport.models_;
+  // Loads that another holder ordered, or whose answer was lost, take room too.
+  for (const auto& order : aReport.loading_) {
+    const bool isKnown = std::any_of(
+      engine.orders_.Pending().begin(), engine.orders_.Pending().end(), [&](const auto& aPending) {
+        return aPending.first.model_ == order.model_ && aPending.first.adapter_ == order.adapter_;
+      });
+    if (!isKnown) {
+      engine.orders_.OnAccepted(order);
+    }
+  }
   std::vector<EngineOrder> finished;
   for (const auto& [order, since] : engine.orders_.Pending()) {
     const bool isLoading =
@@ -375,6 +421,9 @@
     }
   }
   for (const auto& order : finished) {
+    if (!order.adapter_.empty()) {
+      window_.OnLoaded(now - engine.orders_.Pending().at(order));
+    }
     engine.orders_.OnFinished(order);
   }
   Publish(*upstream);
--- a/src/gateway/holder_service.h
+++ b/src/gateway/holder_service.h
@@ -8,6 +8,7 @@
 #include "fleet/fleet_state.h"
 #include "fleet/fleet_store_base.h"
 #include "fleet/holder_lease.h"
+#include "fleet/load_window.h"
 
 #include <functional>
 #include <map>
@@ -70,12 +71,14 @@
     }
     EngineOrders orders_;                      ///< What to order.
     std::int64_t startedAt_ = 0;               ///< Life of the engine.
+    std::optional<TimePoint> heldSince_;       ///< Tenure in which its state was read.
     bool isCalling_ = false;                   ///< An order or report is under way.
     bool mustReport_ = false;                  ///< What it holds is not certain.
     TimePoint nextReport_;                     ///< Earliest next report.
     std::optional<std::uint64_t> fencedToken_; ///< Token that was refused.
   };
 
+  std::size_t Loading() const;
   void Join();
   void OnJoined(TimePoint aAsked, std::error_code aError, const GroupMembership& aMembership);
   void TickEngine(const UpstreamId& aId, Engine& aEngine);
@@ -96,6 +99,7 @@
   HolderLease lease_;                    ///< Partitions held.
   std::map<UpstreamId, Engine> engines_; ///< Engines with wants, uses or orders.
   std::size_t hosts_ = 1;                ///< Live hosts.
+  LoadWindow window_;                    ///< Adapters that may load at once.
   double weightLoads_ = 1;               ///< Loads of weights that may start now.
   TimePoint weightLoadsAt_;              ///< When weightLoads_ was computed.
   bool isLeaving_ = false;               ///< Leave() was called.
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -32,7 +32,11 @@
 // A want is told again at this interval, since datagrams may be lost.
 constexpr Duration kWantInterval = milliseconds(150);
 // An engine that has not loaded an adapter after this time is not waited for any longer.
-constexpr Duration kLoadPatience = milliseconds(1000);
+constexpr Duration kLoadPatience = milliseconds(3000);
+// Pause of a request at an upstream that refused it, doubled with each attempt up to 0.8 s. A
+// refusal lasts while an adapter is replaced or until a run ends, both some tenths of a second.
+constexpr Duration kFirstRefusalPause = milliseconds(100);
+constexpr std::uint32_t kMaxRefusalDoublings = 3;
 // Retry-After when the wait cannot be estimated.
 constexpr Duration kDefaultRetryAfter = milliseconds(300);
 // Answers up to this size are checked as a whole before they are passed on.
@@ -113,6 +117,13 @@
   const auto& facts = admitted_.facts_;
   const auto* service = admitted_.routes_->FindService(admitted_.service_);
   const bool isEngine = service != nullptr && service->engine_.has_value();
+  const auto now = context_.clock_.Now();
+  tried_ = failed_;
+  for (const auto& [upstream, until] : refusedUntil_) {
+    if (now < until) {
+      tried_.insert(upstream);
+    }
+  }
   UpstreamNeed need;
   need.service_ = admitted_.service_;
   if (isEngine) {
@@ -125,7 +136,6 @@
     facts.adapter_.empty() ? nullptr : context_.fleet_.FindRelease(facts.model_, facts.adapter_);
   need.minVersion_ = release == nullptr ? 0 : release->version_;
   auto choice = context_.fleet_.Upstreams().Choose(need);
-  const auto now = context_.clock_.Now();
   if (choice.loadAt_) {
     if (loadingAt_ != choice.loadAt_) {
       loadingAt_ = choice.loadAt_;
@@ -139,8 +149,11 @@
     if (now - loadAskedAt_ > kLoadPatience) {
       notLoading_.insert(*choice.loadAt_);
     }
-  } else if (!notLoading_.empty() && choice.upstream_ == nullptr) {
-    notLoading_.clear();
+  } else {
+    loadingAt_.reset();
+    if (choice.upstream_ == nullptr) {
+      notLoading_.clear();
+    }
   }
   if (choice.upstream_ == nullptr && release != nullptr &&
       now - release->learned_ < kOldVersionGrace) {
@@ -175,7 +188,9 @@
       RefuseWaiting();
       return true;
     }
-    tried_ = failed_;
+    if (ticket_) {
+      context_.queue_.SetWaitsForLoad(*ticket_, loadingAt_.has_value());
+    }
     return false;
   }
   LeaveQueue(true);
@@ -196,7 +211,8 @@
     RefuseWaiting();
     return;
   }
-  ticket_ = context_.queue_.Push({ admitted_.service_, Rank(), deadline_ - least });
+  ticket_ =
+    context_.queue_.Push({ admitted_.service_, Rank(), deadline_ - least, loadingAt_.has_value() });
   context_.park_(*ticket_, shared_from_this());
 }
 
@@ -469,7 +485,10 @@
              { "reason", std::string(aWhy) },
              { "status", std::to_string(hasSent_ ? status_ : 0) },
              { "attempt", std::to_string(attempts_) } });
-  tried_.insert(upstream_);
+  if (hasSent_) {
+    const auto doublings = std::min<std::uint32_t>(attempts_ - 1, kMaxRefusalDoublings);
+    refusedUntil_[upstream_] = context_.clock_.Now() + kFirstRefusalPause * (1 << doublings);
+  }
   if (TimeLeft() <= kLeastAnswerTime || (hasSent_ && !MayTryAgain(false))) {
     if (isBegun_) {
       answer_->Abort();
@@ -499,7 +518,6 @@
 {
   ++runs_;
   failed_.insert(upstream_);
-  tried_.insert(upstream_);
   LogEvent(LogLevel::Info,
            "attempt_failed",
            { { "id", admitted_.facts_.id_.Value() },
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -16,6 +16,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -125,38 +126,39 @@
   void Finish(unsigned aStatus, std::string_view aWhy);
   Duration RetryDelay() const;
 
-  FlowContext& context_;                 ///< Shared services.
-  AdmittedRequest admitted_;             ///< The request.
-  std::shared_ptr<AnswerStream> answer_; ///< Where the answer goes; empty after the end.
-  boost::asio::steady_timer timer_;      ///< Next time limit.
-  TimePoint deadline_;                   ///< When the caller's wait ends.
-  std::shared_ptr<UpstreamCall> call_;   ///< Attempt under way.
-  UpstreamId upstream_;                  ///< Where it goes.
-  Endpoint endpoint_;                    ///< Where that listens.
-  TimePoint sent_;                       ///< When the attempt started.
-  std::optional<TimePoint> firstByte_;   ///< When its answer started.
-  TimePoint lastByte_;                   ///< When bytes last came.
-  std::set<UpstreamId> failed_;          ///< Upstreams that failed with it.
-  std::set<UpstreamId> tried_;           ///< Those, and upstreams that refused it just now.
-  std::set<UpstreamId> notLoading_;      ///< Engines that did not load what it needs in time.
-  std::optional<WaitTicket> ticket_;     ///< Place in the queue.
-  std::optional<UpstreamId> loadingAt_;  ///< Engine that was asked to load what it needs.
-  TimePoint loadAskedAt_;                ///< When it was asked first.
-  TimePoint loadRepeatedAt_;             ///< When it was asked last.
-  std::uint32_t runs_ = 0;               ///< Attempts that ran or may have run.
-  std::uint32_t attempts_ = 0;           ///< Attempts in all.
-  bool hasSent_ = false;                 ///< Bytes of this attempt may have reached it.
-  bool isSilenceNoted_ = false;          ///< The upstream was noted as silent.
-  Verdict verdict_ = Verdict::None;      ///< What the head of the answer tells.
-  AnswerFacts answerFacts_;              ///< Facts of the answer.
-  unsigned status_ = 0;                  ///< Status of the answer.
-  std::string reason_;                   ///< Its reason phrase.
-  boost::beast::http::fields fields_;    ///< Its fields.
-  std::optional<std::uint64_t> length_;  ///< Announced length of its body.
-  std::string body_;                     ///< Body that is held.
-  EventCutter events_;                   ///< Events of a stream.
-  bool isStreaming_ = false;             ///< The answer is an event stream that is passed on.
-  bool isBegun_ = false;                 ///< The caller has the head.
+  FlowContext& context_;                         ///< Shared services.
+  AdmittedRequest admitted_;                     ///< The request.
+  std::shared_ptr<AnswerStream> answer_;         ///< Where the answer goes; empty after the end.
+  boost::asio::steady_timer timer_;              ///< Next time limit.
+  TimePoint deadline_;                           ///< When the caller's wait ends.
+  std::shared_ptr<UpstreamCall> call_;           ///< Attempt under way.
+  UpstreamId upstream_;                          ///< Where it goes.
+  Endpoint endpoint_;                            ///< Where that listens.
+  TimePoint sent_;                               ///< When the attempt started.
+  std::optional<TimePoint> firstByte_;           ///< When its answer started.
+  TimePoint lastByte_;                           ///< When bytes last came.
+  std::set<UpstreamId> failed_;                  ///< Upstreams that failed with it.
+  std::map<UpstreamId, TimePoint> refusedUntil_; ///< Upstreams that refused it, with their pause.
+  std::set<UpstreamId> tried_;                   ///< Upstreams that do not come into question now.
+  std::set<UpstreamId> notLoading_;     ///< Engines that did not load what it needs in time.
+  std::optional<WaitTicket> ticket_;    ///< Place in the queue.
+  std::optional<UpstreamId> loadingAt_; ///< Engine that was asked to load what it needs.
+  TimePoint loadAskedAt_;               ///< When it was asked first.
+  TimePoint loadRepeatedAt_;            ///< When it was asked last.
+  std::uint32_t runs_ = 0;              ///< Attempts that ran or may have run.
+  std::uint32_t attempts_ = 0;          ///< Attempts in all.
+  bool hasSent_ = false;                ///< Bytes of this attempt may have reached it.
+  bool isSilenceNoted_ = false;         ///< The upstream was noted as silent.
+  Verdict verdict_ = Verdict::None;     ///< What the head of the answer tells.
+  AnswerFacts answerFacts_;             ///< Facts of the answer.
+  unsigned status_ = 0;                 ///< Status of the answer.
+  std::string reason_;                  ///< Its reason phrase.
+  boost::beast::http::fields fields_;   ///< Its fields.
+  std::optional<std::uint64_t> length_; ///< Announced length of its body.
+  std::string body_;                    ///< Body that is held.
+  EventCutter events_;                  ///< Events of a stream.
+  bool isStreaming_ = false;            ///< The answer is an event stream that is passed on.
+  bool isBegun_ = false;                ///< The caller has the head.
 };
 
 } // namespace laburnumweir
--- a/src/table/fleet_const.h
+++ b/src/table/fleet_const.h
@@ -24,6 +24,12 @@
 /** Time constant of the demand average; shorter follows bursts of single large requests. */
 constexpr Duration kDemandAverage = std::chrono::seconds(2);
 
+/** Part of its rate from which a workspace counts as contended; the averages lag behind by about
+ * half of kDemandAverage. */
+constexpr double kContendedShare = 0.9;
+/** Tokens by which a level may fall short through rounding. */
+constexpr double kRoundingTokens = 1e-6;
+
 /** Part of the allowed retries that is used; the rest covers arrivals counted differently. */
 constexpr double kRetryShare = 0.7;
 /** Part of the allowed rate of cold upstreams that is used; the rest covers bunching on the way. */
