Confirm loads by repeating the order instead of by reports

The load window saw every load as slow and stayed at one. Ruled out: congestion of the adapter store (1 load at a time was as slow). Change: an accepted load is confirmed by the same order again, first when a load of its kind can be complete.

--- a/src/fleet/engine_orders.cpp
+++ b/src/fleet/engine_orders.cpp
@@ -95,6 +95,7 @@
 EngineOrders::OnRestart()
 {
   pending_.clear();
+  held_.clear();
   used_.clear();
 }
 
@@ -222,6 +223,14 @@
   return EngineOrder{ OrderKind::Load, name.first, name.second, wants_.at(name).version_ };
 }
 
+void
+EngineOrders::OnFinished(const EngineOrder& aOrder)
+{
+  if (pending_.erase(aOrder) > 0 && aOrder.kind_ == OrderKind::Load) {
+    held_.insert({ aOrder.model_, aOrder.adapter_ });
+  }
+}
+
 void
 EngineOrders::OnAccepted(const EngineOrder& aOrder)
 {
--- a/src/fleet/engine_orders.h
+++ b/src/fleet/engine_orders.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace laburnumweir {
@@ -69,12 +70,17 @@
   std::optional<EngineOrder> Next(const EngineSpec& aSpec, const UpstreamEntry& aEntry);
   /** @return since when the oldest want waits; none without wants. */
   std::optional<TimePoint> OldestWant() const;
+  /** @return whether the engine held an adapter before, which makes its load fast. */
+  bool WasHeld(const std::string& aModel, const std::string& aAdapter) const
+  {
+    return held_.contains({ aModel, aAdapter });
+  }
   /** @return adapters on their way to the engine. */
   std::size_t Loading() const;
   /** Notes that the engine accepted an order and carries it out. */
   void OnAccepted(const EngineOrder& aOrder);
   /** Notes that an order is complete, was refused, or is given up. */
-  void OnFinished(const EngineOrder& aOrder) { pending_.erase(aOrder); }
+  void OnFinished(const EngineOrder& aOrder);
   /** @return orders accepted and not known to be complete, with their start. */
   const std::map<EngineOrder, TimePoint>& Pending() const { return pending_; }
 
@@ -101,6 +107,7 @@
   std::map<Name, Wanted> wants_;             ///< What requests wait for.
   std::map<Name, Use> used_;                 ///< Uses of each adapter.
   std::map<EngineOrder, TimePoint> pending_; ///< Orders under way.
+  std::set<Name> held_;                      ///< Adapters loaded in this life of the engine.
 };
 
 } // namespace laburnumweir
--- a/src/fleet/load_window.cpp
+++ b/src/fleet/load_window.cpp
@@ -7,10 +7,11 @@
 
 namespace {
 
-// A load at full speed takes 250 ms on the users' engines, and reports confirm it about 150 ms
-// later.
-constexpr Duration kFastLoad = std::chrono::milliseconds(450);
-constexpr Duration kSlowLoad = std::chrono::milliseconds(600);
+// A load counts as fast or slow by its time relative to the fastest one.
+constexpr double kFast = 1.35;
+constexpr double kSlow = 1.8;
+// The fastest time is forgotten by this factor with each load, so that engines may become slower.
+constexpr double kForget = 1.01;
 constexpr double kShrink = 0.85;      // for each slow load
 constexpr double kMaxPerEngine = 4.0; // engines take no more at once
 
@@ -26,9 +27,11 @@
 void
 LoadWindow::OnLoaded(Duration aTook)
 {
-  if (aTook > kSlowLoad) {
+  const double took = std::chrono::duration<double>(aTook).count();
+  fastest_ = fastest_ == 0 ? took : std::min(took, fastest_ * kForget);
+  if (took > kSlow * fastest_) {
     size_ *= kShrink;
-  } else if (aTook <= kFastLoad) {
+  } else if (took <= kFast * fastest_) {
     size_ += 1.0 / size_;
   }
   size_ = std::clamp(size_, 1.0, kMaxPerEngine * static_cast<double>(engines_));
--- a/src/fleet/load_window.h
+++ b/src/fleet/load_window.h
@@ -19,13 +19,17 @@
 public:
   /** Sets the number of engines that this host holds; bounds the window. */
   void SetEngines(std::size_t aEngines);
-  /** Notes a load that is complete. @param aTook time from the order to its confirmation. */
+  /**
+   * Notes a complete load of an adapter that the engine had not held before.
+   * @param aTook time from the order to its confirmation.
+   */
   void OnLoaded(Duration aTook);
   /** @return most loads that may be under way at this host's engines. */
   std::size_t Size() const;
 
 private:
   double size_ = 2;         ///< Window.
+  double fastest_ = 0;      ///< Time of the fastest load in seconds; 0 before the first.
   std::size_t engines_ = 1; ///< Engines held.
 };
 
--- a/src/gateway/holder_service.cpp
+++ b/src/gateway/holder_service.cpp
@@ -10,10 +10,16 @@
 
 namespace {
 
-// First report after an order. An adapter that the engine held recently is loaded by then, and the
-// report lags by about a tenth of a second.
-constexpr Duration kFirstReport = std::chrono::milliseconds(120);
-// Between further reports while adapters are on their way.
+// A load is confirmed by repeating its order, which an engine answers at once and without effect.
+// An engine that held the adapter before loads it in some tens of milliseconds.
+constexpr Duration kFirstConfirm = std::chrono::milliseconds(45);
+// Further confirmations come at this part of the time since the order, and not closer than the
+// least.
+constexpr int kConfirmParts = 8;
+constexpr Duration kLeastConfirmGap = std::chrono::milliseconds(35);
+// First confirmation of a load from the store until one was measured.
+constexpr Duration kAssumedLoad = std::chrono::milliseconds(200);
+// Between reports while the state of an engine is not certain.
 constexpr Duration kReportInterval = std::chrono::milliseconds(100);
 // Part of the allowed loads of weights that is used; the rest covers loads that others started.
 constexpr double kWeightLoadShare = 0.8;
@@ -260,14 +266,11 @@
     aEngine.mustReport_ = true;
   }
   const auto now = clock_.Now();
-  if (aEngine.mustReport_ || !aEngine.orders_.Pending().empty()) {
+  if (aEngine.mustReport_) {
     if (now >= aEngine.nextReport_) {
       SendReport(aId);
-      return;
-    }
-    if (aEngine.mustReport_) {
-      return;
     }
+    return;
   }
   const auto order = aEngine.orders_.Next(*service->engine_, upstream->entry_);
   if (!order || (!order->adapter_.empty() && Loading() >= window_.Size())) {
@@ -285,15 +288,13 @@
 void
 HolderService::SendOrder(const UpstreamId& aId, const EngineOrder& aOrder)
 {
-  const auto& upstream = *state_.Upstreams().Find(aId);
   engines_.at(aId).isCalling_ = true;
-  engineControl_.Send(
-    { aOrder, aId, upstream.entry_.endpoint_, settings_.host_, lease_.Token(), upstream.orders_ },
-    [weak = weak_from_this(), aId, aOrder](OrderAnswer aAnswer) {
-      if (const auto self = weak.lock()) {
-        self->OnOrderAnswer(aId, aOrder, aAnswer);
-      }
-    });
+  engineControl_.Send(Fence(*state_.Upstreams().Find(aId), aOrder),
+                      [weak = weak_from_this(), aId, aOrder](OrderAnswer aAnswer) {
+                        if (const auto self = weak.lock()) {
+                          self->OnOrderAnswer(aId, aOrder, aAnswer);
+                        }
+                      });
 }
 
 void
@@ -328,7 +329,10 @@
       } else if (aAnswer == OrderAnswer::Accepted) {
         ++upstream->orders_;
         engine.orders_.OnAccepted(aOrder);
-        engine.nextReport_ = now + kFirstReport;
+        ConfirmLater(aId,
+                     aOrder,
+                     engine.orders_.WasHeld(aOrder.model_, aOrder.adapter_) ? kFirstConfirm
+                                                                            : kAssumedLoad);
       } else {
         // It holds already, so what is known of the engine is out of date.
         engine.mustReport_ = true;
@@ -351,6 +355,94 @@
   TickEngine(aId, engine);
 }
 
+FencedOrder
+HolderService::Fence(const Upstream& aUpstream, const EngineOrder& aOrder) const
+{
+  return { aOrder,          aUpstream.entry_.id_, aUpstream.entry_.endpoint_,
+           settings_.host_, lease_.Token(),       aUpstream.orders_ };
+}
+
+void
+HolderService::ConfirmLater(const UpstreamId& aId, const EngineOrder& aOrder, Duration aDelay)
+{
+  scheduler_.After(aDelay, [weak = weak_from_this(), aId, aOrder] {
+    if (const auto self = weak.lock()) {
+      self->Confirm(aId, aOrder);
+    }
+  });
+}
+
+void
+HolderService::Confirm(const UpstreamId& aId, const EngineOrder& aOrder)
+{
+  const auto found = engines_.find(aId);
+  const auto* upstream = state_.Upstreams().Find(aId);
+  if (found == engines_.end() || upstream == nullptr || !lease_.MayOrder(PartitionOfEngine(aId)) ||
+      !found->second.orders_.Pending().contains(aOrder)) {
+    return;
+  }
+  engineControl_.Send(Fence(*upstream, aOrder),
+                      [weak = weak_from_this(), aId, aOrder](OrderAnswer aAnswer) {
+                        if (const auto self = weak.lock()) {
+                          self->OnConfirmed(aId, aOrder, aAnswer);
+                        }
+                      });
+}
+
+void
+HolderService::OnConfirmed(const UpstreamId& aId, const EngineOrder& aOrder, OrderAnswer aAnswer)
+{
+  const auto found = engines_.find(aId);
+  auto* upstream = state_.Upstreams().Find(aId);
+  if (found == engines_.end() || upstream == nullptr) {
+    return;
+  }
+  auto& engine = found->second;
+  const auto pending = engine.orders_.Pending().find(aOrder);
+  if (pending == engine.orders_.Pending().end()) {
+    return;
+  }
+  const auto now = clock_.Now();
+  if (aAnswer == OrderAnswer::Accepted) {
+    ConfirmLater(
+      aId, aOrder, std::max<Duration>((now - pending->second) / kConfirmParts, kLeastConfirmGap));
+  } else if (aAnswer == OrderAnswer::AlreadyDone) {
+    if (aOrder.adapter_.empty()) {
+      upstream->entry_.models_.push_back({ aOrder.model_, {} });
+    } else if (auto* model = FindModel(upstream->entry_, aOrder.model_)) {
+      std::erase_if(model->adapters_,
+                    [&](const auto& aAdapter) { return aAdapter.name_ == aOrder.adapter_; });
+      model->adapters_.push_back({ aOrder.adapter_, aOrder.version_ });
+    }
+    FinishLoad(aId, engine, aOrder);
+    Publish(*upstream);
+    Tick();
+  } else {
+    engine.mustReport_ = true;
+    engine.nextReport_ = now + kReportInterval;
+  }
+}
+
+void
+HolderService::FinishLoad(const UpstreamId& aId, Engine& aEngine, const EngineOrder& aOrder)
+{
+  if (!aOrder.adapter_.empty()) {
+    const auto took = clock_.Now() - aEngine.orders_.Pending().at(aOrder);
+    const bool wasHeld = aEngine.orders_.WasHeld(aOrder.model_, aOrder.adapter_);
+    if (!wasHeld) {
+      window_.OnLoaded(took);
+    }
+    LogEvent(LogLevel::Info,
+             "adapter_loaded",
+             { { "engine", aId.Value() },
+               { "adapter", aOrder.model_ + "/" + aOrder.adapter_ },
+               { "held_before", wasHeld ? "true" : "false" },
+               { "took_ms", std::to_string(took / std::chrono::milliseconds(1)) },
+               { "window", std::to_string(window_.Size()) } });
+  }
+  aEngine.orders_.OnFinished(aOrder);
+}
+
 void
 HolderService::SendReport(const UpstreamId& aId)
 {
@@ -404,6 +496,7 @@
       });
     if (!isKnown) {
       engine.orders_.OnAccepted(order);
+      ConfirmLater(aId, order, kLeastConfirmGap);
     }
   }
   std::vector<EngineOrder> finished;
@@ -421,10 +514,7 @@
     }
   }
   for (const auto& order : finished) {
-    if (!order.adapter_.empty()) {
-      window_.OnLoaded(now - engine.orders_.Pending().at(order));
-    }
-    engine.orders_.OnFinished(order);
+    FinishLoad(aId, engine, order);
   }
   Publish(*upstream);
   TickEngine(aId, engine);
--- a/src/gateway/holder_service.h
+++ b/src/gateway/holder_service.h
@@ -85,6 +85,11 @@
   bool MayLoadWeights(const EngineSpec& aSpec);
   void SendOrder(const UpstreamId& aId, const EngineOrder& aOrder);
   void OnOrderAnswer(const UpstreamId& aId, const EngineOrder& aOrder, OrderAnswer aAnswer);
+  void ConfirmLater(const UpstreamId& aId, const EngineOrder& aOrder, Duration aDelay);
+  void Confirm(const UpstreamId& aId, const EngineOrder& aOrder);
+  void OnConfirmed(const UpstreamId& aId, const EngineOrder& aOrder, OrderAnswer aAnswer);
+  void FinishLoad(const UpstreamId& aId, Engine& aEngine, const EngineOrder& aOrder);
+  FencedOrder Fence(const Upstream& aUpstream, const EngineOrder& aOrder) const;
   void SendReport(const UpstreamId& aId);
   void OnReport(const UpstreamId& aId, bool aWasRead, const EngineReport& aReport);
   void Publish(Upstream& aUpstream);
