Cut begun streams instead of completing them with a refusal; close idle connections at a drain

Every own answer now cuts a stream that has begun. Idle connections are closed at SIGTERM, and later requests get 503 at once. A report that stays behind the known number of orders is believed after its lag; before, such an engine got no orders for good.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -486,6 +486,18 @@
   }
 }
 
+void
+HttpListener::StartDrain()
+{
+  isDraining_ = true;
+  const std::vector<std::shared_ptr<CallerSession>> sessions(sessions_.begin(), sessions_.end());
+  for (const auto& session : sessions) {
+    if (!session->IsBusy()) {
+      session->Close();
+    }
+  }
+}
+
 std::size_t
 HttpListener::BusySessions() const
 {
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -89,8 +89,8 @@
   std::error_code Listen(const Endpoint& aEndpoint);
   /** Sets the limits for requests that start from now on. */
   void SetLimits(const SessionLimits& aLimits) { limits_ = aLimits; }
-  /** Answers carry `Connection: close` from now on. */
-  void StartDrain() { isDraining_ = true; }
+  /** Closes idle connections; answers carry `Connection: close` from now on. */
+  void StartDrain();
   /** Closes the listener and all connections. */
   void Stop();
   /** @return open connections. */
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -40,6 +40,8 @@
 // Between looks at the settings file, which may change without a signal.
 constexpr Duration kReloadInterval = std::chrono::seconds(2);
 constexpr Duration kNotReadyRetryAfter = milliseconds(500);
+// The balancer no longer knows this host, so a caller may come back at once.
+constexpr Duration kDrainRetryAfter = milliseconds(10);
 
 /** Answers requests for a page that this host itself provides. */
 class PageHandler : public HttpHandler
@@ -184,6 +186,11 @@
     admitted.arrived_ = clock_.Now();
     admitted.facts_ = ports_.codec_.ReadRequest(aRequest);
     admitted.routes_ = fleet_.Routes();
+    if (isDraining_ && clock_.Now() - drainStart_ > kNoticeTime) {
+      // It might not end within the grace period; another host takes it.
+      Refuse(*aAnswer, admitted, 503, "draining", kDrainRetryAfter);
+      return;
+    }
     if (!admitted.routes_ || !fleet_.HasUpstreams()) {
       Refuse(*aAnswer, admitted, 503, "no_configuration", kNotReadyRetryAfter);
       return;
--- a/src/gateway/holder_service.cpp
+++ b/src/gateway/holder_service.cpp
@@ -21,6 +21,8 @@
 constexpr Duration kAssumedLoad = std::chrono::milliseconds(200);
 // Between reports while the state of an engine is not certain.
 constexpr Duration kReportInterval = std::chrono::milliseconds(100);
+// A report may have been taken this long before it is read; engines say some hundred milliseconds.
+constexpr Duration kReportLag = std::chrono::milliseconds(600);
 // Part of the allowed loads of weights that is used; the rest covers loads that others started.
 constexpr double kWeightLoadShare = 0.8;
 // An accepted order that no report confirms within this time is given up and may be ordered again.
@@ -319,6 +321,7 @@
              { "loading", std::to_string(engine.orders_.Pending().size()) },
              { "answer", NameOf(aAnswer) } });
   const auto now = clock_.Now();
+  engine.ordered_ = now;
   switch (aAnswer) {
     case OrderAnswer::Accepted:
     case OrderAnswer::AlreadyDone:
@@ -474,7 +477,8 @@
   }
   auto& entry = upstream->entry_;
   const bool isOtherLife = aReport.startedAt_ != 0 && aReport.startedAt_ != entry.startedAt_;
-  if (isOtherLife || aReport.orders_ < upstream->orders_) {
+  const bool mayLag = now - engine.ordered_ < kReportLag;
+  if (isOtherLife || (aReport.orders_ < upstream->orders_ && mayLag)) {
     // The entry of a new life comes with its next heartbeat; a report lags behind orders.
     LogEvent(LogLevel::Debug,
              "engine_report_old",
--- a/src/gateway/holder_service.h
+++ b/src/gateway/holder_service.h
@@ -75,6 +75,7 @@
     bool isCalling_ = false;                   ///< An order or report is under way.
     bool mustReport_ = false;                  ///< What it holds is not certain.
     TimePoint nextReport_;                     ///< Earliest next report.
+    TimePoint ordered_;                        ///< When the last order was answered.
     std::optional<std::uint64_t> fencedToken_; ///< Token that was refused.
   };
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -228,13 +228,7 @@
 void
 RequestFlow::RefuseWaiting()
 {
-  if (!answer_) {
-    return;
-  }
-  if (isBegun_) {
-    answer_->Abort();
-    Finish(0, "stream_not_resumed");
-  } else {
+  if (answer_) {
     Reply(runs_ > 0 ? 502 : 503, "cannot_start_in_time", RetryDelay());
   }
 }
@@ -490,12 +484,7 @@
     refusedUntil_[upstream_] = context_.clock_.Now() + kFirstRefusalPause * (1 << doublings);
   }
   if (TimeLeft() <= kLeastAnswerTime || (hasSent_ && !MayTryAgain(false))) {
-    if (isBegun_) {
-      answer_->Abort();
-      Finish(0, "stream_not_resumed");
-    } else {
-      Reply(runs_ > 0 ? 502 : 503, aWhy, RetryDelay());
-    }
+    Reply(runs_ > 0 ? 502 : 503, aWhy, RetryDelay());
     return;
   }
   if (!TryStart() && answer_) {
@@ -536,9 +525,6 @@
     ArmTimer();
   } else if (isErrorOfUpstream) {
     PassOn();
-  } else if (isBegun_) {
-    answer_->Abort();
-    Finish(0, aWhy);
   } else {
     Reply(502, aWhy, std::nullopt);
   }
@@ -619,12 +605,7 @@
       EndAttempt(firstByte_ ? AttemptHealth::Good : AttemptHealth::Unreachable);
       runs_ += mayHaveRun ? 1 : 0;
     }
-    if (isBegun_) {
-      answer_->Abort();
-      Finish(0, "deadline_in_stream");
-    } else {
-      Reply(runs_ > 0 ? 504 : 503, "deadline", std::nullopt);
-    }
+    Reply(runs_ > 0 ? 504 : 503, "deadline", std::nullopt);
     return;
   }
   if (call_ && !hasSent_ && now - sent_ >= kConnectLimit) {
@@ -670,10 +651,17 @@
   OnFailed("silent");
 }
 
+/** Ends the request with an answer of this host's own, or cuts a stream that has begun. */
 void
 RequestFlow::Reply(unsigned aStatus, std::string_view aWhy, std::optional<Duration> aRetryAfter)
 {
   LeaveQueue(false);
+  if (isBegun_) {
+    // The caller has a part of a stream; only a cut connection says that the rest is missing.
+    answer_->Abort();
+    Finish(0, aWhy);
+    return;
+  }
   http::fields fields;
   fields.set(http::field::content_type, "text/plain");
   if (aRetryAfter && aStatus == 503) {
