--- a/src/fleet/engine_orders.cpp
+++ b/src/fleet/engine_orders.cpp
@@ -59,11 +59,18 @@
   auto& use = used_[{ aModel, aAdapter }];
   use.count_ = CountAt(use, now) + 1;
   use.last_ = now;
+  use.seen_ = now;
   if (used_.size() > kMaxUses) {
     std::erase_if(used_, [now](const auto& aUse) { return now - aUse.second.last_ > kUseMemory; });
   }
 }
 
+void
+EngineOrders::StillUsed(const std::string& aModel, const std::string& aAdapter)
+{
+  used_[{ aModel, aAdapter }].seen_ = clock_.Now();
+}
+
 double
 EngineOrders::CountAt(const Use& aUse, TimePoint aNow)
 {
@@ -158,7 +165,7 @@
       const Name name{ model.name_, adapter.name_ };
       const auto use = used_.find(name);
       const double count = use == used_.end() ? 0.0 : CountAt(use->second, now);
-      const bool isInUse = use != used_.end() && now - use->second.last_ < kAdapterInUse;
+      const bool isInUse = use != used_.end() && now - use->second.seen_ < kAdapterInUse;
       if (isInUse || wants_.contains(name) || IsPending(name) || count >= least) {
         continue;
       }
--- a/src/fleet/engine_orders.h
+++ b/src/fleet/engine_orders.h
@@ -59,6 +59,8 @@
   void Want(const AdapterWant& aWant);
   /** Notes that a request was sent for an adapter. */
   void Used(const std::string& aModel, const std::string& aAdapter);
+  /** Notes that a request for an adapter still runs. */
+  void StillUsed(const std::string& aModel, const std::string& aAdapter);
   /** Forgets what belongs to an earlier life of the engine. */
   void OnRestart();
   /**
@@ -89,7 +91,8 @@
   struct Use
   {
     double count_ = 0; ///< Uses, of which older ones count less.
-    TimePoint last_;   ///< Last use.
+    TimePoint last_;   ///< Start of the last use.
+    TimePoint seen_;   ///< When a use was last known to run.
   };
   struct Wanted
   {
--- a/src/fleet/fleet_type.h
+++ b/src/fleet/fleet_type.h
@@ -134,6 +134,7 @@
   bool isDraining_ = false;                ///< It leaves and takes no new requests.
   std::chrono::milliseconds coldFor_{ 0 }; ///< How much longer it is cold.
   std::int64_t startedAt_ = 0;             ///< Start of its process, Unix ms; tells lives apart.
+  std::uint64_t heartbeat_ = 0;            ///< Rises with each entry of one life.
   std::vector<ResidentModel> models_;      ///< Models it holds.
   bool listsModels_ = false;               ///< Whether models_ was given.
 };
--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -43,7 +43,12 @@
   const auto now = clock_.Now();
   auto [position, isNew] = upstreams_.try_emplace(aEntry.id_);
   auto& upstream = position->second;
-  const bool isNewLife = isNew || upstream.entry_.startedAt_ != aEntry.startedAt_;
+  const auto& known = upstream.entry_;
+  if (!isNew && (aEntry.startedAt_ < known.startedAt_ ||
+                 (aEntry.startedAt_ == known.startedAt_ && aEntry.heartbeat_ < known.heartbeat_))) {
+    return false; // written before the entry that is known
+  }
+  const bool isNewLife = isNew || known.startedAt_ != aEntry.startedAt_;
   if (isNewLife) {
     const auto running = upstream.running_;
     const auto peers = upstream.peersRunning_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -97,9 +97,8 @@
                     [this](const auto& aEngine, const auto& aWant) {
                       gossip_->Want(aEngine, aWant);
                     },
-                    [this](const auto& aEngine, const auto& aModel, const auto& aAdapter) {
-                      gossip_->Used(aEngine, aModel, aAdapter);
-                    },
+                    [this](const AdapterUse& aUse) { gossip_->Used(aUse); },
+                    [this](const AdapterUse& aUse) { gossip_->Released(aUse); },
                     [this] { SchedulePump(); },
                     [this](WaitTicket aTicket, const std::shared_ptr<RequestFlow>& aFlow) {
                       waiting_[aTicket] = aFlow;
--- a/src/gateway/gossip_message.cpp
+++ b/src/gateway/gossip_message.cpp
@@ -14,7 +14,7 @@
 
 // Keys are single letters: bytes between data centres are priced.
 // h host, a address, p port, n number, l life, c counts, d demand, r running, g generation,
-// o partitions, e engines with adapters, u uses, w wants.
+// o partitions, e engines with adapters, u uses, k uses that still run, w wants.
 
 std::string
 TextAt(const json::array& aRow, std::size_t aIndex)
@@ -128,6 +128,10 @@
   for (const auto& use : aMessage.uses_) {
     uses.emplace_back(json::array{ use.engine_.Value(), use.model_, use.adapter_ });
   }
+  json::array running;
+  for (const auto& use : aMessage.running_) {
+    running.emplace_back(json::array{ use.engine_.Value(), use.model_, use.adapter_ });
+  }
   json::array wants;
   for (const auto& want : aMessage.wants_) {
     wants.emplace_back(json::array{
@@ -139,6 +143,9 @@
   if (!uses.empty()) {
     object["u"] = std::move(uses);
   }
+  if (!running.empty()) {
+    object["k"] = std::move(running);
+  }
   if (!wants.empty()) {
     object["w"] = std::move(wants);
   }
@@ -181,6 +188,9 @@
   ForRows(object, "u", [&](const json::array& aRow) {
     message.uses_.push_back({ UpstreamId(TextAt(aRow, 0)), TextAt(aRow, 1), TextAt(aRow, 2) });
   });
+  ForRows(object, "k", [&](const json::array& aRow) {
+    message.running_.push_back({ UpstreamId(TextAt(aRow, 0)), TextAt(aRow, 1), TextAt(aRow, 2) });
+  });
   ForRows(object, "w", [&](const json::array& aRow) {
     message.wants_.push_back(
       { UpstreamId(TextAt(aRow, 0)),
--- a/src/gateway/gossip_message.h
+++ b/src/gateway/gossip_message.h
@@ -43,7 +43,8 @@
   std::uint64_t generation_ = 0;           ///< Generation of the group at the sender.
   std::vector<std::uint32_t> partitions_;  ///< Partitions that the sender holds.
   std::vector<EngineResidency> residency_; ///< Adapters of engines that the sender holds.
-  std::vector<AdapterUse> uses_;           ///< Uses of adapters.
+  std::vector<AdapterUse> uses_;           ///< Uses of adapters that started.
+  std::vector<AdapterUse> running_;        ///< Uses of adapters that started earlier and run.
   std::vector<EngineWant> wants_;          ///< What requests at the sender wait for.
 };
 
--- a/src/gateway/gossip_service.cpp
+++ b/src/gateway/gossip_service.cpp
@@ -82,10 +82,19 @@
       messages[*target].uses_.push_back(use);
     }
   }
+  for (const auto& [use, count] : running_) {
+    const auto partition = holder_->PartitionOfEngine(use.engine_);
+    if (holder_->Lease().MayOrder(partition)) {
+      holder_->StillUsed(use.engine_, use.model_, use.adapter_);
+    } else if (const auto target = peers_.HolderOf(partition); target && !uses_.contains(use)) {
+      messages[*target].running_.push_back(use);
+    }
+  }
   uses_.clear();
   for (auto& [target, uses] : messages) {
     auto message = NewMessage();
     message.uses_ = std::move(uses.uses_);
+    message.running_ = std::move(uses.running_);
     link_->Send(target, EncodeGossip(message));
   }
 }
@@ -112,6 +121,9 @@
   for (const auto& use : message->uses_) {
     holder_->Used(use.engine_, use.model_, use.adapter_);
   }
+  for (const auto& use : message->running_) {
+    holder_->StillUsed(use.engine_, use.model_, use.adapter_);
+  }
   for (const auto& want : message->wants_) {
     holder_->Want(want.engine_, want.want_);
   }
@@ -136,14 +148,22 @@
 }
 
 void
-GossipService::Used(const UpstreamId& aEngine,
-                    const std::string& aModel,
-                    const std::string& aAdapter)
+GossipService::Used(const AdapterUse& aUse)
 {
-  if (holder_->Lease().MayOrder(holder_->PartitionOfEngine(aEngine))) {
-    holder_->Used(aEngine, aModel, aAdapter);
+  ++running_[aUse];
+  if (holder_->Lease().MayOrder(holder_->PartitionOfEngine(aUse.engine_))) {
+    holder_->Used(aUse.engine_, aUse.model_, aUse.adapter_);
   } else {
-    uses_.insert({ aEngine, aModel, aAdapter });
+    uses_.insert(aUse);
+  }
+}
+
+void
+GossipService::Released(const AdapterUse& aUse)
+{
+  const auto found = running_.find(aUse);
+  if (found != running_.end() && --found->second == 0) {
+    running_.erase(found);
   }
 }
 
--- a/src/gateway/gossip_service.h
+++ b/src/gateway/gossip_service.h
@@ -41,8 +41,10 @@
   void OnPayload(std::string_view aPayload);
   /** Tells the holder of an engine what requests wait for. */
   void Want(const UpstreamId& aEngine, const AdapterWant& aWant);
-  /** Notes a use of an adapter, for the holder of the engine. */
-  void Used(const UpstreamId& aEngine, const std::string& aModel, const std::string& aAdapter);
+  /** Notes that a request with an adapter starts, for the holder of the engine. */
+  void Used(const AdapterUse& aUse);
+  /** Notes that a request with an adapter ended. */
+  void Released(const AdapterUse& aUse);
   /** Tells all peers that adapters of an engine changed. */
   void TellResidency(const EngineResidency& aResidency);
 
@@ -51,18 +53,19 @@
   void Tell();
   void TellUses();
 
-  FleetState& fleet_;               ///< Fleet.
-  QuotaShare& quota_;               ///< Quotas.
-  PeerTable& peers_;                ///< Peers.
-  Scheduler& scheduler_;            ///< Delays.
-  const HostId host_;               ///< This host.
-  const Endpoint reply_;            ///< Where it receives gossip.
-  const std::int64_t life_;         ///< Start of the process, Unix ms.
-  std::function<void()> onNews_;    ///< Told of changed adapters.
-  GossipLink* link_ = nullptr;      ///< Sends datagrams.
-  HolderService* holder_ = nullptr; ///< Orders to engines.
-  std::uint64_t number_ = 0;        ///< Number of the last message.
-  std::set<AdapterUse> uses_;       ///< Uses that were not told yet.
+  FleetState& fleet_;                           ///< Fleet.
+  QuotaShare& quota_;                           ///< Quotas.
+  PeerTable& peers_;                            ///< Peers.
+  Scheduler& scheduler_;                        ///< Delays.
+  const HostId host_;                           ///< This host.
+  const Endpoint reply_;                        ///< Where it receives gossip.
+  const std::int64_t life_;                     ///< Start of the process, Unix ms.
+  std::function<void()> onNews_;                ///< Told of changed adapters.
+  GossipLink* link_ = nullptr;                  ///< Sends datagrams.
+  HolderService* holder_ = nullptr;             ///< Orders to engines.
+  std::uint64_t number_ = 0;                    ///< Number of the last message.
+  std::set<AdapterUse> uses_;                   ///< Uses that were not told yet.
+  std::map<AdapterUse, std::uint32_t> running_; ///< Uses that run, with their number.
 };
 
 } // namespace laburnumweir
--- a/src/gateway/holder_service.cpp
+++ b/src/gateway/holder_service.cpp
@@ -182,6 +182,15 @@
 HolderService::Want(const UpstreamId& aEngine, const AdapterWant& aWant)
 {
   auto& engine = engines_.try_emplace(aEngine, clock_).first->second;
+  auto* upstream = state_.Upstreams().Find(aEngine);
+  if (upstream != nullptr && lease_.MayOrder(PartitionOfEngine(aEngine))) {
+    const auto version = UpstreamTable::VersionAt(*upstream, aWant.model_, aWant.adapter_);
+    if (version && *version >= aWant.version_) {
+      // The host that asks has not heard of the load.
+      Publish(*upstream);
+      return;
+    }
+  }
   engine.orders_.Want(aWant);
   if (Loading() < window_.Size()) {
     TickEngine(aEngine, engine);
@@ -206,6 +215,14 @@
   engines_.try_emplace(aEngine, clock_).first->second.orders_.Used(aModel, aAdapter);
 }
 
+void
+HolderService::StillUsed(const UpstreamId& aEngine,
+                         const std::string& aModel,
+                         const std::string& aAdapter)
+{
+  engines_.try_emplace(aEngine, clock_).first->second.orders_.StillUsed(aModel, aAdapter);
+}
+
 void
 HolderService::Tick()
 {
--- a/src/gateway/holder_service.h
+++ b/src/gateway/holder_service.h
@@ -53,6 +53,8 @@
   void Want(const UpstreamId& aEngine, const AdapterWant& aWant);
   /** Notes a use of an adapter. */
   void Used(const UpstreamId& aEngine, const std::string& aModel, const std::string& aAdapter);
+  /** Notes that a request with an adapter still runs. */
+  void StillUsed(const UpstreamId& aEngine, const std::string& aModel, const std::string& aAdapter);
   /** Sends what orders are due. */
   void Tick();
   /** Sets the number of hosts, for this host's share of the loads of weights. */
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -141,6 +141,13 @@
       loadingAt_ = choice.loadAt_;
       loadAskedAt_ = now;
       loadRepeatedAt_ = {};
+      LogEvent(LogLevel::Info,
+               "load_wanted",
+               { { "id", facts.id_.Value() },
+                 { "adapter", facts.model_ + "/" + facts.adapter_ },
+                 { "version", std::to_string(need.minVersion_) },
+                 { "engine", choice.loadAt_->Value() },
+                 { "left_ms", std::to_string(Milliseconds(TimeLeft())) } });
     }
     if (now - loadRepeatedAt_ >= kWantInterval) {
       loadRepeatedAt_ = now;
@@ -295,7 +302,7 @@
   auto request = BuildRequest(upstream, aChoice.adapterVersion_);
   context_.fleet_.Upstreams().OnSent(upstream_);
   if (!admitted_.facts_.adapter_.empty()) {
-    context_.use_(upstream_, admitted_.facts_.model_, admitted_.facts_.adapter_);
+    context_.use_({ upstream_, admitted_.facts_.model_, admitted_.facts_.adapter_ });
   }
   call_ = context_.link_.Send(endpoint_, std::move(request), shared_from_this());
   ArmTimer();
@@ -410,6 +417,9 @@
 {
   const auto firstByte = firstByte_ ? *firstByte_ - sent_ : Duration::zero();
   context_.fleet_.Upstreams().OnEnded(upstream_, aHealth, firstByte);
+  if (!admitted_.facts_.adapter_.empty()) {
+    context_.release_({ upstream_, admitted_.facts_.model_, admitted_.facts_.adapter_ });
+  }
   if (aHealth == AttemptHealth::Unreachable) {
     context_.link_.DropIdle(endpoint_);
   }
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -10,6 +10,7 @@
 #include "fleet/wait_queue.h"
 #include "gateway/caller_session.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/gossip_message.h"
 #include "gateway/message_codec_base.h"
 #include "gateway/upstream_link.h"
 #include "metrics/metrics.h"
@@ -41,8 +42,10 @@
   const GatewayBounds& bounds_;      ///< Bounds over all hosts.
   /** Called when requests wait for a model or adapter at an engine. */
   std::function<void(const UpstreamId&, const AdapterWant&)> want_;
-  /** Called when a request was sent for an adapter. */
-  std::function<void(const UpstreamId&, const std::string&, const std::string&)> use_;
+  /** Called when a request with an adapter was sent. */
+  std::function<void(const AdapterUse&)> use_;
+  /** Called when such a request ended. */
+  std::function<void(const AdapterUse&)> release_;
   /** Called when a place became free. */
   std::function<void()> pump_;
   /** Called with the ticket of a request that starts to wait. */
--- a/src/table/fleet_const.h
+++ b/src/table/fleet_const.h
@@ -47,8 +47,10 @@
 /** An entry read this long after its holder told of an engine may have been written before that: a
  * heartbeat of up to 2 s and an interval of reading. */
 constexpr Duration kEntryLag = std::chrono::milliseconds(2500);
-/** Adapter that was used this recently is not evicted: a stream with it may still run. */
-constexpr Duration kAdapterInUse = std::chrono::milliseconds(1500);
+/** An adapter counts as in use for this long after a host last told that a request with it runs;
+ * four intervals of gossip. An engine takes no orders while it waits for the runs of an adapter
+ * that is unloaded. */
+constexpr Duration kAdapterInUse = std::chrono::milliseconds(1000);
 /** A want that was not repeated for this long is dropped; requesters repeat it while they wait. */
 constexpr Duration kWantLife = std::chrono::milliseconds(700);
 /** Old versions of an adapter may serve this long after a release while the new one is loaded. */
