Order loads by what callers can still gain; copy adapters of busy engines; refuse before callers give up

Change: wants carry a reason (in time, late, copy), an adapter whose engines are all busier than the mean gets a copy, a waiting stream is refused 0.5 s before its caller leaves.

--- a/src/fleet/engine_orders.cpp
+++ b/src/fleet/engine_orders.cpp
@@ -50,6 +50,11 @@
   }
   wanted.last_ = now;
   wanted.version_ = std::max(wanted.version_, aWant.version_);
+  // A reason holds until the next repetition is due; then the requests that gave it are gone.
+  if (aWant.reason_ <= wanted.reason_ || now - wanted.reasonAt_ > kWantReasonLife) {
+    wanted.reason_ = aWant.reason_;
+    wanted.reasonAt_ = now;
+  }
 }
 
 void
@@ -77,16 +82,16 @@
   return aUse.count_ * std::exp2(-std::chrono::duration<double>(aNow - aUse.last_) / kUseHalfLife);
 }
 
-std::optional<TimePoint>
-EngineOrders::OldestWant() const
+EngineOrders::Urgency
+EngineOrders::MostUrgent() const
 {
-  std::optional<TimePoint> oldest;
+  Urgency urgency;
   for (const auto& [name, wanted] : wants_) {
-    if (!IsPending(name) && (!oldest || wanted.first_ < *oldest)) {
-      oldest = wanted.first_;
+    if (!IsPending(name)) {
+      urgency = std::min(urgency, Urgency{ wanted.reason_, wanted.first_ });
     }
   }
-  return oldest;
+  return urgency;
 }
 
 std::size_t
@@ -203,10 +208,10 @@
         model->weightsMb_ + model->adapterMb_ * static_cast<double>(resident.adapters_.size());
     }
   }
-  std::vector<std::pair<TimePoint, Name>> waiting;
+  std::vector<std::pair<Urgency, Name>> waiting;
   for (const auto& [name, wanted] : wants_) {
     if (!name.second.empty() && FindResident(aEntry, name.first) != nullptr && !IsPending(name)) {
-      waiting.emplace_back(wanted.first_, name);
+      waiting.emplace_back(Urgency{ wanted.reason_, wanted.first_ }, name);
     }
   }
   if (waiting.empty() || loading >= kMaxLoading) {
--- a/src/fleet/engine_orders.h
+++ b/src/fleet/engine_orders.h
@@ -31,12 +31,22 @@
   auto operator<=>(const EngineOrder&) const = default;
 };
 
+/** Why a model or adapter is wanted; what is less is loaded first. While more is wanted than the
+ * store can deliver, first come first served would make every request late. */
+enum class WantReason : std::uint8_t
+{
+  InTime, ///< A request waits that can still meet its target latency.
+  Late,   ///< A request waits that is late already.
+  Copy    ///< Another engine has it and is busy; no request waits.
+};
+
 /** A model or adapter that requests wait for. */
 struct AdapterWant
 {
-  std::string model_;        ///< Model.
-  std::string adapter_;      ///< Adapter; empty for the model itself.
-  std::int64_t version_ = 0; ///< Oldest version that serves; 0 = any.
+  std::string model_;                      ///< Model.
+  std::string adapter_;                    ///< Adapter; empty for the model itself.
+  std::int64_t version_ = 0;               ///< Oldest version that serves; 0 = any.
+  WantReason reason_ = WantReason::InTime; ///< Why.
 };
 
 /**
@@ -70,8 +80,16 @@
    * @return the order; none if nothing is to be done or possible now.
    */
   std::optional<EngineOrder> Next(const EngineSpec& aSpec, const UpstreamEntry& aEntry);
-  /** @return since when the oldest want waits; none without wants. */
-  std::optional<TimePoint> OldestWant() const;
+  /** How urgent the wants of an engine are; what is less goes first. */
+  struct Urgency
+  {
+    WantReason reason_ = WantReason::Copy; ///< Most urgent reason.
+    TimePoint since_ = TimePoint::max();   ///< Since when.
+    auto operator<=>(const Urgency&) const = default;
+  };
+
+  /** @return urgency of the most urgent want. */
+  Urgency MostUrgent() const;
   /** @return whether the engine held an adapter before, which makes its load fast. */
   bool WasHeld(const std::string& aModel, const std::string& aAdapter) const
   {
@@ -96,9 +114,11 @@
   };
   struct Wanted
   {
-    std::int64_t version_ = 0; ///< Oldest version that serves.
-    TimePoint first_;          ///< When it was first wanted.
-    TimePoint last_;           ///< When it was last wanted.
+    std::int64_t version_ = 0;             ///< Oldest version that serves.
+    TimePoint first_;                      ///< When it was first wanted.
+    TimePoint last_;                       ///< When it was last wanted.
+    WantReason reason_ = WantReason::Copy; ///< The most urgent reason told lately.
+    TimePoint reasonAt_;                   ///< When that was told.
   };
 
   std::optional<EngineOrder> LoadModel(const EngineSpec& aSpec, const UpstreamEntry& aEntry) const;
--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -17,9 +17,11 @@
 constexpr double kFailurePenalty = 3.0;     // a part of failed answers costs more than any queue
 constexpr double kOtherCentrePenalty = 0.1; // breaks ties; traffic between data centres is priced
 constexpr double kLatencyWeight = 0.1;      // weight of the newest sample
-// An adapter gets another copy when its engines are this full and another engine is less so.
-constexpr double kCopyAbove = 0.85;
-constexpr double kCopyBelow = 0.6;
+// An engine with more than this multiple of the mean number of running requests, and some more, is
+// busy: reading prompts takes so much of its time that the pauses between events grow. An adapter
+// whose engines are all busy gets a copy elsewhere.
+constexpr double kBusyFactor = 1.4;
+constexpr double kBusySlack = 3.0;
 
 double
 Seconds(Duration aDuration)
@@ -217,8 +219,22 @@
   return std::nullopt;
 }
 
+double
+UpstreamTable::MeanRunning(const ServiceName& aService) const
+{
+  double running = 0;
+  double count = 0;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.entry_.service_ == aService && IsUsable(upstream)) {
+      running += upstream.running_ + upstream.peersRunning_;
+      ++count;
+    }
+  }
+  return count > 0 ? running / count : 0;
+}
+
 std::optional<UpstreamId>
-UpstreamTable::HomeFor(const UpstreamNeed& aNeed) const
+UpstreamTable::HomeFor(const UpstreamNeed& aNeed, double aBusy) const
 {
   const std::string key = std::string(aNeed.model_) + "/" + std::string(aNeed.adapter_);
   const Upstream* best = nullptr;
@@ -237,7 +253,8 @@
     // for the runs of that version. Both come after the others.
     const bool hasModel = VersionAt(upstream, aNeed.model_, {}).has_value();
     const bool isCold = upstream.coldUntil_ > clock_.Now();
-    const int tier = (hasModel ? 4 : 0) + (version ? 0 : 2) + (isCold ? 0 : 1);
+    const bool isBusy = upstream.running_ + upstream.peersRunning_ > aBusy;
+    const int tier = (hasModel ? 8 : 0) + (isBusy ? 0 : 4) + (version ? 0 : 2) + (isCold ? 0 : 1);
     const std::pair<int, std::uint64_t> rank{ tier, RendezvousWeight(id.Value(), key) };
     if (best == nullptr || rank > bestRank) {
       best = &upstream;
@@ -253,8 +270,7 @@
   UpstreamChoice choice;
   double bestScore = std::numeric_limits<double>::max();
   bool isResident = false;
-  double residentLoad = 1.0;
-  double leastLoad = 1.0;
+  double leastResident = std::numeric_limits<double>::max();
   for (auto& [id, upstream] : upstreams_) {
     if (upstream.entry_.service_ != aNeed.service_) {
       continue;
@@ -266,9 +282,6 @@
       continue;
     }
     choice.isAnyUntried_ = true;
-    const double load =
-      static_cast<double>(upstream.running_ + upstream.peersRunning_) / upstream.entry_.slots_;
-    leastLoad = std::min(leastLoad, load);
     std::int64_t version = 0;
     if (!aNeed.model_.empty()) {
       const auto at = VersionAt(upstream, aNeed.model_, aNeed.adapter_);
@@ -277,7 +290,8 @@
       }
       version = *at;
       isResident = true;
-      residentLoad = std::min(residentLoad, load);
+      leastResident =
+        std::min(leastResident, static_cast<double>(upstream.running_ + upstream.peersRunning_));
     }
     if (!HasPlace(upstream) || !MayUseCold(upstream)) {
       continue;
@@ -289,9 +303,12 @@
       choice.adapterVersion_ = version;
     }
   }
-  const bool wantsCopy = residentLoad > kCopyAbove && leastLoad < kCopyBelow;
-  if (!aNeed.model_.empty() && (!isResident || wantsCopy)) {
-    choice.loadAt_ = HomeFor(aNeed);
+  if (!aNeed.model_.empty()) {
+    const double busy = kBusyFactor * MeanRunning(aNeed.service_) + kBusySlack;
+    choice.isCopy_ = isResident;
+    if (!isResident || leastResident > busy) {
+      choice.loadAt_ = HomeFor(aNeed, busy);
+    }
   }
   return choice;
 }
--- a/src/fleet/upstream_table.h
+++ b/src/fleet/upstream_table.h
@@ -78,6 +78,7 @@
   Upstream* upstream_ = nullptr;     ///< Where to send the request; nullptr if it must wait.
   std::int64_t adapterVersion_ = 0;  ///< Version of the adapter there; 0 without an adapter.
   std::optional<UpstreamId> loadAt_; ///< Engine that should load what the request needs.
+  bool isCopy_ = false;              ///< Another engine holds it already, and is busy.
   bool isAnyUntried_ = false;        ///< Some usable upstream has not had the request yet.
 };
 
@@ -155,7 +156,8 @@
   bool HasPlace(const Upstream& aUpstream) const;
   bool MayUseCold(Upstream& aUpstream);
   double ScoreOf(const Upstream& aUpstream) const;
-  std::optional<UpstreamId> HomeFor(const UpstreamNeed& aNeed) const;
+  double MeanRunning(const ServiceName& aService) const;
+  std::optional<UpstreamId> HomeFor(const UpstreamNeed& aNeed, double aBusy) const;
   void SumPeers();
 
   const Clock& clock_;                          ///< Time source.
--- a/src/gateway/gossip_message.cpp
+++ b/src/gateway/gossip_message.cpp
@@ -35,6 +35,12 @@
   return error ? Number(0) : number;
 }
 
+WantReason
+ReasonOf(int aNumber)
+{
+  return aNumber == 0 ? WantReason::InTime : aNumber == 1 ? WantReason::Late : WantReason::Copy;
+}
+
 template<typename Function>
 void
 ForRows(const json::object& aObject, std::string_view aKey, Function aFunction)
@@ -134,8 +140,11 @@
   }
   json::array wants;
   for (const auto& want : aMessage.wants_) {
-    wants.emplace_back(json::array{
-      want.engine_.Value(), want.want_.model_, want.want_.adapter_, want.want_.version_ });
+    wants.emplace_back(json::array{ want.engine_.Value(),
+                                    want.want_.model_,
+                                    want.want_.adapter_,
+                                    want.want_.version_,
+                                    static_cast<int>(want.want_.reason_) });
   }
   if (!engines.empty()) {
     object["e"] = std::move(engines);
@@ -192,9 +201,11 @@
     message.running_.push_back({ UpstreamId(TextAt(aRow, 0)), TextAt(aRow, 1), TextAt(aRow, 2) });
   });
   ForRows(object, "w", [&](const json::array& aRow) {
-    message.wants_.push_back(
-      { UpstreamId(TextAt(aRow, 0)),
-        { TextAt(aRow, 1), TextAt(aRow, 2), NumberAt<std::int64_t>(aRow, 3) } });
+    message.wants_.push_back({ UpstreamId(TextAt(aRow, 0)),
+                               { TextAt(aRow, 1),
+                                 TextAt(aRow, 2),
+                                 NumberAt<std::int64_t>(aRow, 3),
+                                 ReasonOf(NumberAt<int>(aRow, 4)) } });
   });
   return message;
 }
--- a/src/gateway/holder_service.cpp
+++ b/src/gateway/holder_service.cpp
@@ -235,13 +235,13 @@
   std::erase_if(
     engines_, [this](auto& aEngine) { return state_.Upstreams().Find(aEngine.first) == nullptr; });
   // The window is for what was wanted first, at whichever engine.
-  std::vector<std::pair<TimePoint, UpstreamId>> order;
+  std::vector<std::pair<EngineOrders::Urgency, UpstreamId>> order;
   for (const auto& [id, engine] : engines_) {
-    order.emplace_back(engine.orders_.OldestWant().value_or(TimePoint::max()), id);
+    order.emplace_back(engine.orders_.MostUrgent(), id);
   }
   std::sort(order.begin(), order.end());
   std::size_t held = 0;
-  for (const auto& [since, id] : order) {
+  for (const auto& [urgency, id] : order) {
     held += lease_.MayOrder(PartitionOfEngine(id)) ? 1 : 0;
     TickEngine(id, engines_.at(id));
   }
@@ -292,9 +292,16 @@
     return;
   }
   const auto order = aEngine.orders_.Next(*service->engine_, upstream->entry_);
-  if (!order || (!order->adapter_.empty() && Loading() >= window_.Size())) {
+  if (!order) {
     return;
   }
+  if (!order->adapter_.empty()) {
+    // Half of the window stays free for what requests wait for.
+    const bool isCopy = aEngine.orders_.MostUrgent().reason_ == WantReason::Copy;
+    if (Loading() >= (isCopy ? window_.Size() / 2 : window_.Size())) {
+      return;
+    }
+  }
   if (order->kind_ == OrderKind::Load && order->adapter_.empty()) {
     if (!MayLoadWeights(*service->engine_)) {
       return;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -29,6 +29,14 @@
 // A resumable stream goes on elsewhere after a pause of this multiple of the target pause.
 constexpr int kSilentPauses = 5;
 constexpr Duration kLeastStreamSilence = milliseconds(1200);
+// Callers leave a stream without a first event after the longest of these: a time, multiples of the
+// target latency and of the target pause.
+constexpr Duration kCallerPatience = std::chrono::seconds(2);
+constexpr int kPatienceTargets = 4;
+constexpr int kPatiencePauses = 8;
+// Time before that at which a waiting stream is refused, so that its caller can come back instead
+// of giving up: the way of the refusal and the start of another attempt.
+constexpr Duration kRefusalLead = milliseconds(500);
 // A want is told again at this interval, since datagrams may be lost.
 constexpr Duration kWantInterval = milliseconds(150);
 // An engine that has not loaded an adapter after this time is not waited for any longer.
@@ -37,6 +45,8 @@
 // refusal lasts while an adapter is replaced or until a run ends, both some tenths of a second.
 constexpr Duration kFirstRefusalPause = milliseconds(100);
 constexpr std::uint32_t kMaxRefusalDoublings = 3;
+// Retry-After of a request whose adapter is on its way.
+constexpr Duration kLoadRetryAfter = milliseconds(150);
 // Retry-After when the wait cannot be estimated.
 constexpr Duration kDefaultRetryAfter = milliseconds(300);
 // Answers up to this size are checked as a whole before they are passed on.
@@ -147,11 +157,16 @@
                  { "adapter", facts.model_ + "/" + facts.adapter_ },
                  { "version", std::to_string(need.minVersion_) },
                  { "engine", choice.loadAt_->Value() },
+                 { "copy", choice.isCopy_ ? "true" : "false" },
                  { "left_ms", std::to_string(Milliseconds(TimeLeft())) } });
     }
     if (now - loadRepeatedAt_ >= kWantInterval) {
       loadRepeatedAt_ = now;
-      context_.want_(*choice.loadAt_, { facts.model_, facts.adapter_, need.minVersion_ });
+      const bool isLate = now - admitted_.arrived_ > admitted_.route_->targetLatency_ / 2;
+      const auto reason = choice.isCopy_ ? WantReason::Copy
+                          : isLate       ? WantReason::Late
+                                         : WantReason::InTime;
+      context_.want_(*choice.loadAt_, { facts.model_, facts.adapter_, need.minVersion_, reason });
     }
     if (now - loadAskedAt_ > kLoadPatience) {
       notLoading_.insert(*choice.loadAt_);
@@ -205,21 +220,37 @@
   return true;
 }
 
+TimePoint
+RequestFlow::LatestStart() const
+{
+  if (!IsStream()) {
+    return deadline_ - kLeastAnswerTime;
+  }
+  const auto latest = deadline_ - kLeastStreamTime;
+  if (isBegun_) {
+    return latest;
+  }
+  const auto& route = *admitted_.route_;
+  const Duration patience = std::max<Duration>({ kCallerPatience,
+                                                 kPatienceTargets * route.targetLatency_,
+                                                 kPatiencePauses * route.targetPause_ });
+  return std::min(latest, admitted_.arrived_ + patience - kRefusalLead);
+}
+
 void
 RequestFlow::Wait()
 {
   if (ticket_) {
     return;
   }
-  const Duration least = IsStream() ? kLeastStreamTime : kLeastAnswerTime;
+  const auto latest = LatestStart();
+  const auto now = context_.clock_.Now();
   const auto estimate = context_.queue_.EstimateWait(admitted_.service_, Rank());
-  if (TimeLeft() <= least ||
-      (estimate && *estimate + least >= TimeLeft() && loadingAt_ == std::nullopt)) {
+  if (latest <= now || (estimate && now + *estimate >= latest && !loadingAt_)) {
     RefuseWaiting();
     return;
   }
-  ticket_ =
-    context_.queue_.Push({ admitted_.service_, Rank(), deadline_ - least, loadingAt_.has_value() });
+  ticket_ = context_.queue_.Push({ admitted_.service_, Rank(), latest, loadingAt_.has_value() });
   context_.park_(*ticket_, shared_from_this());
 }
 
@@ -236,7 +267,9 @@
 RequestFlow::RefuseWaiting()
 {
   if (answer_) {
-    Reply(runs_ > 0 ? 502 : 503, "cannot_start_in_time", RetryDelay());
+    Reply(runs_ > 0 ? 502 : 503,
+          loadingAt_ ? "adapter_not_loaded_in_time" : "cannot_start_in_time",
+          loadingAt_ ? kLoadRetryAfter : RetryDelay());
   }
 }
 
@@ -371,7 +404,11 @@
 bool
 RequestFlow::OnBody(std::string_view aBytes)
 {
-  lastByte_ = context_.clock_.Now();
+  const auto now = context_.clock_.Now();
+  if (isBegun_) {
+    longestPause_ = std::max(longestPause_, now - lastByte_);
+  }
+  lastByte_ = now;
   if (verdict_ == Verdict::NotRun || verdict_ == Verdict::Spoiled) {
     return true;
   }
@@ -711,6 +748,7 @@
       { "events", std::to_string(events_.Events()) },
       { "first_byte_ms",
         firstByte_ ? std::to_string(Milliseconds(*firstByte_ - admitted_.arrived_)) : "" },
+      { "longest_pause_ms", std::to_string(Milliseconds(longestPause_)) },
       { "took_ms", std::to_string(Milliseconds(took)) } });
   context_.metrics_.GetCounter("laburnumweir_gateway_requests_total", "outcome", aWhy).Add();
   context_.metrics_.GetHistogram("laburnumweir_gateway_request_seconds").Record(took);
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -109,6 +109,7 @@
   bool IsStream() const { return admitted_.route_->repeat_ == RepeatRule::Stream; }
   bool MayRepeat() const;
   Duration TimeLeft() const { return deadline_ - context_.clock_.Now(); }
+  TimePoint LatestStart() const;
   std::uint32_t Rank() const;
   bool IsProofTooOld() const;
   UpstreamChoice ChooseUpstream();
@@ -140,6 +141,7 @@
   TimePoint sent_;                               ///< When the attempt started.
   std::optional<TimePoint> firstByte_;           ///< When its answer started.
   TimePoint lastByte_;                           ///< When bytes last came.
+  Duration longestPause_{};                      ///< Longest time between parts of a stream.
   std::set<UpstreamId> failed_;                  ///< Upstreams that failed with it.
   std::map<UpstreamId, TimePoint> refusedUntil_; ///< Upstreams that refused it, with their pause.
   std::set<UpstreamId> tried_;                   ///< Upstreams that do not come into question now.
--- a/src/table/fleet_const.h
+++ b/src/table/fleet_const.h
@@ -53,6 +53,8 @@
 constexpr Duration kAdapterInUse = std::chrono::milliseconds(1000);
 /** A want that was not repeated for this long is dropped; requesters repeat it while they wait. */
 constexpr Duration kWantLife = std::chrono::milliseconds(700);
+/** A reason for a want holds this long; twice the interval at which requesters repeat it. */
+constexpr Duration kWantReasonLife = std::chrono::milliseconds(300);
 /** Old versions of an adapter may serve this long after a release while the new one is loaded. */
 constexpr Duration kOldVersionGrace = std::chrono::milliseconds(2500);
 
