--- a/src/fleet/engine_orders.cpp
+++ b/src/fleet/engine_orders.cpp
@@ -94,6 +94,14 @@
   return urgency;
 }
 
+bool
+EngineOrders::IsLoadingModel() const
+{
+  return std::any_of(pending_.begin(), pending_.end(), [](const auto& aEntry) {
+    return aEntry.first.kind_ == OrderKind::Load && aEntry.first.adapter_.empty();
+  });
+}
+
 std::size_t
 EngineOrders::Loading() const
 {
@@ -240,6 +248,8 @@
 {
   if (pending_.erase(aOrder) > 0 && aOrder.kind_ == OrderKind::Load) {
     held_.insert({ aOrder.model_, aOrder.adapter_ });
+    // Requests wait for it, and the holder hears of their start only with the next gossip.
+    StillUsed(aOrder.model_, aOrder.adapter_);
   }
 }
 
--- a/src/fleet/engine_orders.h
+++ b/src/fleet/engine_orders.h
@@ -95,6 +95,8 @@
   {
     return held_.contains({ aModel, aAdapter });
   }
+  /** @return whether a model is on its way to the engine. */
+  bool IsLoadingModel() const;
   /** @return adapters on their way to the engine. */
   std::size_t Loading() const;
   /** Notes that the engine accepted an order and carries it out. */
--- a/src/fleet/load_window.cpp
+++ b/src/fleet/load_window.cpp
@@ -11,7 +11,7 @@
 constexpr double kFast = 1.35;
 constexpr double kSlow = 1.8;
 // The fastest time is forgotten by this factor with each load, so that engines may become slower.
-constexpr double kForget = 1.01;
+constexpr double kForget = 1.0005;
 constexpr double kShrink = 0.85;      // for each slow load
 constexpr double kMaxPerEngine = 4.0; // engines take no more at once
 
--- a/src/fleet/quota_share.cpp
+++ b/src/fleet/quota_share.cpp
@@ -91,17 +91,10 @@
   const double rate = aWorkspace.ratePerSecond_;
   const double share = RateShare(aWorkspace);
   const double capacity = burst * share / rate;
-  if (aBucket.isNew_) {
-    // A process that starts does not know what was used before, and its peers may start with it.
-    aBucket.isNew_ = false;
-    aBucket.fleet_ = burst / static_cast<double>(hosts_);
-    aBucket.own_ = capacity;
-  } else {
-    const double elapsed = Seconds(now - aBucket.filled_);
-    const double taken = PeerDemand(aWorkspace.id_).takenPerSecond_;
-    aBucket.fleet_ = std::clamp(aBucket.fleet_ + (rate - taken) * elapsed, -burst, burst);
-    aBucket.own_ = std::clamp(aBucket.own_ + share * elapsed, -capacity, capacity);
-  }
+  const double elapsed = Seconds(now - aBucket.filled_.value_or(started_));
+  const double taken = PeerDemand(aWorkspace.id_).takenPerSecond_;
+  aBucket.fleet_ = std::clamp(aBucket.fleet_ + (rate - taken) * elapsed, -burst, burst);
+  aBucket.own_ = std::clamp(aBucket.own_ + share * elapsed, -capacity, capacity);
   aBucket.filled_ = now;
 }
 
--- a/src/fleet/quota_share.h
+++ b/src/fleet/quota_share.h
@@ -6,6 +6,7 @@
 #include "fleet/fleet_type.h"
 
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -46,6 +47,7 @@
   /** @param aClock time source; must outlive this. */
   explicit QuotaShare(const Clock& aClock)
     : clock_(aClock)
+    , started_(aClock.Now())
   {
   }
 
@@ -91,12 +93,11 @@
   };
   struct Bucket
   {
-    double fleet_ = 0;  ///< Tokens at hand over all hosts; negative after a large request.
-    double own_ = 0;    ///< Tokens at hand of this host's share.
-    TimePoint filled_;  ///< When the levels were computed.
-    Average asked_;     ///< Tokens that callers ask for.
-    Average taken_;     ///< Tokens that were granted.
-    bool isNew_ = true; ///< No request was seen yet.
+    double fleet_ = 0; ///< Tokens at hand over all hosts; negative after a large request.
+    double own_ = 0;   ///< Tokens at hand of this host's share.
+    std::optional<TimePoint> filled_; ///< When the levels were computed.
+    Average asked_;                   ///< Tokens that callers ask for.
+    Average taken_;                   ///< Tokens that were granted.
   };
   struct Peer
   {
@@ -107,7 +108,10 @@
   WorkspaceDemand PeerDemand(const WorkspaceId& aWorkspace) const;
   void Fill(const Workspace& aWorkspace, Bucket& aBucket);
 
-  const Clock& clock_;                              ///< Time source.
+  const Clock& clock_; ///< Time source.
+  /** Buckets are empty then: what was used before is not known, and all hosts may start together.
+   */
+  const TimePoint started_;
   std::size_t hosts_ = 1;                           ///< Live hosts.
   std::unordered_map<WorkspaceId, Bucket> buckets_; ///< Buckets of this host.
   std::map<HostId, Peer> peers_;                    ///< Demand of the peers.
--- a/src/gateway/gossip_service.cpp
+++ b/src/gateway/gossip_service.cpp
@@ -151,9 +151,9 @@
 GossipService::Used(const AdapterUse& aUse)
 {
   ++running_[aUse];
-  if (holder_->Lease().MayOrder(holder_->PartitionOfEngine(aUse.engine_))) {
-    holder_->Used(aUse.engine_, aUse.model_, aUse.adapter_);
-  } else {
+  // A host that becomes the holder starts with its own part of the uses.
+  holder_->Used(aUse.engine_, aUse.model_, aUse.adapter_);
+  if (!holder_->Lease().MayOrder(holder_->PartitionOfEngine(aUse.engine_))) {
     uses_.insert(aUse);
   }
 }
--- a/src/gateway/holder_service.cpp
+++ b/src/gateway/holder_service.cpp
@@ -23,6 +23,8 @@
 constexpr Duration kReportInterval = std::chrono::milliseconds(100);
 // A report may have been taken this long before it is read; engines say some hundred milliseconds.
 constexpr Duration kReportLag = std::chrono::milliseconds(600);
+// Between reports of an engine that waits for runs to end.
+constexpr Duration kBusyReportInterval = std::chrono::milliseconds(300);
 // Part of the allowed loads of weights that is used; the rest covers loads that others started.
 constexpr double kWeightLoadShare = 0.8;
 // An accepted order that no report confirms within this time is given up and may be ordered again.
@@ -353,6 +355,11 @@
         ++upstream->orders_;
         RemoveResident(upstream->entry_, aOrder);
         Publish(*upstream);
+        if (aAnswer == OrderAnswer::Accepted) {
+          // The engine takes no orders until the runs of the adapter have ended.
+          engine.mustReport_ = true;
+          engine.nextReport_ = now + kBusyReportInterval;
+        }
       } else if (aAnswer == OrderAnswer::Accepted) {
         ++upstream->orders_;
         engine.orders_.OnAccepted(aOrder);
@@ -514,7 +521,8 @@
     return;
   }
   upstream->orders_ = aReport.orders_;
-  engine.mustReport_ = false;
+  engine.mustReport_ = aReport.isBusy_ && !engine.orders_.IsLoadingModel();
+  engine.nextReport_ = now + kBusyReportInterval;
   entry.models_ = aReport.models_;
   // Loads that another holder ordered, or whose answer was lost, take room too.
   for (const auto& order : aReport.loading_) {
--- /dev/null
+++ b/tests/fleet/engine_orders_test.cpp
@@ -0,0 +1,153 @@
+/** @file engine_orders_test.cpp Orders to an engine never exceed what it holds. */
+#include "fleet/engine_orders.h"
+
+#include "dispatch/fake_clock.h"
+#include "fleet/fleet_support.h"
+#include "table/fleet_const.h"
+
+#include <gtest/gtest.h>
+#include <random>
+
+namespace laburnumweir {
+namespace {
+
+using namespace std::chrono_literals;
+
+class EngineOrdersTest : public testing::Test
+{
+protected:
+  /** Carries out an order at once. */
+  void Apply(const EngineOrder& aOrder)
+  {
+    auto& adapters = entry_.models_[0].adapters_;
+    std::erase_if(adapters,
+                  [&](const auto& aAdapter) { return aAdapter.name_ == aOrder.adapter_; });
+    if (aOrder.kind_ == OrderKind::Load) {
+      adapters.push_back({ aOrder.adapter_, aOrder.version_ });
+    }
+  }
+  std::optional<EngineOrder> Next() { return orders_.Next(spec_, entry_); }
+
+  FakeClock clock_;
+  EngineSpec spec_ = *testing_support::MakeService().engine_;
+  UpstreamEntry entry_ = testing_support::MakeEngine("e1");
+  EngineOrders orders_{ clock_ };
+};
+
+TEST_F(EngineOrdersTest, LoadsAModelOntoAnEmptyEngine)
+{
+  entry_.models_.clear();
+  EXPECT_EQ(Next(), (EngineOrder{ OrderKind::Load, "m", {}, 0 }));
+  orders_.OnAccepted({ OrderKind::Load, "m", {}, 0 });
+  EXPECT_EQ(Next(), std::nullopt);
+}
+
+TEST_F(EngineOrdersTest, ForgetsWantsThatAreNotRepeated)
+{
+  orders_.Want({ "m", "a1", 0, WantReason::InTime });
+  clock_.Advance(kWantLife + 1ms);
+  EXPECT_EQ(Next(), std::nullopt);
+}
+
+// Guards against the eviction of an adapter with a long stream: an engine takes no orders until the
+// runs of an adapter that it unloads have ended.
+TEST_F(EngineOrdersTest, NeverEvictsAnAdapterInUse)
+{
+  entry_.models_[0].adapters_ = { { "a1", 1 }, { "a2", 1 }, { "a3", 1 } };
+  for (const auto* name : { "a1", "a2", "a3" }) {
+    orders_.Used("m", name);
+  }
+  orders_.Want({ "m", "a4", 0, WantReason::InTime });
+  EXPECT_EQ(Next(), std::nullopt);
+  clock_.Advance(600ms);
+  orders_.StillUsed("m", "a1");
+  orders_.StillUsed("m", "a3");
+  clock_.Advance(500ms);
+  orders_.Want({ "m", "a4", 0, WantReason::InTime });
+  EXPECT_EQ(Next(), (EngineOrder{ OrderKind::Unload, "m", "a2", 0 }));
+}
+
+// Pattern: demand shifts slowly; a rare adapter that was used last must not push out a popular one.
+TEST_F(EngineOrdersTest, EvictsWhatIsUsedLeast)
+{
+  entry_.models_[0].adapters_ = { { "popular", 1 }, { "rare", 1 }, { "common", 1 } };
+  for (int i = 0; i < 5; ++i) {
+    orders_.Used("m", "popular");
+  }
+  orders_.Used("m", "common");
+  orders_.Used("m", "common");
+  clock_.Advance(2s);
+  orders_.Used("m", "rare");
+  clock_.Advance(kAdapterInUse + 1ms);
+  orders_.Want({ "m", "a4", 0, WantReason::InTime });
+  EXPECT_EQ(Next(), (EngineOrder{ OrderKind::Unload, "m", "rare", 0 }));
+}
+
+// Pattern: more is wanted than can be loaded. First come first served would make every request
+// late.
+TEST_F(EngineOrdersTest, LoadsFirstWhatCanStillBeInTime)
+{
+  orders_.Want({ "m", "copy", 0, WantReason::Copy });
+  orders_.Want({ "m", "late", 0, WantReason::Late });
+  clock_.Advance(10ms);
+  orders_.Want({ "m", "fresh", 0, WantReason::InTime });
+  for (const auto* expected : { "fresh", "late", "copy" }) {
+    const auto order = Next();
+    ASSERT_TRUE(order);
+    EXPECT_EQ(order->adapter_, expected);
+    orders_.OnAccepted(*order);
+  }
+}
+
+// Random wants, uses, completions and restarts: the engine would crash if more were on their way or
+// resident than it has places or memory for.
+TEST_F(EngineOrdersTest, NeverExceedsPlacesOrMemory)
+{
+  for (std::uint32_t seed = 1; seed <= 50; ++seed) {
+    std::mt19937 random(seed);
+    EngineOrders orders(clock_);
+    entry_ = testing_support::MakeEngine("e1");
+    spec_.adapterSlots_ = 2 + seed % 7;
+    spec_.weightsMb_ = 700 + 50 * (1 + seed % 9);
+    for (int step = 0; step < 400; ++step) {
+      clock_.Advance(std::chrono::milliseconds(random() % 200));
+      const auto name = "a" + std::to_string(random() % 20);
+      switch (random() % 4) {
+        case 0:
+          orders.Want({ "m", name, static_cast<std::int64_t>(random() % 2), WantReason::InTime });
+          break;
+        case 1:
+          orders.Used("m", name);
+          break;
+        case 2:
+          if (!orders.Pending().empty()) {
+            const auto order = orders.Pending().begin()->first;
+            Apply(order);
+            orders.OnFinished(order);
+          }
+          break;
+        default:
+          if (const auto order = orders.Next(spec_, entry_)) {
+            if (order->kind_ == OrderKind::Unload) {
+              Apply(*order);
+            } else {
+              orders.OnAccepted(*order);
+            }
+          }
+      }
+      std::set<std::string> held;
+      for (const auto& adapter : entry_.models_[0].adapters_) {
+        held.insert(adapter.name_);
+      }
+      for (const auto& [order, since] : orders.Pending()) {
+        held.insert(order.adapter_);
+      }
+      ASSERT_LE(held.size(), spec_.adapterSlots_) << "seed " << seed << " step " << step;
+      ASSERT_LE(700 + 50.0 * static_cast<double>(held.size()), spec_.weightsMb_) << "seed " << seed;
+      ASSERT_LE(orders.Loading(), EngineOrders::kMaxLoading);
+    }
+  }
+}
+
+} // namespace
+} // namespace laburnumweir
--- /dev/null
+++ b/tests/fleet/retry_share_test.cpp
@@ -0,0 +1,57 @@
+/** @file retry_share_test.cpp Retries of all hosts together stay within the bound. */
+#include "fleet/retry_share.h"
+
+#include "dispatch/fake_clock.h"
+
+#include <gtest/gtest.h>
+#include <memory>
+#include <vector>
+
+namespace laburnumweir {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr RetryBounds kBounds{ 0.2, 52, 10s };
+
+// Pattern: every request fails at every host, and each failure asks for a retry.
+TEST(RetryShare, AllHostsTogetherStayWithinTheBound)
+{
+  FakeClock clock;
+  const ServiceName service("s");
+  std::vector<std::unique_ptr<RetryShare>> hosts;
+  for (int i = 0; i < 6; ++i) {
+    hosts.push_back(std::make_unique<RetryShare>(clock, kBounds));
+    hosts.back()->SetHosts(6);
+  }
+  int requests = 0;
+  int retries = 0;
+  for (int step = 0; step < 100; ++step) {
+    clock.Advance(100ms);
+    for (auto& host : hosts) {
+      host->OnRequest(service);
+      ++requests;
+      retries += host->TakeRetry(service) ? 1 : 0;
+      retries += host->TakeRetry(service) ? 1 : 0;
+    }
+  }
+  EXPECT_LE(retries, kBounds.ratio_ * requests + kBounds.slack_);
+  EXPECT_GT(retries, 0);
+}
+
+TEST(RetryShare, ForgetsWhatLeftTheWindow)
+{
+  FakeClock clock;
+  const ServiceName service("s");
+  RetryShare share(clock, { 0, 10, 10s });
+  int taken = 0;
+  while (share.TakeRetry(service)) {
+    ++taken;
+  }
+  EXPECT_EQ(taken, 7); // part of the slack that is used
+  clock.Advance(10s + 1ms);
+  EXPECT_TRUE(share.TakeRetry(service));
+}
+
+} // namespace
+} // namespace laburnumweir
--- /dev/null
+++ b/tests/fleet/small_modules_test.cpp
@@ -0,0 +1,223 @@
+/** @file small_modules_test.cpp Load window, wait queue, event cutter, lease and peers. */
+#include "dispatch/fake_clock.h"
+#include "fleet/event_cutter.h"
+#include "fleet/fleet_support.h"
+#include "fleet/holder_lease.h"
+#include "fleet/load_window.h"
+#include "fleet/peer_table.h"
+#include "fleet/wait_queue.h"
+#include "table/fleet_const.h"
+
+#include <gtest/gtest.h>
+
+namespace laburnumweir {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Pattern: a shared store serves a number of loads at full speed and slows down beyond it. The
+// number is not known; the window must find it and not make every load slow.
+TEST(LoadWindow, SettlesNearTheNumberServedAtFullSpeed)
+{
+  for (const double served : { 2.0, 5.0, 9.0 }) {
+    LoadWindow window;
+    window.SetEngines(4);
+    double sum = 0;
+    for (int i = 0; i < 400; ++i) {
+      const auto size = static_cast<double>(window.Size());
+      window.OnLoaded(std::chrono::duration_cast<Duration>(250ms * std::max(1.0, size / served)));
+      sum += i >= 200 ? size : 0;
+    }
+    EXPECT_GE(sum / 200, 0.7 * served) << served;
+    EXPECT_LE(sum / 200, 2.0 * served) << served;
+  }
+}
+
+TEST(LoadWindow, StaysWithinWhatEnginesTake)
+{
+  LoadWindow window;
+  window.SetEngines(1);
+  for (int i = 0; i < 100; ++i) {
+    window.OnLoaded(250ms);
+  }
+  EXPECT_EQ(window.Size(), 4U);
+  for (int i = 0; i < 100; ++i) {
+    window.OnLoaded(5s);
+    window.OnLoaded(250ms);
+  }
+  EXPECT_GE(window.Size(), 1U);
+}
+
+class WaitQueueTest : public testing::Test
+{
+protected:
+  WaitTicket Push(std::uint32_t aRank, Duration aLatest, bool aWaitsForLoad = false)
+  {
+    return queue_.Push({ service_, aRank, clock_.Now() + aLatest, aWaitsForLoad });
+  }
+
+  FakeClock clock_;
+  const ServiceName service_{ "s" };
+  WaitQueue queue_{ clock_ };
+};
+
+TEST_F(WaitQueueTest, ServesByRankThenByArrival)
+{
+  const auto second = Push(1, 10s);
+  const auto third = Push(1, 10s);
+  const auto first = Push(0, 10s);
+  EXPECT_EQ(queue_.InOrder(service_), (std::vector{ first, second, third }));
+}
+
+// Pattern: more arrive than can be served. Those that cannot start in time are refused at once, the
+// last in rank first, and not at their deadline.
+TEST_F(WaitQueueTest, FindsRequestsThatCannotStartInTime)
+{
+  std::vector<WaitTicket> tickets;
+  for (int i = 0; i < 40; ++i) {
+    tickets.push_back(Push(1, 3s));
+  }
+  // Ten starts a second.
+  for (int i = 0; i < 10; ++i) {
+    clock_.Advance(100ms);
+    queue_.Remove(tickets[i], true);
+  }
+  const auto hopeless = queue_.Hopeless();
+  // 30 wait, 2 s are left: about 20 can start.
+  EXPECT_NEAR(static_cast<double>(hopeless.size()), 10, 2);
+  EXPECT_EQ(hopeless.back(), tickets.back());
+  const auto estimate = queue_.EstimateWait(service_, 1);
+  ASSERT_TRUE(estimate);
+  EXPECT_NEAR(std::chrono::duration<double>(*estimate).count(), 3, 0.4);
+  EXPECT_EQ(queue_.EstimateWait(service_, 0), Duration::zero()) << "nobody is before rank 0";
+}
+
+// Guards against the refusal of a request whose adapter is on its way because others, for which no
+// place is free, wait before it.
+TEST_F(WaitQueueTest, WaitingForALoadIsNotWaitingInLine)
+{
+  for (int i = 0; i < 50; ++i) {
+    Push(0, 10s, true);
+  }
+  const auto last = Push(1, 1500ms, true);
+  clock_.Advance(1s);
+  EXPECT_TRUE(queue_.Hopeless().empty());
+  queue_.SetWaitsForLoad(last, false);
+  EXPECT_TRUE(queue_.Hopeless().empty()) << "requests that wait for loads do not count as ahead";
+  clock_.Advance(500ms);
+  EXPECT_EQ(queue_.Hopeless(), std::vector{ last });
+}
+
+// A stream that goes on at another upstream must join at an event, wherever the first one broke
+// off.
+TEST(EventCutter, PassesOnlyWholeEventsWhereverTheBytesAreCut)
+{
+  const std::string stream =
+    "id: 7\ndata: a\n\nid:8\r\ndata: b\r\n\r\ndata: c\n\nid: 9\ndata: d\n\n";
+  for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
+    EventCutter cutter;
+    std::string first;
+    std::string second;
+    ASSERT_TRUE(cutter.Add(stream.substr(0, cut), first));
+    EXPECT_TRUE(first.empty() || first.ends_with("\n\n") || first.ends_with("\r\n\r\n"));
+    EXPECT_EQ(cutter.HasPart(), first.size() != cut);
+    ASSERT_TRUE(cutter.Add(stream.substr(cut), second));
+    EXPECT_EQ(first + second, stream);
+    EXPECT_EQ(cutter.LastId(), "9");
+    EXPECT_EQ(cutter.Events(), 4U);
+  }
+}
+
+TEST(EventCutter, KeepsTheIdOfTheLastWholeEvent)
+{
+  EventCutter cutter;
+  std::string whole;
+  ASSERT_TRUE(cutter.Add("id: 1\ndata: a\n\nid: 2\ndata: b", whole));
+  EXPECT_EQ(cutter.LastId(), "1");
+  cutter.DropPart();
+  EXPECT_FALSE(cutter.HasPart());
+  EXPECT_FALSE(cutter.Add(std::string(EventCutter::kMaxEventBytes + 1, 'x'), whole));
+}
+
+class HolderLeaseTest : public testing::Test
+{
+protected:
+  FakeClock clock_;
+  HolderLease lease_{ clock_, 3s, 2s };
+};
+
+// Two hosts must not order an engine within the lease: the one that loses a partition stops before
+// the group gives it away, and the one that gets it waits.
+TEST_F(HolderLeaseTest, OrdersOnlyWhileTheMembershipIsCertain)
+{
+  lease_.OnMembership(clock_.Now(), { 1, { 4 } });
+  EXPECT_FALSE(lease_.MayOrder(4)) << "the holder before may have an order on its way";
+  clock_.Advance(2s);
+  lease_.OnMembership(clock_.Now(), { 1, { 4 } });
+  EXPECT_TRUE(lease_.MayOrder(4));
+  EXPECT_FALSE(lease_.MayOrder(5));
+  clock_.Advance(2500ms);
+  EXPECT_FALSE(lease_.MayOrder(4)) << "the group may have given it away";
+  EXPECT_TRUE(lease_.Partitions().empty());
+}
+
+// Guards against a frozen host that goes on where it stopped: after a gap the partition may have
+// had another holder, so it settles anew.
+TEST_F(HolderLeaseTest, SettlesAnewAfterAGap)
+{
+  lease_.OnMembership(clock_.Now(), { 1, { 4 } });
+  clock_.Advance(2s);
+  lease_.OnMembership(clock_.Now(), { 1, { 4 } });
+  const auto before = lease_.HeldSince(4);
+  clock_.Advance(10s);
+  lease_.OnMembership(clock_.Now(), { 3, { 4 } });
+  EXPECT_FALSE(lease_.MayOrder(4));
+  EXPECT_NE(lease_.HeldSince(4), before);
+  EXPECT_EQ(lease_.Token(), 3U);
+}
+
+TEST_F(HolderLeaseTest, CountsTheLifeFromTheQuestion)
+{
+  const auto asked = clock_.Now();
+  clock_.Advance(2600ms);
+  lease_.OnMembership(asked, { 1, { 4 } });
+  EXPECT_TRUE(lease_.Partitions().empty()) << "the answer was on its way for most of the life";
+}
+
+TEST(PeerTable, KnowsHoldersHostsAndTurns)
+{
+  FakeClock clock;
+  PeerTable peers(clock, HostId("h0"));
+  peers.OnRecorded(HostId("h0"), { "127.0.0.1", 1 });
+  EXPECT_EQ(peers.Hosts().size(), 1U) << "this host is no peer of its own";
+  for (int i = 1; i <= 5; ++i) {
+    const HostId id("h" + std::to_string(i));
+    EXPECT_TRUE(peers.OnHeard(id, { "127.0.0.1", static_cast<std::uint16_t>(i) }, 1, 1));
+  }
+  EXPECT_FALSE(peers.OnHeard(HostId("h1"), { "127.0.0.1", 1 }, 1, 1)) << "the same message again";
+  EXPECT_FALSE(peers.OnHeard(HostId("h1"), { "127.0.0.1", 1 }, 0, 9)) << "an earlier life";
+  peers.OnPartitions(HostId("h1"), 4, { 7 });
+  peers.OnPartitions(HostId("h2"), 5, { 7 });
+  EXPECT_EQ(peers.HolderOf(7)->port_, 2) << "the newer generation holds it";
+  EXPECT_TRUE(peers.OnHeard(HostId("h2"), { "127.0.0.1", 2 }, 2, 1));
+  EXPECT_EQ(peers.HolderOf(7)->port_, 1) << "a new life holds nothing yet";
+  std::map<std::uint16_t, int> told;
+  for (int i = 0; i < 5; ++i) {
+    for (const auto& target : peers.NextTargets(2)) {
+      ++told[target.port_];
+    }
+  }
+  EXPECT_EQ(told.size(), 5U);
+  for (const auto& [port, count] : told) {
+    EXPECT_EQ(count, 2) << port;
+  }
+  clock.Advance(kPeerCountLife + 1ms);
+  EXPECT_FALSE(peers.HolderOf(7));
+  EXPECT_EQ(peers.Hosts().size(), 6U) << "a partition must not raise the shares";
+  clock.Advance(kPeerShareLife);
+  peers.Expire();
+  EXPECT_EQ(peers.Hosts().size(), 1U);
+}
+
+} // namespace
+} // namespace laburnumweir
--- /dev/null
+++ b/tests/fleet/upstream_table_test.cpp
@@ -0,0 +1,199 @@
+/** @file upstream_table_test.cpp Choice of upstreams by load, health, adapters and data centre. */
+#include "fleet/upstream_table.h"
+
+#include "dispatch/fake_clock.h"
+#include "fleet/fleet_support.h"
+#include "table/fleet_const.h"
+
+#include <gtest/gtest.h>
+#include <memory>
+
+namespace laburnumweir {
+namespace {
+
+using namespace std::chrono_literals;
+using testing_support::MakeEngine;
+using testing_support::NeedOf;
+
+class UpstreamTableTest : public testing::Test
+{
+protected:
+  UpstreamTableTest() { table_.SetServices(std::vector{ testing_support::MakeService() }); }
+
+  UpstreamId Add(const std::string& aId, std::vector<ResidentAdapter> aAdapters = {})
+  {
+    auto entry = MakeEngine(aId);
+    entry.models_[0].adapters_ = std::move(aAdapters);
+    table_.OnEntry(entry);
+    return entry.id_;
+  }
+
+  FakeClock clock_;
+  UpstreamTable table_{ clock_, HostId("h1"), DataCentreId("dc1") };
+};
+
+// Guards against a heartbeat that arrives late and brings back what an upstream said before, such
+// as that it is not draining.
+TEST_F(UpstreamTableTest, IgnoresEntriesOlderThanTheKnownOne)
+{
+  auto entry = MakeEngine("e1");
+  entry.heartbeat_ = 5;
+  entry.isDraining_ = true;
+  table_.OnEntry(entry);
+  auto older = MakeEngine("e1");
+  older.heartbeat_ = 4;
+  EXPECT_FALSE(table_.OnEntry(older));
+  EXPECT_TRUE(table_.Find(entry.id_)->entry_.isDraining_);
+  older.heartbeat_ = 9;
+  older.startedAt_ = 0;
+  EXPECT_FALSE(table_.OnEntry(older));
+  EXPECT_TRUE(table_.Find(entry.id_)->entry_.isDraining_);
+  // A new life counts its heartbeats from the start.
+  older.heartbeat_ = 1;
+  older.startedAt_ = 2;
+  EXPECT_TRUE(table_.OnEntry(older));
+  EXPECT_FALSE(table_.Find(entry.id_)->entry_.isDraining_);
+}
+
+// Guards against an entry written before an order hiding the adapter that the order loaded.
+TEST_F(UpstreamTableTest, WhatTheHolderTellsOutranksEntriesForAWhile)
+{
+  const auto id = Add("e1");
+  EXPECT_TRUE(table_.OnResidency({ id, 1, 3, { { "m", { { "a1", 1 } } } } }));
+  auto entry = MakeEngine("e1");
+  entry.heartbeat_ = 2;
+  table_.OnEntry(entry);
+  EXPECT_NE(table_.Choose(NeedOf("a1")).upstream_, nullptr);
+  EXPECT_FALSE(table_.OnResidency({ id, 1, 2, { { "m", {} } } })) << "told before order 3";
+  clock_.Advance(kEntryLag);
+  entry.heartbeat_ = 3;
+  table_.OnEntry(entry);
+  EXPECT_EQ(table_.Choose(NeedOf("a1")).upstream_, nullptr);
+}
+
+TEST_F(UpstreamTableTest, SendsOnlyWhereTheAdapterAndVersionAre)
+{
+  Add("e1", { { "a1", 1 } });
+  const auto second = Add("e2", { { "a1", 2 } });
+  const auto choice = table_.Choose(NeedOf("a1", 2));
+  ASSERT_NE(choice.upstream_, nullptr);
+  EXPECT_EQ(choice.upstream_->entry_.id_, second);
+  EXPECT_EQ(choice.adapterVersion_, 2);
+  EXPECT_FALSE(choice.loadAt_);
+}
+
+// Guards against the replacement of a version on the engine that serves the old one, which waits
+// for all its runs, while another engine could load the new one at once.
+TEST_F(UpstreamTableTest, LoadsANewVersionOnAnEngineWithoutTheOldOne)
+{
+  const auto first = Add("e1", { { "a1", 1 } });
+  const auto second = Add("e2");
+  const auto choice = table_.Choose(NeedOf("a1", 2));
+  EXPECT_EQ(choice.upstream_, nullptr);
+  EXPECT_EQ(choice.loadAt_, second);
+}
+
+TEST_F(UpstreamTableTest, GivesNothingToDrainingEvacuatedMissingOrPausedUpstreams)
+{
+  const auto id = Add("e1");
+  EXPECT_NE(table_.Choose(NeedOf("")).upstream_, nullptr);
+  table_.SetEvacuated({ DataCentreId("dc1") });
+  EXPECT_EQ(table_.Choose(NeedOf("")).upstream_, nullptr);
+  table_.SetEvacuated({});
+  table_.OnMisdirected(id);
+  EXPECT_EQ(table_.Choose(NeedOf("")).upstream_, nullptr);
+  auto entry = MakeEngine("e1");
+  entry.heartbeat_ = 2;
+  table_.OnEntry(entry);
+  EXPECT_NE(table_.Choose(NeedOf("")).upstream_, nullptr);
+  for (std::uint32_t i = 0; i < kFailuresToAvoid; ++i) {
+    table_.OnSent(id);
+    table_.OnEnded(id, AttemptHealth::Unreachable, {});
+  }
+  EXPECT_EQ(table_.Choose(NeedOf("")).upstream_, nullptr);
+  clock_.Advance(kFirstPause);
+  EXPECT_NE(table_.Choose(NeedOf("")).upstream_, nullptr);
+  entry.heartbeat_ = 3;
+  entry.isDraining_ = true;
+  table_.OnEntry(entry);
+  EXPECT_EQ(table_.Choose(NeedOf("")).upstream_, nullptr);
+}
+
+TEST_F(UpstreamTableTest, CountsTheRequestsOfPeers)
+{
+  const auto id = Add("e1");
+  table_.OnPeerLoad(HostId("h2"), std::vector<PeerLoad>{ { id, 7 } });
+  EXPECT_NE(table_.Choose(NeedOf("")).upstream_, nullptr);
+  table_.OnSent(id);
+  EXPECT_EQ(table_.Choose(NeedOf("")).upstream_, nullptr) << "8 of 8 places are taken";
+  clock_.Advance(kPeerCountLife + 1ms);
+  table_.ExpirePeers();
+  EXPECT_NE(table_.Choose(NeedOf("")).upstream_, nullptr);
+}
+
+// Pattern: one adapter gets most of the requests, and its engine is busy while others are idle.
+TEST_F(UpstreamTableTest, WantsACopyWhenTheEnginesOfAnAdapterAreBusy)
+{
+  const auto busy = Add("e1", { { "hot", 1 } });
+  for (int i = 2; i <= 6; ++i) {
+    Add("e" + std::to_string(i));
+  }
+  for (int i = 0; i < 3; ++i) {
+    table_.OnSent(busy);
+  }
+  EXPECT_FALSE(table_.Choose(NeedOf("hot")).loadAt_);
+  for (int i = 0; i < 3; ++i) {
+    table_.OnSent(busy);
+  }
+  const auto choice = table_.Choose(NeedOf("hot"));
+  EXPECT_NE(choice.upstream_, nullptr) << "the request itself does not wait for the copy";
+  ASSERT_TRUE(choice.loadAt_);
+  EXPECT_NE(*choice.loadAt_, busy);
+  EXPECT_TRUE(choice.isCopy_);
+}
+
+// Pattern: 80 hosts see an upstream return cold, and each of them sends it what it can.
+TEST_F(UpstreamTableTest, ManyHostsTogetherDoNotOverloadAColdUpstream)
+{
+  constexpr int kHosts = 80;
+  std::vector<HostId> names;
+  std::vector<std::unique_ptr<UpstreamTable>> hosts;
+  for (int i = 0; i < kHosts; ++i) {
+    names.emplace_back("h" + std::to_string(i));
+  }
+  auto entry = MakeEngine("e1", 1000);
+  entry.coldFor_ = 10s;
+  for (int i = 0; i < kHosts; ++i) {
+    hosts.push_back(std::make_unique<UpstreamTable>(clock_, names[i], DataCentreId("dc1")));
+    hosts.back()->SetServices(std::vector{ testing_support::MakeService() });
+    hosts.back()->SetHosts(names);
+    hosts.back()->OnEntry(entry);
+  }
+  std::vector<int> sent;
+  for (int step = 0; step < 300; ++step) {
+    clock_.Advance(10ms);
+    int inStep = 0;
+    for (auto& host : hosts) {
+      while (host->Choose(NeedOf("")).upstream_ != nullptr) {
+        host->OnSent(entry.id_);
+        ++inStep;
+      }
+    }
+    sent.push_back(inStep);
+  }
+  for (std::size_t i = 0; i + 100 <= sent.size(); ++i) {
+    int inSecond = 0;
+    for (std::size_t j = i; j < i + 100; ++j) {
+      inSecond += sent[j];
+    }
+    ASSERT_LE(inSecond, 20 * 1.5 + 5) << "from step " << i;
+  }
+  int all = 0;
+  for (const auto count : sent) {
+    all += count;
+  }
+  EXPECT_GT(all, 20) << "a cold upstream is used";
+}
+
+} // namespace
+} // namespace laburnumweir
