--- /dev/null
+++ b/tests/gateway/gateway_support.h
@@ -0,0 +1,74 @@
+/** @file gateway_support.h Mocks and a scheduler for tests of the gateway. */
+#ifndef LABURNUMWEIR_TESTS_GATEWAY_GATEWAY_SUPPORT_H
+#define LABURNUMWEIR_TESTS_GATEWAY_GATEWAY_SUPPORT_H
+
+#include "core/scheduler_base.h"
+#include "dispatch/fake_clock.h"
+#include "fleet/engine_control_base.h"
+#include "fleet/fleet_store_base.h"
+
+#include <gmock/gmock.h>
+#include <map>
+
+namespace laburnumweir::testing_support {
+
+/** Runs tasks when the test moves its clock on. */
+class FakeScheduler : public Scheduler
+{
+public:
+  explicit FakeScheduler(FakeClock& aClock)
+    : clock_(aClock)
+  {
+  }
+  void Post(std::function<void()> aTask) override { After(Duration::zero(), std::move(aTask)); }
+  void After(Duration aDelay, std::function<void()> aTask) override
+  {
+    tasks_.emplace(clock_.Now() + aDelay, std::move(aTask));
+  }
+  /** Moves the clock on and runs what becomes due, in its sequence. */
+  void Run(Duration aTime)
+  {
+    const auto end = clock_.Now() + aTime;
+    while (!tasks_.empty() && tasks_.begin()->first <= end) {
+      if (tasks_.begin()->first > clock_.Now()) {
+        clock_.Advance(tasks_.begin()->first - clock_.Now());
+      }
+      const auto task = std::move(tasks_.begin()->second);
+      tasks_.erase(tasks_.begin());
+      task();
+    }
+    clock_.Advance(end - clock_.Now());
+  }
+
+private:
+  FakeClock& clock_;                                     ///< Time.
+  std::multimap<TimePoint, std::function<void()>> tasks_; ///< Tasks by time.
+};
+
+class MockStore : public FleetStore
+{
+public:
+  MOCK_METHOD(void, ReadAll, (ChangeStream, ChangesCallback), (override));
+  MOCK_METHOD(void,
+              ReadChanges,
+              (ChangeStream, LogOffset, std::chrono::milliseconds, ChangesCallback),
+              (override));
+  MOCK_METHOD(void,
+              JoinGroup,
+              (const HostId&, std::uint64_t, std::chrono::milliseconds, MembershipCallback),
+              (override));
+  MOCK_METHOD(void, LeaveGroup, (const HostId&, DoneCallback), (override));
+  MOCK_METHOD(void, PublishHost, (const HostRecord&, DoneCallback), (override));
+  MOCK_METHOD(void, ReadHosts, (HostsCallback), (override));
+};
+
+class MockEngines : public EngineControl
+{
+public:
+  MOCK_METHOD(void, Send, (const FencedOrder&, OrderCallback), (override));
+  MOCK_METHOD(void, Report, (const Endpoint&, ReportCallback), (override));
+};
+
+} // namespace laburnumweir::testing_support
+
+#endif
--- /dev/null
+++ b/tests/gateway/holder_service_test.cpp
@@ -0,0 +1,220 @@
+/** @file holder_service_test.cpp Orders come from one holder, on a known state, and are confirmed. */
+#include "gateway/holder_service.h"
+
+#include "fleet/fleet_support.h"
+#include "gateway/gateway_support.h"
+
+#include <gtest/gtest.h>
+
+namespace laburnumweir {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::_;
+using testing_support::MakeEngine;
+
+class HolderServiceTest : public testing::Test
+{
+protected:
+  HolderServiceTest()
+  {
+    ON_CALL(store_, JoinGroup)
+      .WillByDefault([this](const HostId&,
+                            std::uint64_t,
+                            std::chrono::milliseconds,
+                            const FleetStore::MembershipCallback& aCallback) {
+        aCallback(joinError_, membership_);
+      });
+    ON_CALL(engines_, Report)
+      .WillByDefault([this](const Endpoint&, const EngineControl::ReportCallback& aCallback) {
+        ++reports_;
+        aCallback(true, report_);
+      });
+    ON_CALL(engines_, Send)
+      .WillByDefault([this](const FencedOrder& aOrder, const EngineControl::OrderCallback& aCallback) {
+        sent_.push_back(aOrder);
+        OrderAnswer answer = OrderAnswer::Accepted;
+        if (!answers_.empty()) {
+          answer = answers_.front();
+          answers_.erase(answers_.begin());
+        }
+        aCallback(answer);
+      });
+    FleetConfig config;
+    config.version_ = 1;
+    config.services_ = { testing_support::MakeService() };
+    ChangeBatch batch;
+    batch.changes_ = { config };
+    state_.ApplyOperators(batch);
+    state_.Upstreams().OnEntry(MakeEngine("e1"));
+    settings_.member_ = HostId("h1#1");
+    settings_.host_ = HostId("h1");
+    settings_.partitions_ = 1;
+    membership_ = { 7, { 0 } };
+    report_.startedAt_ = 1;
+    report_.orders_ = 40;
+    report_.models_ = { { "m", {} } };
+    service_ = std::make_shared<HolderService>(
+      store_, engines_, state_, clock_, scheduler_, settings_, [this](const EngineResidency& aNews) {
+        news_.push_back(aNews);
+      });
+    service_->Start();
+  }
+
+  /** Lets the lease settle. */
+  void Settle() { scheduler_.Run(3500ms); }
+  void Want(const std::string& aAdapter)
+  {
+    service_->Want(engine_, { "m", aAdapter, 0, WantReason::InTime });
+  }
+  bool Holds(const std::string& aAdapter)
+  {
+    return UpstreamTable::VersionAt(*state_.Upstreams().Find(engine_), "m", aAdapter).has_value();
+  }
+
+  FakeClock clock_;
+  testing_support::FakeScheduler scheduler_{ clock_ };
+  testing::NiceMock<testing_support::MockStore> store_;
+  testing::NiceMock<testing_support::MockEngines> engines_;
+  FleetState state_{ clock_, HostId("h1"), DataCentreId("dc1") };
+  HolderSettings settings_;
+  GroupMembership membership_;
+  std::error_code joinError_;
+  EngineReport report_;
+  std::vector<OrderAnswer> answers_;
+  std::vector<FencedOrder> sent_;
+  std::vector<EngineResidency> news_;
+  int reports_ = 0;
+  const UpstreamId engine_{ "e1" };
+  std::shared_ptr<HolderService> service_;
+};
+
+// Guards against an order on an outdated state: loads of the holder before may be on their way, and
+// one load too many makes the engine crash.
+TEST_F(HolderServiceTest, ReadsTheStateOfAnEngineBeforeItsFirstOrder)
+{
+  Want("a1");
+  EXPECT_TRUE(sent_.empty()) << "the lease has not settled";
+  Settle();
+  report_.models_ = { { "m", { { "x1", 1 }, { "x2", 1 } } } };
+  report_.loading_ = { { OrderKind::Load, "m", "x3", 1 } };
+  Want("a1");
+  EXPECT_EQ(reports_, 1);
+  scheduler_.Run(10ms);
+  service_->Tick();
+  ASSERT_FALSE(sent_.empty());
+  EXPECT_EQ(sent_[0].expectedOrders_, 40U);
+  EXPECT_EQ(sent_[0].fencingToken_, 7U);
+  EXPECT_EQ(sent_[0].order_.kind_, OrderKind::Unload) << "two resident and one loading fill 3 places";
+}
+
+TEST_F(HolderServiceTest, ConfirmsALoadByRepeatingItsOrder)
+{
+  Settle();
+  Want("a1");
+  service_->Tick();
+  ASSERT_EQ(sent_.size(), 1U);
+  EXPECT_FALSE(Holds("a1"));
+  scheduler_.Run(210ms);
+  ASSERT_EQ(sent_.size(), 2U);
+  EXPECT_EQ(sent_[1].order_, sent_[0].order_);
+  EXPECT_EQ(sent_[1].expectedOrders_, 41U);
+  EXPECT_FALSE(Holds("a1")) << "the engine answered that it still loads";
+  answers_ = { OrderAnswer::AlreadyDone };
+  scheduler_.Run(100ms);
+  EXPECT_TRUE(Holds("a1"));
+  ASSERT_FALSE(news_.empty());
+  EXPECT_EQ(news_.back().models_.at(0).adapters_.at(0).name_, "a1");
+}
+
+// Guards against orders that run twice or too late: after a lost answer the state is read again.
+TEST_F(HolderServiceTest, ReadsTheStateAgainAfterALostAnswer)
+{
+  Settle();
+  answers_ = { OrderAnswer::NoAnswer };
+  Want("a1");
+  service_->Tick();
+  ASSERT_EQ(sent_.size(), 1U);
+  const int before = reports_;
+  report_.orders_ = 41;
+  report_.models_ = { { "m", { { "a1", 1 } } } };
+  for (int i = 0; i < 10; ++i) {
+    scheduler_.Run(50ms);
+    service_->Tick();
+  }
+  EXPECT_GT(reports_, before);
+  EXPECT_EQ(sent_.size(), 1U) << "the report shows that it was carried out";
+  EXPECT_TRUE(Holds("a1"));
+}
+
+// Guards against an engine that gets no orders for good because its orders were counted too high.
+TEST_F(HolderServiceTest, BelievesAReportThatStaysBehind)
+{
+  Settle();
+  Want("a1");
+  service_->Tick();
+  ASSERT_EQ(sent_.size(), 1U);
+  answers_ = { OrderAnswer::Conflict };
+  for (int i = 0; i < 30 && sent_.size() < 4; ++i) {
+    scheduler_.Run(50ms);
+    Want("a2");
+    service_->Tick();
+  }
+  EXPECT_EQ(sent_.back().expectedOrders_, 41U) << "40 as reported, and the order since";
+}
+
+TEST_F(HolderServiceTest, StopsAtARefusalForAHigherToken)
+{
+  Settle();
+  answers_ = { OrderAnswer::Fenced };
+  Want("a1");
+  service_->Tick();
+  ASSERT_EQ(sent_.size(), 1U);
+  for (int i = 0; i < 20; ++i) {
+    scheduler_.Run(200ms);
+    Want("a1");
+    service_->Tick();
+  }
+  EXPECT_EQ(sent_.size(), 1U);
+  membership_.generation_ = 8;
+  scheduler_.Run(1100ms);
+  Want("a1");
+  service_->Tick();
+  ASSERT_EQ(sent_.size(), 2U);
+  EXPECT_EQ(sent_[1].fencingToken_, 8U);
+}
+
+TEST_F(HolderServiceTest, OrdersNothingWithoutAValidMembership)
+{
+  Settle();
+  joinError_ = StoreError::Unreachable;
+  scheduler_.Run(4s);
+  Want("a1");
+  service_->Tick();
+  EXPECT_TRUE(sent_.empty());
+}
+
+// Guards against a host that waits for an adapter which the holder has had loaded long ago, because
+// a datagram was lost.
+TEST_F(HolderServiceTest, AnswersAWantForWhatIsResident)
+{
+  Settle();
+  state_.Upstreams().Find(engine_)->entry_.models_[0].adapters_ = { { "a1", 1 } };
+  news_.clear();
+  Want("a1");
+  ASSERT_EQ(news_.size(), 1U);
+  EXPECT_TRUE(sent_.empty());
+}
+
+TEST_F(HolderServiceTest, LeavesTheGroupAndOrdersNothingMore)
+{
+  Settle();
+  EXPECT_CALL(store_, LeaveGroup(HostId("h1#1"), _));
+  service_->Leave();
+  Want("a1");
+  service_->Tick();
+  EXPECT_TRUE(sent_.empty());
+}
+
+} // namespace
+} // namespace laburnumweir
--- /dev/null
+++ b/tests/gateway/store_watch_test.cpp
@@ -0,0 +1,155 @@
+/** @file store_watch_test.cpp The state of the fleet follows the store through its outages. */
+#include "gateway/store_watch.h"
+
+#include "fleet/fleet_support.h"
+#include "gateway/gateway_support.h"
+
+#include <gtest/gtest.h>
+
+namespace laburnumweir {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::_;
+using testing_support::MakeEngine;
+
+/** A store that answers at once from what the test sets. */
+class StoreWatchTest : public testing::Test
+{
+protected:
+  StoreWatchTest()
+  {
+    ON_CALL(store_, ReadAll)
+      .WillByDefault([this](ChangeStream aStream, const FleetStore::ChangesCallback& aCallback) {
+        ++snapshots_;
+        ChangeBatch batch;
+        batch.isSnapshot_ = true;
+        batch.next_ = 10;
+        batch.changes_ = aStream == ChangeStream::Operators ? operators_ : upstreams_;
+        aCallback(error_, std::move(batch));
+      });
+    ON_CALL(store_, ReadChanges)
+      .WillByDefault([this](ChangeStream aStream,
+                            LogOffset aFrom,
+                            std::chrono::milliseconds aWait,
+                            const FleetStore::ChangesCallback& aCallback) {
+        const auto answer = [this, aStream, aFrom, aCallback] {
+          ChangeBatch batch;
+          batch.next_ = aFrom;
+          if (aStream == ChangeStream::Upstreams && !error_) {
+            batch.changes_ = std::exchange(next_, {});
+          }
+          aCallback(error_, std::move(batch));
+        };
+        scheduler_.After(aWait + 5ms, answer);
+      });
+    FleetConfig config;
+    config.version_ = 3;
+    operators_ = { config };
+    upstreams_ = { UpstreamChange{ UpstreamId("e1"), MakeEngine("e1") } };
+  }
+
+  bool HasEngine() { return state_.Upstreams().Find(UpstreamId("e1")) != nullptr; }
+
+  FakeClock clock_;
+  testing_support::FakeScheduler scheduler_{ clock_ };
+  testing::NiceMock<testing_support::MockStore> store_;
+  FleetState state_{ clock_, HostId("h1"), DataCentreId("dc1") };
+  std::shared_ptr<StoreWatch> watch_ = std::make_shared<StoreWatch>(store_,
+                                                                    state_,
+                                                                    clock_,
+                                                                    scheduler_,
+                                                                    WatchSettings(),
+                                                                    [] {});
+  std::vector<FleetChange> operators_;
+  std::vector<FleetChange> upstreams_;
+  std::vector<FleetChange> next_;
+  std::error_code error_;
+  int snapshots_ = 0;
+};
+
+TEST_F(StoreWatchTest, ProofIsAsOldAsTheQuestion)
+{
+  watch_->Start();
+  ASSERT_TRUE(state_.Routes());
+  EXPECT_TRUE(HasEngine());
+  scheduler_.Run(3s);
+  EXPECT_LE(state_.ProofAge(), 2100ms);
+  error_ = StoreError::Unreachable;
+  const auto before = state_.ProofAge();
+  scheduler_.Run(4s);
+  EXPECT_GE(state_.ProofAge(), before + 2s);
+  EXPECT_TRUE(state_.Routes()) << "what is known stays in force";
+  EXPECT_FALSE(watch_->IsConnected());
+}
+
+TEST_F(StoreWatchTest, ReadsEverythingAgainWhenHistoryIsLost)
+{
+  watch_->Start();
+  const int before = snapshots_;
+  error_ = StoreError::HistoryLost;
+  scheduler_.Run(1200ms);
+  error_ = {};
+  scheduler_.Run(2s);
+  EXPECT_GT(snapshots_, before);
+  EXPECT_TRUE(watch_->IsConnected());
+}
+
+TEST_F(StoreWatchTest, RemovalsCountAtOnceWhileTheStoreIsWell)
+{
+  watch_->Start();
+  scheduler_.Run(1s);
+  next_ = { UpstreamChange{ UpstreamId("e1"), std::nullopt } };
+  scheduler_.Run(1s);
+  EXPECT_FALSE(HasEngine());
+}
+
+// Pattern: the store is away for longer than the entries live, so that all of them lapse. Those of
+// living upstreams are back about two seconds after its return; until then they must be kept.
+TEST_F(StoreWatchTest, KeepsUpstreamsWhoseEntriesLapsedDuringAnOutage)
+{
+  upstreams_.emplace_back(UpstreamChange{ UpstreamId("e2"), MakeEngine("e2") });
+  watch_->Start();
+  scheduler_.Run(1s);
+  error_ = StoreError::Unreachable;
+  scheduler_.Run(5s);
+  error_ = {};
+  next_ = { UpstreamChange{ UpstreamId("e1"), std::nullopt },
+            UpstreamChange{ UpstreamId("e2"), std::nullopt } };
+  scheduler_.Run(1s);
+  EXPECT_TRUE(HasEngine());
+  auto back = MakeEngine("e1");
+  back.heartbeat_ = 2;
+  next_ = { UpstreamChange{ UpstreamId("e1"), back } };
+  scheduler_.Run(3s);
+  EXPECT_TRUE(HasEngine());
+  EXPECT_EQ(state_.Upstreams().Find(UpstreamId("e2")), nullptr) << "still missing, so it is gone";
+}
+
+// Guards against an older configuration that a snapshot or a late record brings back.
+TEST_F(StoreWatchTest, NeverStepsBackToAnOlderConfiguration)
+{
+  watch_->Start();
+  FleetConfig older;
+  older.version_ = 2;
+  ChangeBatch batch;
+  batch.changes_ = { older };
+  EXPECT_FALSE(state_.ApplyOperators(batch));
+  EXPECT_EQ(state_.Routes()->Config().version_, 3);
+}
+
+TEST_F(StoreWatchTest, ASnapshotEndsEvacuationsThatItDoesNotName)
+{
+  watch_->Start();
+  ChangeBatch batch;
+  batch.changes_ = { EvacuationChange{ DataCentreId("dc1"), true } };
+  state_.ApplyOperators(batch);
+  EXPECT_FALSE(state_.Upstreams().IsUsable(*state_.Upstreams().Find(UpstreamId("e1"))));
+  ChangeBatch snapshot;
+  snapshot.isSnapshot_ = true;
+  state_.ApplyOperators(snapshot);
+  EXPECT_TRUE(state_.Upstreams().IsUsable(*state_.Upstreams().Find(UpstreamId("e1"))));
+}
+
+} // namespace
+} // namespace laburnumweir
