Test the path of a request and the platform's codecs and clients

The adapter is tested for each call: lost, late, refused, truncated and malformed answers, unknown fields, broken entries.

--- a/tests/gateway/gateway_support.h
+++ b/tests/gateway/gateway_support.h
@@ -41,7 +41,7 @@
   }
 
 private:
-  FakeClock& clock_;                                     ///< Time.
+  FakeClock& clock_;                                      ///< Time.
   std::multimap<TimePoint, std::function<void()>> tasks_; ///< Tasks by time.
 };
 
--- a/tests/gateway/gossip_message_test.cpp
+++ b/tests/gateway/gossip_message_test.cpp
@@ -66,7 +66,8 @@
     EXPECT_FALSE(DecodeGossip(whole.substr(0, size))) << size;
   }
   EXPECT_FALSE(DecodeGossip(R"({"h":7,"a":"1.2.3.4","p":1,"n":1,"l":1})"));
-  const auto odd = DecodeGossip(R"({"h":"h","a":"1.2.3.4","p":1,"n":1,"l":1,"d":7,"r":[1],"e":[[]]})");
+  const auto odd =
+    DecodeGossip(R"({"h":"h","a":"1.2.3.4","p":1,"n":1,"l":1,"d":7,"r":[1],"e":[[]]})");
   ASSERT_TRUE(odd);
   EXPECT_TRUE(odd->demand_.empty());
   EXPECT_TRUE(odd->residency_.empty());
--- a/tests/gateway/holder_service_test.cpp
+++ b/tests/gateway/holder_service_test.cpp
@@ -1,4 +1,5 @@
-/** @file holder_service_test.cpp Orders come from one holder, on a known state, and are confirmed. */
+/** @file holder_service_test.cpp Orders come from one holder, on a known state, and are confirmed.
+ */
 #include "gateway/holder_service.h"
 
 #include "fleet/fleet_support.h"
@@ -31,15 +32,16 @@
         aCallback(true, report_);
       });
     ON_CALL(engines_, Send)
-      .WillByDefault([this](const FencedOrder& aOrder, const EngineControl::OrderCallback& aCallback) {
-        sent_.push_back(aOrder);
-        OrderAnswer answer = OrderAnswer::Accepted;
-        if (!answers_.empty()) {
-          answer = answers_.front();
-          answers_.erase(answers_.begin());
-        }
-        aCallback(answer);
-      });
+      .WillByDefault(
+        [this](const FencedOrder& aOrder, const EngineControl::OrderCallback& aCallback) {
+          sent_.push_back(aOrder);
+          OrderAnswer answer = OrderAnswer::Accepted;
+          if (!answers_.empty()) {
+            answer = answers_.front();
+            answers_.erase(answers_.begin());
+          }
+          aCallback(answer);
+        });
     FleetConfig config;
     config.version_ = 1;
     config.services_ = { testing_support::MakeService() };
@@ -55,9 +57,13 @@
     report_.orders_ = 40;
     report_.models_ = { { "m", {} } };
     service_ = std::make_shared<HolderService>(
-      store_, engines_, state_, clock_, scheduler_, settings_, [this](const EngineResidency& aNews) {
-        news_.push_back(aNews);
-      });
+      store_,
+      engines_,
+      state_,
+      clock_,
+      scheduler_,
+      settings_,
+      [this](const EngineResidency& aNews) { news_.push_back(aNews); });
     service_->Start();
   }
 
@@ -105,7 +111,8 @@
   ASSERT_FALSE(sent_.empty());
   EXPECT_EQ(sent_[0].expectedOrders_, 40U);
   EXPECT_EQ(sent_[0].fencingToken_, 7U);
-  EXPECT_EQ(sent_[0].order_.kind_, OrderKind::Unload) << "two resident and one loading fill 3 places";
+  EXPECT_EQ(sent_[0].order_.kind_, OrderKind::Unload)
+    << "two resident and one loading fill 3 places";
 }
 
 TEST_F(HolderServiceTest, ConfirmsALoadByRepeatingItsOrder)
--- a/tests/gateway/store_watch_test.cpp
+++ b/tests/gateway/store_watch_test.cpp
@@ -55,12 +55,8 @@
   testing_support::FakeScheduler scheduler_{ clock_ };
   testing::NiceMock<testing_support::MockStore> store_;
   FleetState state_{ clock_, HostId("h1"), DataCentreId("dc1") };
-  std::shared_ptr<StoreWatch> watch_ = std::make_shared<StoreWatch>(store_,
-                                                                    state_,
-                                                                    clock_,
-                                                                    scheduler_,
-                                                                    WatchSettings(),
-                                                                    [] {});
+  std::shared_ptr<StoreWatch> watch_ =
+    std::make_shared<StoreWatch>(store_, state_, clock_, scheduler_, WatchSettings(), [] {});
   std::vector<FleetChange> operators_;
   std::vector<FleetChange> upstreams_;
   std::vector<FleetChange> next_;
--- /dev/null
+++ b/tests/wire/client_test.cpp
@@ -0,0 +1,242 @@
+/** @file client_test.cpp The clients of the store and of engines against servers that misbehave. */
+#include "platform/engine_client.h"
+#include "platform/record_codec.h"
+#include "platform/store_client.h"
+#include "support/net_support.h"
+
+#include <gtest/gtest.h>
+
+namespace laburnumweir::platform {
+namespace {
+
+using namespace std::chrono_literals;
+using testing_support::Peer;
+using testing_support::ScriptedServer;
+
+std::string
+Json(int aStatus, const std::string& aBody)
+{
+  return "HTTP/1.1 " + std::to_string(aStatus) +
+         " X\r\nContent-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+/** Answers each request with the next of some texts; an empty one is an answer that is lost. */
+class ClientTest : public testing::Test
+{
+protected:
+  void Serve(std::vector<std::string> aAnswers)
+  {
+    answers_ = std::move(aAnswers);
+    server_ = std::make_unique<ScriptedServer>([this](Peer& aPeer, int) {
+      while (const auto request = aPeer.ReadRequest()) {
+        const std::lock_guard lock(mutex_);
+        targets_.emplace_back(request->target());
+        bodies_.push_back(request->body());
+        if (answers_.empty()) {
+          aPeer.Close();
+          return;
+        }
+        const auto answer = answers_.front();
+        answers_.erase(answers_.begin());
+        if (answer.empty()) {
+          aPeer.Reset();
+          return;
+        }
+        aPeer.Send(answer);
+      }
+    });
+    store_ = std::make_unique<StoreClient>(context_, server_->Address());
+  }
+
+  /** Runs until a callback came. */
+  void RunUntil(const bool& aIsDone)
+  {
+    const auto end = std::chrono::steady_clock::now() + 4s;
+    while (!aIsDone && std::chrono::steady_clock::now() < end) {
+      context_.run_for(10ms);
+      context_.restart();
+    }
+    ASSERT_TRUE(aIsDone);
+  }
+
+  std::pair<std::error_code, ChangeBatch> ReadAll(ChangeStream aStream)
+  {
+    bool isDone = false;
+    std::pair<std::error_code, ChangeBatch> result;
+    store_->ReadAll(aStream, [&](std::error_code aError, ChangeBatch aBatch) {
+      result = { aError, std::move(aBatch) };
+      isDone = true;
+    });
+    RunUntil(isDone);
+    return result;
+  }
+
+  std::pair<std::error_code, ChangeBatch> ReadChanges(LogOffset aFrom)
+  {
+    bool isDone = false;
+    std::pair<std::error_code, ChangeBatch> result;
+    store_->ReadChanges(
+      ChangeStream::Operators, aFrom, 0ms, [&](std::error_code aError, ChangeBatch aBatch) {
+        result = { aError, std::move(aBatch) };
+        isDone = true;
+      });
+    RunUntil(isDone);
+    return result;
+  }
+
+  std::pair<std::error_code, GroupMembership> Join()
+  {
+    bool isDone = false;
+    std::pair<std::error_code, GroupMembership> result;
+    store_->JoinGroup(
+      HostId("h#1"), 5, 3000ms, [&](std::error_code aError, GroupMembership aMembership) {
+        result = { aError, std::move(aMembership) };
+        isDone = true;
+      });
+    RunUntil(isDone);
+    return result;
+  }
+
+  OrderAnswer Order()
+  {
+    EngineClient engines(context_);
+    bool isDone = false;
+    OrderAnswer result = OrderAnswer::Invalid;
+    engines.Send({ { OrderKind::Load, "m", "a1", 2 },
+                   UpstreamId("i-1"),
+                   server_->Address(),
+                   HostId("h"),
+                   41,
+                   6 },
+                 [&](OrderAnswer aAnswer) {
+                   result = aAnswer;
+                   isDone = true;
+                 });
+    RunUntil(isDone);
+    return result;
+  }
+
+  std::mutex mutex_;
+  std::vector<std::string> answers_;
+  std::vector<std::string> targets_;
+  std::vector<std::string> bodies_;
+  std::unique_ptr<ScriptedServer> server_;
+  boost::asio::io_context context_;
+  std::unique_ptr<StoreClient> store_;
+};
+
+TEST_F(ClientTest, ReadsAllPagesAndGoesOnFromTheFirst)
+{
+  // e30= is {}.
+  Serve({ Json(200, R"({"items":[{"key":"evacuate/z1","value":"e30=","offset":1}],"has_more":true,
+                       "end_offset":6})"),
+          Json(200, R"({"items":[{"key":"evacuate/z2","value":"e30=","offset":2},
+                       {"key":"config","value":"!!","offset":3},7],"has_more":false,"end_offset":9})") });
+  const auto [error, batch] = ReadAll(ChangeStream::Operators);
+  EXPECT_FALSE(error);
+  EXPECT_TRUE(batch.isSnapshot_);
+  EXPECT_EQ(batch.next_, 6U) << "what changed while the pages were read is read again";
+  EXPECT_EQ(batch.changes_.size(), 2U);
+  EXPECT_NE(targets_.at(1).find("after=evacuate%2Fz1"), std::string::npos) << targets_.at(1);
+}
+
+TEST_F(ClientTest, ReadsChanges)
+{
+  std::string offsets(16, '\0');
+  offsets[7] = 12;
+  Serve({ Json(200, offsets + EncodeKeyedRecord("evacuate/z1", "")) });
+  const auto [error, batch] = ReadChanges(11);
+  EXPECT_FALSE(error);
+  EXPECT_EQ(batch.next_, 12U);
+  EXPECT_FALSE(std::get<EvacuationChange>(batch.changes_.at(0)).isEvacuated_);
+  EXPECT_NE(targets_.at(0).find("from=11"), std::string::npos);
+}
+
+TEST_F(ClientTest, TellsErrorsOfTheStoreApart)
+{
+  Serve({ Json(410, R"({"first_offset":9})"),
+          Json(503, ""),
+          Json(429, ""),
+          Json(500, ""),
+          Json(200, "short"),
+          "HTTP/1.1 200 X\r\nContent-Length: 100\r\n\r\ncut",
+          "" });
+  EXPECT_EQ(ReadChanges(0).first, make_error_code(StoreError::HistoryLost));
+  EXPECT_EQ(ReadChanges(0).first, make_error_code(StoreError::Refused));
+  EXPECT_EQ(ReadChanges(0).first, make_error_code(StoreError::Refused));
+  EXPECT_EQ(ReadChanges(0).first, make_error_code(StoreError::Unreadable));
+  EXPECT_EQ(ReadChanges(0).first, make_error_code(StoreError::Unreadable));
+  EXPECT_EQ(ReadChanges(0).first, make_error_code(StoreError::Unreachable))
+    << "an answer that is cut";
+  EXPECT_EQ(ReadChanges(0).first, make_error_code(StoreError::Unreachable))
+    << "an answer that is lost";
+}
+
+TEST_F(ClientTest, JoinsTheGroup)
+{
+  Serve(
+    { Json(200, R"({"generation":7,"ttl_ms":3000,"parts":[["t",3,840],["t","x",1],7,["t",11,0]]})"),
+      Json(200, R"({"parts":[]})"),
+      Json(409, R"({"why":"x"})"),
+      "" });
+  const auto [error, membership] = Join();
+  EXPECT_FALSE(error);
+  EXPECT_EQ(membership.generation_, 7U);
+  EXPECT_EQ(membership.partitions_, (std::vector<std::uint32_t>{ 3, 11 }));
+  EXPECT_NE(bodies_.at(0).find("\"generation\":5"), std::string::npos);
+  EXPECT_EQ(Join().first, make_error_code(StoreError::Unreadable));
+  EXPECT_EQ(Join().first, make_error_code(StoreError::NotMember));
+  EXPECT_EQ(Join().first, make_error_code(StoreError::Unreachable));
+}
+
+TEST_F(ClientTest, PublishesAndReadsHosts)
+{
+  // MTAuMS4wLjI1Ojc2MDA= is 10.1.0.25:7600, b2Rk is odd.
+  Serve({ Json(200, R"({"offset":1,"end_offset":2})"),
+          Json(200, R"({"items":[{"key":"h1","value":"MTAuMS4wLjI1Ojc2MDA="},
+                       {"key":"h2","value":"b2Rk"}],"has_more":false,"end_offset":2})") });
+  bool isDone = false;
+  store_->PublishHost({ HostId("h1"), { "10.1.0.25", 7600 } }, [&](std::error_code aError) {
+    EXPECT_FALSE(aError);
+    isDone = true;
+  });
+  RunUntil(isDone);
+  EXPECT_NE(bodies_.at(0).find("10.1.0.25:7600"), std::string::npos);
+  isDone = false;
+  store_->ReadHosts([&](std::error_code aError, const std::vector<HostRecord>& aHosts) {
+    EXPECT_FALSE(aError);
+    ASSERT_EQ(aHosts.size(), 1U);
+    EXPECT_EQ(aHosts[0].gossip_, (Endpoint{ "10.1.0.25", 7600 }));
+    isDone = true;
+  });
+  RunUntil(isDone);
+}
+
+TEST_F(ClientTest, TellsAnswersToOrdersApart)
+{
+  Serve({ Json(202, ""),
+          Json(200, ""),
+          Json(409, ""),
+          Json(412, ""),
+          Json(421, ""),
+          Json(400, ""),
+          "" });
+  EXPECT_EQ(Order(), OrderAnswer::Accepted);
+  EXPECT_EQ(Order(), OrderAnswer::AlreadyDone);
+  EXPECT_EQ(Order(), OrderAnswer::Conflict);
+  EXPECT_EQ(Order(), OrderAnswer::Fenced);
+  EXPECT_EQ(Order(), OrderAnswer::OtherEngine);
+  EXPECT_EQ(Order(), OrderAnswer::Invalid);
+  EXPECT_EQ(Order(), OrderAnswer::NoAnswer) << "it may have been accepted";
+  for (const auto* part : { "\"operation\":\"load\"",
+                            "\"adapter\":\"a1\"",
+                            "\"version\":2",
+                            "\"precondition\":6",
+                            "\"fencing_token\":41",
+                            "\"owner\":\"h\"" }) {
+    EXPECT_NE(bodies_.at(0).find(part), std::string::npos) << part;
+  }
+}
+
+} // namespace
+} // namespace laburnumweir::platform
--- /dev/null
+++ b/tests/wire/message_codec_test.cpp
@@ -0,0 +1,116 @@
+/** @file message_codec_test.cpp Fields of forwarded requests and of answers. */
+#include "platform/message_codec.h"
+
+#include <gtest/gtest.h>
+
+namespace laburnumweir::platform {
+namespace {
+
+using Fields = MessageCodec::Fields;
+
+TEST(MessageCodec, ReadsARequest)
+{
+  Fields fields;
+  fields.set("x-attempt-id", "9c41");
+  fields.set("Authorization", "Token key");
+  fields.set("X-Model", "m/a1");
+  fields.set("X-Token-Usage", "1460,80");
+  fields.set("X-Deadline-Ms", "12000");
+  const auto facts = PlatformMessageCodec().ReadRequest(fields);
+  EXPECT_EQ(facts.id_, RequestId("9c41"));
+  EXPECT_EQ(facts.key_, "key");
+  EXPECT_EQ(facts.model_, "m");
+  EXPECT_EQ(facts.adapter_, "a1");
+  EXPECT_EQ(facts.tokens_, 1540);
+  EXPECT_EQ(facts.patience_->count(), 12000);
+}
+
+TEST(MessageCodec, TakesMalformedFieldsAsAbsent)
+{
+  for (const auto* tokens : { "", "12", "a,b", "1,2,3", "-5,7", "99999999999999999999,1" }) {
+    Fields fields;
+    fields.set("X-Token-Usage", tokens);
+    EXPECT_FALSE(PlatformMessageCodec().ReadRequest(fields).tokens_) << tokens;
+  }
+  Fields fields;
+  fields.set("X-Deadline-Ms", "soon");
+  fields.set("Authorization", "Bearer key");
+  const auto facts = PlatformMessageCodec().ReadRequest(fields);
+  EXPECT_FALSE(facts.patience_);
+  EXPECT_TRUE(facts.key_.empty());
+}
+
+// Guards against callers that set what only a gateway may set, such as the workspace, and against
+// the key or fields of the caller's connection reaching an upstream.
+TEST(MessageCodec, RemovesWhatCallersMayNotSet)
+{
+  Fields fields;
+  for (const auto* name : { "X-Tenant",
+                            "x-expect-instance",
+                            "X-Expect-Version",
+                            "X-Request-Priority",
+                            "X-Hold",
+                            "X-Pin-Ms",
+                            "X-Kv-Backup",
+                            "Kv-From",
+                            "kv-fetch",
+                            "Authorization",
+                            "Keep-Alive",
+                            "Transfer-Encoding",
+                            "X-Mine" }) {
+    fields.insert(name, "forged");
+    fields.insert(name, "twice");
+  }
+  fields.set("Connection", "close, X-Mine");
+  fields.set("X-Prompt-Prefix", "5c:800");
+  ForwardFacts facts;
+  facts.timeLeft_ = std::chrono::milliseconds(777);
+  facts.upstream_ = UpstreamId("i-1");
+  PlatformMessageCodec().PrepareForward(fields, facts);
+  std::map<std::string, std::string> left;
+  for (const auto& field : fields) {
+    left[std::string(field.name_string())] = std::string(field.value());
+  }
+  const std::map<std::string, std::string> expected{ { "X-Prompt-Prefix", "5c:800" },
+                                                     { "X-Deadline-Ms", "777" },
+                                                     { "X-Expect-Instance", "i-1" } };
+  EXPECT_EQ(left, expected);
+}
+
+TEST(MessageCodec, AddsWhatTheGatewaySets)
+{
+  Fields fields;
+  fields.set("Last-Event-Id", "3");
+  ForwardFacts facts;
+  facts.workspace_ = WorkspaceId("w");
+  facts.priority_ = 4;
+  facts.adapterVersion_ = 2;
+  PlatformMessageCodec().PrepareForward(fields, facts);
+  EXPECT_EQ(fields["X-Tenant"], "w");
+  EXPECT_EQ(fields["X-Request-Priority"], "4");
+  EXPECT_EQ(fields["X-Expect-Version"], "2");
+  EXPECT_EQ(fields["Last-Event-Id"], "3") << "a caller may resume its own stream";
+  facts.resumeAfter_ = "9";
+  PlatformMessageCodec().PrepareForward(fields, facts);
+  EXPECT_EQ(fields["Last-Event-Id"], "9");
+}
+
+TEST(MessageCodec, TellsWhatDidNotRun)
+{
+  const PlatformMessageCodec codec;
+  Fields none;
+  Fields refused;
+  refused.set("X-Not-Executed", "1");
+  EXPECT_FALSE(codec.ReadAnswer(503, none).isNotRun_) << "only the field says so";
+  EXPECT_FALSE(codec.ReadAnswer(429, none).isNotRun_);
+  EXPECT_TRUE(codec.ReadAnswer(503, refused).isNotRun_);
+  EXPECT_TRUE(codec.ReadAnswer(421, none).isNotRun_);
+  Fields cold;
+  cold.set("X-Cold-Ms", "250");
+  cold.set("X-Instance-Id", "i-9");
+  EXPECT_EQ(codec.ReadAnswer(200, cold).coldFor_->count(), 250);
+  EXPECT_EQ(codec.ReadAnswer(200, cold).upstream_, UpstreamId("i-9"));
+}
+
+} // namespace
+} // namespace laburnumweir::platform
