--- a/src/http/append_body.h
+++ b/src/http/append_body.h
@@ -42,10 +42,8 @@
       aError = {};
       return size;
     }
-    void finish(boost::system::error_code& aError)
-    {
-      aError = {};
-    } // NOLINT(readability-identifier-naming)
+    // NOLINTNEXTLINE(readability-identifier-naming)
+    void finish(boost::system::error_code& aError) { aError = {}; }
 
   private:
     value_type& body_; ///< Receives the bytes.
