--- a/src/gateway/holder_service.cpp
+++ b/src/gateway/holder_service.cpp
@@ -283,6 +283,7 @@
     aEngine.startedAt_ = upstream->entry_.startedAt_;
     aEngine.heldSince_ = heldSince;
     aEngine.orders_.OnRestart();
+    aEngine.disturbed_.clear();
     // Entries and gossip may be older than the last orders of the holder before.
     aEngine.mustReport_ = true;
   }
@@ -381,10 +382,15 @@
       break;
     case OrderAnswer::Conflict:
     case OrderAnswer::Invalid:
-    case OrderAnswer::NoAnswer:
       engine.mustReport_ = true;
       engine.nextReport_ = now + kReportInterval;
       break;
+    case OrderAnswer::NoAnswer:
+      // The report tells whether it was accepted. If not, the next order makes it void, since the
+      // engine then has accepted another number of orders than it expects.
+      engine.mustReport_ = true;
+      engine.nextReport_ = now;
+      break;
   }
   TickEngine(aId, engine);
 }
@@ -451,7 +457,11 @@
     FinishLoad(aId, engine, aOrder);
     Publish(*upstream);
     Tick();
+  } else if (aAnswer == OrderAnswer::NoAnswer) {
+    engine.disturbed_.insert(aOrder);
+    ConfirmLater(aId, aOrder, Duration::zero());
   } else {
+    engine.disturbed_.insert(aOrder);
     engine.mustReport_ = true;
     engine.nextReport_ = now + kReportInterval;
   }
@@ -463,7 +473,8 @@
   if (!aOrder.adapter_.empty()) {
     const auto took = clock_.Now() - aEngine.orders_.Pending().at(aOrder);
     const bool wasHeld = aEngine.orders_.WasHeld(aOrder.model_, aOrder.adapter_);
-    if (!wasHeld) {
+    const bool isDisturbed = aEngine.disturbed_.erase(aOrder) > 0;
+    if (!wasHeld && !isDisturbed) {
       window_.OnLoaded(took);
     }
     LogEvent(LogLevel::Info,
@@ -532,6 +543,7 @@
       });
     if (!isKnown) {
       engine.orders_.OnAccepted(order);
+      engine.disturbed_.insert(order);
       ConfirmLater(aId, order, kLeastConfirmGap);
     }
   }
--- a/src/gateway/holder_service.h
+++ b/src/gateway/holder_service.h
@@ -79,6 +79,7 @@
     TimePoint nextReport_;                     ///< Earliest next report.
     TimePoint ordered_;                        ///< When the last order was answered.
     std::optional<std::uint64_t> fencedToken_; ///< Token that was refused.
+    std::set<EngineOrder> disturbed_; ///< Loads whose time tells nothing, since an answer was lost.
   };
 
   std::size_t Loading() const;
