--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -199,6 +199,11 @@
     Reply(503, "configuration_not_proven", kDefaultRetryAfter);
     return true;
   }
+  if (context_.clock_.Now() >= LatestStart()) {
+    // Its caller leaves before an upstream could answer, and the upstream would work in vain.
+    RefuseWaiting();
+    return true;
+  }
   if (admitted_.workspace_ != nullptr &&
       context_.fleet_.Routes()->FindWorkspace(admitted_.facts_.key_) == nullptr) {
     Reply(401, "key_withdrawn", std::nullopt);
--- a/tests/gateway/request_flow_test.cpp
+++ b/tests/gateway/request_flow_test.cpp
@@ -421,6 +421,22 @@
   EXPECT_EQ(server.Accepted(), 0);
 }
 
+// Guards against an upstream that works in vain: a place became free when the caller was about to
+// leave, on a host that was too busy to refuse the request in time.
+TEST_F(RequestFlowTest, SendsNothingWhenItsCallerIsAboutToLeave)
+{
+  repeat_ = RepeatRule::Stream;
+  ScriptedServer server([](Peer& aPeer, int) { aPeer.ReadRequest(); });
+  Use({});
+  Start();
+  ASSERT_EQ(waiting_.size(), 1U);
+  std::this_thread::sleep_for(1350ms); // of 1500 ms
+  Use({ server.Address() });
+  Finish();
+  EXPECT_EQ(answer_->status_, 503U);
+  EXPECT_EQ(server.Accepted(), 0);
+}
+
 // Work for a caller that has left ends, so that the upstream can serve others.
 TEST_F(RequestFlowTest, ClosesTheConnectionWhenTheCallerLeaves)
 {
