--- a/src/fleet/engine_orders.cpp
+++ b/src/fleet/engine_orders.cpp
@@ -15,6 +15,9 @@
 // Uses older than this no longer tell adapters apart; bounds the memory of the table.
 constexpr Duration kUseMemory = std::chrono::minutes(10);
 constexpr std::size_t kMaxUses = 4096;
+// Part of the uses that counts where another engine holds the adapter too: without this copy its
+// requests need no load.
+constexpr double kCopyWorth = 0.3;
 // Demand for adapters shifts within some tens of seconds, and a use counts half after this time.
 constexpr std::chrono::duration<double> kUseHalfLife{ 15.0 };
 
@@ -168,7 +171,7 @@
 }
 
 std::optional<EngineOrder>
-EngineOrders::Evict(const UpstreamEntry& aEntry) const
+EngineOrders::Evict(const UpstreamEntry& aEntry, const IsElsewhere& aIsElsewhere) const
 {
   const auto now = clock_.Now();
   std::optional<EngineOrder> victim;
@@ -177,7 +180,10 @@
     for (const auto& adapter : model.adapters_) {
       const Name name{ model.name_, adapter.name_ };
       const auto use = used_.find(name);
-      const double count = use == used_.end() ? 0.0 : CountAt(use->second, now);
+      double count = use == used_.end() ? 0.0 : CountAt(use->second, now);
+      if (count * kCopyWorth < least && aIsElsewhere(model.name_, adapter.name_)) {
+        count *= kCopyWorth;
+      }
       const bool isInUse = use != used_.end() && now - use->second.seen_ < kAdapterInUse;
       if (isInUse || wants_.contains(name) || IsPending(name) || count >= least) {
         continue;
@@ -190,7 +196,9 @@
 }
 
 std::optional<EngineOrder>
-EngineOrders::Next(const EngineSpec& aSpec, const UpstreamEntry& aEntry)
+EngineOrders::Next(const EngineSpec& aSpec,
+                   const UpstreamEntry& aEntry,
+                   const IsElsewhere& aIsElsewhere)
 {
   const auto now = clock_.Now();
   std::erase_if(wants_, [&](const auto& aWant) {
@@ -238,7 +246,7 @@
   usedMb += model->adapterMb_ * static_cast<double>(loading);
   if (!isReplacement &&
       (held >= aSpec.adapterSlots_ || usedMb + model->adapterMb_ > aSpec.weightsMb_)) {
-    return Evict(aEntry);
+    return Evict(aEntry, aIsElsewhere);
   }
   return EngineOrder{ OrderKind::Load, name.first, name.second, wants_.at(name).version_ };
 }
--- a/src/fleet/engine_orders.h
+++ b/src/fleet/engine_orders.h
@@ -6,6 +6,7 @@
 #include "fleet/fleet_type.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -56,6 +57,8 @@
 class EngineOrders
 {
 public:
+  using IsElsewhere = std::function<bool(const std::string& aModel, const std::string& aAdapter)>;
+
   /** Most adapters on their way to an engine at once; the engines take no more. */
   static constexpr std::size_t kMaxLoading = 4;
 
@@ -77,9 +80,12 @@
    * Decides on the next order.
    * @param aSpec what the engine can hold.
    * @param aEntry what it holds.
+   * @param aIsElsewhere tells whether another engine holds an adapter of a model too.
    * @return the order; none if nothing is to be done or possible now.
    */
-  std::optional<EngineOrder> Next(const EngineSpec& aSpec, const UpstreamEntry& aEntry);
+  std::optional<EngineOrder> Next(const EngineSpec& aSpec,
+                                  const UpstreamEntry& aEntry,
+                                  const IsElsewhere& aIsElsewhere);
   /** How urgent the wants of an engine are; what is less goes first. */
   struct Urgency
   {
@@ -124,7 +130,8 @@
   };
 
   std::optional<EngineOrder> LoadModel(const EngineSpec& aSpec, const UpstreamEntry& aEntry) const;
-  std::optional<EngineOrder> Evict(const UpstreamEntry& aEntry) const;
+  std::optional<EngineOrder> Evict(const UpstreamEntry& aEntry,
+                                   const IsElsewhere& aIsElsewhere) const;
   bool IsPending(const Name& aName) const;
   static double CountAt(const Use& aUse, TimePoint aNow);
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -185,8 +185,8 @@
     admitted.arrived_ = clock_.Now();
     admitted.facts_ = ports_.codec_.ReadRequest(aRequest);
     admitted.routes_ = fleet_.Routes();
-    if (isDraining_ && clock_.Now() - drainStart_ > kNoticeTime) {
-      // It might not end within the grace period; another host takes it.
+    if (isDraining_ && !MayEndInGrace(admitted.facts_)) {
+      // Another host takes it.
       Refuse(*aAnswer, admitted, 503, "draining", kDrainRetryAfter);
       return;
     }
@@ -294,6 +294,15 @@
     metrics_.GetCounter("laburnumweir_gateway_requests_total", "outcome", aWhy).Add();
   }
 
+  /** @return whether a request that comes during a drain is sure to end within the grace period, or
+   * came so early that the balancer could not know of the drain. */
+  bool MayEndInGrace(const RequestFacts& aFacts) const
+  {
+    const auto since = clock_.Now() - drainStart_;
+    const Duration patience = aFacts.patience_.value_or(settings_.bounds_.grace_);
+    return since <= kNoticeTime || since + patience < settings_.bounds_.grace_ - kGraceMargin;
+  }
+
   std::pair<unsigned, std::string> ReadyPage()
   {
     std::string why;
--- a/src/gateway/holder_service.cpp
+++ b/src/gateway/holder_service.cpp
@@ -294,7 +294,14 @@
     }
     return;
   }
-  const auto order = aEngine.orders_.Next(*service->engine_, upstream->entry_);
+  const auto isElsewhere = [&](const std::string& aModel, const std::string& aAdapter) {
+    const auto& all = state_.Upstreams().All();
+    return std::any_of(all.begin(), all.end(), [&](const auto& aOther) {
+      return aOther.first != aId && state_.Upstreams().IsUsable(aOther.second) &&
+             UpstreamTable::VersionAt(aOther.second, aModel, aAdapter).has_value();
+    });
+  };
+  const auto order = aEngine.orders_.Next(*service->engine_, upstream->entry_, isElsewhere);
   if (!order) {
     return;
   }
--- a/tests/fleet/engine_orders_test.cpp
+++ b/tests/fleet/engine_orders_test.cpp
@@ -26,12 +26,18 @@
       adapters.push_back({ aOrder.adapter_, aOrder.version_ });
     }
   }
-  std::optional<EngineOrder> Next() { return orders_.Next(spec_, entry_); }
+  std::optional<EngineOrder> Next()
+  {
+    return orders_.Next(spec_, entry_, [this](const std::string&, const std::string& aAdapter) {
+      return elsewhere_.contains(aAdapter);
+    });
+  }
 
   FakeClock clock_;
   EngineSpec spec_ = *testing_support::MakeService().engine_;
   UpstreamEntry entry_ = testing_support::MakeEngine("e1");
   EngineOrders orders_{ clock_ };
+  std::set<std::string> elsewhere_; ///< Adapters that other engines hold.
 };
 
 TEST_F(EngineOrdersTest, LoadsAModelOntoAnEmptyEngine)
@@ -83,6 +89,24 @@
   EXPECT_EQ(Next(), (EngineOrder{ OrderKind::Unload, "m", "rare", 0 }));
 }
 
+// Pattern: copies of popular adapters fill the engines, and rare adapters that are held once have
+// to be loaded anew for each request.
+TEST_F(EngineOrdersTest, EvictsACopyBeforeAnAdapterThatIsHeldOnce)
+{
+  entry_.models_[0].adapters_ = { { "once", 1 }, { "copied", 1 }, { "popular", 1 } };
+  elsewhere_ = { "copied", "popular" };
+  orders_.Used("m", "once");
+  for (int i = 0; i < 2; ++i) {
+    orders_.Used("m", "copied");
+  }
+  for (int i = 0; i < 10; ++i) {
+    orders_.Used("m", "popular");
+  }
+  clock_.Advance(kAdapterInUse + 1ms);
+  orders_.Want({ "m", "a4", 0, WantReason::InTime });
+  EXPECT_EQ(Next(), (EngineOrder{ OrderKind::Unload, "m", "copied", 0 }));
+}
+
 // Pattern: more is wanted than can be loaded. First come first served would make every request
 // late.
 TEST_F(EngineOrdersTest, LoadsFirstWhatCanStillBeInTime)
@@ -127,7 +151,8 @@
           }
           break;
         default:
-          if (const auto order = orders.Next(spec_, entry_)) {
+          if (const auto order =
+                orders.Next(spec_, entry_, [](const auto&, const auto&) { return false; })) {
             if (order->kind_ == OrderKind::Unload) {
               Apply(*order);
             } else {
