Prove the configuration by quiet polls and ask again at once after a change

Ruled out: the time limit of calls. An empty poll now proves its whole wait, and after a change the next question does not wait.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -30,7 +30,10 @@
 // Waiting requests are tried this often besides each change, to repeat wants and apply time limits.
 constexpr Duration kPumpInterval = milliseconds(50);
 // Part of the revocation bound after which a host without proof asks not to get new connections.
-constexpr double kReadyProofShare = 0.5;
+// While the store answers, a proof is at most two long polls old; once it does not, callers should
+// go elsewhere before this host has to refuse them.
+constexpr double kReadyProofShare = 0.7;
+constexpr double kLostProofShare = 0.4;
 // The balancer notices a host that is not ready after two checks a second apart.
 constexpr Duration kNoticeTime = milliseconds(2500);
 // Time kept back from the grace period to close what is left.
@@ -130,7 +133,7 @@
       holder,
       [this](const EngineResidency& aResidency) { gossip_->TellResidency(aResidency); });
     WatchSettings watch;
-    watch.upstreamInterval_ = settings_.bounds_.drain_ / 5;
+    watch.upstreamInterval_ = settings_.bounds_.drain_ * 2 / 5;
     watch_ = std::make_shared<StoreWatch>(
       ports_.store_, fleet_, clock_, scheduler_, watch, [this] { OnFleetChange(); });
     gossip_->Connect(gossipLink_, *holder_);
@@ -311,7 +314,8 @@
     } else if (!fleet_.Routes() || !fleet_.HasUpstreams()) {
       why = "no configuration";
     } else if (fleet_.ProofAge() > std::chrono::duration_cast<Duration>(
-                                     kReadyProofShare * settings_.bounds_.revocation_)) {
+                                     (watch_->IsConnected() ? kReadyProofShare : kLostProofShare) *
+                                     settings_.bounds_.revocation_)) {
       why = "configuration not proven";
     }
     if (isReady_ != why.empty()) {
--- a/src/gateway/gossip_service.cpp
+++ b/src/gateway/gossip_service.cpp
@@ -125,6 +125,7 @@
     holder_->StillUsed(use.engine_, use.model_, use.adapter_);
   }
   for (const auto& want : message->wants_) {
+    waiting_[want.engine_].insert(message->reply_);
     holder_->Want(want.engine_, want.want_);
   }
   if (hasNews) {
@@ -173,9 +174,14 @@
   auto message = NewMessage();
   message.residency_.push_back(aResidency);
   const auto payload = EncodeGossip(message);
-  // Every peer may have a request that waits for the adapter; entries of engines follow only after
-  // a heartbeat.
-  for (const auto& target : peers_.NextTargets(peers_.Hosts().size())) {
+  std::set<Endpoint> targets;
+  if (const auto waiting = waiting_.extract(aResidency.engine_)) {
+    targets = waiting.mapped();
+  }
+  for (const auto& target : peers_.NextTargets(kGossipFanOut)) {
+    targets.insert(target);
+  }
+  for (const auto& target : targets) {
     link_->Send(target, payload);
   }
   onNews_();
--- a/src/gateway/gossip_service.h
+++ b/src/gateway/gossip_service.h
@@ -45,7 +45,8 @@
   void Used(const AdapterUse& aUse);
   /** Notes that a request with an adapter ended. */
   void Released(const AdapterUse& aUse);
-  /** Tells all peers that adapters of an engine changed. */
+  /** Tells peers that adapters of an engine changed: those that wait for it, and some others; the
+   * rest hears of it from the engine's entry. */
   void TellResidency(const EngineResidency& aResidency);
 
 private:
@@ -53,19 +54,20 @@
   void Tell();
   void TellUses();
 
-  FleetState& fleet_;                           ///< Fleet.
-  QuotaShare& quota_;                           ///< Quotas.
-  PeerTable& peers_;                            ///< Peers.
-  Scheduler& scheduler_;                        ///< Delays.
-  const HostId host_;                           ///< This host.
-  const Endpoint reply_;                        ///< Where it receives gossip.
-  const std::int64_t life_;                     ///< Start of the process, Unix ms.
-  std::function<void()> onNews_;                ///< Told of changed adapters.
-  GossipLink* link_ = nullptr;                  ///< Sends datagrams.
-  HolderService* holder_ = nullptr;             ///< Orders to engines.
-  std::uint64_t number_ = 0;                    ///< Number of the last message.
-  std::set<AdapterUse> uses_;                   ///< Uses that were not told yet.
-  std::map<AdapterUse, std::uint32_t> running_; ///< Uses that run, with their number.
+  FleetState& fleet_;                                ///< Fleet.
+  QuotaShare& quota_;                                ///< Quotas.
+  PeerTable& peers_;                                 ///< Peers.
+  Scheduler& scheduler_;                             ///< Delays.
+  const HostId host_;                                ///< This host.
+  const Endpoint reply_;                             ///< Where it receives gossip.
+  const std::int64_t life_;                          ///< Start of the process, Unix ms.
+  std::function<void()> onNews_;                     ///< Told of changed adapters.
+  GossipLink* link_ = nullptr;                       ///< Sends datagrams.
+  HolderService* holder_ = nullptr;                  ///< Orders to engines.
+  std::uint64_t number_ = 0;                         ///< Number of the last message.
+  std::map<UpstreamId, std::set<Endpoint>> waiting_; ///< Peers that wait for loads, by engine.
+  std::set<AdapterUse> uses_;                        ///< Uses that were not told yet.
+  std::map<AdapterUse, std::uint32_t> running_;      ///< Uses that run, with their number.
 };
 
 } // namespace laburnumweir
--- a/src/gateway/holder_service.cpp
+++ b/src/gateway/holder_service.cpp
@@ -360,9 +360,10 @@
     case OrderAnswer::Accepted:
     case OrderAnswer::AlreadyDone:
       if (aOrder.kind_ == OrderKind::Unload) {
+        // The load that follows tells the peers of both.
         ++upstream->orders_;
         RemoveResident(upstream->entry_, aOrder);
-        Publish(*upstream);
+        upstream->residencyTold_ = now;
         if (aAnswer == OrderAnswer::Accepted) {
           // The engine takes no orders until the runs of the adapter have ended.
           engine.mustReport_ = true;
--- a/src/gateway/store_watch.cpp
+++ b/src/gateway/store_watch.cpp
@@ -58,7 +58,7 @@
     }
   };
   if (operators_) {
-    store_.ReadChanges(ChangeStream::Operators, *operators_, settings_.configWait_, callback);
+    store_.ReadChanges(ChangeStream::Operators, *operators_, wait_, callback);
   } else {
     store_.ReadAll(ChangeStream::Operators, callback);
   }
@@ -85,8 +85,14 @@
     After(settings_.retryDelay_, &StoreWatch::PollOperators);
     return;
   }
+  // The store answers a poll as soon as there is a record, so one that ends without any proves that
+  // there was none during the whole wait.
+  const bool isQuiet = operators_ == aBatch.next_ && clock_.Now() - aAsked >= wait_;
   operators_ = aBatch.next_;
-  state_.NoteProof(aAsked);
+  state_.NoteProof(isQuiet ? aAsked + wait_ : aAsked);
+  // An answer with records proves only its question, which may be a whole wait ago; the next one
+  // proves the present.
+  wait_ = isQuiet ? settings_.configWait_ : std::chrono::milliseconds(0);
   state_.ApplyOperators(aBatch);
   onChange_();
   // Without a configuration there is nothing to wait for in the topic, which may not exist yet.
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -15,7 +15,7 @@
 /** Intervals of the watch. */
 struct WatchSettings
 {
-  std::chrono::milliseconds configWait_{ 1000 };      ///< Long poll of the operators' stream.
+  std::chrono::milliseconds configWait_{ 1400 };      ///< Long poll of the operators' stream.
   std::chrono::milliseconds upstreamInterval_{ 400 }; ///< Between reads of upstream entries.
   std::chrono::milliseconds retryDelay_{ 150 };       ///< After a call that failed.
   std::chrono::milliseconds returnGrace_{ 2300 };     ///< Lapsed entries are back by then.
@@ -48,17 +48,18 @@
   void OnUpstreams(std::error_code aError, const ChangeBatch& aBatch);
   void After(Duration aDelay, void (StoreWatch::*aStep)());
 
-  FleetStore& store_;                  ///< The store.
-  FleetState& state_;                  ///< What is kept current.
-  const Clock& clock_;                 ///< Time source.
-  Scheduler& scheduler_;               ///< Delays.
-  const WatchSettings settings_;       ///< Intervals.
-  std::function<void()> onChange_;     ///< Called after changes.
-  std::optional<LogOffset> operators_; ///< Next offset; none to read everything.
-  std::optional<LogOffset> upstreams_; ///< Next offset; none to read everything.
-  TimePoint upstreamsRead_;            ///< Last successful read of entries.
-  std::optional<TimePoint> flushAt_;   ///< When held removals take effect.
-  bool isConnected_ = false;           ///< The store answered last time.
+  FleetStore& store_;                   ///< The store.
+  FleetState& state_;                   ///< What is kept current.
+  const Clock& clock_;                  ///< Time source.
+  Scheduler& scheduler_;                ///< Delays.
+  const WatchSettings settings_;        ///< Intervals.
+  std::function<void()> onChange_;      ///< Called after changes.
+  std::chrono::milliseconds wait_{ 0 }; ///< Wait of the present poll.
+  std::optional<LogOffset> operators_;  ///< Next offset; none to read everything.
+  std::optional<LogOffset> upstreams_;  ///< Next offset; none to read everything.
+  TimePoint upstreamsRead_;             ///< Last successful read of entries.
+  std::optional<TimePoint> flushAt_;    ///< When held removals take effect.
+  bool isConnected_ = false;            ///< The store answered last time.
 };
 
 } // namespace laburnumweir
