--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -25,6 +25,17 @@
 
 namespace laburnumweir {
 
+namespace detail {
+
+/** @return a duration in whole milliseconds, for log lines. */
+inline std::int64_t
+Milliseconds(Duration aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count();
+}
+
+} // namespace detail
+
 class RequestFlow;
 
 /** Services that all flows share. Everything outlives the flows. */
