--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -8,7 +8,7 @@
 if [ "$#" -gt 0 ]; then
   sources=("$@")
 else
-  mapfile -t sources < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'standin/*.cpp')
+  mapfile -t sources < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'standin/*.cpp' 'platform/*.cpp')
 fi
 # The result for a file is kept under a digest of everything that decides it: the checks, the headers
 # and the file. An unchanged file is not checked twice.
--- a/src/cli/operator_client.cpp
+++ b/src/cli/operator_client.cpp
@@ -1,7 +1,7 @@
 /** @file operator_client.cpp Calls a host's operators' endpoint and waits for the answer. */
 #include "cli/operator_client.h"
 
-#include "serve/settings_func.h"
+#include "http/endpoint_func.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/json/parse.hpp>
--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -402,16 +402,4 @@
   return result;
 }
 
-std::uint32_t
-UpstreamTable::FreePlaces(const ServiceName& aService) const
-{
-  std::uint32_t places = 0;
-  for (const auto& [id, upstream] : upstreams_) {
-    if (upstream.entry_.service_ == aService && IsUsable(upstream) && HasPlace(upstream)) {
-      places += upstream.entry_.slots_ - upstream.running_ - upstream.peersRunning_;
-    }
-  }
-  return places;
-}
-
 } // namespace laburnumweir
--- a/src/fleet/upstream_table.h
+++ b/src/fleet/upstream_table.h
@@ -137,8 +137,6 @@
   const std::map<UpstreamId, Upstream>& All() const { return upstreams_; }
   /** @return requests of this host that run, by upstream, for its peers. */
   std::vector<PeerLoad> OwnLoad() const;
-  /** @return free places over all usable upstreams of a service. */
-  std::uint32_t FreePlaces(const ServiceName& aService) const;
   /** @return whether an upstream may get new work apart from its load. */
   bool IsUsable(const Upstream& aUpstream) const;
   /** @return the version of an adapter at an upstream; none if it is not resident. */
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -69,6 +69,12 @@
          context_.fleet_.ProofAge() > context_.bounds_.revocation_ - kRevocationMargin;
 }
 
+Duration
+RequestFlow::OldVersionGrace() const
+{
+  return std::chrono::duration_cast<Duration>(kOldVersionShare * context_.bounds_.version_);
+}
+
 UpstreamChoice
 RequestFlow::ChooseUpstream()
 {
@@ -126,7 +132,7 @@
     }
   }
   if (choice.upstream_ == nullptr && release != nullptr &&
-      now - release->learned_ < kOldVersionGrace) {
+      now - release->learned_ < OldVersionGrace()) {
     need.minVersion_ = 0;
     const auto older = context_.fleet_.Upstreams().Choose(need);
     choice.upstream_ = older.upstream_;
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -121,6 +121,7 @@
   bool MayRepeat() const;
   Duration TimeLeft() const { return deadline_ - context_.clock_.Now(); }
   TimePoint LatestStart() const;
+  Duration OldVersionGrace() const;
   std::uint32_t Rank() const;
   bool IsProofTooOld() const;
   UpstreamChoice ChooseUpstream();
--- a/src/serve/settings_func.cpp
+++ b/src/serve/settings_func.cpp
@@ -1,10 +1,10 @@
 /** @file settings_func.cpp Reads the settings of a host. */
 #include "serve/settings_func.h"
 
+#include "http/endpoint_func.h"
+
 #include <algorithm>
-#include <boost/asio/ip/address.hpp>
 #include <boost/json.hpp>
-#include <charconv>
 #include <functional>
 #include <map>
 
@@ -185,29 +185,6 @@
 
 } // namespace
 
-bool
-ParseEndpoint(std::string_view aText, Endpoint& aResult)
-{
-  const auto colon = aText.rfind(':');
-  if (colon == std::string_view::npos) {
-    return false;
-  }
-  std::string address(aText.substr(0, colon));
-  if (address.size() > 2 && address.front() == '[' && address.back() == ']') {
-    address = address.substr(1, address.size() - 2);
-  }
-  boost::system::error_code error;
-  boost::asio::ip::make_address(address, error);
-  const auto portText = aText.substr(colon + 1);
-  std::uint16_t port = 0;
-  const auto parsed = std::from_chars(portText.data(), portText.data() + portText.size(), port);
-  if (error || parsed.ec != std::errc() || parsed.ptr != portText.data() + portText.size()) {
-    return false;
-  }
-  aResult = { address, port };
-  return true;
-}
-
 std::vector<std::string>
 ParseSettings(std::string_view aText, std::string_view aFileName, Settings& aSettings)
 {
--- a/src/serve/settings_func.h
+++ b/src/serve/settings_func.h
@@ -20,15 +20,6 @@
 std::vector<std::string>
 ParseSettings(std::string_view aText, std::string_view aFileName, Settings& aSettings);
 
-/**
- * Parses `address:port` with an IP address.
- * @param aText the text; an IPv6 address stands in brackets.
- * @param aResult receives the endpoint.
- * @return whether the text is valid.
- */
-bool
-ParseEndpoint(std::string_view aText, Endpoint& aResult);
-
 } // namespace laburnumweir
 
 #endif
--- a/src/table/fleet_const.h
+++ b/src/table/fleet_const.h
@@ -55,8 +55,9 @@
 constexpr Duration kWantLife = std::chrono::milliseconds(700);
 /** A reason for a want holds this long; twice the interval at which requesters repeat it. */
 constexpr Duration kWantReasonLife = std::chrono::milliseconds(300);
-/** Old versions of an adapter may serve this long after a release while the new one is loaded. */
-constexpr Duration kOldVersionGrace = std::chrono::milliseconds(2500);
+/** Old versions of an adapter may serve for this part of the bound after a release, while the new
+ * one is loaded; the rest covers the way of the release to this host. */
+constexpr double kOldVersionShare = 0.5;
 
 } // namespace laburnumweir
 
