Read an engine's state again when its entry differs from its holder's orders

A test of this pattern failed first and passes now: the holder reads a report before its next order.

--- a/src/fleet/fleet_type.h
+++ b/src/fleet/fleet_type.h
@@ -121,6 +121,8 @@
 {
   std::string name_;                      ///< Name.
   std::vector<ResidentAdapter> adapters_; ///< Adapters of it.
+
+  auto operator<=>(const ResidentModel&) const = default;
 };
 
 /** What an upstream says of itself. */
--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -67,6 +67,9 @@
     upstream.entry_ = aEntry;
     if (isOlder) {
       upstream.entry_.models_ = std::move(models);
+    } else if (upstream.residencyTold_ && upstream.entry_.models_ != models) {
+      // After an outage of the store even the newest entry may be older than the last orders.
+      upstream.differsFromHolder_ = true;
     }
     upstream.isMissing_ = false;
   }
@@ -106,6 +109,7 @@
   upstream->entry_.models_ = aResidency.models_;
   upstream->orders_ = aResidency.orders_;
   upstream->residencyTold_ = clock_.Now();
+  upstream->differsFromHolder_ = false;
   return true;
 }
 
--- a/src/fleet/upstream_table.h
+++ b/src/fleet/upstream_table.h
@@ -57,6 +57,7 @@
   TimePoint coldTick_;             ///< When coldTokens_ was computed.
   double coldTokens_ = 0;          ///< Requests that this host may send it now while it is cold.
   std::uint64_t orders_ = 0;       ///< Orders that an engine has accepted, as its holder tells.
+  bool differsFromHolder_ = false; ///< Its entry shows other models than its holder told.
   std::optional<TimePoint> residencyTold_; ///< When its holder last told what it holds.
   bool isMissing_ = false;                 ///< Another upstream answers at its address.
 };
--- a/src/gateway/holder_service.cpp
+++ b/src/gateway/holder_service.cpp
@@ -287,6 +287,7 @@
     // Entries and gossip may be older than the last orders of the holder before.
     aEngine.mustReport_ = true;
   }
+  aEngine.mustReport_ = aEngine.mustReport_ || upstream->differsFromHolder_;
   const auto now = clock_.Now();
   if (aEngine.mustReport_) {
     if (now >= aEngine.nextReport_) {
@@ -581,6 +582,7 @@
 {
   const auto& entry = aUpstream.entry_;
   aUpstream.residencyTold_ = clock_.Now();
+  aUpstream.differsFromHolder_ = false;
   onResidency_({ entry.id_, entry.startedAt_, aUpstream.orders_, entry.models_ });
 }
 
--- a/tests/gateway/holder_service_test.cpp
+++ b/tests/gateway/holder_service_test.cpp
@@ -177,6 +177,28 @@
   EXPECT_EQ(sent_.back().expectedOrders_, 41U) << "40 as reported, and the order since";
 }
 
+// Pattern: the store was away, and the first entry read after it was written before the last loads.
+// A holder that believes it sees free places, and one load too many makes the engine crash.
+TEST_F(HolderServiceTest, ReadsTheStateAgainWhenAnEntryDiffersFromItsOwnOrders)
+{
+  Settle();
+  report_.models_ = { { "m", { { "x1", 1 }, { "x2", 1 }, { "x3", 1 } } } };
+  Want("x1"); // reads the state
+  scheduler_.Run(3s);
+  auto old = MakeEngine("e1");
+  old.heartbeat_ = 2;
+  old.models_ = { { "m", { { "x1", 1 } } } };
+  state_.Upstreams().OnEntry(old);
+  sent_.clear();
+  Want("a9");
+  service_->Tick();
+  scheduler_.Run(10ms);
+  Want("a9");
+  service_->Tick();
+  ASSERT_FALSE(sent_.empty());
+  EXPECT_EQ(sent_[0].order_.kind_, OrderKind::Unload) << "three adapters fill its places";
+}
+
 TEST_F(HolderServiceTest, StopsAtARefusalForAHigherToken)
 {
   Settle();
