--- /dev/null
+++ b/src/fleet/count_table.cpp
@@ -0,0 +1,147 @@
+/** @file count_table.cpp Demand and running requests of the other hosts, as peers and readers tell
+ * them.
+ */
+#include "fleet/count_table.h"
+
+#include "table/fleet_const.h"
+
+#include <algorithm>
+
+namespace laburnumweir {
+
+/** Adds counts up, or takes the higher of two. */
+class CountTable::Sum
+{
+public:
+  explicit Sum(TimePoint aNow)
+    : now_(aNow)
+  {
+  }
+
+  void Add(const HostCounts& aCounts)
+  {
+    for (const auto& demand : aCounts.demand_) {
+      auto& sum = demand_[demand.workspace_];
+      sum.askedPerSecond_ += demand.askedPerSecond_;
+      sum.takenPerSecond_ += demand.takenPerSecond_;
+    }
+    for (const auto& load : aCounts.load_) {
+      load_[load.upstream_] += load.running_;
+    }
+  }
+  /** Running requests are forgotten sooner than demand, which stays reserved for a silent peer. */
+  void Add(const Entry& aEntry)
+  {
+    const auto age = now_ - aEntry.heard_;
+    if (age < kPeerCountLife) {
+      Add(aEntry.counts_);
+    } else if (age < kPeerDemandLife) {
+      Add(HostCounts{ aEntry.counts_.demand_, {} });
+    }
+  }
+  void TakeHigher(const Sum& aOther)
+  {
+    for (const auto& [workspace, demand] : aOther.demand_) {
+      auto& sum = demand_[workspace];
+      sum.askedPerSecond_ = std::max(sum.askedPerSecond_, demand.askedPerSecond_);
+      sum.takenPerSecond_ = std::max(sum.takenPerSecond_, demand.takenPerSecond_);
+    }
+    for (const auto& [upstream, running] : aOther.load_) {
+      auto& sum = load_[upstream];
+      sum = std::max(sum, running);
+    }
+  }
+  HostCounts Result() const
+  {
+    HostCounts counts;
+    counts.demand_.reserve(demand_.size());
+    for (const auto& [workspace, demand] : demand_) {
+      counts.demand_.push_back({ workspace, demand.askedPerSecond_, demand.takenPerSecond_ });
+    }
+    counts.load_.reserve(load_.size());
+    for (const auto& [upstream, running] : load_) {
+      counts.load_.push_back({ upstream, running });
+    }
+    return counts;
+  }
+
+private:
+  TimePoint now_;                                 ///< Present.
+  std::map<WorkspaceId, WorkspaceDemand> demand_; ///< Demand by workspace.
+  std::map<UpstreamId, std::uint32_t> load_;      ///< Running requests by upstream.
+};
+
+void
+CountTable::OnPeer(const HostId& aPeer, HostCounts aCounts, bool aAsks)
+{
+  peers_[aPeer] = { clock_.Now(), std::move(aCounts), aAsks };
+}
+
+std::optional<bool>
+CountTable::IsAsking(const HostId& aPeer) const
+{
+  const auto found = peers_.find(aPeer);
+  if (found == peers_.end() || clock_.Now() - found->second.heard_ >= kPeerCountLife) {
+    return std::nullopt;
+  }
+  return found->second.asks_;
+}
+
+void
+CountTable::OnOthers(HostCounts aCounts)
+{
+  others_ = Entry{ clock_.Now(), std::move(aCounts), false };
+}
+
+void
+CountTable::Expire()
+{
+  const auto oldest = clock_.Now() - std::max(kPeerCountLife, kPeerDemandLife);
+  std::erase_if(peers_, [oldest](const auto& aPeer) { return aPeer.second.heard_ < oldest; });
+  if (others_ && others_->heard_ < oldest) {
+    others_.reset();
+  }
+}
+
+HostCounts
+CountTable::SumOfAsking(const HostCounts& aOwn) const
+{
+  Sum sum(clock_.Now());
+  sum.Add(aOwn);
+  for (const auto& [id, entry] : peers_) {
+    if (entry.asks_) {
+      sum.Add(entry);
+    }
+  }
+  return sum.Result();
+}
+
+HostCounts
+CountTable::SumWithout(const HostId& aPeer, const HostCounts& aOwn) const
+{
+  Sum sum(clock_.Now());
+  sum.Add(aOwn);
+  for (const auto& [id, entry] : peers_) {
+    if (id != aPeer) {
+      sum.Add(entry);
+    }
+  }
+  return sum.Result();
+}
+
+HostCounts
+CountTable::Others() const
+{
+  Sum sum(clock_.Now());
+  for (const auto& [id, entry] : peers_) {
+    sum.Add(entry);
+  }
+  if (others_) {
+    Sum told(clock_.Now());
+    told.Add(*others_);
+    sum.TakeHigher(told);
+  }
+  return sum.Result();
+}
+
+} // namespace laburnumweir
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -8,6 +8,7 @@
 FleetState::FleetState(const Clock& aClock, const HostId& aHost, const DataCentreId& aDataCentre)
   : clock_(aClock)
   , upstreams_(aClock, aHost, aDataCentre)
+  , changes_(aClock)
 {
 }
 
@@ -76,16 +77,18 @@
 }
 
 void
-FleetState::ApplyUpstream(const UpstreamChange& aChange, bool aHoldRemovals)
+FleetState::ApplyUpstream(const UpstreamChange& aChange, LogOffset aNext, bool aHoldRemovals)
 {
   if (!aChange.entry_) {
     if (aHoldRemovals && upstreams_.Find(aChange.id_) != nullptr) {
       held_.insert(aChange.id_);
     } else {
+      changes_.OnRemoved(aChange.id_, aNext);
       Remove(aChange.id_, "entry removed");
     }
     return;
   }
+  changes_.OnEntry(*aChange.entry_, aNext);
   held_.erase(aChange.id_);
   const auto* known = upstreams_.Find(aChange.id_);
   const bool wasDraining = known != nullptr && known->entry_.isDraining_;
@@ -108,7 +111,7 @@
   std::set<UpstreamId> seen;
   for (const auto& change : aBatch.changes_) {
     if (const auto* upstream = std::get_if<UpstreamChange>(&change)) {
-      ApplyUpstream(*upstream, aHoldRemovals);
+      ApplyUpstream(*upstream, aBatch.next_, aHoldRemovals);
       if (upstream->entry_) {
         seen.insert(upstream->id_);
       }
@@ -127,9 +130,11 @@
       }
     }
     for (const auto& id : missing) {
-      ApplyUpstream({ id, std::nullopt }, aHoldRemovals);
+      ApplyUpstream({ id, std::nullopt }, aBatch.next_, aHoldRemovals);
     }
+    changes_.OnSnapshot(aBatch.next_);
   }
+  next_ = aBatch.next_;
   hasUpstreams_ = true;
 }
 
@@ -137,6 +142,8 @@
 FleetState::FlushRemovals()
 {
   for (const auto& id : held_) {
+    // Hosts that know the state at the present offset have not heard of this removal.
+    changes_.OnRemoved(id, next_ + 1);
     Remove(id, "entry missing after the store returned");
   }
   held_.clear();
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -4,8 +4,10 @@
 
 #include "fleet/fleet_store_base.h"
 #include "fleet/route_table.h"
+#include "fleet/upstream_changes.h"
 #include "fleet/upstream_table.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -39,7 +41,7 @@
   /** Lets the removals that were held take effect. */
   void FlushRemovals();
   /** Notes that everything up to this moment is known. @param aAsked when the store was asked. */
-  void NoteProof(TimePoint aAsked) { proof_ = aAsked; }
+  void NoteProof(TimePoint aAsked) { proof_ = std::max(proof_.value_or(aAsked), aAsked); }
 
   /** @return time since the store last proved that the configuration is the newest. */
   Duration ProofAge() const;
@@ -49,6 +51,8 @@
   UpstreamTable& Upstreams() { return upstreams_; }
   /** @return upstreams. */
   const UpstreamTable& Upstreams() const { return upstreams_; }
+  /** @return what changed of the upstreams, for hosts that this host tells. */
+  const UpstreamChanges& Changes() const { return changes_; }
   /** @return whether upstreams were read at least once. */
   bool HasUpstreams() const { return hasUpstreams_; }
   /** @return the announced version of an adapter, or nullptr. */
@@ -56,11 +60,13 @@
 
 private:
   void Remove(const UpstreamId& aId, std::string_view aWhy);
-  void ApplyUpstream(const UpstreamChange& aChange, bool aHoldRemovals);
+  void ApplyUpstream(const UpstreamChange& aChange, LogOffset aNext, bool aHoldRemovals);
 
   const Clock& clock_;                       ///< Time source.
   std::shared_ptr<const RouteTable> routes_; ///< Configuration in force.
   UpstreamTable upstreams_;                  ///< Upstreams.
+  UpstreamChanges changes_;                  ///< Entries as the store holds them.
+  LogOffset next_ = 0;                       ///< Offset of the state of the upstreams.
   std::set<DataCentreId> evacuated_;         ///< Data centres that get nothing.
   std::set<UpstreamId> held_;                ///< Upstreams whose removal is held.
   std::map<std::pair<std::string, std::string>, ReleaseState> releases_; ///< By model and adapter.
--- a/src/fleet/fleet_store_base.h
+++ b/src/fleet/fleet_store_base.h
@@ -63,11 +63,14 @@
   Upstreams  ///< Entries of upstreams.
 };
 
-/** Another gateway as recorded in the store. */
+/** A gateway as recorded in the store. */
 struct HostRecord
 {
-  HostId id_;       ///< Host.
-  Endpoint gossip_; ///< Where it receives gossip.
+  HostId id_;               ///< Host.
+  Endpoint gossip_;         ///< Where it receives gossip.
+  DataCentreId dataCentre_; ///< Where it stands.
+
+  auto operator<=>(const HostRecord&) const = default;
 };
 
 /** What a member of the group holds. */
--- a/src/fleet/peer_table.cpp
+++ b/src/fleet/peer_table.cpp
@@ -1,50 +1,52 @@
 /** @file peer_table.cpp Other gateways as this host knows them. */
 #include "fleet/peer_table.h"
 
+#include "core/hash_func.h"
 #include "table/fleet_const.h"
 
 #include <algorithm>
+#include <set>
 
 namespace laburnumweir {
 
-void
-PeerTable::OnRecorded(const HostId& aHost, const Endpoint& aEndpoint)
+PeerTable::Peer&
+PeerTable::Note(const HostRecord& aHost)
 {
-  if (aHost == host_) {
-    return;
-  }
-  auto [position, isNew] = peers_.try_emplace(aHost);
+  auto [position, isNew] = peers_.try_emplace(aHost.id_);
   if (isNew) {
-    position->second.endpoint_ = aEndpoint;
+    position->second.claim_.host_ = aHost;
     position->second.since_ = clock_.Now();
   }
+  return position->second;
+}
+
+void
+PeerTable::OnRecorded(const HostRecord& aHost)
+{
+  if (aHost.id_ != self_.id_) {
+    Note(aHost);
+  }
 }
 
 bool
-PeerTable::OnHeard(const HostId& aHost,
-                   const Endpoint& aEndpoint,
-                   std::int64_t aLife,
-                   std::uint64_t aNumber)
+PeerTable::OnHeard(const HostRecord& aHost, std::int64_t aLife, std::uint64_t aNumber)
 {
-  if (aHost == host_) {
+  if (aHost.id_ == self_.id_) {
     return false;
   }
-  auto [position, isNew] = peers_.try_emplace(aHost);
-  auto& peer = position->second;
-  if (isNew) {
-    peer.since_ = clock_.Now();
-  }
+  auto& peer = Note(aHost);
   if (aLife < peer.life_ || (aLife == peer.life_ && aNumber <= peer.number_)) {
     return false;
   }
   if (aLife > peer.life_) {
-    peer.partitions_.clear();
-    peer.generation_ = 0;
+    peer.claim_.partitions_.clear();
+    peer.claim_.generation_ = 0;
   }
   peer.life_ = aLife;
   peer.number_ = aNumber;
-  peer.endpoint_ = aEndpoint;
+  peer.claim_.host_ = aHost;
   peer.heard_ = clock_.Now();
+  peer.silentUntil_.reset();
   return true;
 }
 
@@ -54,8 +56,31 @@
                         std::vector<std::uint32_t> aPartitions)
 {
   if (const auto found = peers_.find(aHost); found != peers_.end()) {
-    found->second.generation_ = aGeneration;
-    found->second.partitions_ = std::move(aPartitions);
+    found->second.claim_.generation_ = aGeneration;
+    found->second.claim_.partitions_ = std::move(aPartitions);
+  }
+}
+
+void
+PeerTable::OnTold(std::span<const HostClaim> aHosts)
+{
+  for (const auto& claim : aHosts) {
+    if (claim.host_.id_ == self_.id_) {
+      continue;
+    }
+    auto& peer = Note(claim.host_);
+    peer.heard_ = clock_.Now();
+    if (claim.generation_ >= peer.claim_.generation_) {
+      peer.claim_ = claim;
+    }
+  }
+}
+
+void
+PeerTable::OnSilent(const HostId& aHost)
+{
+  if (const auto found = peers_.find(aHost); found != peers_.end()) {
+    found->second.silentUntil_ = clock_.Now() + kReaderAvoidance;
   }
 }
 
@@ -68,26 +93,31 @@
   });
 }
 
+bool
+PeerTable::IsLive(const Peer& aPeer) const
+{
+  return aPeer.heard_ && clock_.Now() - *aPeer.heard_ <= kPeerCountLife;
+}
+
 std::optional<Endpoint>
 PeerTable::HolderOf(std::uint32_t aPartition) const
 {
-  const Peer* best = nullptr;
-  const auto oldest = clock_.Now() - kPeerCountLife;
+  const HostClaim* best = nullptr;
   for (const auto& [id, peer] : peers_) {
-    const bool claims = std::find(peer.partitions_.begin(), peer.partitions_.end(), aPartition) !=
-                        peer.partitions_.end();
-    if (claims && peer.heard_ && *peer.heard_ >= oldest &&
-        (best == nullptr || peer.generation_ > best->generation_)) {
-      best = &peer;
+    const auto& claim = peer.claim_;
+    const bool claims = std::find(claim.partitions_.begin(), claim.partitions_.end(), aPartition) !=
+                        claim.partitions_.end();
+    if (claims && IsLive(peer) && (best == nullptr || claim.generation_ > best->generation_)) {
+      best = &claim;
     }
   }
-  return best == nullptr ? std::nullopt : std::optional(best->endpoint_);
+  return best == nullptr ? std::nullopt : std::optional(best->host_.gossip_);
 }
 
 std::vector<HostId>
 PeerTable::Hosts() const
 {
-  std::vector<HostId> hosts{ host_ };
+  std::vector<HostId> hosts{ self_.id_ };
   for (const auto& [id, peer] : peers_) {
     if (peer.heard_) {
       hosts.push_back(id);
@@ -96,30 +126,86 @@
   return hosts;
 }
 
-std::size_t
+std::vector<HostClaim>
 PeerTable::Live() const
 {
-  const auto oldest = clock_.Now() - kPeerCountLife;
-  return static_cast<std::size_t>(
-    std::count_if(peers_.begin(), peers_.end(), [&](const auto& aPeer) {
-      return aPeer.second.heard_ && *aPeer.second.heard_ >= oldest;
-    }));
+  std::vector<HostClaim> live;
+  for (const auto& [id, peer] : peers_) {
+    if (IsLive(peer)) {
+      live.push_back(peer.claim_);
+    }
+  }
+  return live;
+}
+
+std::vector<HostRecord>
+PeerTable::ReadersOf(const DataCentreId& aDataCentre) const
+{
+  std::vector<std::pair<std::uint64_t, HostRecord>> ranked;
+  const auto add = [&](const HostRecord& aHost) {
+    if (aHost.dataCentre_ == aDataCentre) {
+      ranked.emplace_back(RendezvousWeight(aHost.id_.Value(), "reader"), aHost);
+    }
+  };
+  add(self_);
+  const auto now = clock_.Now();
+  for (const auto& [id, peer] : peers_) {
+    // A host that was just read from the store counts until it had the time to be heard.
+    const bool isNew = !peer.heard_ && now - peer.since_ <= kPeerCountLife;
+    if ((isNew || IsLive(peer)) && !(peer.silentUntil_ && now < *peer.silentUntil_)) {
+      add(peer.claim_.host_);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft.first > aRight.first;
+  });
+  std::vector<HostRecord> readers;
+  for (std::size_t i = 0; i < std::min(ranked.size(), kReadersPerCentre); ++i) {
+    readers.push_back(ranked[i].second);
+  }
+  return readers;
+}
+
+bool
+PeerTable::IsReader() const
+{
+  const auto readers = ReadersOf(self_.dataCentre_);
+  return std::any_of(readers.begin(), readers.end(), [&](const HostRecord& aReader) {
+    return aReader.id_ == self_.id_;
+  });
 }
 
-std::vector<Endpoint>
-PeerTable::NextTargets(std::size_t aMost)
+std::vector<HostRecord>
+PeerTable::OtherReaders() const
 {
-  std::vector<Endpoint> targets;
-  auto position = peers_.upper_bound(lastTarget_);
-  for (std::size_t i = 0; i < std::min(aMost, peers_.size()); ++i) {
-    if (position == peers_.end()) {
-      position = peers_.begin();
+  std::set<DataCentreId> dataCentres{ self_.dataCentre_ };
+  for (const auto& [id, peer] : peers_) {
+    dataCentres.insert(peer.claim_.host_.dataCentre_);
+  }
+  std::vector<HostRecord> result;
+  for (const auto& dataCentre : dataCentres) {
+    for (auto& reader : ReadersOf(dataCentre)) {
+      if (reader.id_ != self_.id_) {
+        result.push_back(std::move(reader));
+      }
     }
-    targets.push_back(position->second.endpoint_);
-    lastTarget_ = position->first;
-    ++position;
   }
-  return targets;
+  return result;
+}
+
+std::optional<HostRecord>
+PeerTable::ReaderToAsk() const
+{
+  if (IsReader()) {
+    return std::nullopt;
+  }
+  auto readers = ReadersOf(self_.dataCentre_);
+  // Hosts divide themselves among the readers, and stay with one while it answers.
+  return *std::max_element(
+    readers.begin(), readers.end(), [&](const HostRecord& aLeft, const HostRecord& aRight) {
+      return RendezvousWeight(aLeft.id_.Value(), self_.id_.Value()) <
+             RendezvousWeight(aRight.id_.Value(), self_.id_.Value());
+    });
 }
 
 } // namespace laburnumweir
--- a/src/fleet/quota_share.cpp
+++ b/src/fleet/quota_share.cpp
@@ -31,6 +31,31 @@
   computed_ = aNow;
 }
 
+void
+QuotaShare::History::Add(TimePoint aNow, double aPerSecond)
+{
+  if (samples_.empty() || aNow - samples_.back().first >= kShareSampling) {
+    samples_.emplace_back(aNow, aPerSecond);
+  }
+  // The second one is kept as the newest that is old enough.
+  while (samples_.size() > 1 && aNow - samples_[1].first >= kShareDelay) {
+    samples_.pop_front();
+  }
+}
+
+double
+QuotaShare::History::Delayed(TimePoint aNow) const
+{
+  const auto end = std::find_if(samples_.begin(), samples_.end(), [&](const auto& aSample) {
+    return aNow - aSample.first < kShareDelay;
+  });
+  if (end == samples_.begin()) {
+    return 0;
+  }
+  const auto& [at, perSecond] = *std::prev(end);
+  return perSecond * std::exp(-Seconds(aNow - at - kShareDelay) / Seconds(kDemandAverage));
+}
+
 void
 QuotaShare::OnPeerDemand(const HostId& aPeer, std::span<const WorkspaceDemand> aDemand)
 {
@@ -66,7 +91,7 @@
 QuotaShare::RateShare(const Workspace& aWorkspace) const
 {
   const auto found = buckets_.find(aWorkspace.id_);
-  const double own = found == buckets_.end() ? 0 : found->second.asked_.At(clock_.Now());
+  const double own = found == buckets_.end() ? 0 : found->second.history_.Delayed(clock_.Now());
   const double all = own + PeerDemand(aWorkspace.id_).askedPerSecond_;
   if (all <= aWorkspace.ratePerSecond_) {
     return own + (aWorkspace.ratePerSecond_ - all) / static_cast<double>(hosts_);
@@ -101,7 +126,10 @@
 void
 QuotaShare::NoteDemand(const Workspace& aWorkspace, TokenCount aTokens)
 {
-  buckets_[aWorkspace.id_].asked_.Add(clock_.Now(), static_cast<double>(aTokens));
+  const auto now = clock_.Now();
+  auto& bucket = buckets_[aWorkspace.id_];
+  bucket.asked_.Add(now, static_cast<double>(aTokens));
+  bucket.history_.Add(now, bucket.asked_.At(now));
 }
 
 QuotaDecision
--- a/src/fleet/quota_share.h
+++ b/src/fleet/quota_share.h
@@ -5,6 +5,7 @@
 #include "core/clock_base.h"
 #include "fleet/fleet_type.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <span>
@@ -38,8 +39,9 @@
  * Hosts tell each other what is asked and granted. While a workspace asks for clearly less than its
  * rate, each host charges one bucket for the whole fleet, which the peers' grants drain at the rate
  * they tell: uneven demand and large requests are then no reason to refuse. Once it asks for more,
- * each host charges its own bucket, with a share of rate and burst in proportion to its demand; the
- * shares add up to the quota, so hosts cannot overshoot together. Not thread-safe.
+ * each host charges its own bucket, with a share of rate and burst in proportion to its demand. The
+ * demand of the peers is known with a delay, so a host uses its own of the same age: the shares
+ * then add up to the quota also while demand rises everywhere. Not thread-safe.
  */
 class QuotaShare
 {
@@ -91,6 +93,17 @@
     double At(TimePoint aNow) const;
     void Add(TimePoint aNow, double aTokens);
   };
+  /** Averages of the recent past. */
+  class History
+  {
+  public:
+    void Add(TimePoint aNow, double aPerSecond);
+    /** @return the average kShareDelay ago. */
+    double Delayed(TimePoint aNow) const;
+
+  private:
+    std::deque<std::pair<TimePoint, double>> samples_; ///< Times and averages, oldest first.
+  };
   struct Bucket
   {
     double fleet_ = 0; ///< Tokens at hand over all hosts; negative after a large request.
@@ -98,6 +111,7 @@
     std::optional<TimePoint> filled_; ///< When the levels were computed.
     Average asked_;                   ///< Tokens that callers ask for.
     Average taken_;                   ///< Tokens that were granted.
+    History history_;                 ///< Past values of asked_.
   };
   struct Peer
   {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -85,7 +85,8 @@
     , quota_(clock_)
     , retries_(clock_, RetryBoundsOf(settings_.bounds_))
     , queue_(clock_)
-    , peers_(clock_, settings_.host_)
+    , self_{ settings_.host_, settings_.gossip_, settings_.dataCentre_ }
+    , peers_(clock_, self_)
     , link_(aContext)
     , flowContext_{ aContext,
                     clock_,
@@ -115,7 +116,7 @@
     , signals_(aContext, SIGTERM, SIGHUP, SIGINT)
   {
     gossip_ = std::make_shared<GossipService>(
-      fleet_, quota_, peers_, scheduler_, settings_.host_, settings_.gossip_, life_, [this] {
+      GossipContext{ clock_, scheduler_, fleet_, quota_, retries_, peers_ }, self_, life_, [this] {
         SchedulePump();
       });
     HolderSettings holder;
@@ -136,7 +137,7 @@
     watch.upstreamInterval_ = settings_.bounds_.drain_ * 2 / 5;
     watch_ = std::make_shared<StoreWatch>(
       ports_.store_, fleet_, clock_, scheduler_, watch, [this] { OnFleetChange(); });
-    gossip_->Connect(gossipLink_, *holder_);
+    gossip_->Connect(gossipLink_, *holder_, *watch_);
   }
 
   bool Start()
@@ -168,7 +169,9 @@
         .count();
     });
     metrics_.SetGauge("laburnumweir_gateway_live_peers",
-                      [this] { return static_cast<double>(peers_.Live()); });
+                      [this] { return static_cast<double>(peers_.Live().size()); });
+    metrics_.SetGauge("laburnumweir_gateway_is_reader",
+                      [this] { return peers_.IsReader() ? 1.0 : 0.0; });
     metrics_.SetGauge("laburnumweir_gateway_upstream_connects",
                       [this] { return static_cast<double>(link_.Connects()); });
     AwaitSignal();
@@ -381,13 +384,12 @@
 
   void PublishHost()
   {
-    ports_.store_.PublishHost(
-      { settings_.host_, settings_.gossip_ }, [this](std::error_code aError) {
-        if (aError) {
-          LogEvent(LogLevel::Warn, "host_not_published", { { "error", aError.message() } });
-          scheduler_.After(kNotReadyRetryAfter, [this] { PublishHost(); });
-        }
-      });
+    ports_.store_.PublishHost(self_, [this](std::error_code aError) {
+      if (aError) {
+        LogEvent(LogLevel::Warn, "host_not_published", { { "error", aError.message() } });
+        scheduler_.After(kNotReadyRetryAfter, [this] { PublishHost(); });
+      }
+    });
   }
 
   void ReadHosts()
@@ -399,7 +401,7 @@
         return;
       }
       for (const auto& host : aHosts) {
-        peers_.OnRecorded(host.id_, host.gossip_);
+        peers_.OnRecorded(host);
       }
     });
   }
@@ -480,6 +482,7 @@
   QuotaShare quota_;          ///< Quotas.
   RetryShare retries_;        ///< Retries.
   WaitQueue queue_;           ///< Order of waiting requests.
+  const HostRecord self_;     ///< This host.
   PeerTable peers_;           ///< Peers.
   UpstreamLink link_;         ///< Connections to upstreams.
   FlowContext flowContext_;   ///< What flows share.
--- a/src/gateway/gossip_link.h
+++ b/src/gateway/gossip_link.h
@@ -13,8 +13,17 @@
 
 namespace laburnumweir {
 
-/** A UDP socket. Runs on one thread; loss is the sender's business. */
-class GossipLink
+/** Sends datagrams; loss is the sender's business. */
+class DatagramSender
+{
+public:
+  virtual ~DatagramSender() = default;
+  /** Sends a datagram without waiting. @return whether it was taken. */
+  virtual bool Send(const Endpoint& aTo, std::string_view aPayload) = 0;
+};
+
+/** A UDP socket. Runs on one thread. */
+class GossipLink : public DatagramSender
 {
 public:
   using Callback = std::function<void(std::string_view aPayload)>;
@@ -24,8 +33,7 @@
 
   /** Binds the socket. @param aEndpoint where to receive. @return why it failed. */
   std::error_code Open(const Endpoint& aEndpoint);
-  /** Sends a datagram without waiting. @return whether the socket took it. */
-  bool Send(const Endpoint& aTo, std::string_view aPayload);
+  bool Send(const Endpoint& aTo, std::string_view aPayload) override;
   /** Closes the socket. */
   void Close();
 
--- a/src/gateway/gossip_message.cpp
+++ b/src/gateway/gossip_message.cpp
@@ -1,6 +1,7 @@
 /** @file gossip_message.cpp What gateways tell each other, and its encoding. */
 #include "gateway/gossip_message.h"
 
+#include "core/hash_func.h"
 #include "http/json_field.h"
 
 #include <boost/json.hpp>
@@ -13,8 +14,9 @@
 namespace json = boost::json;
 
 // Keys are single letters: bytes between data centres are priced.
-// h host, a address, p port, n number, l life, c counts, d demand, r running, g generation,
-// o partitions, e engines with adapters, u uses, k uses that still run, w wants.
+// h host, a address, p port, z data centre, n number, l life, c counts, d demand, r running,
+// g generation, o partitions, e engines with adapters, u uses, k uses that still run, w wants,
+// q question, s answer, x changed upstreams, m live hosts.
 
 std::string
 TextAt(const json::array& aRow, std::size_t aIndex)
@@ -93,38 +95,209 @@
   return models;
 }
 
+json::array
+EncodeHost(const HostClaim& aHost)
+{
+  json::array row{ aHost.host_.id_.Value(),
+                   aHost.host_.gossip_.address_,
+                   aHost.host_.gossip_.port_,
+                   aHost.host_.dataCentre_.Value(),
+                   aHost.generation_ };
+  for (const auto partition : aHost.partitions_) {
+    row.emplace_back(partition);
+  }
+  return row;
+}
+
+HostClaim
+DecodeHost(const json::array& aRow)
+{
+  HostClaim host{ { HostId(TextAt(aRow, 0)),
+                    { TextAt(aRow, 1), NumberAt<std::uint16_t>(aRow, 2) },
+                    DataCentreId(TextAt(aRow, 3)) },
+                  NumberAt<std::uint64_t>(aRow, 4),
+                  {} };
+  for (std::size_t i = 5; i < aRow.size(); ++i) {
+    host.partitions_.push_back(NumberAt<std::uint32_t>(aRow, i));
+  }
+  return host;
+}
+
+/** A row with the identifier alone says that the upstream is gone. */
+json::array
+EncodeUpstream(const UpstreamChange& aChange)
+{
+  json::array row{ aChange.id_.Value() };
+  if (const auto& entry = aChange.entry_) {
+    row.emplace_back(entry->service_.Value());
+    row.emplace_back(entry->endpoint_.address_);
+    row.emplace_back(entry->endpoint_.port_);
+    row.emplace_back(entry->dataCentre_.Value());
+    row.emplace_back(entry->slots_);
+    row.emplace_back(entry->isDraining_ ? 1 : 0);
+    row.emplace_back(entry->coldFor_.count());
+    row.emplace_back(entry->startedAt_);
+    row.emplace_back(entry->heartbeat_);
+    if (entry->listsModels_) {
+      row.emplace_back(EncodeModels(entry->models_));
+    }
+  }
+  return row;
+}
+
+UpstreamChange
+DecodeUpstream(const json::array& aRow)
+{
+  constexpr std::size_t kModelsAt = 10;
+  UpstreamChange change{ UpstreamId(TextAt(aRow, 0)), std::nullopt };
+  if (aRow.size() >= kModelsAt) {
+    UpstreamEntry entry;
+    entry.id_ = change.id_;
+    entry.service_ = ServiceName(TextAt(aRow, 1));
+    entry.endpoint_ = { TextAt(aRow, 2), NumberAt<std::uint16_t>(aRow, 3) };
+    entry.dataCentre_ = DataCentreId(TextAt(aRow, 4));
+    entry.slots_ = NumberAt<std::uint32_t>(aRow, 5);
+    entry.isDraining_ = NumberAt<int>(aRow, 6) != 0;
+    entry.coldFor_ = std::chrono::milliseconds(NumberAt<std::int64_t>(aRow, 7));
+    entry.startedAt_ = NumberAt<std::int64_t>(aRow, 8);
+    entry.heartbeat_ = NumberAt<std::uint64_t>(aRow, 9);
+    entry.listsModels_ = aRow.size() > kModelsAt;
+    if (entry.listsModels_) {
+      entry.models_ = DecodeModels(aRow[kModelsAt]);
+    }
+    change.entry_ = std::move(entry);
+  }
+  return change;
+}
+
+json::value
+EncodeOffset(const std::optional<LogOffset>& aOffset)
+{
+  return aOffset ? json::value(*aOffset) : json::value(nullptr);
+}
+
+std::optional<LogOffset>
+DecodeOffset(const json::array& aRow, std::size_t aIndex)
+{
+  if (aIndex >= aRow.size() || !aRow[aIndex].is_number()) {
+    return std::nullopt;
+  }
+  return NumberAt<LogOffset>(aRow, aIndex);
+}
+
+void
+EncodeAnswer(const RelayAnswer& aAnswer, json::object& aObject)
+{
+  aObject["s"] = json::array{ aAnswer.question_,
+                              EncodeOffset(aAnswer.operators_),
+                              aAnswer.proofAge_.count(),
+                              EncodeOffset(aAnswer.upstreams_),
+                              aAnswer.upstreamAge_.count(),
+                              aAnswer.hostsDigest_ };
+  if (aAnswer.changes_) {
+    json::array changes;
+    for (const auto& change : *aAnswer.changes_) {
+      changes.emplace_back(EncodeUpstream(change));
+    }
+    aObject["x"] = std::move(changes);
+  }
+}
+
+RelayAnswer
+DecodeAnswer(const json::array& aRow, const json::object& aObject)
+{
+  RelayAnswer answer;
+  answer.question_ = NumberAt<std::uint64_t>(aRow, 0);
+  answer.operators_ = DecodeOffset(aRow, 1);
+  answer.proofAge_ = std::chrono::milliseconds(NumberAt<std::int64_t>(aRow, 2));
+  answer.upstreams_ = DecodeOffset(aRow, 3);
+  answer.upstreamAge_ = std::chrono::milliseconds(NumberAt<std::int64_t>(aRow, 4));
+  answer.hostsDigest_ = NumberAt<std::uint64_t>(aRow, 5);
+  if (aObject.contains("x")) {
+    answer.changes_.emplace();
+    ForRows(aObject, "x", [&](const json::array& aChange) {
+      answer.changes_->push_back(DecodeUpstream(aChange));
+    });
+  }
+  return answer;
+}
+
+void
+EncodeCounts(const HostCounts& aCounts, json::object& aObject)
+{
+  aObject["c"] = true;
+  json::array demand;
+  for (const auto& entry : aCounts.demand_) {
+    // Whole tokens per second are exact enough and half as long.
+    demand.emplace_back(json::array{ entry.workspace_.Value(),
+                                     std::llround(entry.askedPerSecond_),
+                                     std::llround(entry.takenPerSecond_) });
+  }
+  json::array running;
+  for (const auto& entry : aCounts.load_) {
+    running.emplace_back(json::array{ entry.upstream_.Value(), entry.running_ });
+  }
+  aObject["d"] = std::move(demand);
+  aObject["r"] = std::move(running);
+}
+
+HostCounts
+DecodeCounts(const json::object& aObject)
+{
+  HostCounts counts;
+  ForRows(aObject, "d", [&](const json::array& aRow) {
+    counts.demand_.push_back(
+      { WorkspaceId(TextAt(aRow, 0)), NumberAt<double>(aRow, 1), NumberAt<double>(aRow, 2) });
+  });
+  ForRows(aObject, "r", [&](const json::array& aRow) {
+    counts.load_.push_back({ UpstreamId(TextAt(aRow, 0)), NumberAt<std::uint32_t>(aRow, 1) });
+  });
+  return counts;
+}
+
 } // namespace
 
+std::uint64_t
+DigestOfHosts(std::span<const HostClaim> aHosts)
+{
+  std::string text;
+  for (const auto& host : aHosts) {
+    text += json::serialize(EncodeHost(host));
+  }
+  return RendezvousWeight(text, "hosts");
+}
+
 std::string
 EncodeGossip(const GossipMessage& aMessage)
 {
-  json::object object{ { "h", aMessage.host_.Value() },
-                       { "a", aMessage.reply_.address_ },
-                       { "p", aMessage.reply_.port_ },
+  json::object object{ { "h", aMessage.host_.id_.Value() },
+                       { "a", aMessage.host_.gossip_.address_ },
+                       { "p", aMessage.host_.gossip_.port_ },
+                       { "z", aMessage.host_.dataCentre_.Value() },
                        { "n", aMessage.number_ },
                        { "l", aMessage.life_ } };
-  if (aMessage.hasCounts_) {
-    object["c"] = true;
+  if (aMessage.counts_) {
+    EncodeCounts(*aMessage.counts_, object);
     object["g"] = aMessage.generation_;
-    json::array demand;
-    for (const auto& entry : aMessage.demand_) {
-      // Whole tokens per second are exact enough and half as long.
-      demand.emplace_back(json::array{ entry.workspace_.Value(),
-                                       std::llround(entry.askedPerSecond_),
-                                       std::llround(entry.takenPerSecond_) });
-    }
-    json::array running;
-    for (const auto& entry : aMessage.load_) {
-      running.emplace_back(json::array{ entry.upstream_.Value(), entry.running_ });
-    }
     json::array partitions;
     for (const auto partition : aMessage.partitions_) {
       partitions.emplace_back(json::array{ partition });
     }
-    object["d"] = std::move(demand);
-    object["r"] = std::move(running);
     object["o"] = std::move(partitions);
   }
+  if (const auto& question = aMessage.question_) {
+    object["q"] = json::array{ question->upstreams_, question->hostsDigest_ };
+  }
+  if (aMessage.answer_) {
+    EncodeAnswer(*aMessage.answer_, object);
+  }
+  if (!aMessage.hosts_.empty()) {
+    json::array hosts;
+    for (const auto& host : aMessage.hosts_) {
+      hosts.emplace_back(EncodeHost(host));
+    }
+    object["m"] = std::move(hosts);
+  }
   json::array engines;
   for (const auto& entry : aMessage.residency_) {
     engines.emplace_back(json::array{
@@ -167,22 +340,31 @@
   json::object object;
   GossipMessage message;
   std::string host;
+  std::string dataCentre;
+  auto& sender = message.host_;
   if (!ParseJsonObject(aPayload, object) || !ReadField(object, "h", host) || host.empty() ||
-      !ReadField(object, "a", message.reply_.address_) ||
-      !ReadField(object, "p", message.reply_.port_) || !ReadField(object, "n", message.number_) ||
-      !ReadField(object, "l", message.life_)) {
+      !ReadField(object, "a", sender.gossip_.address_) ||
+      !ReadField(object, "p", sender.gossip_.port_) || !ReadField(object, "z", dataCentre) ||
+      !ReadField(object, "n", message.number_) || !ReadField(object, "l", message.life_)) {
     return std::nullopt;
   }
-  message.host_ = HostId(host);
-  ReadField(object, "c", message.hasCounts_);
+  sender.id_ = HostId(host);
+  sender.dataCentre_ = DataCentreId(dataCentre);
+  bool hasCounts = false;
+  if (ReadField(object, "c", hasCounts) && hasCounts) {
+    message.counts_ = DecodeCounts(object);
+  }
   ReadField(object, "g", message.generation_);
-  ForRows(object, "d", [&](const json::array& aRow) {
-    message.demand_.push_back(
-      { WorkspaceId(TextAt(aRow, 0)), NumberAt<double>(aRow, 1), NumberAt<double>(aRow, 2) });
-  });
-  ForRows(object, "r", [&](const json::array& aRow) {
-    message.load_.push_back({ UpstreamId(TextAt(aRow, 0)), NumberAt<std::uint32_t>(aRow, 1) });
-  });
+  if (const auto* value = object.if_contains("q"); value != nullptr && value->is_array()) {
+    const auto& row = value->get_array();
+    message.question_ =
+      RelayQuestion{ NumberAt<LogOffset>(row, 0), NumberAt<std::uint64_t>(row, 1) };
+  }
+  if (const auto* value = object.if_contains("s"); value != nullptr && value->is_array()) {
+    message.answer_ = DecodeAnswer(value->get_array(), object);
+  }
+  ForRows(
+    object, "m", [&](const json::array& aRow) { message.hosts_.push_back(DecodeHost(aRow)); });
   ForRows(object, "o", [&](const json::array& aRow) {
     message.partitions_.push_back(NumberAt<std::uint32_t>(aRow, 0));
   });
--- a/src/gateway/gossip_service.cpp
+++ b/src/gateway/gossip_service.cpp
@@ -8,94 +8,284 @@
 
 namespace laburnumweir {
 
-GossipService::GossipService(FleetState& aFleet,
-                             QuotaShare& aQuota,
-                             PeerTable& aPeers,
-                             Scheduler& aScheduler,
-                             HostId aHost,
-                             Endpoint aReply,
+using std::chrono::milliseconds;
+
+namespace {
+
+// Questions that may still be answered; at four a second, answers come within these or are lost.
+constexpr std::size_t kMaxQuestions = 8;
+
+/** The other hosts together, as one peer for the quotas and the load of upstreams. */
+const HostId&
+Others()
+{
+  static const HostId kOthers("others");
+  return kOthers;
+}
+
+/** @return about the size of an upstream's entry in an answer. */
+std::size_t
+SizeOf(const UpstreamChange& aChange)
+{
+  constexpr std::size_t kFieldBytes = 120; // numbers, address and separators
+  constexpr std::size_t kAdapterBytes = 12;
+  std::size_t size = kFieldBytes + aChange.id_.Value().size();
+  if (aChange.entry_) {
+    for (const auto& model : aChange.entry_->models_) {
+      size += model.name_.size() + kAdapterBytes * model.adapters_.size();
+    }
+  }
+  return size;
+}
+
+/** @return changes since an offset; none if they are unknown or too many for a datagram. */
+std::optional<std::vector<UpstreamChange>>
+ChangesFor(const UpstreamChanges& aChanges, LogOffset aFrom)
+{
+  auto changes = aChanges.Since(aFrom);
+  if (changes) {
+    std::size_t size = 0;
+    for (const auto& change : *changes) {
+      size += SizeOf(change);
+    }
+    if (size > kMaxRelayedBytes) {
+      changes.reset();
+    }
+  }
+  return changes;
+}
+
+} // namespace
+
+GossipService::GossipService(const GossipContext& aContext,
+                             HostRecord aSelf,
                              std::int64_t aLife,
                              std::function<void()> aOnNews)
-  : fleet_(aFleet)
-  , quota_(aQuota)
-  , peers_(aPeers)
-  , scheduler_(aScheduler)
-  , host_(std::move(aHost))
-  , reply_(std::move(aReply))
+  : context_(aContext)
+  , self_(std::move(aSelf))
   , life_(aLife)
   , onNews_(std::move(aOnNews))
+  , counts_(aContext.clock_)
 {
 }
 
 void
-GossipService::Connect(GossipLink& aLink, HolderService& aHolder)
+GossipService::Connect(DatagramSender& aLink, HolderService& aHolder, StoreWatch& aWatch)
 {
   link_ = &aLink;
   holder_ = &aHolder;
+  watch_ = &aWatch;
 }
 
 void
 GossipService::Start()
 {
-  RepeatWhileAlive(scheduler_, kGossipInterval, weak_from_this(), [this] { Tell(); });
+  RepeatWhileAlive(context_.scheduler_, kGossipInterval, weak_from_this(), [this] { Tell(); });
 }
 
 GossipMessage
 GossipService::NewMessage()
 {
   GossipMessage message;
-  message.host_ = host_;
-  message.reply_ = reply_;
+  message.host_ = self_;
   message.life_ = life_;
   message.number_ = ++number_;
   return message;
 }
 
-void
-GossipService::Tell()
+GossipMessage
+GossipService::NewCounts(HostCounts aCounts)
 {
-  peers_.Expire();
-  fleet_.Upstreams().ExpirePeers();
-  const auto hosts = peers_.Hosts();
-  quota_.SetHosts(hosts.size());
-  holder_->SetHosts(hosts.size());
-  fleet_.Upstreams().SetHosts(hosts);
   auto message = NewMessage();
-  message.hasCounts_ = true;
-  message.demand_ = quota_.Demand();
-  message.load_ = fleet_.Upstreams().OwnLoad();
+  message.counts_ = std::move(aCounts);
   message.generation_ = holder_->Lease().Token();
   message.partitions_ = holder_->Lease().Partitions();
-  const auto payload = EncodeGossip(message);
-  for (const auto& target : peers_.NextTargets(kGossipFanOut)) {
-    link_->Send(target, payload);
+  return message;
+}
+
+HostCounts
+GossipService::OwnCounts() const
+{
+  return { context_.quota_.Demand(), context_.fleet_.Upstreams().OwnLoad() };
+}
+
+HostClaim
+GossipService::OwnClaim() const
+{
+  return { self_, holder_->Lease().Token(), holder_->Lease().Partitions() };
+}
+
+void
+GossipService::Send(const Endpoint& aTo, const GossipMessage& aMessage)
+{
+  link_->Send(aTo, EncodeGossip(aMessage));
+}
+
+void
+GossipService::Tell()
+{
+  context_.peers_.Expire();
+  const auto hosts = context_.peers_.Hosts();
+  context_.quota_.SetHosts(hosts.size());
+  context_.retries_.SetHosts(hosts.size());
+  holder_->SetHosts(hosts.size());
+  context_.fleet_.Upstreams().SetHosts(hosts);
+  ApplyCounts();
+  if (const auto reader = context_.peers_.ReaderToAsk()) {
+    CheckReader(*reader);
+    Ask(*reader);
+  } else {
+    if (!reader_.IsEmpty()) {
+      LogEvent(LogLevel::Info, "reader_role_taken", { { "reader_before", reader_.Value() } });
+    }
+    reader_ = HostId();
+    watch_->SetRelayed(false);
+    TellReaders();
   }
   TellUses();
 }
 
 void
-GossipService::TellUses()
+GossipService::ApplyCounts()
 {
-  std::map<Endpoint, GossipMessage> messages;
-  for (const auto& use : uses_) {
-    if (const auto target = peers_.HolderOf(holder_->PartitionOfEngine(use.engine_))) {
-      messages[*target].uses_.push_back(use);
-    }
+  counts_.Expire();
+  const auto others = counts_.Others();
+  context_.quota_.OnPeerDemand(Others(), others.demand_);
+  context_.fleet_.Upstreams().OnPeerLoad(Others(), others.load_);
+}
+
+void
+GossipService::TellReaders()
+{
+  auto message = NewCounts(counts_.SumOfAsking(OwnCounts()));
+  std::set<Endpoint> targets;
+  for (const auto& reader : context_.peers_.OtherReaders()) {
+    targets.insert(reader.gossip_);
   }
-  for (const auto& [use, count] : running_) {
-    const auto partition = holder_->PartitionOfEngine(use.engine_);
-    if (holder_->Lease().MayOrder(partition)) {
-      holder_->StillUsed(use.engine_, use.model_, use.adapter_);
-    } else if (const auto target = peers_.HolderOf(partition); target && !uses_.contains(use)) {
-      messages[*target].running_.push_back(use);
+  for (auto& claim : context_.peers_.Live()) {
+    const auto asks = counts_.IsAsking(claim.host_.id_);
+    if (asks && *asks) {
+      message.hosts_.push_back(std::move(claim));
+    } else if (asks) {
+      // It counts itself among the readers, and would otherwise miss the counts of all others.
+      targets.insert(claim.host_.gossip_);
     }
   }
-  uses_.clear();
-  for (auto& [target, uses] : messages) {
-    auto message = NewMessage();
-    message.uses_ = std::move(uses.uses_);
-    message.running_ = std::move(uses.running_);
-    link_->Send(target, EncodeGossip(message));
+  const auto payload = EncodeGossip(message);
+  for (const auto& target : targets) {
+    link_->Send(target, payload);
+  }
+}
+
+void
+GossipService::CheckReader(const HostRecord& aReader)
+{
+  const auto now = context_.clock_.Now();
+  if (reader_ != aReader.id_) {
+    LogEvent(LogLevel::Info,
+             "reader_chosen",
+             { { "reader", aReader.id_.Value() }, { "before", reader_.Value() } });
+    reader_ = aReader.id_;
+    readerHeard_ = now;
+    hasAnswer_ = false;
+    hostsDigest_ = 0;
+  }
+  const bool isSilent = now - readerHeard_ > kReaderSilence;
+  if (isSilent) {
+    LogEvent(LogLevel::Warn,
+             "reader_silent",
+             { { "reader", reader_.Value() },
+               { "since_ms", std::to_string((now - readerHeard_) / milliseconds(1)) } });
+    context_.peers_.OnSilent(reader_);
+  }
+  watch_->SetRelayed(hasAnswer_ && !isSilent);
+}
+
+void
+GossipService::Ask(const HostRecord& aReader)
+{
+  auto message = NewCounts(OwnCounts());
+  message.question_ = RelayQuestion{ watch_->Position().upstreams_.value_or(0), hostsDigest_ };
+  questions_[message.number_] = { aReader.id_, context_.clock_.Now() };
+  if (questions_.size() > kMaxQuestions) {
+    questions_.erase(questions_.begin());
+  }
+  Send(aReader.gossip_, message);
+}
+
+void
+GossipService::Answer(const GossipMessage& aQuestion)
+{
+  auto message = NewCounts(counts_.SumWithout(aQuestion.host_.id_, OwnCounts()));
+  const auto position = watch_->Position();
+  RelayAnswer answer;
+  answer.question_ = aQuestion.number_;
+  const auto proofAge = context_.fleet_.ProofAge();
+  if (proofAge < Duration::max()) {
+    answer.operators_ = position.operators_;
+    answer.proofAge_ = std::chrono::ceil<milliseconds>(proofAge);
+  }
+  answer.upstreams_ = position.upstreams_;
+  answer.upstreamAge_ = std::chrono::ceil<milliseconds>(position.upstreamAge_);
+  answer.changes_ = ChangesFor(context_.fleet_.Changes(), aQuestion.question_->upstreams_);
+  auto hosts = context_.peers_.Live();
+  hosts.push_back(OwnClaim());
+  answer.hostsDigest_ = DigestOfHosts(hosts);
+  if (answer.hostsDigest_ != aQuestion.question_->hostsDigest_) {
+    message.hosts_ = std::move(hosts);
+  }
+  message.answer_ = std::move(answer);
+  Send(aQuestion.host_.gossip_, message);
+}
+
+void
+GossipService::OnAnswer(const GossipMessage& aMessage)
+{
+  const auto& answer = *aMessage.answer_;
+  const auto question = questions_.find(answer.question_);
+  if (question == questions_.end() || question->second.reader_ != aMessage.host_.id_) {
+    return; // answered already, or too late to tell when it was asked
+  }
+  const auto asked = question->second.asked_;
+  questions_.erase(questions_.begin(), std::next(question));
+  if (aMessage.host_.id_ == reader_) {
+    readerHeard_ = context_.clock_.Now();
+    hasAnswer_ = true;
+  }
+  if (answer.operators_) {
+    watch_->OnRelayedProof(asked, *answer.operators_, answer.proofAge_);
+  }
+  if (answer.upstreams_ && answer.changes_) {
+    ChangeBatch batch;
+    batch.next_ = *answer.upstreams_;
+    batch.changes_.assign(answer.changes_->begin(), answer.changes_->end());
+    watch_->OnRelayedUpstreams(asked, batch, answer.upstreamAge_);
+  } else if (answer.upstreams_) {
+    watch_->OnRelayGap();
+  }
+  if (!aMessage.hosts_.empty()) {
+    hostsDigest_ = answer.hostsDigest_;
+    toldHosts_ = aMessage.hosts_;
+  }
+  // The same digest says that the hosts told before are live.
+  if (hostsDigest_ == answer.hostsDigest_) {
+    context_.peers_.OnTold(toldHosts_);
+  }
+  counts_.OnOthers(*aMessage.counts_);
+}
+
+void
+GossipService::OnCounts(const GossipMessage& aMessage)
+{
+  context_.peers_.OnPartitions(aMessage.host_.id_, aMessage.generation_, aMessage.partitions_);
+  if (aMessage.answer_) {
+    OnAnswer(aMessage);
+    return;
+  }
+  context_.peers_.OnTold(aMessage.hosts_);
+  counts_.OnPeer(aMessage.host_.id_, *aMessage.counts_, aMessage.question_.has_value());
+  if (aMessage.question_) {
+    Answer(aMessage);
   }
 }
 
@@ -107,16 +297,13 @@
     LogEvent(LogLevel::Warn, "gossip_unreadable", { { "bytes", std::to_string(aPayload.size()) } });
     return;
   }
-  const bool isNewest =
-    peers_.OnHeard(message->host_, message->reply_, message->life_, message->number_);
-  if (message->hasCounts_ && isNewest) {
-    quota_.OnPeerDemand(message->host_, message->demand_);
-    fleet_.Upstreams().OnPeerLoad(message->host_, message->load_);
-    peers_.OnPartitions(message->host_, message->generation_, message->partitions_);
+  const bool isNewest = context_.peers_.OnHeard(message->host_, message->life_, message->number_);
+  if (message->counts_ && isNewest) {
+    OnCounts(*message);
   }
   bool hasNews = false;
   for (const auto& residency : message->residency_) {
-    hasNews = fleet_.Upstreams().OnResidency(residency) || hasNews;
+    hasNews = context_.fleet_.Upstreams().OnResidency(residency) || hasNews;
   }
   for (const auto& use : message->uses_) {
     holder_->Used(use.engine_, use.model_, use.adapter_);
@@ -125,7 +312,7 @@
     holder_->StillUsed(use.engine_, use.model_, use.adapter_);
   }
   for (const auto& want : message->wants_) {
-    waiting_[want.engine_].insert(message->reply_);
+    waiting_[want.engine_].insert(message->host_.gossip_);
     holder_->Want(want.engine_, want.want_);
   }
   if (hasNews) {
@@ -133,6 +320,33 @@
   }
 }
 
+void
+GossipService::TellUses()
+{
+  std::map<Endpoint, GossipMessage> messages;
+  for (const auto& use : uses_) {
+    if (const auto target = context_.peers_.HolderOf(holder_->PartitionOfEngine(use.engine_))) {
+      messages[*target].uses_.push_back(use);
+    }
+  }
+  for (const auto& [use, count] : running_) {
+    const auto partition = holder_->PartitionOfEngine(use.engine_);
+    if (holder_->Lease().MayOrder(partition)) {
+      holder_->StillUsed(use.engine_, use.model_, use.adapter_);
+    } else if (const auto target = context_.peers_.HolderOf(partition);
+               target && !uses_.contains(use)) {
+      messages[*target].running_.push_back(use);
+    }
+  }
+  uses_.clear();
+  for (auto& [target, uses] : messages) {
+    auto message = NewMessage();
+    message.uses_ = std::move(uses.uses_);
+    message.running_ = std::move(uses.running_);
+    link_->Send(target, EncodeGossip(message));
+  }
+}
+
 void
 GossipService::Want(const UpstreamId& aEngine, const AdapterWant& aWant)
 {
@@ -141,7 +355,7 @@
     holder_->Want(aEngine, aWant);
     return;
   }
-  if (const auto target = peers_.HolderOf(partition)) {
+  if (const auto target = context_.peers_.HolderOf(partition)) {
     auto message = NewMessage();
     message.wants_.push_back({ aEngine, aWant });
     link_->Send(*target, EncodeGossip(message));
@@ -178,8 +392,8 @@
   if (const auto waiting = waiting_.extract(aResidency.engine_)) {
     targets = waiting.mapped();
   }
-  for (const auto& target : peers_.NextTargets(kGossipFanOut)) {
-    targets.insert(target);
+  for (const auto& reader : context_.peers_.OtherReaders()) {
+    targets.insert(reader.gossip_);
   }
   for (const auto& target : targets) {
     link_->Send(target, payload);
--- a/src/gateway/store_watch.cpp
+++ b/src/gateway/store_watch.cpp
@@ -2,6 +2,9 @@
 #include "gateway/store_watch.h"
 
 #include "logging/logging_func.h"
+#include "table/fleet_const.h"
+
+#include <algorithm>
 
 namespace laburnumweir {
 
@@ -11,6 +14,9 @@
 constexpr Duration kLeastPollGap = std::chrono::milliseconds(20);
 // Reads that fail for this many intervals are an outage, during which entries may lapse.
 constexpr int kOutageIntervals = 3;
+// Entries told by a reader may be older than its interval of reading by this time, which covers two
+// lost datagrams.
+constexpr Duration kRelayDelay = 2 * kGossipInterval;
 
 } // namespace
 
@@ -33,6 +39,7 @@
 StoreWatch::Start()
 {
   upstreamsRead_ = clock_.Now();
+  upstreamsAsked_ = upstreamsRead_;
   PollOperators();
   PollUpstreams();
 }
@@ -50,6 +57,13 @@
 void
 StoreWatch::PollOperators()
 {
+  if (isRelayed_ && operators_ && !isOperatorReadDue_ && state_.ProofAge() <= kRelayedProofAge) {
+    // The proof of a reader is not older than a long poll would be at its end.
+    wait_ = std::chrono::milliseconds(0);
+    After(settings_.relayCheck_, &StoreWatch::PollOperators);
+    return;
+  }
+  isOperatorReadDue_ = false;
   const auto asked = clock_.Now();
   auto callback = [weak = weak_from_this(), asked](std::error_code aError,
                                                    const ChangeBatch& aBatch) {
@@ -104,6 +118,13 @@
   After(kLeastPollGap, &StoreWatch::PollOperators);
 }
 
+bool
+StoreWatch::AreUpstreamsRelayed() const
+{
+  return isRelayed_ && upstreams_ && !isUpstreamReadDue_ &&
+         clock_.Now() - upstreamsAsked_ <= settings_.upstreamInterval_ + kRelayDelay;
+}
+
 void
 StoreWatch::PollUpstreams()
 {
@@ -112,9 +133,16 @@
     state_.FlushRemovals();
     onChange_();
   }
-  auto callback = [weak = weak_from_this()](std::error_code aError, const ChangeBatch& aBatch) {
+  if (AreUpstreamsRelayed()) {
+    After(settings_.relayCheck_, &StoreWatch::PollUpstreams);
+    return;
+  }
+  isUpstreamReadDue_ = false;
+  const auto asked = clock_.Now();
+  auto callback = [weak = weak_from_this(), asked](std::error_code aError,
+                                                   const ChangeBatch& aBatch) {
     if (const auto self = weak.lock()) {
-      self->OnUpstreams(aError, aBatch);
+      self->OnUpstreams(asked, aError, aBatch);
     }
   };
   if (upstreams_) {
@@ -126,7 +154,7 @@
 }
 
 void
-StoreWatch::OnUpstreams(std::error_code aError, const ChangeBatch& aBatch)
+StoreWatch::OnUpstreams(TimePoint aAsked, std::error_code aError, const ChangeBatch& aBatch)
 {
   if (aError == make_error_code(StoreError::HistoryLost)) {
     LogEvent(LogLevel::Info, "history_lost", { { "stream", "upstreams" } });
@@ -138,6 +166,14 @@
     After(settings_.retryDelay_, &StoreWatch::PollUpstreams);
     return;
   }
+  FoldUpstreams(aAsked, aBatch);
+  After(isRelayed_ ? settings_.relayCheck_ : settings_.upstreamInterval_,
+        &StoreWatch::PollUpstreams);
+}
+
+void
+StoreWatch::FoldUpstreams(TimePoint aAsked, const ChangeBatch& aBatch)
+{
   const auto now = clock_.Now();
   if (now - upstreamsRead_ > settings_.upstreamInterval_ * kOutageIntervals) {
     LogEvent(
@@ -147,10 +183,35 @@
     flushAt_ = now + settings_.returnGrace_;
   }
   upstreamsRead_ = now;
+  upstreamsAsked_ = std::max(upstreamsAsked_, aAsked);
   upstreams_ = aBatch.next_;
   state_.ApplyUpstreams(aBatch, flushAt_.has_value());
   onChange_();
-  After(settings_.upstreamInterval_, &StoreWatch::PollUpstreams);
+}
+
+void
+StoreWatch::OnRelayedProof(TimePoint aAsked, LogOffset aNext, Duration aProofAge)
+{
+  if (operators_ == aNext) {
+    state_.NoteProof(aAsked - aProofAge);
+  } else if (operators_ && *operators_ < aNext) {
+    isOperatorReadDue_ = true;
+  }
+}
+
+void
+StoreWatch::OnRelayedUpstreams(TimePoint aAsked, const ChangeBatch& aBatch, Duration aAge)
+{
+  // An answer to an earlier question may come after a read of this host's own.
+  if (upstreams_ && aBatch.next_ >= *upstreams_) {
+    FoldUpstreams(aAsked - aAge, aBatch);
+  }
+}
+
+WatchPosition
+StoreWatch::Position() const
+{
+  return { operators_, upstreams_, clock_.Now() - upstreamsAsked_ };
 }
 
 } // namespace laburnumweir
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -12,6 +12,14 @@
 
 namespace laburnumweir {
 
+/** What a host knows of the store's streams, for the hosts that it tells. */
+struct WatchPosition
+{
+  std::optional<LogOffset> operators_; ///< Next offset of the operators' stream.
+  std::optional<LogOffset> upstreams_; ///< Next offset of the upstreams' stream.
+  Duration upstreamAge_{};             ///< Time since the upstreams' stream was read.
+};
+
 /** Intervals of the watch. */
 struct WatchSettings
 {
@@ -19,11 +27,13 @@
   std::chrono::milliseconds upstreamInterval_{ 400 }; ///< Between reads of upstream entries.
   std::chrono::milliseconds retryDelay_{ 150 };       ///< After a call that failed.
   std::chrono::milliseconds returnGrace_{ 2300 };     ///< Lapsed entries are back by then.
+  std::chrono::milliseconds relayCheck_{ 100 }; ///< Between checks whether a reader still tells.
 };
 
 /**
  * Reads the operators' stream by long polls and the upstreams' stream at an interval. Engines write
- * every heartbeat, so a long poll of their entries would return for each of them.
+ * every heartbeat, so a long poll of their entries would return for each of them. While a reader
+ * tells what the store holds, and that is fresh enough, nothing is read.
  */
 class StoreWatch : public std::enable_shared_from_this<StoreWatch>
 {
@@ -38,6 +48,26 @@
 
   /** Starts both loops. */
   void Start();
+  /**
+   * Takes in what a reader knows of the operators' stream.
+   * @param aAsked when it was asked.
+   * @param aNext its next offset; the same offset here means the same configuration.
+   * @param aProofAge age of its proof, when it answered, that nothing newer exists.
+   */
+  void OnRelayedProof(TimePoint aAsked, LogOffset aNext, Duration aProofAge);
+  /**
+   * Takes in changes of the upstreams' stream that a reader tells.
+   * @param aAsked when it was asked.
+   * @param aBatch changes since the offset that it was asked from.
+   * @param aAge time since it read them, when it answered.
+   */
+  void OnRelayedUpstreams(TimePoint aAsked, const ChangeBatch& aBatch, Duration aAge);
+  /** Reads the upstreams' stream at the next check: a reader cannot tell what changed. */
+  void OnRelayGap() { isUpstreamReadDue_ = true; }
+  /** Sets whether a reader tells this host what the store holds. */
+  void SetRelayed(bool aIsRelayed) { isRelayed_ = aIsRelayed; }
+  /** @return what this host knows of the streams. */
+  WatchPosition Position() const;
   /** @return whether the last call of the operators' stream succeeded. */
   bool IsConnected() const { return isConnected_; }
 
@@ -45,7 +75,9 @@
   void PollOperators();
   void OnOperators(TimePoint aAsked, std::error_code aError, const ChangeBatch& aBatch);
   void PollUpstreams();
-  void OnUpstreams(std::error_code aError, const ChangeBatch& aBatch);
+  void OnUpstreams(TimePoint aAsked, std::error_code aError, const ChangeBatch& aBatch);
+  void FoldUpstreams(TimePoint aAsked, const ChangeBatch& aBatch);
+  bool AreUpstreamsRelayed() const;
   void After(Duration aDelay, void (StoreWatch::*aStep)());
 
   FleetStore& store_;                   ///< The store.
@@ -58,6 +90,10 @@
   std::optional<LogOffset> operators_;  ///< Next offset; none to read everything.
   std::optional<LogOffset> upstreams_;  ///< Next offset; none to read everything.
   TimePoint upstreamsRead_;             ///< Last successful read of entries.
+  TimePoint upstreamsAsked_;            ///< When the newest state of the entries was asked for.
+  bool isRelayed_ = false;              ///< A reader tells what the store holds.
+  bool isOperatorReadDue_ = false;      ///< A reader knows a newer configuration.
+  bool isUpstreamReadDue_ = false;      ///< A reader cannot tell what changed.
   std::optional<TimePoint> flushAt_;    ///< When held removals take effect.
   bool isConnected_ = false;            ///< The store answered last time.
 };
--- a/src/table/fleet_const.h
+++ b/src/table/fleet_const.h
@@ -12,8 +12,21 @@
 
 /** Interval of gossip; a quota's overshoot grows with it, messages and bytes shrink. */
 constexpr Duration kGossipInterval = std::chrono::milliseconds(250);
-/** Most peers told in one interval; more are told in turn, so that bytes of a host stay bounded. */
-constexpr std::size_t kGossipFanOut = 16;
+/** Hosts of a data centre that read the store and tell the others; a second one, so that the loss
+ * of one costs no more than a time limit. */
+constexpr std::size_t kReadersPerCentre = 2;
+/** A reader that has not answered for this long is taken for silent; three intervals of gossip, so
+ * single losses do no harm. */
+constexpr Duration kReaderSilence = std::chrono::milliseconds(800);
+/** A silent reader is not asked for this long; by then the other hosts have dropped it if it is
+ * gone. */
+constexpr Duration kReaderAvoidance = std::chrono::seconds(6);
+/** A host whose relayed proof of the configuration is older reads the store itself. A reader's
+ * proof is up to one long poll old. */
+constexpr Duration kRelayedProofAge = std::chrono::milliseconds(2200);
+/** Largest answer of a reader; a host that is further behind reads the store itself. A datagram
+ * holds 64 KB. */
+constexpr std::size_t kMaxRelayedBytes = std::size_t{ 24 } << 10;
 /** Counts of a peer expire after this time; twelve intervals, so single losses do no harm. */
 constexpr Duration kPeerCountLife = std::chrono::seconds(3);
 /** A peer counts as a host for equal shares for this long: a partition must not raise the shares.
@@ -24,6 +37,12 @@
 /** Time constant of the demand average; shorter follows bursts of single large requests. */
 constexpr Duration kDemandAverage = std::chrono::seconds(2);
 
+/** Age of the demand of the other hosts as a host knows it: up to one interval each to a reader,
+ * between readers and back, half of that on average, and the way. */
+constexpr Duration kShareDelay = 2 * kGossipInterval;
+/** Between samples of past demand; a fraction of kShareDelay. */
+constexpr Duration kShareSampling = kShareDelay / 5;
+
 /** Part of its rate from which a workspace counts as contended; the averages lag behind by about
  * half of kDemandAverage. */
 constexpr double kContendedShare = 0.9;
