Refuse by shares only what the bucket of the fleet does not hold

Cause: a workspace counted as contended from 0.9 of its rate on. With few requests at each host the average varies by a tenth, and shares of the burst were clamped away between two requests. Change: the bucket of the fleet decides first; a host's part of the burst has a floor; grants of the peers are taken off when they are told.

--- a/src/fleet/quota_share.cpp
+++ b/src/fleet/quota_share.cpp
@@ -60,6 +60,12 @@
 QuotaShare::OnPeerDemand(const HostId& aPeer, std::span<const WorkspaceDemand> aDemand)
 {
   const auto now = clock_.Now();
+  // What was told before applies up to now; a bucket may otherwise not be filled for seconds.
+  for (auto& [workspace, bucket] : buckets_) {
+    if (bucket.filled_) {
+      FillFleet(workspace, bucket);
+    }
+  }
   auto& peer = peers_[aPeer];
   peer.heard_ = now;
   peer.demand_.clear();
@@ -87,6 +93,14 @@
   return sum;
 }
 
+double
+QuotaShare::AskedPerSecond(const WorkspaceId& aWorkspace) const
+{
+  const auto found = buckets_.find(aWorkspace);
+  const double own = found == buckets_.end() ? 0 : found->second.asked_.At(clock_.Now());
+  return own + PeerDemand(aWorkspace).askedPerSecond_;
+}
+
 double
 QuotaShare::RateShare(const Workspace& aWorkspace) const
 {
@@ -99,26 +113,34 @@
   return aWorkspace.ratePerSecond_ * own / all;
 }
 
-bool
-QuotaShare::IsContended(const Workspace& aWorkspace) const
+double
+QuotaShare::Capacity(const Workspace& aWorkspace, double aShare) const
 {
-  const auto found = buckets_.find(aWorkspace.id_);
-  const double own = found == buckets_.end() ? 0 : found->second.asked_.At(clock_.Now());
-  return own + PeerDemand(aWorkspace.id_).askedPerSecond_ >
-         kContendedShare * aWorkspace.ratePerSecond_;
+  return aWorkspace.burst_ *
+         std::max(aShare / aWorkspace.ratePerSecond_, 1.0 / static_cast<double>(hosts_));
+}
+
+void
+QuotaShare::FillFleet(const WorkspaceId& aWorkspace, Bucket& aBucket)
+{
+  const auto now = clock_.Now();
+  const double elapsed = Seconds(now - aBucket.fleetFilled_.value_or(started_));
+  const double taken = PeerDemand(aWorkspace).takenPerSecond_;
+  aBucket.fleet_ =
+    std::clamp(aBucket.fleet_ + (aBucket.rate_ - taken) * elapsed, -aBucket.burst_, aBucket.burst_);
+  aBucket.fleetFilled_ = now;
 }
 
 void
 QuotaShare::Fill(const Workspace& aWorkspace, Bucket& aBucket)
 {
+  aBucket.rate_ = aWorkspace.ratePerSecond_;
+  aBucket.burst_ = aWorkspace.burst_;
+  FillFleet(aWorkspace.id_, aBucket);
   const auto now = clock_.Now();
-  const double burst = aWorkspace.burst_;
-  const double rate = aWorkspace.ratePerSecond_;
   const double share = RateShare(aWorkspace);
-  const double capacity = burst * share / rate;
+  const double capacity = Capacity(aWorkspace, share);
   const double elapsed = Seconds(now - aBucket.filled_.value_or(started_));
-  const double taken = PeerDemand(aWorkspace.id_).takenPerSecond_;
-  aBucket.fleet_ = std::clamp(aBucket.fleet_ + (rate - taken) * elapsed, -burst, burst);
   aBucket.own_ = std::clamp(aBucket.own_ + share * elapsed, -capacity, capacity);
   aBucket.filled_ = now;
 }
@@ -142,13 +164,15 @@
   auto& bucket = buckets_[aWorkspace.id_];
   Fill(aWorkspace, bucket);
   const auto tokens = static_cast<double>(aTokens);
-  decision.isContended_ = IsContended(aWorkspace);
-  const bool isContended = decision.isContended_;
   const double share = std::max(RateShare(aWorkspace), 1.0);
+  // Beyond its rate, what the hosts grant before they hear of each other would exceed the bucket.
+  decision.isContended_ =
+    AskedPerSecond(aWorkspace.id_) > kContendedShare * aWorkspace.ratePerSecond_ ||
+    bucket.fleet_ + kRoundingTokens < std::min(tokens, aWorkspace.burst_);
+  const bool isContended = decision.isContended_;
   decision.perSecond_ = isContended ? share : aWorkspace.ratePerSecond_;
   decision.level_ = isContended ? bucket.own_ : bucket.fleet_;
-  const double capacity =
-    isContended ? aWorkspace.burst_ * share / aWorkspace.ratePerSecond_ : aWorkspace.burst_;
+  const double capacity = isContended ? Capacity(aWorkspace, share) : aWorkspace.burst_;
   // A request larger than the bucket runs from a full one and leaves a debt: otherwise no host
   // could ever serve it.
   decision.needed_ = std::min(tokens, capacity);
--- a/src/fleet/quota_share.h
+++ b/src/fleet/quota_share.h
@@ -36,12 +36,12 @@
 
 /**
  * Keeps workspaces within their rate and burst over all hosts, without a question for each request.
- * Hosts tell each other what is asked and granted. While a workspace asks for clearly less than its
- * rate, each host charges one bucket for the whole fleet, which the peers' grants drain at the rate
- * they tell: uneven demand and large requests are then no reason to refuse. Once it asks for more,
- * each host charges its own bucket, with a share of rate and burst in proportion to its demand. The
- * demand of the peers is known with a delay, so a host uses its own of the same age: the shares
- * then add up to the quota also while demand rises everywhere. Not thread-safe.
+ * Hosts tell each other what is asked and granted. Each host charges one bucket for the whole
+ * fleet, which the peers' grants drain at the rate they tell; while it holds enough, uneven demand
+ * and large requests are no reason to refuse. Once it does not, each host charges its own bucket,
+ * with a share of rate and burst in proportion to its demand. The demand of the peers is known with
+ * a delay, so a host uses its own of the same age: the shares then add up to the quota also while
+ * demand rises everywhere. Not thread-safe.
  */
 class QuotaShare
 {
@@ -81,8 +81,6 @@
   std::vector<WorkspaceDemand> Demand() const;
   /** @return tokens per second that this host may use of a workspace's rate under contention. */
   double RateShare(const Workspace& aWorkspace) const;
-  /** @return whether a workspace asks for so much that the hosts keep to their shares. */
-  bool IsContended(const Workspace& aWorkspace) const;
 
 private:
   /** Exponential moving average of tokens per second. */
@@ -106,12 +104,15 @@
   };
   struct Bucket
   {
+    double rate_ = 0;  ///< Tokens/s of the workspace.
+    double burst_ = 0; ///< Tokens beyond the rate.
     double fleet_ = 0; ///< Tokens at hand over all hosts; negative after a large request.
     double own_ = 0;   ///< Tokens at hand of this host's share.
-    std::optional<TimePoint> filled_; ///< When the levels were computed.
-    Average asked_;                   ///< Tokens that callers ask for.
-    Average taken_;                   ///< Tokens that were granted.
-    History history_;                 ///< Past values of asked_.
+    std::optional<TimePoint> fleetFilled_; ///< When fleet_ was computed.
+    std::optional<TimePoint> filled_;      ///< When own_ was computed.
+    Average asked_;                        ///< Tokens that callers ask for.
+    Average taken_;                        ///< Tokens that were granted.
+    History history_;                      ///< Past values of asked_.
   };
   struct Peer
   {
@@ -119,7 +120,12 @@
     std::map<WorkspaceId, WorkspaceDemand> demand_; ///< Its demand.
   };
 
+  /** A host's part of the burst. Where a host has a request every few seconds, its share of the
+   * rate is near zero between them, and what it has saved must not be lost then. */
+  double Capacity(const Workspace& aWorkspace, double aShare) const;
   WorkspaceDemand PeerDemand(const WorkspaceId& aWorkspace) const;
+  double AskedPerSecond(const WorkspaceId& aWorkspace) const;
+  void FillFleet(const WorkspaceId& aWorkspace, Bucket& aBucket);
   void Fill(const Workspace& aWorkspace, Bucket& aBucket);
 
   const Clock& clock_; ///< Time source.
--- a/src/table/fleet_const.h
+++ b/src/table/fleet_const.h
@@ -45,7 +45,7 @@
 
 /** Part of its rate from which a workspace counts as contended; the averages lag behind by about
  * half of kDemandAverage. */
-constexpr double kContendedShare = 0.9;
+constexpr double kContendedShare = 0.95;
 /** Tokens by which a level may fall short through rounding. */
 constexpr double kRoundingTokens = 1e-6;
 
--- a/tests/fleet/quota_share_test.cpp
+++ b/tests/fleet/quota_share_test.cpp
@@ -8,6 +8,7 @@
 #include <deque>
 #include <gtest/gtest.h>
 #include <memory>
+#include <random>
 
 namespace laburnumweir {
 namespace {
@@ -37,6 +38,15 @@
     }
   }
 
+  /** Lets the hosts get their requests at different moments. @param aSize tokens of a request. */
+  void Stagger(TokenCount aSize)
+  {
+    owed_.clear();
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+      owed_.push_back(static_cast<double>(aSize) * Draw());
+    }
+  }
+
   /** Offers requests for a time. @param aShares tokens/s at each host. */
   void Run(Duration aTime, const std::vector<double>& aPerSecond, TokenCount aSize = 500)
   {
@@ -76,6 +86,7 @@
   double mostInWindow_ = 0;
 
 private:
+  double Draw() { return std::uniform_real_distribution<double>()(random_); }
   void Note(double aTokens)
   {
     runs_.emplace_back(clock_.Now(), aTokens);
@@ -91,6 +102,7 @@
   std::vector<double> owed_;
   std::deque<std::pair<TimePoint, double>> runs_;
   double inWindow_ = 0;
+  std::minstd_rand random_{ 7 };
   TimePoint gossiped_;
 };
 
@@ -127,6 +139,37 @@
   EXPECT_GE(fleet.mostInWindow_, 0.9 * kRate * 8);
 }
 
+// Pattern: 69 hosts, each with a request of 1,700 tokens every three seconds, together 0.85 of the
+// rate. Buckets divided among the hosts refused part of them, since no host's part of the burst
+// held a request or two.
+TEST(QuotaShare, RefusesNothingWithFewRequestsAtEachHost)
+{
+  QuotaFleet fleet(69);
+  fleet.workspace_ = testing_support::MakeWorkspace(46000, 46000);
+  fleet.clock_.Advance(3s);
+  std::vector<double> demand;
+  for (int i = 0; i < 69; ++i) {
+    demand.push_back(300 + 8 * i);
+  }
+  fleet.Run(30s, demand, 1700);
+  EXPECT_GE(fleet.granted_, 0.995 * fleet.asked_);
+}
+
+// Pattern: a workspace asks for four times its rate at hosts that each get a request every second.
+TEST(QuotaShare, GrantsTheRateWhileAWorkspaceAsksForMore)
+{
+  QuotaFleet fleet(69);
+  fleet.workspace_ = testing_support::MakeWorkspace(28000, 28000);
+  fleet.clock_.Advance(3s);
+  fleet.Stagger(1700);
+  fleet.Run(10s, std::vector<double>(69, 250), 1700);
+  fleet.Run(10s, std::vector<double>(69, 1700), 1700);
+  const int before = fleet.granted_;
+  fleet.Run(20s, std::vector<double>(69, 1700), 1700);
+  EXPECT_GE((fleet.granted_ - before) * 1700.0, 0.9 * 20 * 28000);
+  EXPECT_LE(fleet.mostInWindow_, (28000 * 8 + 28000) * (1 + kOverage) + kSlack);
+}
+
 // Guards against a second burst: all processes are killed while a workspace is beyond its rate.
 TEST(QuotaShare, KeepsTheQuotaWhenAllHostsRestart)
 {
