Introduce hosts that start together to each other

Ruled out: the load window (idle holders had room) and lost datagrams (the test without loss failed too). Change: a host that gets a sum from one that is no reader to it answers with the live hosts.

--- a/src/gateway/gossip_service.cpp
+++ b/src/gateway/gossip_service.cpp
@@ -6,6 +6,8 @@
 #include "logging/logging_func.h"
 #include "table/fleet_const.h"
 
+#include <algorithm>
+
 namespace laburnumweir {
 
 using std::chrono::milliseconds;
@@ -282,11 +284,28 @@
     OnAnswer(aMessage);
     return;
   }
-  context_.peers_.OnTold(aMessage.hosts_);
   counts_.OnPeer(aMessage.host_.id_, *aMessage.counts_, aMessage.question_.has_value());
   if (aMessage.question_) {
     Answer(aMessage);
+  } else {
+    Introduce(aMessage.host_);
+  }
+}
+
+void
+GossipService::Introduce(const HostRecord& aHost)
+{
+  const auto readers = context_.peers_.OtherReaders();
+  const bool isReader = std::any_of(
+    readers.begin(), readers.end(), [&](const auto& aReader) { return aReader.id_ == aHost.id_; });
+  if (isReader) {
+    return;
   }
+  // Hosts that start together know only those that were recorded before them.
+  auto message = NewMessage();
+  message.hosts_ = context_.peers_.Live();
+  message.hosts_.push_back(OwnClaim());
+  Send(aHost.gossip_, message);
 }
 
 void
@@ -298,6 +317,9 @@
     return;
   }
   const bool isNewest = context_.peers_.OnHeard(message->host_, message->life_, message->number_);
+  if (isNewest && !message->answer_) {
+    context_.peers_.OnTold(message->hosts_);
+  }
   if (message->counts_ && isNewest) {
     OnCounts(*message);
   }
--- a/src/gateway/gossip_service.h
+++ b/src/gateway/gossip_service.h
@@ -89,6 +89,8 @@
   void Answer(const GossipMessage& aQuestion);
   void OnAnswer(const GossipMessage& aMessage);
   void OnCounts(const GossipMessage& aMessage);
+  /** Tells a host that counts itself among the readers, and is none, which hosts live. */
+  void Introduce(const HostRecord& aHost);
 
   GossipContext context_;                            ///< What is read and kept current.
   const HostRecord self_;                            ///< This host.
--- a/tests/gateway/gossip_service_test.cpp
+++ b/tests/gateway/gossip_service_test.cpp
@@ -21,13 +21,16 @@
 using testing_support::MakeEngine;
 using testing_support::MakeWorkspace;
 
+constexpr std::uint32_t kPartitions = 8;
+
 /** The store as all hosts see it; counts the calls that read it. */
 struct SharedStore
 {
   LogOffset operators_ = 1; ///< Next offset of the operators' stream.
   std::vector<std::pair<LogOffset, UpstreamChange>> upstreams_; ///< Records with their offsets.
-  int reads_ = 0;                                               ///< Calls.
-  bool isDown_ = false;                                         ///< Nothing is answered but errors.
+  std::vector<HostId> members_; ///< Members of the group, in the sequence of their joins.
+  int reads_ = 0;               ///< Calls.
+  bool isDown_ = false;         ///< Nothing is answered but errors.
 
   LogOffset UpstreamEnd() const { return upstreams_.empty() ? 0 : upstreams_.back().first + 1; }
   void Write(const UpstreamChange& aChange) { upstreams_.emplace_back(UpstreamEnd(), aChange); }
@@ -55,8 +58,12 @@
     , peers_(aClock, aSelf)
   {
     ServeStore();
+    HolderSettings settings;
+    settings.member_ = self_.id_;
+    settings.host_ = self_.id_;
+    settings.partitions_ = kPartitions;
     holder_ = std::make_shared<HolderService>(
-      store_, engines_, fleet_, clock_, scheduler_, HolderSettings(), [](const auto&) {});
+      store_, engines_, fleet_, clock_, scheduler_, settings, [](const auto&) {});
     watch_ =
       std::make_shared<StoreWatch>(store_, fleet_, clock_, scheduler_, WatchSettings(), [] {});
     gossip_ = std::make_shared<GossipService>(
@@ -69,6 +76,7 @@
   void Start()
   {
     watch_->Start();
+    holder_->Start();
     gossip_->Start();
   }
   bool Send(const Endpoint& aTo, std::string_view aPayload) override;
@@ -116,9 +124,10 @@
                                              DataCentreId(dataCentre) }));
       }
     }
-    for (auto& host : hosts_) {
-      for (const auto& other : hosts_) {
-        host->peers_.OnRecorded(other->self_);
+    // All start together: each one reads only of those that were recorded before it.
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+      for (std::size_t before = 0; before < i; ++before) {
+        hosts_[i]->peers_.OnRecorded(hosts_[before]->self_);
       }
     }
     store_.Write({ UpstreamId("e1"), MakeEngine("e1") });
@@ -146,6 +155,11 @@
       }
     });
   }
+  Host& Find(const HostId& aId)
+  {
+    return **std::find_if(
+      hosts_.begin(), hosts_.end(), [&](const auto& aHost) { return aHost->self_.id_ == aId; });
+  }
   std::vector<Host*> Readers()
   {
     std::vector<Host*> readers;
@@ -190,6 +204,26 @@
       }
     });
   };
+  ON_CALL(store_, JoinGroup)
+    .WillByDefault([this](const HostId& aMember,
+                          std::uint64_t,
+                          std::chrono::milliseconds,
+                          const FleetStore::MembershipCallback& aCallback) {
+      auto& members = shared_.members_;
+      auto place = std::find(members.begin(), members.end(), aMember);
+      if (place == members.end()) {
+        members.push_back(aMember);
+        place = std::prev(members.end());
+      }
+      // The partitions go to the last members: one each.
+      GroupMembership membership;
+      membership.generation_ = members.size();
+      const auto fromEnd = static_cast<std::uint32_t>(std::distance(place, members.end()) - 1);
+      if (fromEnd < kPartitions) {
+        membership.partitions_ = { fromEnd };
+      }
+      scheduler_.After(5ms, [aCallback, membership] { aCallback({}, membership); });
+    });
   ON_CALL(store_, ReadAll)
     .WillByDefault([this, answer](ChangeStream aStream, const auto& aCallback) {
       answer(5ms, aCallback, [this, aStream] {
@@ -378,6 +412,26 @@
   }
 }
 
+// Guards against wants that reach no holder: a host must know who holds each partition, although it
+// hears only from its reader.
+TEST_F(GossipServiceTest, EveryHostKnowsTheHolders)
+{
+  network_.lossEvery_ = 9;
+  network_.Start();
+  network_.scheduler_.Run(3s);
+  for (std::uint32_t partition = 0; partition < kPartitions; ++partition) {
+    const auto& members = network_.store_.members_;
+    const auto& holder = members.at(members.size() - 1 - partition);
+    for (const auto& host : network_.hosts_) {
+      const auto known = host->peers_.HolderOf(partition);
+      if (host->self_.id_ != holder) {
+        ASSERT_TRUE(known) << host->self_.id_.Value() << " partition " << partition;
+        EXPECT_EQ(*known, network_.Find(holder).self_.gossip_) << host->self_.id_.Value();
+      }
+    }
+  }
+}
+
 // Messages of a host must not grow with the number of hosts.
 TEST_F(GossipServiceTest, MessagesStayFewerThanAFullMesh)
 {
