See a jump of demand by a short average and use the burst before refusing

Cause: after a quota is lowered, a workspace that asks for a little more than its rate was refused by shares at once, although its burst of 3.6 s was at hand. Change: the bucket of the fleet serves while it holds enough for what all hosts grant before they hear of each other; a short average shows a jump in time. Test that guards it: UsesTheBurstBeforeItRefuses; KeepsTheQuotaWhenAWorkspaceJumps and QuotaHoldsOverAllHosts hold as before.

--- a/src/fleet/count_table.cpp
+++ b/src/fleet/count_table.cpp
@@ -24,6 +24,7 @@
       auto& sum = demand_[demand.workspace_];
       sum.askedPerSecond_ += demand.askedPerSecond_;
       sum.takenPerSecond_ += demand.takenPerSecond_;
+      sum.surgePerSecond_ += demand.surgePerSecond_;
     }
     for (const auto& load : aCounts.load_) {
       load_[load.upstream_] += load.running_;
@@ -45,6 +46,7 @@
       auto& sum = demand_[workspace];
       sum.askedPerSecond_ = std::max(sum.askedPerSecond_, demand.askedPerSecond_);
       sum.takenPerSecond_ = std::max(sum.takenPerSecond_, demand.takenPerSecond_);
+      sum.surgePerSecond_ = std::max(sum.surgePerSecond_, demand.surgePerSecond_);
     }
     for (const auto& [upstream, running] : aOther.load_) {
       auto& sum = load_[upstream];
@@ -56,7 +58,8 @@
     HostCounts counts;
     counts.demand_.reserve(demand_.size());
     for (const auto& [workspace, demand] : demand_) {
-      counts.demand_.push_back({ workspace, demand.askedPerSecond_, demand.takenPerSecond_ });
+      counts.demand_.push_back(
+        { workspace, demand.askedPerSecond_, demand.takenPerSecond_, demand.surgePerSecond_ });
     }
     counts.load_.reserve(load_.size());
     for (const auto& [upstream, running] : load_) {
--- a/src/fleet/quota_share.cpp
+++ b/src/fleet/quota_share.cpp
@@ -21,13 +21,13 @@
 double
 QuotaShare::Average::At(TimePoint aNow) const
 {
-  return perSecond_ * std::exp(-Seconds(aNow - computed_) / Seconds(kDemandAverage));
+  return perSecond_ * std::exp(-Seconds(aNow - computed_) / Seconds(time_));
 }
 
 void
 QuotaShare::Average::Add(TimePoint aNow, double aTokens)
 {
-  perSecond_ = At(aNow) + aTokens / Seconds(kDemandAverage);
+  perSecond_ = At(aNow) + aTokens / Seconds(time_);
   computed_ = aNow;
 }
 
@@ -72,7 +72,8 @@
   for (const auto& demand : aDemand) {
     peer.demand_[demand.workspace_] = { demand.workspace_,
                                         std::max(0.0, demand.askedPerSecond_),
-                                        std::max(0.0, demand.takenPerSecond_) };
+                                        std::max(0.0, demand.takenPerSecond_),
+                                        std::max(0.0, demand.surgePerSecond_) };
   }
   std::erase_if(peers_,
                 [now](const auto& aEntry) { return now - aEntry.second.heard_ > kPeerDemandLife; });
@@ -82,23 +83,24 @@
 QuotaShare::PeerDemand(const WorkspaceId& aWorkspace) const
 {
   const auto now = clock_.Now();
-  WorkspaceDemand sum{ aWorkspace, 0, 0 };
+  WorkspaceDemand sum{ aWorkspace, 0, 0, 0 };
   for (const auto& [id, peer] : peers_) {
     const auto found = peer.demand_.find(aWorkspace);
     if (found != peer.demand_.end() && now - peer.heard_ < kPeerDemandLife) {
       sum.askedPerSecond_ += found->second.askedPerSecond_;
       sum.takenPerSecond_ += found->second.takenPerSecond_;
+      sum.surgePerSecond_ += found->second.surgePerSecond_;
     }
   }
   return sum;
 }
 
 double
-QuotaShare::AskedPerSecond(const WorkspaceId& aWorkspace) const
+QuotaShare::SurgePerSecond(const WorkspaceId& aWorkspace) const
 {
   const auto found = buckets_.find(aWorkspace);
-  const double own = found == buckets_.end() ? 0 : found->second.asked_.At(clock_.Now());
-  return own + PeerDemand(aWorkspace).askedPerSecond_;
+  const double own = found == buckets_.end() ? 0 : found->second.surge_.At(clock_.Now());
+  return own + PeerDemand(aWorkspace).surgePerSecond_;
 }
 
 double
@@ -151,6 +153,7 @@
   const auto now = clock_.Now();
   auto& bucket = buckets_[aWorkspace.id_];
   bucket.asked_.Add(now, static_cast<double>(aTokens));
+  bucket.surge_.Add(now, static_cast<double>(aTokens));
   bucket.history_.Add(now, bucket.asked_.At(now));
 }
 
@@ -165,10 +168,10 @@
   Fill(aWorkspace, bucket);
   const auto tokens = static_cast<double>(aTokens);
   const double share = std::max(RateShare(aWorkspace), 1.0);
-  // Beyond its rate, what the hosts grant before they hear of each other would exceed the bucket.
+  const double unseen = std::max(0.0, SurgePerSecond(aWorkspace.id_) - aWorkspace.ratePerSecond_) *
+                        Seconds(kUnseenTime);
   decision.isContended_ =
-    AskedPerSecond(aWorkspace.id_) > kContendedShare * aWorkspace.ratePerSecond_ ||
-    bucket.fleet_ + kRoundingTokens < std::min(tokens, aWorkspace.burst_);
+    bucket.fleet_ + kRoundingTokens < std::min(tokens, aWorkspace.burst_) + unseen;
   const bool isContended = decision.isContended_;
   decision.perSecond_ = isContended ? share : aWorkspace.ratePerSecond_;
   decision.level_ = isContended ? bucket.own_ : bucket.fleet_;
@@ -203,7 +206,7 @@
   const auto now = clock_.Now();
   std::vector<WorkspaceDemand> result;
   for (const auto& [id, bucket] : buckets_) {
-    result.push_back({ id, bucket.asked_.At(now), bucket.taken_.At(now) });
+    result.push_back({ id, bucket.asked_.At(now), bucket.taken_.At(now), bucket.surge_.At(now) });
   }
   return result;
 }
--- a/src/fleet/quota_share.h
+++ b/src/fleet/quota_share.h
@@ -4,6 +4,7 @@
 
 #include "core/clock_base.h"
 #include "fleet/fleet_type.h"
+#include "table/fleet_const.h"
 
 #include <deque>
 #include <map>
@@ -21,6 +22,7 @@
   WorkspaceId workspace_;     ///< Workspace.
   double askedPerSecond_ = 0; ///< Average tokens/s that its callers ask for.
   double takenPerSecond_ = 0; ///< Average tokens/s that were granted.
+  double surgePerSecond_ = 0; ///< Tokens/s asked for just now, by a short average.
 };
 
 /** Answer to QuotaShare::Take(), with what decided it. */
@@ -37,11 +39,11 @@
 /**
  * Keeps workspaces within their rate and burst over all hosts, without a question for each request.
  * Hosts tell each other what is asked and granted. Each host charges one bucket for the whole
- * fleet, which the peers' grants drain at the rate they tell; while it holds enough, uneven demand
- * and large requests are no reason to refuse. Once it does not, each host charges its own bucket,
- * with a share of rate and burst in proportion to its demand. The demand of the peers is known with
- * a delay, so a host uses its own of the same age: the shares then add up to the quota also while
- * demand rises everywhere. Not thread-safe.
+ * fleet, which the peers' grants drain at the rate they tell; while it holds enough for what all
+ * hosts may grant before they hear of each other, nothing is refused. Once it does not, each host
+ * charges its own bucket, with a share of rate and burst in proportion to its demand. The demand of
+ * the peers is known with a delay, so a host uses its own of the same age: the shares then add up
+ * to the quota also while demand rises everywhere. Not thread-safe.
  */
 class QuotaShare
 {
@@ -86,8 +88,9 @@
   /** Exponential moving average of tokens per second. */
   struct Average
   {
-    double perSecond_ = 0; ///< Average when it was computed.
-    TimePoint computed_;   ///< When that was.
+    Duration time_ = kDemandAverage; ///< Time constant.
+    double perSecond_ = 0;           ///< Average when it was computed.
+    TimePoint computed_;             ///< When that was.
     double At(TimePoint aNow) const;
     void Add(TimePoint aNow, double aTokens);
   };
@@ -108,11 +111,12 @@
     double burst_ = 0; ///< Tokens beyond the rate.
     double fleet_ = 0; ///< Tokens at hand over all hosts; negative after a large request.
     double own_ = 0;   ///< Tokens at hand of this host's share.
-    std::optional<TimePoint> fleetFilled_; ///< When fleet_ was computed.
-    std::optional<TimePoint> filled_;      ///< When own_ was computed.
-    Average asked_;                        ///< Tokens that callers ask for.
-    Average taken_;                        ///< Tokens that were granted.
-    History history_;                      ///< Past values of asked_.
+    std::optional<TimePoint> fleetFilled_;  ///< When fleet_ was computed.
+    std::optional<TimePoint> filled_;       ///< When own_ was computed.
+    Average asked_;                         ///< Tokens that callers ask for.
+    Average surge_{ kSurgeAverage, 0, {} }; ///< The same by a short average.
+    Average taken_;                         ///< Tokens that were granted.
+    History history_;                       ///< Past values of asked_.
   };
   struct Peer
   {
@@ -124,7 +128,7 @@
    * rate is near zero between them, and what it has saved must not be lost then. */
   double Capacity(const Workspace& aWorkspace, double aShare) const;
   WorkspaceDemand PeerDemand(const WorkspaceId& aWorkspace) const;
-  double AskedPerSecond(const WorkspaceId& aWorkspace) const;
+  double SurgePerSecond(const WorkspaceId& aWorkspace) const;
   void FillFleet(const WorkspaceId& aWorkspace, Bucket& aBucket);
   void Fill(const Workspace& aWorkspace, Bucket& aBucket);
 
--- a/src/gateway/gossip_message.cpp
+++ b/src/gateway/gossip_message.cpp
@@ -231,7 +231,8 @@
     // Whole tokens per second are exact enough and half as long.
     demand.emplace_back(json::array{ entry.workspace_.Value(),
                                      std::llround(entry.askedPerSecond_),
-                                     std::llround(entry.takenPerSecond_) });
+                                     std::llround(entry.takenPerSecond_),
+                                     std::llround(entry.surgePerSecond_) });
   }
   json::array running;
   for (const auto& entry : aCounts.load_) {
@@ -246,8 +247,10 @@
 {
   HostCounts counts;
   ForRows(aObject, "d", [&](const json::array& aRow) {
-    counts.demand_.push_back(
-      { WorkspaceId(TextAt(aRow, 0)), NumberAt<double>(aRow, 1), NumberAt<double>(aRow, 2) });
+    counts.demand_.push_back({ WorkspaceId(TextAt(aRow, 0)),
+                               NumberAt<double>(aRow, 1),
+                               NumberAt<double>(aRow, 2),
+                               NumberAt<double>(aRow, 3) });
   });
   ForRows(aObject, "r", [&](const json::array& aRow) {
     counts.load_.push_back({ UpstreamId(TextAt(aRow, 0)), NumberAt<std::uint32_t>(aRow, 1) });
--- a/src/table/fleet_const.h
+++ b/src/table/fleet_const.h
@@ -43,9 +43,12 @@
 /** Between samples of past demand; a fraction of kShareDelay. */
 constexpr Duration kShareSampling = kShareDelay / 5;
 
-/** Part of its rate from which a workspace counts as contended; the averages lag behind by about
- * half of kDemandAverage. */
-constexpr double kContendedShare = 0.95;
+/** Time constant of the average that shows a jump of demand; shorter would take single requests for
+ * one. */
+constexpr Duration kSurgeAverage = std::chrono::milliseconds(500);
+/** Time for which hosts grant tokens that the others do not know of: kShareDelay, and most of the
+ * time constant of the average by which grants are told. */
+constexpr Duration kUnseenTime = kShareDelay + kDemandAverage * 3 / 4;
 /** Tokens by which a level may fall short through rounding. */
 constexpr double kRoundingTokens = 1e-6;
 
--- a/tests/fleet/quota_share_test.cpp
+++ b/tests/fleet/quota_share_test.cpp
@@ -155,6 +155,18 @@
   EXPECT_GE(fleet.granted_, 0.995 * fleet.asked_);
 }
 
+// Pattern: a quota with a large burst is lowered a little below what the workspace asks for. It is
+// entitled to its burst, and refusing it by its shares at once costs requests within the quota.
+TEST(QuotaShare, UsesTheBurstBeforeItRefuses)
+{
+  QuotaFleet fleet(40);
+  fleet.workspace_ = testing_support::MakeWorkspace(40000, 160000);
+  fleet.clock_.Advance(5s);
+  fleet.Stagger(1700);
+  fleet.Run(10s, std::vector<double>(40, 1150), 1700);
+  EXPECT_GE(fleet.granted_, 0.995 * fleet.asked_);
+}
+
 // Pattern: a workspace asks for four times its rate at hosts that each get a request every second.
 TEST(QuotaShare, GrantsTheRateWhileAWorkspaceAsksForMore)
 {
--- a/tests/fleet/relay_modules_test.cpp
+++ b/tests/fleet/relay_modules_test.cpp
@@ -110,7 +110,8 @@
 HostCounts
 MakeCounts(double aAsked, std::uint32_t aRunning)
 {
-  return { { { WorkspaceId("w"), aAsked, aAsked / 2 } }, { { UpstreamId("e"), aRunning } } };
+  return { { { WorkspaceId("w"), aAsked, aAsked / 2, aAsked * 2 } },
+           { { UpstreamId("e"), aRunning } } };
 }
 
 TEST(CountTable, SumsEachHostOnce)
@@ -127,6 +128,7 @@
   EXPECT_EQ(counts.SumWithout(HostId("member1"), own).demand_.at(0).askedPerSecond_, 1420);
   EXPECT_EQ(counts.SumWithout(HostId("member1"), own).demand_.at(0).takenPerSecond_, 710);
   EXPECT_EQ(counts.Others().demand_.at(0).askedPerSecond_, 450);
+  EXPECT_EQ(counts.Others().demand_.at(0).surgePerSecond_, 900);
   EXPECT_EQ(counts.IsAsking(HostId("reader")), std::optional(false));
   EXPECT_FALSE(counts.IsAsking(HostId("nobody")));
 }
--- a/tests/gateway/gossip_message_test.cpp
+++ b/tests/gateway/gossip_message_test.cpp
@@ -15,7 +15,8 @@
   message.host_ = { HostId("h1"), { "127.0.0.1", 7600 }, DataCentreId("dc1") };
   message.number_ = 12;
   message.life_ = 1791294744026;
-  message.counts_ = HostCounts{ { { WorkspaceId("w"), 1500, 900 } }, { { UpstreamId("e1"), 7 } } };
+  message.counts_ =
+    HostCounts{ { { WorkspaceId("w"), 1500, 900, 2100 } }, { { UpstreamId("e1"), 7 } } };
   message.generation_ = 9;
   message.partitions_ = { 0, 11 };
   message.residency_ = { { UpstreamId("e1"), 5, 6, { { "m", { { "a@b", 3 }, { "a2", 1 } } } } } };
@@ -37,6 +38,7 @@
   EXPECT_EQ(got->counts_->demand_.at(0).workspace_, WorkspaceId("w"));
   EXPECT_EQ(got->counts_->demand_.at(0).askedPerSecond_, 1500);
   EXPECT_EQ(got->counts_->demand_.at(0).takenPerSecond_, 900);
+  EXPECT_EQ(got->counts_->demand_.at(0).surgePerSecond_, 2100);
   EXPECT_EQ(got->counts_->load_.at(0).running_, 7U);
   EXPECT_EQ(got->generation_, 9U);
   EXPECT_EQ(got->partitions_, sent.partitions_);
