Let hosts that ask a reader try a silent store again only once a second

While the store is away, every host tried again every 150 ms on two streams, and calls are priced also when they are not answered. Change: a host whose reader answers waits a second between its own calls; the reader tells it when the store is back. Test that failed first: FewHostsTryWhileTheStoreIsAway.

--- a/src/gateway/store_watch.cpp
+++ b/src/gateway/store_watch.cpp
@@ -96,7 +96,7 @@
         { "call_ms", std::to_string((clock_.Now() - aAsked) / std::chrono::milliseconds(1)) } });
   }
   if (aError) {
-    After(settings_.retryDelay_, &StoreWatch::PollOperators);
+    After(RetryDelay(), &StoreWatch::PollOperators);
     return;
   }
   // The store answers a poll as soon as there is a record, so one that ends without any proves that
@@ -163,7 +163,7 @@
     return;
   }
   if (aError) {
-    After(settings_.retryDelay_, &StoreWatch::PollUpstreams);
+    After(RetryDelay(), &StoreWatch::PollUpstreams);
     return;
   }
   FoldUpstreams(aAsked, aBatch);
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -26,8 +26,11 @@
   std::chrono::milliseconds configWait_{ 1400 };      ///< Long poll of the operators' stream.
   std::chrono::milliseconds upstreamInterval_{ 400 }; ///< Between reads of upstream entries.
   std::chrono::milliseconds retryDelay_{ 150 };       ///< After a call that failed.
-  std::chrono::milliseconds returnGrace_{ 2300 };     ///< Lapsed entries are back by then.
-  std::chrono::milliseconds relayCheck_{ 100 }; ///< Between checks whether a reader still tells.
+  /** The same while a reader answers, which tries again itself: in an outage, calls that cannot
+   * succeed would otherwise grow with the number of hosts. */
+  std::chrono::milliseconds relayedRetryDelay_{ 1000 };
+  std::chrono::milliseconds returnGrace_{ 2300 }; ///< Lapsed entries are back by then.
+  std::chrono::milliseconds relayCheck_{ 100 };   ///< Between checks whether a reader still tells.
 };
 
 /**
@@ -79,6 +82,10 @@
   void FoldUpstreams(TimePoint aAsked, const ChangeBatch& aBatch);
   bool AreUpstreamsRelayed() const;
   void After(Duration aDelay, void (StoreWatch::*aStep)());
+  Duration RetryDelay() const
+  {
+    return isRelayed_ ? settings_.relayedRetryDelay_ : settings_.retryDelay_;
+  }
 
   FleetStore& store_;                   ///< The store.
   FleetState& state_;                   ///< What is kept current.
--- a/tests/gateway/gossip_service_test.cpp
+++ b/tests/gateway/gossip_service_test.cpp
@@ -324,6 +324,19 @@
   }
 }
 
+// Pattern: the store is away. Calls are priced also while it does not answer, and 15 hosts that ask
+// a reader must not all try again as often as the readers do.
+TEST_F(GossipServiceTest, FewHostsTryWhileTheStoreIsAway)
+{
+  network_.Start();
+  network_.store_.isDown_ = true;
+  network_.scheduler_.Run(3s);
+  const int before = network_.store_.reads_;
+  network_.scheduler_.Run(6s);
+  // Two streams: readers each 155 ms, the others each second.
+  EXPECT_LE(network_.store_.reads_ - before, 6 * 2 * 40 + 15 * 2 * 7);
+}
+
 // Pattern: readers lose power. The hosts that asked them must neither keep an old state beyond the
 // bounds nor all read the store for long.
 TEST_F(GossipServiceTest, HostsOutliveTheirReaders)
