Read the clock once for a choice of an engine

Cause: the benchmark of the parts of a gateway (bench/gateway_benchmark.cpp, 140 engines with 12 adapters each) shows that the choice of an engine is the largest part of a request: 17.1 us where the adapter is resident and 36.9 us where it is not, against 0.5 us to parse the request, 0.8 us for the quota, 65 ns for an event and 4.8 to 10.6 us for a log line. Each engine took up to three readings of the clock. Ruled out: parsing and gossip (25.7 us to encode a sum, 45 us to decode an answer with ten entries, four times a second). Change: the present time is read once and passed on.

--- a/bench/gateway_benchmark.cpp
+++ b/bench/gateway_benchmark.cpp
@@ -5,6 +5,7 @@
 #include "fleet/quota_share.h"
 #include "fleet/upstream_table.h"
 #include "gateway/gossip_message.h"
+#include "logging/logging_func.h"
 
 #include <benchmark/benchmark.h>
 #include <boost/beast/http.hpp>
@@ -160,5 +161,27 @@
 }
 BENCHMARK(TakeQuota);
 
+/** Formats a line of the length of `request_sent` and writes it. */
+void
+WriteLogLine(benchmark::State& aState)
+{
+  StartLogging("info", "/dev/null", "edge-1");
+  for (auto _ : aState) {
+    LogEvent(LogLevel::Info,
+             "request_sent",
+             { { "id", "9c41d07be2a35f68" },
+               { "route", "r-5rmmvtd" },
+               { "upstream", "i-7f3a91c2" },
+               { "attempt", std::to_string(1) },
+               { "waited_ms", std::to_string(17) },
+               { "left_ms", std::to_string(9983) },
+               { "running", std::to_string(3) },
+               { "peers_running", std::to_string(9) },
+               { "config", std::to_string(14) },
+               { "proof_ms", std::to_string(1369) } });
+  }
+}
+BENCHMARK(WriteLogLine);
+
 } // namespace
 } // namespace laburnumweir
--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -151,11 +151,10 @@
 }
 
 bool
-UpstreamTable::IsUsable(const Upstream& aUpstream) const
+UpstreamTable::IsUsableAt(const Upstream& aUpstream, TimePoint aNow) const
 {
   return !aUpstream.entry_.isDraining_ && !aUpstream.isMissing_ &&
-         !evacuated_.contains(aUpstream.entry_.dataCentre_) &&
-         aUpstream.pausedUntil_ <= clock_.Now();
+         !evacuated_.contains(aUpstream.entry_.dataCentre_) && aUpstream.pausedUntil_ <= aNow;
 }
 
 bool
@@ -165,11 +164,10 @@
 }
 
 bool
-UpstreamTable::MayUseCold(Upstream& aUpstream)
+UpstreamTable::MayUseCold(Upstream& aUpstream, TimePoint aNow)
 {
-  const auto now = clock_.Now();
   const auto service = services_.find(aUpstream.entry_.service_);
-  if (aUpstream.coldUntil_ <= now || service == services_.end() ||
+  if (aUpstream.coldUntil_ <= aNow || service == services_.end() ||
       service->second.coldPerSecond_ <= 0) {
     return true;
   }
@@ -188,8 +186,8 @@
   }
   const double rate = allowed / hosts;
   aUpstream.coldTokens_ =
-    std::min(1.0, aUpstream.coldTokens_ + rate * Seconds(now - aUpstream.coldTick_));
-  aUpstream.coldTick_ = now;
+    std::min(1.0, aUpstream.coldTokens_ + rate * Seconds(aNow - aUpstream.coldTick_));
+  aUpstream.coldTick_ = aNow;
   return aUpstream.coldTokens_ >= 1.0;
 }
 
@@ -224,12 +222,12 @@
 }
 
 double
-UpstreamTable::MeanRunning(const ServiceName& aService) const
+UpstreamTable::MeanRunning(const ServiceName& aService, TimePoint aNow) const
 {
   double running = 0;
   double count = 0;
   for (const auto& [id, upstream] : upstreams_) {
-    if (upstream.entry_.service_ == aService && IsUsable(upstream)) {
+    if (upstream.entry_.service_ == aService && IsUsableAt(upstream, aNow)) {
       running += upstream.running_ + upstream.peersRunning_;
       ++count;
     }
@@ -238,13 +236,13 @@
 }
 
 std::optional<UpstreamId>
-UpstreamTable::HomeFor(const UpstreamNeed& aNeed, double aBusy) const
+UpstreamTable::HomeFor(const UpstreamNeed& aNeed, double aBusy, TimePoint aNow) const
 {
   const std::string key = std::string(aNeed.model_) + "/" + std::string(aNeed.adapter_);
   const Upstream* best = nullptr;
   std::pair<int, std::uint64_t> bestRank{ -1, 0 };
   for (const auto& [id, upstream] : upstreams_) {
-    if (upstream.entry_.service_ != aNeed.service_ || !IsUsable(upstream) ||
+    if (upstream.entry_.service_ != aNeed.service_ || !IsUsableAt(upstream, aNow) ||
         (aNeed.tried_ != nullptr && aNeed.tried_->contains(id)) ||
         (aNeed.notLoading_ != nullptr && aNeed.notLoading_->contains(id))) {
       continue;
@@ -256,7 +254,7 @@
     // An engine without the model needs seconds to load it; one that holds an old version waits
     // for the runs of that version. Both come after the others.
     const bool hasModel = VersionAt(upstream, aNeed.model_, {}).has_value();
-    const bool isCold = upstream.coldUntil_ > clock_.Now();
+    const bool isCold = upstream.coldUntil_ > aNow;
     const bool isBusy = upstream.running_ + upstream.peersRunning_ > aBusy;
     const int tier = (hasModel ? 8 : 0) + (isBusy ? 0 : 4) + (version ? 0 : 2) + (isCold ? 0 : 1);
     const std::pair<int, std::uint64_t> rank{ tier, RendezvousWeight(id.Value(), key) };
@@ -272,6 +270,7 @@
 UpstreamTable::Choose(const UpstreamNeed& aNeed)
 {
   UpstreamChoice choice;
+  const auto now = clock_.Now();
   double bestScore = std::numeric_limits<double>::max();
   bool isResident = false;
   double leastResident = std::numeric_limits<double>::max();
@@ -279,7 +278,7 @@
     if (upstream.entry_.service_ != aNeed.service_) {
       continue;
     }
-    if (!IsUsable(upstream)) {
+    if (!IsUsableAt(upstream, now)) {
       continue;
     }
     if (aNeed.tried_ != nullptr && aNeed.tried_->contains(id)) {
@@ -297,7 +296,7 @@
       leastResident =
         std::min(leastResident, static_cast<double>(upstream.running_ + upstream.peersRunning_));
     }
-    if (!HasPlace(upstream) || !MayUseCold(upstream)) {
+    if (!HasPlace(upstream) || !MayUseCold(upstream, now)) {
       continue;
     }
     const double score = ScoreOf(upstream);
@@ -308,10 +307,10 @@
     }
   }
   if (!aNeed.model_.empty()) {
-    const double busy = kBusyFactor * MeanRunning(aNeed.service_) + kBusySlack;
+    const double busy = kBusyFactor * MeanRunning(aNeed.service_, now) + kBusySlack;
     choice.isCopy_ = isResident;
     if (!isResident || leastResident > busy) {
-      choice.loadAt_ = HomeFor(aNeed, busy);
+      choice.loadAt_ = HomeFor(aNeed, busy, now);
     }
   }
   return choice;
--- a/src/fleet/upstream_table.h
+++ b/src/fleet/upstream_table.h
@@ -139,7 +139,7 @@
   /** @return requests of this host that run, by upstream, for its peers. */
   std::vector<PeerLoad> OwnLoad() const;
   /** @return whether an upstream may get new work apart from its load. */
-  bool IsUsable(const Upstream& aUpstream) const;
+  bool IsUsable(const Upstream& aUpstream) const { return IsUsableAt(aUpstream, clock_.Now()); }
   /** @return the version of an adapter at an upstream; none if it is not resident. */
   static std::optional<std::int64_t> VersionAt(const Upstream& aUpstream,
                                                std::string_view aModel,
@@ -152,11 +152,14 @@
     std::unordered_map<UpstreamId, std::uint32_t> running_; ///< Its load.
   };
 
+  // These take the present time: reading the clock for each of some hundred engines took most of
+  // the time of a choice.
+  bool IsUsableAt(const Upstream& aUpstream, TimePoint aNow) const;
   bool HasPlace(const Upstream& aUpstream) const;
-  bool MayUseCold(Upstream& aUpstream);
+  bool MayUseCold(Upstream& aUpstream, TimePoint aNow);
   double ScoreOf(const Upstream& aUpstream) const;
-  double MeanRunning(const ServiceName& aService) const;
-  std::optional<UpstreamId> HomeFor(const UpstreamNeed& aNeed, double aBusy) const;
+  double MeanRunning(const ServiceName& aService, TimePoint aNow) const;
+  std::optional<UpstreamId> HomeFor(const UpstreamNeed& aNeed, double aBusy, TimePoint aNow) const;
   void SumPeers();
 
   const Clock& clock_;                          ///< Time source.
