Give work back to engines that are in service again

Cause: RendezvousPlacement prefers engines where an adapter was found resident, and keeps two such engines for each adapter.

Change: hints that were noted before the first engine of an adapter's ranking became usable again do not count for that adapter. Ruled out: a preference for the first engine over a resident one at all times, which loads adapters again that were placed elsewhere because of load (BoundedRendezvous.PrefersTheEngineThatHoldsTheAdapter).

Test: BoundedRendezvous.ReturnsWorkToEnginesThatAreBackInService.

--- a/src/dispatch/rendezvous_placement.cpp
+++ b/src/dispatch/rendezvous_placement.cpp
@@ -77,9 +77,34 @@
   return XXH3_64bits_withSeed(aAdapter.version_.data(), aAdapter.version_.size(), name);
 }
 
+void
+RendezvousPlacement::UpdateAvailability()
+{
+  bool hasReturned = false;
+  for (const State& state : engines_) {
+    auto [position, isNew] = availability_.try_emplace(state.seed_);
+    auto& known = position->second;
+    const bool isUsable = state.CanTakeWork();
+    if (isUsable && !known.isUsable_ && !isNew) {
+      known.returnedIn_ = returns_ + 1;
+      hasReturned = true;
+    }
+    known.isUsable_ = isUsable;
+  }
+  returns_ += hasReturned ? 1 : 0;
+  if (availability_.size() > 2 * engines_.size()) {
+    std::erase_if(availability_, [this](const auto& aEntry) {
+      return std::none_of(engines_.begin(), engines_.end(), [&](const State& aState) {
+        return aState.seed_ == aEntry.first;
+      });
+    });
+  }
+}
+
 void
 RendezvousPlacement::OnChange()
 {
+  UpdateAvailability();
   groups_.clear();
   groupOf_.assign(engines_.size(), kNoGroup);
   for (EngineIndex i = 0; i < engines_.size(); ++i) {
@@ -130,7 +155,7 @@
   }
   // The newest hint of a set stands first; the oldest one is dropped.
   std::rotate(set, found == set + kHintWays ? set + kHintWays - 1 : found, set + kHintWays);
-  set[0] = { adapter, engine };
+  set[0] = { adapter, engine, returns_ };
 }
 
 std::size_t
@@ -167,13 +192,19 @@
   const auto healthy = static_cast<double>(std::max<std::size_t>(group->healthy_, 1));
   const double mean = group->load_ / healthy;
   const Hint* const set = &hints_[adapter % (hints_.size() / kHintWays) * kHintWays];
+  const auto first = top.Get().empty()
+                       ? availability_.end()
+                       : availability_.find(engines_[top.Get().front().engine_].seed_);
+  const std::uint64_t firstReturnedIn =
+    first == availability_.end() ? 0 : first->second.returnedIn_;
   const auto tier = [&](EngineIndex aEngine) {
     const State& state = engines_[aEngine];
     // One request more than the bound lets an idle fleet place its first requests by rank.
     const double bound = kPlacementLoadBound * (mean + 1.0 / state.engine_.capacity_);
     const bool hasRoom = state.running_ < state.engine_.capacity_;
     const bool isResident = std::any_of(set, set + kHintWays, [&](const Hint& aHint) {
-      return aHint.adapter_ == adapter && aHint.engine_ == state.seed_;
+      return aHint.adapter_ == adapter && aHint.engine_ == state.seed_ &&
+             aHint.round_ >= firstReturnedIn;
     });
     if (!state.isHealthy_) {
       return 3;
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -163,6 +163,35 @@
   EXPECT_EQ(names[4], now[1]);
 }
 
+/** Guards against a data centre that stays idle after it was let in again: in its absence, its
+ * adapters got copies on two engines elsewhere, which have room for all work. */
+TEST_F(BoundedRendezvous, ReturnsWorkToEnginesThatAreBackInService)
+{
+  std::vector<PlacementEngine> engines = Engines(12);
+  std::map<int, std::string> home;
+  for (int i = 0; i < 100; ++i) {
+    home[i] = Ranked(*placement_, Adapter(i)).front();
+  }
+  const auto setInService = [&](bool aIsInService) {
+    for (auto& engine : engines) {
+      engine.takesNewWork_ = aIsInService || engine.dataCentre_ != DataCentreId("dc-1");
+    }
+    placement_->SetEngines(engines);
+  };
+  setInService(false);
+  for (int i = 0; i < 100; ++i) {
+    const std::vector<std::string> names = Ranked(*placement_, Adapter(i));
+    placement_->NoteResident(Adapter(i), placement_->IndexOf(UpstreamId(names[1])), true);
+    placement_->NoteResident(Adapter(i), placement_->IndexOf(UpstreamId(names[0])), true);
+  }
+  setInService(true);
+  for (int i = 0; i < 100; ++i) {
+    EXPECT_EQ(home[i], Ranked(*placement_, Adapter(i)).front());
+    placement_->NoteResident(Adapter(i), placement_->IndexOf(UpstreamId(home[i])), true);
+    EXPECT_EQ(home[i], Ranked(*placement_, Adapter(i)).front()) << "it holds the adapter now";
+  }
+}
+
 /** Guards against a crashing request that reaches a fourth engine because three are down. */
 TEST_F(BoundedRendezvous, OneRequestReachesThreeEnginesAtMost)
 {
