Bound answers without end and refuse late copies of refusals

Tests: request_flow_fault_test.cpp, caller_session_test.cpp, ClientTest.AnOrderAnswerWithoutEndIsNoAnswer.

--- a/src/fleet/event_cutter.cpp
+++ b/src/fleet/event_cutter.cpp
@@ -29,12 +29,14 @@
 EventSplitter::OnCompleteEvent(std::string_view aEvent)
 {
   constexpr std::string_view kIdField = "id:";
-  ++events_;
+  constexpr std::string_view kDataField = "data:";
+  bool hasContent = false;
   std::size_t lineStart = 0;
   while (lineStart < aEvent.size()) {
     const auto end = aEvent.find('\n', lineStart);
     auto text = aEvent.substr(lineStart, end == std::string_view::npos ? end : end - lineStart);
     lineStart = end == std::string_view::npos ? aEvent.size() : end + 1;
+    hasContent = hasContent || text.starts_with(kIdField) || text.starts_with(kDataField);
     if (text.starts_with(kIdField)) {
       text.remove_prefix(kIdField.size());
       if (text.starts_with(' ')) {
@@ -46,6 +48,7 @@
       lastId_ = std::string(text);
     }
   }
+  events_ += hasContent ? 1 : 0;
 }
 
 } // namespace laburnumweir
--- a/src/fleet/event_cutter.h
+++ b/src/fleet/event_cutter.h
@@ -30,7 +30,8 @@
   bool HasPart() const { return !incomplete_.empty(); }
   /** @return the id set by the last event that has one; empty if none has. */
   const std::string& LastEventId() const { return lastId_; }
-  /** @return the number of complete events. */
+  /** @return the number of complete events; blocks without data and id, such as comments, are none.
+   */
   std::size_t Events() const { return events_; }
 
 private:
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <poll.h>
 #include <vector>
 
 namespace laburnumweir {
@@ -26,6 +27,9 @@
 // Bytes of pipelined requests that are read while a request is answered; further bytes stay in the
 // kernel's receive buffer.
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{ 64 } << 10;
+// Received bytes of a request that the parser cannot use yet, such as an incomplete chunk header or
+// trailer, beyond which the request is refused. It exceeds the limit of the head plus one read.
+constexpr std::size_t kMaxUnparsedBytes = std::size_t{ 64 } << 10;
 // Unsent bytes below which the function of NotifyWhenSent() is called.
 constexpr std::size_t kUnsentLowWaterBytes = std::size_t{ 64 } << 10;
 // Interval of checks of the connections' time limits, which are several seconds long.
@@ -76,6 +80,13 @@
 
   bool IsBusy() const { return phase_ != Phase::Idle && phase_ != Phase::Closed; }
 
+  /** @return whether bytes have been received that were not read yet. */
+  bool HasUnreadInput() const
+  {
+    BoostError error;
+    return phase_ != Phase::Closed && socket_.available(error) > 0;
+  }
+
   /** Closes an idle connection, or refuses an incomplete request, whose time limit has passed. */
   void CheckTimeout(SteadyClock::time_point aNow)
   {
@@ -283,6 +294,10 @@
         return;
       }
     }
+    if (!parser_->is_done() && buffer_.size() > kMaxUnparsedBytes) {
+      Refuse(400);
+      return;
+    }
     if (phase_ == Phase::Head && parser_->is_header_done()) {
       phase_ = Phase::Body;
       phaseStart_ = SteadyClock::now();
@@ -497,12 +512,22 @@
   isDraining_ = true;
   const std::vector<std::shared_ptr<CallerSession>> sessions(sessions_.begin(), sessions_.end());
   for (const auto& session : sessions) {
-    if (!session->IsBusy()) {
+    if (!session->IsBusy() && !session->HasUnreadInput()) {
       session->Close();
     }
   }
 }
 
+bool
+HttpListener::HasUnreadInput()
+{
+  pollfd waiting{ acceptor_.native_handle(), POLLIN, 0 };
+  return ::poll(&waiting, 1, 0) > 0 ||
+         std::any_of(sessions_.begin(), sessions_.end(), [](const auto& aSession) {
+           return aSession->HasUnreadInput();
+         });
+}
+
 std::size_t
 HttpListener::BusySessions() const
 {
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -96,8 +96,13 @@
   std::error_code Listen(const Endpoint& aEndpoint);
   /** Sets limits. Size limits apply to requests that start later; time limits apply at once. */
   void SetLimits(const SessionLimits& aLimits) { limits_ = aLimits; }
-  /** Closes idle connections. Answers that start later carry `Connection: close`. */
+  /**
+   * Closes idle connections, except those on which a request has arrived. Answers that start later
+   * carry `Connection: close`.
+   */
   void StartDrain();
+  /** @return whether a connection waits to be accepted or holds bytes that were not read yet. */
+  bool HasUnreadInput();
   /** Closes the listening socket and all connections, including those with running requests. */
   void Stop();
   /** @return number of open connections. */
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -101,6 +101,7 @@
   const auto* release =
     facts.adapter_.empty() ? nullptr : context_.fleet_.FindRelease(facts.model_, facts.adapter_);
   need.minVersion_ = release == nullptr ? 0 : release->version_;
+  mustBeginBy_.reset();
   auto choice = context_.fleet_.Upstreams().Choose(need);
   if (choice.loadTarget_) {
     if (loadingEngine_ != choice.loadTarget_) {
@@ -140,6 +141,9 @@
     const auto olderChoice = context_.fleet_.Upstreams().Choose(need);
     choice.upstream_ = olderChoice.upstream_;
     choice.adapterVersion_ = 0; // any: the engine may receive the new version at any moment
+    mustBeginBy_ =
+      release->learnedAt_ + std::chrono::duration_cast<Duration>(kOldVersionBeginFraction *
+                                                                 context_.bounds_.maxVersionDelay_);
   } else if (release == nullptr) {
     choice.adapterVersion_ = 0;
   }
@@ -301,7 +305,10 @@
   if (!admitted_.facts_.adapter_.empty()) {
     context_.onUseStarted_({ upstream_, admitted_.facts_.model_, admitted_.facts_.adapter_ });
   }
-  call_ = context_.link_.Send(endpoint_, std::move(request), shared_from_this());
+  // The upstream may send its earlier refusal of this request again, with the same id.
+  const auto reuse =
+    refusedUntil_.contains(upstream_) ? ConnectionReuse::Forbidden : ConnectionReuse::Allowed;
+  call_ = context_.link_.Send(endpoint_, std::move(request), shared_from_this(), reuse);
   ArmTimer();
 }
 
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -137,8 +137,12 @@
   void OnTimer();
   void OnSilence();
   void EndAttempt(AttemptHealth aHealth);
+  /** Closes the connection of an attempt whose answer goes on beyond a limit, and ends the attempt.
+   */
+  void EndCall(AnswerClass aClass);
   void OnNotRun(std::string_view aReason);
-  void OnFailed(std::string_view aReason);
+  /** @param aIsAnswerComplete whether the answer may be forwarded if there is no other attempt. */
+  void OnFailed(std::string_view aReason, bool aIsAnswerComplete);
   /**
    * Takes a retry from the retry budget.
    * @param aHasRun whether the failed attempt may have run; if so, it counts towards
@@ -163,12 +167,15 @@
   TimePoint sent_;                       ///< When the last attempt started.
   std::optional<TimePoint> firstByte_;   ///< When the answer head of the last attempt was received.
   TimePoint lastByte_;                   ///< When bytes of the answer were last received.
-  Duration longestPause_{};              ///< Longest time between two reads of the body.
-  std::set<UpstreamId> failed_;          ///< Upstreams at which an attempt failed; not used again.
+  TimePoint lastEvent_; ///< When the head or the last complete event of the answer was received.
+  Duration longestPause_{};     ///< Longest time between two reads of the body.
+  std::set<UpstreamId> failed_; ///< Upstreams at which an attempt failed; not used again.
   std::map<UpstreamId, TimePoint> refusedUntil_; ///< End of the backoff after a refusal.
   std::set<UpstreamId> excluded_;     ///< failed_ and the refusing upstreams still in backoff.
   std::set<UpstreamId> loadTimedOut_; ///< Engines that did not load the adapter in time.
   std::optional<WaitTicket> ticket_;  ///< Ticket in the queue; empty if not queued.
+  /** Latest begin of a run with an old version of the adapter; none if no older one may be used. */
+  std::optional<TimePoint> mustBeginBy_;
   std::optional<UpstreamId> loadingEngine_; ///< Engine that has been requested to load the adapter.
   TimePoint loadRequestedAt_;               ///< When the load was first requested there.
   TimePoint loadLastRequestedAt_;           ///< When the load was last requested there.
--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -29,6 +29,15 @@
     }
     return;
   }
+  const auto* upstream = context_.fleet_.Upstreams().Find(upstream_);
+  if (upstream == nullptr || !context_.fleet_.Upstreams().IsUsable(*upstream)) {
+    // It left, or its data centre was evacuated, while the connection was established.
+    call_->Cancel();
+    call_.reset();
+    EndAttempt(AttemptHealth::Good);
+    OnNotRun("upstream_left");
+    return;
+  }
   hasSent_ = true;
   ArmTimer();
 }
@@ -52,10 +61,14 @@
   }
   firstByte_ = firstByte_.value_or(now);
   lastByte_ = now;
+  lastEvent_ = now;
   const bool isForThisRequest = id.IsEmpty() || answerFacts_.id_ == id;
   const bool isGenuine =
     answerFacts_.isSigned_ && isForThisRequest && !aFields.count("Content-Encoding");
-  if (answerFacts_.isNotRun_) {
+  // A refusal without an id may be a late copy of one for an earlier request on the connection.
+  const bool isProvenRefusal =
+    answerFacts_.isNotRun_ && (isForThisRequest || !call_->IsOnKeptConnection());
+  if (isProvenRefusal) {
     answerClass_ = AnswerClass::NotRun;
   } else if (!isGenuine) {
     answerClass_ = AnswerClass::Invalid;
@@ -72,7 +85,14 @@
     fields_ = aFields;
     length_ = aLength;
   }
-  return HeadAction::Accept;
+  switch (answerClass_) {
+    case AnswerClass::Invalid:
+      return HeadAction::Reject;
+    case AnswerClass::NotRun:
+      return HeadAction::Discard;
+    default:
+      return HeadAction::Accept;
+  }
 }
 
 bool
@@ -83,20 +103,25 @@
     longestPause_ = std::max(longestPause_, now - lastByte_);
   }
   lastByte_ = now;
-  if (answerClass_ == AnswerClass::NotRun || answerClass_ == AnswerClass::Invalid) {
-    return true;
-  }
   std::string output;
   if (isStreaming_) {
+    const auto eventsBefore = events_.Events();
     if (!events_.Add(aBytes, output)) {
-      answerClass_ = AnswerClass::Invalid;
+      EndCall(AnswerClass::Invalid);
       return true;
     }
+    if (events_.Events() > eventsBefore) {
+      lastEvent_ = now;
+    }
   } else if (isBegun_) {
     output = std::string(aBytes);
   } else {
     body_.append(aBytes);
-    if (body_.size() > kMaxBufferedAnswerBytes && answerClass_ == AnswerClass::Valid) {
+    if (body_.size() > kMaxBufferedAnswerBytes) {
+      if (answerClass_ == AnswerClass::Error && status_ / 100 == 5 && MayRepeat()) {
+        EndCall(AnswerClass::Error);
+        return true;
+      }
       output = std::move(body_);
       body_.clear();
     }
@@ -115,6 +140,7 @@
       const auto self = weak.lock();
       if (self && self->call_) {
         self->lastByte_ = self->context_.clock_.Now();
+        self->lastEvent_ = self->lastByte_;
         self->call_->Resume();
       }
     });
@@ -123,6 +149,14 @@
   return true;
 }
 
+void
+RequestFlow::EndCall(AnswerClass aClass)
+{
+  answerClass_ = aClass;
+  call_->Cancel();
+  OnEnd(CallEnd::Malformed);
+}
+
 void
 RequestFlow::EndAttempt(AttemptHealth aHealth)
 {
@@ -167,7 +201,7 @@
     const bool isFailure = status_ / 100 == 5;
     EndAttempt(isFailure ? AttemptHealth::Failed : AttemptHealth::Good);
     if (isBegun_ || (isFailure && MayRepeat())) {
-      OnFailed("upstream_error");
+      OnFailed("upstream_error", true);
     } else {
       ForwardAnswer();
     }
@@ -178,7 +212,8 @@
                  : AttemptHealth::Failed);
     OnFailed(answerClass_ == AnswerClass::Invalid ? "answer_not_genuine"
              : aEnd == CallEnd::Malformed         ? "answer_malformed"
-                                                  : "answer_cut");
+                                                  : "answer_cut",
+             false);
   }
 }
 
@@ -225,7 +260,7 @@
 }
 
 void
-RequestFlow::OnFailed(std::string_view aReason)
+RequestFlow::OnFailed(std::string_view aReason, bool aIsAnswerComplete)
 {
   ++runs_;
   failed_.insert(upstream_);
@@ -238,7 +273,7 @@
              { "status", std::to_string(answerClass_ == AnswerClass::None ? 0 : status_) },
              { "events", std::to_string(events_.Events()) } });
   const bool canResume = !isBegun_ || (isStreaming_ && !events_.LastEventId().empty());
-  const bool isUpstreamError = answerClass_ == AnswerClass::Error && !isBegun_;
+  const bool isUpstreamError = aIsAnswerComplete && answerClass_ == AnswerClass::Error && !isBegun_;
   if (MayRepeat() && canResume && AcquireRetry(true)) {
     events_.DropPart();
     if (!TryStart() && answer_) {
@@ -289,6 +324,9 @@
   auto next = deadline_;
   if (call_) {
     next += kDeadlineGrace;
+    if (mustBeginBy_ && !firstByte_) {
+      next = std::min(next, *mustBeginBy_);
+    }
     if (!hasSent_) {
       next = std::min(next, sent_ + kConnectTimeout);
     } else if (!firstByte_ && !isSilenceHandled_) {
@@ -297,10 +335,10 @@
         sent_ + std::max<Duration>(kSilenceLatencyMultiple * admitted_.route_->targetLatency_,
                                    kMinSilenceTimeout));
     } else if (isStreaming_ && MayRepeat()) {
-      next = std::min<TimePoint>(
-        next,
-        lastByte_ + std::max<Duration>(kStreamSilencePauseMultiple * admitted_.route_->targetPause_,
-                                       kMinStreamSilenceTimeout));
+      next = std::min<TimePoint>(next,
+                                 lastEvent_ + std::max<Duration>(kStreamSilencePauseMultiple *
+                                                                   admitted_.route_->targetPause_,
+                                                                 kMinStreamSilenceTimeout));
     }
   }
   timer_.expires_after(std::max<Duration>(next - now, milliseconds(1)));
@@ -338,6 +376,13 @@
     OnNotRun("connect_timeout");
     return;
   }
+  if (call_ && hasSent_ && !firstByte_ && mustBeginBy_ && now >= *mustBeginBy_) {
+    call_->Cancel();
+    call_.reset();
+    EndAttempt(AttemptHealth::Good);
+    OnFailed("old_version_not_begun", false);
+    return;
+  }
   if (call_ && hasSent_) {
     OnSilence();
   }
@@ -353,7 +398,7 @@
     std::max<Duration>(kSilenceLatencyMultiple * route.targetLatency_, kMinSilenceTimeout);
   const Duration pauseLimit =
     std::max<Duration>(kStreamSilencePauseMultiple * route.targetPause_, kMinStreamSilenceTimeout);
-  const bool isSilent = firstByte_ ? isStreaming_ && MayRepeat() && now - lastByte_ >= pauseLimit
+  const bool isSilent = firstByte_ ? isStreaming_ && MayRepeat() && now - lastEvent_ >= pauseLimit
                                    : !isSilenceHandled_ && now - sent_ >= firstLimit;
   if (!isSilent) {
     return;
@@ -370,7 +415,7 @@
   call_->Cancel();
   call_.reset();
   EndAttempt(AttemptHealth::Unreachable);
-  OnFailed("silent");
+  OnFailed("silent", false);
 }
 
 /**
--- a/src/gateway/upstream_link.cpp
+++ b/src/gateway/upstream_link.cpp
@@ -25,6 +25,12 @@
 constexpr std::uint32_t kMaxHeadBytes = 32768;
 // Limit of skipped answers (interim ones and those to earlier requests); one more fails the call.
 constexpr int kMaxSkippedAnswers = 4;
+// Limit of the bodies that one call reads without passing them on; beyond it, closing the
+// connection costs less than reading on.
+constexpr std::size_t kMaxDiscardedBytes = std::size_t{ 256 } << 10;
+// Limit of received bytes that the parser cannot use yet, such as an incomplete chunk header or
+// trailer. It exceeds kMaxHeadBytes plus one read.
+constexpr std::size_t kMaxUnparsedBytes = std::size_t{ 64 } << 10;
 // Limit for each upstream; a further connection is closed when its answer is complete.
 constexpr std::size_t kMaxIdleConnections = 64;
 // Idle time after which a connection is not reused if the upstream sends no Keep-Alive timeout.
@@ -101,10 +107,13 @@
   {
   }
 
-  void Start()
+  void Start(ConnectionReuse aReuse)
   {
-    connection_ = link_.TakeIdle(endpoint_);
+    if (aReuse == ConnectionReuse::Allowed) {
+      connection_ = link_.TakeIdle(endpoint_);
+    }
     if (connection_) {
+      isOnKeptConnection_ = true;
       asio::post(link_.context_, [self = shared_from_this()] { self->Exchange(); });
       return;
     }
@@ -143,6 +152,8 @@
     }
   }
 
+  bool IsOnKeptConnection() const override { return isOnKeptConnection_; }
+
 private:
   void Exchange()
   {
@@ -224,6 +235,10 @@
         break;
       }
     }
+    if (!parser_->is_done() && buffer.size() > kMaxUnparsedBytes) {
+      Finish(CallEnd::Malformed);
+      return;
+    }
     Deliver();
   }
 
@@ -235,8 +250,8 @@
   {
     isHeadSeen_ = true;
     const auto& message = parser_->get();
-    isSkipping_ = message.result_int() / 100 == 1;
-    if (!isSkipping_) {
+    auto action = HeadAction::Skip;
+    if (message.result_int() / 100 != 1) {
       std::optional<std::uint64_t> length;
       if (const auto announced = parser_->content_length()) {
         length = *announced;
@@ -244,15 +259,17 @@
         length = 0;
       }
       const auto handler = handler_;
-      isSkipping_ = handler->OnHead(message.result_int(),
-                                    { message.reason().data(), message.reason().size() },
-                                    message.base(),
-                                    length) == HeadAction::Skip;
+      action = handler->OnHead(message.result_int(),
+                               { message.reason().data(), message.reason().size() },
+                               message.base(),
+                               length);
     }
     if (!handler_) {
       return false;
     }
-    if (isSkipping_ && ++skippedAnswers_ > kMaxSkippedAnswers) {
+    isSkipping_ = action == HeadAction::Skip;
+    isDiscarding_ = isSkipping_ || action == HeadAction::Discard;
+    if (action == HeadAction::Reject || (isSkipping_ && ++skippedAnswers_ > kMaxSkippedAnswers)) {
       Finish(CallEnd::Malformed);
       return false;
     }
@@ -267,7 +284,12 @@
     if (isHeadSeen_) {
       std::string body = std::move(parser_->get().body());
       parser_->get().body().clear();
-      if (!body.empty() && !isSkipping_) {
+      discardedBytes_ += isDiscarding_ ? body.size() : 0;
+      if (discardedBytes_ > kMaxDiscardedBytes) {
+        Finish(CallEnd::Malformed);
+        return;
+      }
+      if (!body.empty() && !isDiscarding_) {
         const auto handler = handler_;
         const bool wantsMore = handler->OnBody(body);
         if (!handler_) {
@@ -333,9 +355,12 @@
   std::shared_ptr<UpstreamConnection> connection_;          ///< Empty once back in the pool.
   std::optional<http::response_parser<AppendBody>> parser_; ///< Parses the answer.
   int skippedAnswers_ = 0;                                  ///< See kMaxSkippedAnswers.
+  std::size_t discardedBytes_ = 0;                          ///< See kMaxDiscardedBytes.
   bool isWriting_ = false;          ///< The request has not been written completely.
   bool isHeadSeen_ = false;         ///< OnHead() was called for the answer being read.
-  bool isSkipping_ = false;         ///< The answer being read is discarded.
+  bool isSkipping_ = false;         ///< The answer being read belongs to another request.
+  bool isDiscarding_ = false;       ///< The body being read is not passed to the handler.
+  bool isOnKeptConnection_ = false; ///< The connection has carried other requests.
   bool isPaused_ = false;           ///< OnBody() returned false; Resume() is awaited.
   bool isClosedByUpstream_ = false; ///< The end of the connection was the end of the body.
 };
@@ -350,11 +375,12 @@
 std::shared_ptr<UpstreamCall>
 UpstreamLink::Send(const Endpoint& aEndpoint,
                    HttpRequest aRequest,
-                   std::shared_ptr<CallHandler> aHandler)
+                   std::shared_ptr<CallHandler> aHandler,
+                   ConnectionReuse aReuse)
 {
   auto call =
     std::make_shared<LinkCall>(*this, aEndpoint, std::move(aRequest), std::move(aHandler));
-  call->Start();
+  call->Start(aReuse);
   return call;
 }
 
--- a/src/gateway/upstream_link.h
+++ b/src/gateway/upstream_link.h
@@ -30,6 +30,15 @@
 {
   Accept, ///< Pass its body to the handler.
   Skip,   ///< It belongs to an earlier request on the connection; discard it and read the next one.
+  Discard, ///< It is the answer, but its body is not needed: read to its end without OnBody().
+  Reject,  ///< It is no valid answer; end the call with CallEnd::Malformed.
+};
+
+/** Whether a request may be sent over a connection that has carried other requests. */
+enum class ConnectionReuse : std::uint8_t
+{
+  Allowed,
+  Forbidden, ///< A late copy of an earlier answer would be taken for the answer to this request.
 };
 
 /** Receives the answer to one call. Its functions run on the thread of the link. */
@@ -70,6 +79,8 @@
   virtual void Cancel() = 0;
   /** Continues to read after CallHandler::OnBody() returned false; otherwise does nothing. */
   virtual void Resume() = 0;
+  /** @return whether the connection has carried other requests before this one. */
+  virtual bool IsOnKeptConnection() const = 0;
 };
 
 struct UpstreamConnection;
@@ -89,11 +100,13 @@
    * @param aEndpoint address of the upstream.
    * @param aRequest complete request, including its connection fields.
    * @param aHandler receives the answer; kept until the end of the call.
+   * @param aReuse whether an idle connection may be used.
    * @return handle to cancel or resume the call.
    */
   std::shared_ptr<UpstreamCall> Send(const Endpoint& aEndpoint,
                                      HttpRequest aRequest,
-                                     std::shared_ptr<CallHandler> aHandler);
+                                     std::shared_ptr<CallHandler> aHandler,
+                                     ConnectionReuse aReuse);
   /** Closes the idle connections to an upstream that is unreachable or was removed. */
   void DropIdle(const Endpoint& aEndpoint);
   /** @return number of connections that were started since the start of the process. */
--- a/src/http/json_client.cpp
+++ b/src/http/json_client.cpp
@@ -22,7 +22,8 @@
 using asio::ip::tcp;
 
 constexpr std::size_t kMaxIdleConnections = 4;
-constexpr std::uint64_t kMaxAnswerBytes = 64ULL << 20;
+// Limit of received bytes that the parser cannot use yet, such as an incomplete chunk header.
+constexpr std::size_t kMaxUnparsedBytes = std::size_t{ 256 } << 10;
 // A connection idle for longer may have been dropped by something in between without notice.
 constexpr std::chrono::seconds kMaxIdle{ 20 };
 
@@ -49,7 +50,7 @@
   {
   }
   beast::tcp_stream stream_;                       ///< Socket with a timer.
-  beast::flat_buffer buffer_;                      ///< Bytes read ahead.
+  beast::flat_buffer buffer_{ kMaxUnparsedBytes }; ///< Bytes read ahead.
   std::chrono::steady_clock::time_point lastUsed_; ///< When it became idle.
 };
 
@@ -82,6 +83,7 @@
     std::optional<http::response_parser<http::string_body>> parser_; ///< What is read.
     std::shared_ptr<Connection> connection_;                         ///< Connection in use.
     std::chrono::milliseconds timeout_{}; ///< Limit for the whole exchange.
+    std::size_t maxAnswerBytes_ = 0;      ///< Limit of the body.
     Callback callback_;                   ///< Receives the answer.
   };
 
@@ -157,7 +159,7 @@
   void Read(const std::shared_ptr<Operation>& aOperation)
   {
     aOperation->parser_.emplace();
-    aOperation->parser_->body_limit(kMaxAnswerBytes);
+    aOperation->parser_->body_limit(aOperation->maxAnswerBytes_);
     http::async_read(
       aOperation->connection_->stream_,
       aOperation->connection_->buffer_,
@@ -230,6 +232,7 @@
   request.body() = std::move(aExchange.body_);
   request.prepare_payload();
   operation->timeout_ = aExchange.timeout_;
+  operation->maxAnswerBytes_ = aExchange.maxAnswerBytes_;
   operation->callback_ = std::move(aCallback);
   asio::post(impl_->context_, [impl = impl_, operation] { impl->Start(operation); });
 }
--- a/src/http/json_client.h
+++ b/src/http/json_client.h
@@ -5,6 +5,7 @@
 #include "core/upstream_client_base.h"
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -38,6 +39,7 @@
   HeaderList headers_;                        ///< Further fields.
   std::string body_;                          ///< Body; JSON text where there is one.
   std::chrono::milliseconds timeout_{ 2000 }; ///< Longest time from start to whole answer.
+  std::size_t maxAnswerBytes_ = std::size_t{ 64 } << 20; ///< A longer body counts as lost.
 };
 
 /** A whole answer. */
--- /dev/null
+++ b/tests/gateway/caller_session_test.cpp
@@ -0,0 +1,132 @@
+/** @file caller_session_test.cpp Tests of HttpListener during a planned stop and against callers
+ * that flood it.
+ */
+#include "gateway/caller_session.h"
+
+#include "support/net_support.h"
+
+#include <gtest/gtest.h>
+
+namespace laburnumweir {
+namespace {
+
+using namespace std::chrono_literals;
+using testing_support::ConnectTo;
+using testing_support::Peer;
+
+constexpr const char* kRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
+/** Answers each request at once. */
+class EchoHandler : public HttpHandler
+{
+public:
+  void OnRequest(HttpRequest aRequest, std::shared_ptr<AnswerStream> aAnswer) override
+  {
+    ++requests_;
+    const std::string body(aRequest.target());
+    aAnswer->Begin(200, {}, {}, body.size());
+    aAnswer->Data(body);
+    aAnswer->End();
+  }
+  int requests_ = 0;
+};
+
+class CallerSessionTest : public testing::Test
+{
+protected:
+  CallerSessionTest()
+  {
+    endpoint_ = testing_support::RefusingEndpoint();
+    EXPECT_FALSE(listener_.Listen(endpoint_));
+  }
+  void Run(std::chrono::milliseconds aTime = 50ms)
+  {
+    context_.run_for(aTime);
+    context_.restart();
+  }
+
+  boost::asio::io_context context_;
+  EchoHandler handler_;
+  HttpListener listener_{ context_, handler_, SessionLimits() };
+  Endpoint endpoint_;
+};
+
+// Guards against a planned stop that resets a connection whose next request has been received but
+// not read yet.
+TEST_F(CallerSessionTest, DrainAnswersARequestThatWasReceivedOnAKeptConnection)
+{
+  Peer caller = ConnectTo(endpoint_);
+  Peer idle = ConnectTo(endpoint_);
+  caller.Send(kRequest);
+  Run();
+  ASSERT_TRUE(caller.ReadAnswer());
+  caller.Send(kRequest);
+  std::this_thread::sleep_for(20ms);
+  listener_.StartDrain();
+  EXPECT_TRUE(listener_.HasUnreadInput());
+  Run();
+  const auto answer = caller.ReadAnswer(100ms);
+  ASSERT_TRUE(answer);
+  EXPECT_EQ((*answer)[boost::beast::http::field::connection], "close");
+  EXPECT_TRUE(idle.WaitClosed(100ms)) << "an idle connection is closed at once";
+}
+
+// Guards against a process that ends although a connection with a request waits to be accepted.
+TEST_F(CallerSessionTest, SeesAConnectionThatWaitsToBeAccepted)
+{
+  EXPECT_FALSE(listener_.HasUnreadInput());
+  Peer caller = ConnectTo(endpoint_);
+  caller.Send(kRequest);
+  std::this_thread::sleep_for(20ms);
+  listener_.StartDrain();
+  EXPECT_TRUE(listener_.HasUnreadInput());
+  Run();
+  EXPECT_FALSE(listener_.HasUnreadInput());
+  ASSERT_TRUE(caller.ReadAnswer(100ms));
+  EXPECT_EQ(handler_.requests_, 1);
+}
+
+class EndlessRequestTest
+  : public CallerSessionTest
+  , public testing::WithParamInterface<std::pair<std::string, std::string>>
+{};
+
+// Guards against memory that a caller takes by a head, chunk or trailer without end.
+TEST_P(EndlessRequestTest, EndsInFewBytes)
+{
+  constexpr std::size_t kMaxBytes = std::size_t{ 24 } << 20;
+  const auto& [start, repeated] = GetParam();
+  std::string block;
+  while (block.size() < 32768) {
+    block += repeated;
+  }
+  Peer caller = ConnectTo(endpoint_);
+  std::atomic<std::size_t> sent = 0;
+  std::thread writer([&, first = start] {
+    caller.Send(first);
+    while (sent < 8 * kMaxBytes && caller.Send(block)) {
+      sent += block.size();
+    }
+  });
+  Run(1s);
+  listener_.Stop();
+  writer.join();
+  EXPECT_LT(sent, kMaxBytes);
+  EXPECT_EQ(handler_.requests_, 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Kinds,
+  EndlessRequestTest,
+  testing::Values(
+    std::pair<std::string, std::string>("GET /", "x"),
+    std::pair<std::string, std::string>("GET / HTTP/1.1\r\n", "X-Field: value\r\n"),
+    std::pair<std::string, std::string>(
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4",
+      ";a=b"),
+    std::pair<std::string, std::string>(
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n",
+      "X-Field: value\r\n")));
+
+} // namespace
+} // namespace laburnumweir
--- /dev/null
+++ b/tests/gateway/request_flow_support.h
@@ -0,0 +1,193 @@
+/** @file request_flow_support.h Fixture that runs a RequestFlow against scripted upstreams. */
+#ifndef LABURNUMWEIR_TESTS_GATEWAY_REQUEST_FLOW_SUPPORT_H
+#define LABURNUMWEIR_TESTS_GATEWAY_REQUEST_FLOW_SUPPORT_H
+
+#include "core/system_clock.h"
+#include "fleet/fleet_support.h"
+#include "gateway/request_flow.h"
+#include "platform/message_codec.h"
+#include "support/net_support.h"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace laburnumweir::testing_support {
+
+/** Records the answer that the caller would receive. */
+class FakeAnswer : public AnswerStream
+{
+public:
+  void Begin(unsigned aStatus,
+             std::string_view,
+             const boost::beast::http::fields& aFields,
+             std::optional<std::uint64_t>) override
+  {
+    status_ = aStatus;
+    fields_ = aFields;
+  }
+  void Data(std::string_view aBytes) override { body_.append(aBytes); }
+  void End() override { isComplete_ = true; }
+  void Abort() override { isAborted_ = true; }
+  std::size_t UnsentBytes() const override { return 0; }
+  void NotifyWhenSent(std::function<void()>) override {}
+  void NotifyWhenGone(std::function<void()> aFunction) override
+  {
+    onDisconnect_ = std::move(aFunction);
+  }
+
+  bool IsDone() const { return isComplete_ || isAborted_; }
+
+  unsigned status_ = 0;
+  boost::beast::http::fields fields_;
+  std::string body_;
+  bool isComplete_ = false;
+  bool isAborted_ = false;
+  std::function<void()> onDisconnect_;
+};
+
+inline constexpr const char* kGoodHead =
+  "HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nX-Server-Stamp: s\r\n";
+
+inline std::string
+Answer(const std::string& aBody, const std::string& aHead = kGoodHead)
+{
+  return aHead + "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+inline std::string
+Chunk(const std::string& aBody)
+{
+  std::ostringstream size;
+  size << std::hex << aBody.size();
+  return size.str() + "\r\n" + aBody + "\r\n";
+}
+
+class RequestFlowTest : public testing::Test
+{
+protected:
+  /** Configures upstreams with decreasing numbers of slots, so that the first is preferred. */
+  void SetUpstreams(const std::vector<Endpoint>& aEndpoints)
+  {
+    FleetConfig config;
+    config.version_ = ++configVersion_;
+    ServiceSpec service;
+    service.name_ = ServiceName("app");
+    if (!engineModels_.empty()) {
+      service.engine_.emplace();
+    }
+    config.services_ = { service };
+    Route route;
+    route.host_ = "a";
+    route.prefix_ = "/";
+    route.repeat_ = repeat_;
+    route.isResumable_ = isResumable_;
+    route.timeout_ = timeout_;
+    route.targetLatency_ = 100ms;
+    route.targetPause_ = 100ms;
+    route.maxUpstreams_ = 3;
+    route.services_ = { { service.name_, 1 } };
+    config.routes_ = { route };
+    if (hasKey_) {
+      config.workspaces_ = { MakeWorkspace(0, 0) };
+    }
+    ChangeBatch batch;
+    batch.changes_ = { config };
+    fleet_.ApplyOperators(batch);
+    fleet_.OnConfigConfirmed(clock_.Now());
+    std::uint32_t slots = 64;
+    for (const auto& endpoint : aEndpoints) {
+      UpstreamEntry entry;
+      entry.id_ = UpstreamId("u" + std::to_string(slots));
+      entry.service_ = service.name_;
+      entry.endpoint_ = endpoint;
+      entry.dataCentre_ = DataCentreId("dc1");
+      entry.slots_ = slots;
+      entry.models_ = engineModels_;
+      entry.listsModels_ = !engineModels_.empty();
+      slots /= 2;
+      fleet_.Upstreams().OnEntry(entry);
+    }
+  }
+
+  void Start()
+  {
+    AdmittedRequest admitted;
+    admitted.message_.method(boost::beast::http::verb::post);
+    admitted.message_.target("/x");
+    admitted.message_.set(boost::beast::http::field::host, "a");
+    admitted.message_.set("X-Attempt-Id", id_);
+    admitted.message_.set("X-Deadline-Ms", std::to_string(timeout_.count()));
+    admitted.message_.set(boost::beast::http::field::authorization, "Token key-1");
+    if (!engineModels_.empty()) {
+      admitted.message_.set("X-Model", "m/a1");
+    }
+    admitted.message_.body() = "question";
+    admitted.facts_ = codec_.ReadRequest(admitted.message_);
+    admitted.routes_ = fleet_.Routes();
+    admitted.route_ = admitted.routes_->Find("a", "/x");
+    admitted.workspace_ = hasKey_ ? admitted.routes_->FindWorkspace("key-1") : nullptr;
+    admitted.service_ = ServiceName("app");
+    admitted.arrived_ = clock_.Now();
+    std::make_shared<RequestFlow>(flow_, std::move(admitted), answer_)->Start();
+  }
+
+  /** Runs the event loop and queued requests until the answer is complete or aborted. */
+  void Finish(std::chrono::milliseconds aTime = 3s)
+  {
+    const auto end = std::chrono::steady_clock::now() + aTime;
+    while (!answer_->IsDone() && std::chrono::steady_clock::now() < end) {
+      context_.run_for(5ms);
+      context_.restart();
+      for (const auto& [ticket, flow] : std::map(waiting_)) {
+        flow->TryStart();
+      }
+      for (const auto ticket : queue_.CannotStartInTime()) {
+        waiting_.at(ticket)->RefuseWaiting();
+      }
+    }
+    EXPECT_TRUE(answer_->IsDone());
+  }
+
+  boost::asio::io_context context_;
+  SystemClock clock_;
+  platform::PlatformMessageCodec codec_;
+  FleetState fleet_{ clock_, HostId("h1"), DataCentreId("dc1") };
+  QuotaShare quota_{ clock_ };
+  RetryShare retries_{ clock_, { 1, 100, 10s } };
+  WaitQueue queue_{ clock_ };
+  UpstreamLink link_{ context_ };
+  Metrics metrics_;
+  GatewayBounds bounds_;
+  std::map<WaitTicket, std::shared_ptr<RequestFlow>> waiting_;
+  FlowContext flow_{ context_,
+                     clock_,
+                     codec_,
+                     fleet_,
+                     quota_,
+                     retries_,
+                     queue_,
+                     link_,
+                     metrics_,
+                     bounds_,
+                     [](const auto&, const auto&) {},
+                     [](const auto&) {},
+                     [](const auto&) {},
+                     [] {},
+                     [this](auto aTicket, const auto& aFlow) { waiting_[aTicket] = aFlow; } };
+  std::shared_ptr<FakeAnswer> answer_ = std::make_shared<FakeAnswer>();
+  std::string id_ = "r1";                     ///< Id of the next request.
+  std::chrono::milliseconds timeout_{ 1500 }; ///< Of the route and of the caller.
+  std::int64_t configVersion_ = 0;
+  std::vector<ResidentModel> engineModels_; ///< If set, the upstreams are engines with these.
+  RepeatRule repeat_ = RepeatRule::Once;
+  bool isResumable_ = false;
+  bool hasKey_ = false;
+};
+
+} // namespace laburnumweir::testing_support
+
+#endif
--- a/tests/wire/client_test.cpp
+++ b/tests/wire/client_test.cpp
@@ -243,5 +243,32 @@
   }
 }
 
+// Guards against memory that an engine in trouble takes by an answer without end.
+TEST_F(ClientTest, AnOrderAnswerWithoutEndIsNoAnswer)
+{
+  std::atomic<std::size_t> sent = 0;
+  ScriptedServer server([&](Peer& aPeer, int) {
+    constexpr std::size_t kMaxBytes = std::size_t{ 256 } << 20;
+    aPeer.ReadRequest();
+    aPeer.Send("HTTP/1.1 202 Accepted\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const std::string block = "8000\r\n" + std::string(0x8000, 'x') + "\r\n";
+    while (sent < kMaxBytes && aPeer.Send(block)) {
+      sent += block.size();
+    }
+  });
+  EngineClient engine(context_);
+  bool isDone = false;
+  OrderAnswer answer = OrderAnswer::Accepted;
+  FencedOrder order;
+  order.endpoint_ = server.Address();
+  engine.Send(order, [&](OrderAnswer aAnswer) {
+    answer = aAnswer;
+    isDone = true;
+  });
+  RunUntil(isDone);
+  EXPECT_EQ(answer, OrderAnswer::NoAnswer);
+  EXPECT_LT(sent, std::size_t{ 24 } << 20) << "buffers of both sockets hold some megabytes";
+}
+
 } // namespace
 } // namespace laburnumweir::platform
