Do not use an answer of the store that is older than a known offset

Cause: a host that starts believes the store's first answer. If the store answers with old data, a withdrawn key or an evacuated data centre would be in use again, although a store reader has told the host of a newer offset.

Change: an answer that ends before the offset that was known when the read was sent is logged and read again. It confirms nothing. Test: StoreWatchTest.AnAnswerOlderThanARelayedOffsetIsNotUsed.

--- a/src/gateway/store_watch.cpp
+++ b/src/gateway/store_watch.cpp
@@ -67,10 +67,10 @@
   }
   isOperatorReadDue_ = false;
   const auto sentAt = clock_.Now();
-  auto callback = [weak = weak_from_this(), sentAt](std::error_code aError,
-                                                    const ChangeBatch& aBatch) {
+  auto callback = [weak = weak_from_this(), sentAt, knownNext = relayedOperatorsOffset_](
+                    std::error_code aError, const ChangeBatch& aBatch) {
     if (const auto self = weak.lock()) {
-      self->OnOperators(sentAt, aError, aBatch);
+      self->OnOperators(sentAt, knownNext, aError, aBatch);
     }
   };
   if (operatorsOffset_) {
@@ -81,7 +81,10 @@
 }
 
 void
-StoreWatch::OnOperators(TimePoint aSentAt, std::error_code aError, const ChangeBatch& aBatch)
+StoreWatch::OnOperators(TimePoint aSentAt,
+                        LogOffset aKnownNext,
+                        std::error_code aError,
+                        const ChangeBatch& aBatch)
 {
   if (aError == make_error_code(StoreError::HistoryLost)) {
     LogEvent(LogLevel::Info, "history_lost", { { "stream", "operators" } });
@@ -101,6 +104,16 @@
     RunAfter(RetryDelay(), &StoreWatch::PollOperators);
     return;
   }
+  if (aBatch.next_ < aKnownNext) {
+    // Applying it could restore a withdrawn key or end an evacuation that is in force.
+    LogEvent(LogLevel::Warn,
+             "store_answer_stale",
+             { { "stream", "operators" },
+               { "offset", std::to_string(aBatch.next_) },
+               { "known_offset", std::to_string(aKnownNext) } });
+    RunAfter(RetryDelay(), &StoreWatch::PollOperators);
+    return;
+  }
   // The store answers a long poll as soon as there is a record, so a poll that ends without one
   // confirms that there was no record during the whole wait.
   const bool hasNoRecords = operatorsOffset_ == aBatch.next_ && clock_.Now() - aSentAt >= pollWait_;
@@ -195,6 +208,7 @@
 void
 StoreWatch::OnRelayedConfigAge(TimePoint aSentAt, LogOffset aNext, Duration aConfigAge)
 {
+  relayedOperatorsOffset_ = std::max(relayedOperatorsOffset_, aNext);
   if (operatorsOffset_ == aNext) {
     state_.OnConfigConfirmed(aSentAt - aConfigAge);
   } else if (operatorsOffset_ && *operatorsOffset_ < aNext) {
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -87,7 +87,11 @@
 
 private:
   void PollOperators();
-  void OnOperators(TimePoint aSentAt, std::error_code aError, const ChangeBatch& aBatch);
+  /** @param aKnownNext end of the operators' stream that was known when the read was sent. */
+  void OnOperators(TimePoint aSentAt,
+                   LogOffset aKnownNext,
+                   std::error_code aError,
+                   const ChangeBatch& aBatch);
   void PollUpstreams();
   void OnUpstreams(TimePoint aSentAt, std::error_code aError, const ChangeBatch& aBatch);
   void ApplyUpstreams(TimePoint aSentAt, const ChangeBatch& aBatch);
@@ -106,6 +110,7 @@
   std::function<void()> onChange_;           ///< Called after each batch that was applied.
   std::chrono::milliseconds pollWait_{ 0 };  ///< Wait of the current or next long poll.
   std::optional<LogOffset> operatorsOffset_; ///< Next offset; if none, a snapshot is read.
+  LogOffset relayedOperatorsOffset_ = 0;     ///< Highest next offset that a store reader had.
   std::optional<LogOffset> upstreamsOffset_; ///< Next offset; if none, a snapshot is read.
   TimePoint upstreamsUpdatedAt_;             ///< When entries were last read or relayed.
   TimePoint upstreamsRequestedAt_; ///< When the newest state of the entries was requested.
--- a/tests/gateway/store_watch_test.cpp
+++ b/tests/gateway/store_watch_test.cpp
@@ -26,7 +26,7 @@
         ++snapshots_;
         ChangeBatch batch;
         batch.isSnapshot_ = true;
-        batch.next_ = 10;
+        batch.next_ = snapshotEnd_;
         batch.changes_ = aStream == ChangeStream::Operators ? operators_ : upstreams_;
         aCallback(error_, std::move(batch));
       });
@@ -69,6 +69,7 @@
   std::vector<FleetChange> nextChanges_;
   std::error_code error_;
   int snapshots_ = 0;
+  LogOffset snapshotEnd_ = 10;
   std::optional<std::chrono::milliseconds>
     recordAfter_; ///< If set, a record ends the next long poll after this.
 };
@@ -184,6 +185,21 @@
   EXPECT_EQ(state_.Routes()->Config().version_, 3);
 }
 
+// Guards against a withdrawn key, or an evacuated data centre, that is in use again after a
+// restart: a store reader knows a newer offset than the state that the store answers with.
+TEST_F(StoreWatchTest, AnAnswerOlderThanARelayedOffsetIsNotUsed)
+{
+  watch_->OnRelayedConfigAge(clock_.Now(), 12, 0ms);
+  watch_->Start();
+  scheduler_.Run(500ms);
+  EXPECT_FALSE(state_.Routes());
+  EXPECT_EQ(state_.ConfigAge(), Duration::max());
+  snapshotEnd_ = 12;
+  scheduler_.Run(500ms);
+  EXPECT_TRUE(state_.Routes());
+  EXPECT_LE(state_.ConfigAge(), 500ms);
+}
+
 TEST_F(StoreWatchTest, ASnapshotEndsEvacuationsThatItDoesNotName)
 {
   watch_->Start();
