Relay changes of many engines in pages and let few hosts join the group

Cause: an answer of a store reader holds at most 24 KB of changed entries; with 117 engines that load all the time the changes of one interval exceed it, and each host then reads the entries itself. Each changed entry was also sent again with every heartbeat for 5 s. All hosts join the group of holders every second, 195 on the large site for a few dozen partitions, and each restart of any of them moves partitions, which then wait a lease before their next order.

Change: changes carry the offsets of their records, and an answer holds the oldest that fit; the host asks for the rest at once, and the entries count as recent only when all have arrived. A changed entry is repeated once, after kMaxEntryAge. Four hosts of each data centre join the group, the first by rendezvous rank among the live ones.

--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -109,9 +109,9 @@
 FleetState::ApplyUpstreams(const ChangeBatch& aBatch, bool aDeferRemovals)
 {
   std::set<UpstreamId> seen;
-  for (const auto& change : aBatch.changes_) {
-    if (const auto* upstream = std::get_if<UpstreamChange>(&change)) {
-      ApplyUpstream(*upstream, aBatch.next_, aDeferRemovals);
+  for (std::size_t i = 0; i < aBatch.changes_.size(); ++i) {
+    if (const auto* upstream = std::get_if<UpstreamChange>(&aBatch.changes_[i])) {
+      ApplyUpstream(*upstream, aBatch.OffsetAfter(i), aDeferRemovals);
       if (upstream->entry_) {
         seen.insert(upstream->id_);
       }
--- a/src/fleet/fleet_store_base.h
+++ b/src/fleet/fleet_store_base.h
@@ -53,6 +53,15 @@
   std::vector<FleetChange> changes_; ///< Oldest first.
   LogOffset next_ = 0;               ///< Offset at which the next read starts.
   std::size_t unreadable_ = 0;       ///< Records that were skipped as undecodable.
+  /** Whether each record up to next_ gave one change, so that the offset of each change follows
+   * from its position. */
+  bool isGapless_ = false;
+
+  /** @return offset after the record of a change; next_ if its record is not known. */
+  LogOffset OffsetAfter(std::size_t aIndex) const
+  {
+    return isGapless_ ? next_ - (changes_.size() - 1 - aIndex) : next_;
+  }
 };
 
 /** Streams of changes in the store. */
--- a/src/fleet/peer_table.cpp
+++ b/src/fleet/peer_table.cpp
@@ -140,12 +140,14 @@
 }
 
 std::vector<HostRecord>
-PeerTable::ReadersOf(const DataCentreId& aDataCentre) const
+PeerTable::FirstHosts(const DataCentreId& aDataCentre,
+                      std::string_view aRole,
+                      std::size_t aCount) const
 {
   std::vector<std::pair<std::uint64_t, HostRecord>> ranked;
   const auto add = [&](const HostRecord& aHost) {
     if (aHost.dataCentre_ == aDataCentre) {
-      ranked.emplace_back(RendezvousWeight(aHost.id_.Value(), "reader"), aHost);
+      ranked.emplace_back(RendezvousWeight(aHost.id_.Value(), aRole), aHost);
     }
   };
   add(self_);
@@ -160,11 +162,26 @@
   std::sort(ranked.begin(), ranked.end(), [](const auto& aLeft, const auto& aRight) {
     return aLeft.first > aRight.first;
   });
-  std::vector<HostRecord> readers;
-  for (std::size_t i = 0; i < std::min(ranked.size(), kStoreReadersPerDataCentre); ++i) {
-    readers.push_back(ranked[i].second);
+  std::vector<HostRecord> first;
+  for (std::size_t i = 0; i < std::min(ranked.size(), aCount); ++i) {
+    first.push_back(ranked[i].second);
   }
-  return readers;
+  return first;
+}
+
+std::vector<HostRecord>
+PeerTable::ReadersOf(const DataCentreId& aDataCentre) const
+{
+  return FirstHosts(aDataCentre, "reader", kStoreReadersPerDataCentre);
+}
+
+bool
+PeerTable::IsHolderCandidate() const
+{
+  const auto candidates = FirstHosts(self_.dataCentre_, "holder", kHoldersPerDataCentre);
+  return std::any_of(candidates.begin(), candidates.end(), [&](const HostRecord& aHost) {
+    return aHost.id_ == self_.id_;
+  });
 }
 
 bool
--- a/src/fleet/upstream_changes.cpp
+++ b/src/fleet/upstream_changes.cpp
@@ -14,10 +14,10 @@
 // Maximum number of removals that are kept. Hosts request changes several times a second, and far
 // fewer upstreams are removed in that time.
 constexpr std::size_t kMaxRemovals = 1024;
-// For this time after its models changed, an entry is sent again with each heartbeat. Hosts ignore
-// the models of an entry for kMaxEntryAge after its holder sent the residency, so the entry must be
-// sent once more after that time.
-constexpr Duration kModelsRepeatTime = 2 * kMaxEntryAge;
+// With the first heartbeat between these times since its models changed, an entry is sent once
+// more: hosts ignore the models of an entry for kMaxEntryAge after its holder sent the residency.
+constexpr Duration kModelsRepeatDelay = kMaxEntryAge;
+constexpr Duration kModelsRepeatEnd = 2 * kMaxEntryAge;
 
 bool
 IsSameExceptHeartbeat(const UpstreamEntry& aLeft, const UpstreamEntry& aRight)
@@ -45,11 +45,16 @@
     return;
   }
   const auto now = clock_.Now();
+  const auto sinceChange = now - known.modelsChangedAt_;
+  const bool isRepeated =
+    known.isRepeatDue_ && sinceChange >= kModelsRepeatDelay && sinceChange < kModelsRepeatEnd;
   if (isNew || known.entry_.models_ != aEntry.models_) {
     known.modelsChangedAt_ = now;
+    known.isRepeatDue_ = true;
+  } else if (isRepeated) {
+    known.isRepeatDue_ = false;
   }
-  if (isNew || !IsSameExceptHeartbeat(known.entry_, aEntry) ||
-      now - known.modelsChangedAt_ < kModelsRepeatTime) {
+  if (isNew || isRepeated || !IsSameExceptHeartbeat(known.entry_, aEntry)) {
     known.changeOffset_ = aNext;
   }
   known.entry_ = aEntry;
@@ -97,4 +102,42 @@
   return changes;
 }
 
+std::optional<UpstreamChangePage>
+UpstreamChanges::PageSince(LogOffset aFrom,
+                           std::size_t aMaxSize,
+                           const std::function<std::size_t(const UpstreamChange&)>& aSizeOf) const
+{
+  if (aFrom < removalsKnownFrom_) {
+    return std::nullopt;
+  }
+  std::multimap<LogOffset, UpstreamChange> changes;
+  for (const auto& [id, known] : entries_) {
+    if (known.changeOffset_ > aFrom) {
+      changes.emplace(known.changeOffset_, UpstreamChange{ id, known.entry_ });
+    }
+  }
+  for (const auto& [id, offset] : removed_) {
+    if (offset > aFrom) {
+      changes.emplace(offset, UpstreamChange{ id, std::nullopt });
+    }
+  }
+  UpstreamChangePage page;
+  std::size_t size = 0;
+  for (auto group = changes.begin(); group != changes.end();) {
+    const auto end = changes.upper_bound(group->first);
+    std::for_each(group, end, [&](const auto& aChange) { size += aSizeOf(aChange.second); });
+    if (size > aMaxSize) {
+      if (page.changes_.empty()) {
+        return std::nullopt;
+      }
+      page.next_ = std::prev(group)->first;
+      return page;
+    }
+    for (; group != end; ++group) {
+      page.changes_.push_back(std::move(group->second));
+    }
+  }
+  return page;
+}
+
 } // namespace laburnumweir
--- a/src/fleet/upstream_changes.h
+++ b/src/fleet/upstream_changes.h
@@ -6,12 +6,20 @@
 #include "core/clock_base.h"
 #include "fleet/fleet_store_base.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
 
 namespace laburnumweir {
 
+/** Changes of upstreams in ascending order of their offsets. */
+struct UpstreamChangePage
+{
+  std::vector<UpstreamChange> changes_;
+  std::optional<LogOffset> next_; ///< All changes before this offset are in; none if all are.
+};
+
 /**
  * Keeps the entries of upstreams with the store offset of their last change. A store reader uses it
  * to send another host the changes since the offset that this host has. An entry that differs only
@@ -26,7 +34,7 @@
   {
   }
 
-  /** Applies an entry that was read. @param aNext offset after the batch that contained it. */
+  /** Applies an entry that was read. @param aNext offset after its record, or a later one. */
   void OnEntry(const UpstreamEntry& aEntry, LogOffset aNext);
   /** Applies a removal. @param aNext hosts at a lower offset do not know of it yet. */
   void OnRemoved(const UpstreamId& aId, LogOffset aNext);
@@ -39,13 +47,25 @@
    *         known any more, so that the host needs the whole state.
    */
   std::optional<std::vector<UpstreamChange>> Since(LogOffset aFrom) const;
+  /**
+   * @param aFrom offset up to which a host has all changes.
+   * @param aMaxSize limit of the sum of the sizes.
+   * @param aSizeOf size of a change.
+   * @return the oldest changes since that fit into the limit; none if removals since then are not
+   *         known any more, or if the first changes, which have the same offset, do not fit.
+   */
+  std::optional<UpstreamChangePage> PageSince(
+    LogOffset aFrom,
+    std::size_t aMaxSize,
+    const std::function<std::size_t(const UpstreamChange&)>& aSizeOf) const;
 
 private:
   struct KnownEntry
   {
     UpstreamEntry entry_;
-    LogOffset changeOffset_ = 0; ///< Offset after the batch of its last change.
+    LogOffset changeOffset_ = 0; ///< Offset after its last change.
     TimePoint modelsChangedAt_;  ///< When its models last changed.
+    bool isRepeatDue_ = false;   ///< Its models were not sent again since they changed.
   };
 
   const Clock& clock_;
--- a/src/gateway/gossip_message.h
+++ b/src/gateway/gossip_message.h
@@ -52,15 +52,20 @@
   std::chrono::milliseconds configAge_{ 0 };
   std::optional<LogOffset>
     upstreamsOffset_; ///< Next offset of the upstreams' stream; none if unknown.
-  std::chrono::milliseconds upstreamAge_{ 0 }; ///< Time since the entries were requested.
-  std::optional<std::vector<UpstreamChange>>
-    changes_; ///< Changes since the offset in the query; none if unknown or too many for a
-              ///< datagram.
+  /** Time since the entries were requested; kIncompletePageAge if a part of the changes did not
+   * fit, so that the entries of the receiver do not count as newer than before. */
+  std::chrono::milliseconds upstreamAge_{ 0 };
+  /** Changes since the offset in the query; none if unknown. */
+  std::optional<std::vector<UpstreamChange>> changes_;
   /** Digest of the live hosts. The message lists them if it differs from the digest in the query.
    */
   std::uint64_t hostsDigest_ = 0;
 };
 
+/** Value of RelayReply::upstreamAge_ with which the receiver queries the store reader again at
+ * once. */
+constexpr std::chrono::milliseconds kIncompletePageAge = std::chrono::hours(1);
+
 /** One gossip datagram. All lists may be empty. */
 struct GossipMessage
 {
--- a/src/gateway/gossip_service.cpp
+++ b/src/gateway/gossip_service.cpp
@@ -39,23 +39,6 @@
   return size;
 }
 
-/** @return changes since an offset; none if they are unknown or too large for a datagram. */
-std::optional<std::vector<UpstreamChange>>
-ChangesFor(const UpstreamChanges& aChanges, LogOffset aFrom)
-{
-  auto changes = aChanges.Since(aFrom);
-  if (changes) {
-    std::size_t size = 0;
-    for (const auto& change : *changes) {
-      size += EstimatedSize(change);
-    }
-    if (size > kMaxRelayedBytes) {
-      changes.reset();
-    }
-  }
-  return changes;
-}
-
 } // namespace
 
 GossipService::GossipService(const GossipContext& aContext,
@@ -130,6 +113,7 @@
   context_.quota_.SetHostCount(hosts.size());
   context_.retries_.SetHostCount(hosts.size());
   holder_->SetHostCount(hosts.size());
+  holder_->SetCandidate(context_.peers_.IsHolderCandidate());
   context_.fleet_.Upstreams().SetHosts(hosts);
   ApplyLoad();
   if (const auto reader = context_.peers_.AssignedReader()) {
@@ -229,7 +213,14 @@
   }
   answer.upstreamsOffset_ = position.upstreamsOffset_;
   answer.upstreamAge_ = std::chrono::ceil<milliseconds>(position.upstreamAge_);
-  answer.changes_ = ChangesFor(context_.fleet_.Changes(), aQuery.query_->upstreamsOffset_);
+  if (auto page = context_.fleet_.Changes().PageSince(
+        aQuery.query_->upstreamsOffset_, kMaxRelayedBytes, EstimatedSize)) {
+    answer.changes_ = std::move(page->changes_);
+    if (page->next_) {
+      answer.upstreamsOffset_ = page->next_;
+      answer.upstreamAge_ = kIncompletePageAge;
+    }
+  }
   auto hosts = context_.peers_.LivePeers();
   hosts.push_back(OwnPartitions());
   answer.hostsDigest_ = DigestOfHosts(hosts);
@@ -265,6 +256,10 @@
   } else if (answer.upstreamsOffset_) {
     watch_->OnRelayGap();
   }
+  if (const auto reader = context_.peers_.AssignedReader();
+      reader && reader->id_ == aMessage.host_.id_ && answer.upstreamAge_ >= kIncompletePageAge) {
+    SendQuery(*reader);
+  }
   if (!aMessage.hosts_.empty()) {
     hostsDigest_ = answer.hostsDigest_;
     receivedHosts_ = aMessage.hosts_;
--- a/src/table/fleet_const.h
+++ b/src/table/fleet_const.h
@@ -20,6 +20,12 @@
  * are two, so that the loss of one costs no more than a time-out.
  */
 constexpr std::size_t kStoreReadersPerDataCentre = 2;
+/**
+ * Number of hosts of a data centre that join the group whose members hold the engines. A few
+ * suffice for the orders of all engines, each further member costs the store a call a second, and
+ * each restart of a member moves partitions.
+ */
+constexpr std::size_t kHoldersPerDataCentre = 4;
 /**
  * A store reader that has not answered for this long is considered silent; three gossip intervals,
  * so that single lost datagrams do no harm.
@@ -36,8 +42,8 @@
  */
 constexpr Duration kMaxRelayedConfigAge = std::chrono::milliseconds(2200);
 /**
- * Maximum size of an answer of a store reader; a host that needs more changes reads the store
- * itself. A datagram holds at most 64 KB.
+ * Maximum size of the changes in an answer of a store reader; a host that needs more queries again
+ * at once. A datagram holds at most 64 KB, with the sums and the live hosts.
  */
 constexpr std::size_t kMaxRelayedBytes = std::size_t{ 24 } << 10;
 /**
@@ -123,6 +129,12 @@
  * while the new one is loaded; the rest covers the delay until the release reaches this host.
  */
 constexpr double kOldVersionFraction = 0.5;
+/**
+ * Fraction of the release bound after which a request that was sent to an old version is withdrawn
+ * if it has not begun: it waits in the queue of its engine. The rest covers the delay until the
+ * release reaches this host, and that of the close of the connection.
+ */
+constexpr double kOldVersionBeginFraction = 0.7;
 
 } // namespace laburnumweir
 
--- a/tests/fleet/relay_modules_test.cpp
+++ b/tests/fleet/relay_modules_test.cpp
@@ -205,6 +205,40 @@
   EXPECT_EQ(ChangeCount(11), 1U);
 }
 
+// Guards against bytes between hosts that grow with the heartbeats: on a fleet whose engines load
+// all the time, each entry was sent with each heartbeat.
+TEST_F(UpstreamChangesTest, RepeatsChangedModelsOnce)
+{
+  changes_.OnEntry(Entry(1), 10);
+  std::size_t sent = 0;
+  for (LogOffset i = 1; i <= 10; ++i) {
+    clock_.Advance(1s);
+    changes_.OnEntry(Entry(1 + i), 10 + i);
+    sent += ChangeCount(9 + i);
+  }
+  EXPECT_EQ(sent, 1U);
+}
+
+// Guards against a page that ends between two changes of one offset, of which the second would then
+// never be sent.
+TEST_F(UpstreamChangesTest, PagesEndBetweenOffsets)
+{
+  const auto size = [](const UpstreamChange&) { return std::size_t{ 1 }; };
+  for (int i = 0; i < 9; ++i) {
+    auto entry = Entry(1);
+    entry.id_ = UpstreamId("e" + std::to_string(i));
+    changes_.OnEntry(entry, static_cast<LogOffset>(10 + i / 2));
+  }
+  auto page = changes_.PageSince(0, 3, size);
+  ASSERT_TRUE(page);
+  EXPECT_EQ(page->changes_.size(), 2U);
+  EXPECT_EQ(page->next_, 10U);
+  page = changes_.PageSince(*page->next_, 100, size);
+  EXPECT_EQ(page->changes_.size(), 7U);
+  EXPECT_FALSE(page->next_);
+  EXPECT_FALSE(changes_.PageSince(0, 1, size)) << "two changes have the first offset";
+}
+
 TEST_F(UpstreamChangesTest, TellsWhoIsGoneAndWhoCameBack)
 {
   changes_.OnEntry(Entry(1), 10);
