Read the store less often for series of changes and prefer idle connections

Each of 195 hosts reads the operators' stream for each record, and every 150 ms before the first configuration; a series of configurations 60 ms apart costs each host a read each.

Change: reads that a store reader announced are at least 0.4 s apart, reads before the first configuration 0.5 s; upstreams of about equal load are chosen by an idle connection.

Ruled out: entries that every host read itself; the store delivered 3 MB in all, so calls and not bytes were the cost.

Tests: ASeriesOfRelayedChangesTakesFewReads, ReadsRarelyBeforeTheFirstConfiguration, PrefersAnIdleConnectionBetweenEqualLoads.

--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -17,7 +17,10 @@
 // Weights of the cost by which upstreams are compared. The load of a full upstream costs 1.
 constexpr double kFailurePenalty = 3.0;     // a fraction of failed answers costs more than any load
 constexpr double kOtherCentrePenalty = 0.1; // breaks ties; traffic between data centres is charged
-constexpr double kLatencyWeight = 0.1;      // weight of the newest sample in the moving average
+// Connections are charged and take a round trip; between upstreams of about the same load, one with
+// an idle connection is preferred.
+constexpr double kNewConnectionPenalty = 0.05;
+constexpr double kLatencyWeight = 0.1; // weight of the newest sample in the moving average
 // An engine is busy if its running requests exceed kBusyFactor times the mean of its service plus
 // kBusySlack: processing prompts then takes so much of its time that the pauses between events
 // grow. An adapter whose engines are all busy is loaded at one more engine.
@@ -201,7 +204,10 @@
   const double load =
     static_cast<double>(aUpstream.running_ + aUpstream.peersRunning_ + 1) / aUpstream.entry_.slots_;
   return load * (1.0 + aUpstream.latencyAverage_) + kFailurePenalty * aUpstream.failureAverage_ +
-         (aUpstream.entry_.dataCentre_ == dataCentre_ ? 0.0 : kOtherCentrePenalty);
+         (aUpstream.entry_.dataCentre_ == dataCentre_ ? 0.0 : kOtherCentrePenalty) +
+         (!hasIdleConnection_ || hasIdleConnection_(aUpstream.entry_.endpoint_)
+            ? 0.0
+            : kNewConnectionPenalty);
 }
 
 std::optional<std::int64_t>
--- a/src/fleet/upstream_table.h
+++ b/src/fleet/upstream_table.h
@@ -108,6 +108,11 @@
   void SetServices(std::span<const ServiceSpec> aServices);
   /** Sets the live hosts, this one included. */
   void SetHosts(std::vector<HostId> aHosts);
+  /** Sets the function that tells whether this host has an idle connection to an address. */
+  void SetHasIdleConnection(std::function<bool(const Endpoint&)> aFunction)
+  {
+    hasIdleConnection_ = std::move(aFunction);
+  }
   /**
    * Applies the residency that the holder of an engine sent.
    * @return false if it is of an unknown engine, of another process, or older than the known one.
@@ -179,9 +184,10 @@
   const DataCentreId dataCentre_; ///< Data centre of this host.
   std::map<UpstreamId, Upstream> upstreams_;
   std::map<ServiceName, ServiceSpec> services_;
-  std::set<DataCentreId> evacuated_;   ///< Data centres whose upstreams get no requests.
-  std::vector<HostId> hosts_;          ///< Live hosts, this one included.
-  std::map<HostId, LoadReport> peers_; ///< Newest load report of each peer.
+  std::set<DataCentreId> evacuated_; ///< Data centres whose upstreams get no requests.
+  std::vector<HostId> hosts_;        ///< Live hosts, this one included.
+  std::function<bool(const Endpoint&)> hasIdleConnection_; ///< Empty if not set.
+  std::map<HostId, LoadReport> peers_;                     ///< Newest load report of each peer.
 };
 
 } // namespace laburnumweir
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -122,6 +122,8 @@
       GossipContext{ clock_, scheduler_, fleet_, quota_, retries_, peers_ }, self_, life_, [this] {
         ScheduleStartQueued();
       });
+    fleet_.Upstreams().SetHasIdleConnection(
+      [this](const Endpoint& aEndpoint) { return link_.HasIdle(aEndpoint); });
     HolderSettings holder;
     holder.memberId_ = HostId(settings_.host_.Value() + "#" + std::to_string(life_));
     holder.host_ = settings_.host_;
--- a/src/gateway/store_watch.cpp
+++ b/src/gateway/store_watch.cpp
@@ -57,8 +57,10 @@
 void
 StoreWatch::PollOperators()
 {
-  if (isRelayed_ && operatorsOffset_ && !isOperatorReadDue_ &&
-      state_.ConfigAge() <= kMaxRelayedConfigAge) {
+  const auto sentAt = clock_.Now();
+  const bool isReadDue =
+    isOperatorReadDue_ && sentAt - operatorsReadAt_ >= settings_.relayedReadInterval_;
+  if (isRelayed_ && operatorsOffset_ && !isReadDue && state_.ConfigAge() <= kMaxRelayedConfigAge) {
     // The relayed configuration was confirmed recently enough: while a long poll of this host
     // waits, the configuration also stays unconfirmed for up to the whole wait.
     pollWait_ = std::chrono::milliseconds(0);
@@ -66,7 +68,7 @@
     return;
   }
   isOperatorReadDue_ = false;
-  const auto sentAt = clock_.Now();
+  operatorsReadAt_ = sentAt;
   auto callback = [weak = weak_from_this(), sentAt, knownNext = relayedOperatorsOffset_](
                     std::error_code aError, const ChangeBatch& aBatch) {
     if (const auto self = weak.lock()) {
@@ -128,7 +130,7 @@
   // the topic, which may not exist yet.
   if (!state_.Routes()) {
     operatorsOffset_.reset();
-    RunAfter(settings_.retryDelay_, &StoreWatch::PollOperators);
+    RunAfter(settings_.noConfigDelay_, &StoreWatch::PollOperators);
     return;
   }
   RunAfter(kMinPollInterval, &StoreWatch::PollOperators);
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -29,6 +29,13 @@
   std::chrono::milliseconds configWait_{ 1400 };
   std::chrono::milliseconds upstreamInterval_{ 400 }; ///< Between reads of upstream entries.
   std::chrono::milliseconds retryDelay_{ 150 };       ///< Delay after a failed call.
+  /** Delay until the next read while the store has no configuration; all hosts of a new fleet wait
+   * for it at the same time. */
+  std::chrono::milliseconds noConfigDelay_{ 500 };
+  /** Minimum time between reads of changes that a store reader announced, so that a series of
+   * configurations costs each host a few reads. A fraction of the time in which a change has to be
+   * in force. */
+  std::chrono::milliseconds relayedReadInterval_{ 400 };
   /** Delay after a failed call while a store reader answers, since the store reader retries itself.
    * With the short delay, the number of failing calls in an outage would grow with the number of
    * hosts. */
@@ -112,6 +119,7 @@
   std::optional<LogOffset> operatorsOffset_; ///< Next offset; if none, a snapshot is read.
   LogOffset relayedOperatorsOffset_ = 0;     ///< Highest next offset that a store reader had.
   std::optional<LogOffset> upstreamsOffset_; ///< Next offset; if none, a snapshot is read.
+  TimePoint operatorsReadAt_;                ///< When the operators' stream was last read.
   TimePoint upstreamsUpdatedAt_;             ///< When entries were last read or relayed.
   TimePoint upstreamsRequestedAt_; ///< When the newest state of the entries was requested.
   bool isRelayed_ = false;         ///< A store reader relays the content of the store.
--- a/src/gateway/upstream_link.cpp
+++ b/src/gateway/upstream_link.cpp
@@ -413,6 +413,14 @@
   }
 }
 
+bool
+UpstreamLink::HasIdle(const Endpoint& aEndpoint) const
+{
+  const auto found = idle_.find(aEndpoint);
+  return found != idle_.end() && !found->second.empty() &&
+         SteadyClock::now() < found->second.back()->usableUntil_;
+}
+
 void
 UpstreamLink::DropIdle(const Endpoint& aEndpoint)
 {
--- a/src/gateway/upstream_link.h
+++ b/src/gateway/upstream_link.h
@@ -109,6 +109,8 @@
                                      ConnectionReuse aReuse);
   /** Closes the idle connections to an upstream that is unreachable or was removed. */
   void DropIdle(const Endpoint& aEndpoint);
+  /** @return whether there is an idle connection to an upstream that may still be reused. */
+  bool HasIdle(const Endpoint& aEndpoint) const;
   /** @return number of connections that were started since the start of the process. */
   std::uint64_t Connects() const { return connects_; }
 
--- a/tests/fleet/upstream_table_test.cpp
+++ b/tests/fleet/upstream_table_test.cpp
@@ -204,5 +204,19 @@
   EXPECT_GT(all, 20) << "a cold upstream is used";
 }
 
+// Guards against a new connection for each request: with many hosts and many engines, each pair
+// exchanges a request every few seconds.
+TEST_F(UpstreamTableTest, PrefersAnIdleConnectionBetweenEqualLoads)
+{
+  Add("e1", { { "a1", 1 } });
+  const auto connected = Add("e2", { { "a1", 1 } });
+  table_.Find(connected)->entry_.endpoint_.port_ = 10;
+  table_.SetHasIdleConnection([](const Endpoint& aEndpoint) { return aEndpoint.port_ == 10; });
+  EXPECT_EQ(table_.Choose(NeedOf("a1")).upstream_->entry_.id_, connected);
+  table_.OnAttemptSent(connected);
+  EXPECT_NE(table_.Choose(NeedOf("a1")).upstream_->entry_.id_, connected)
+    << "1 of 8 slots is taken";
+}
+
 } // namespace
 } // namespace laburnumweir
--- a/tests/gateway/store_watch_test.cpp
+++ b/tests/gateway/store_watch_test.cpp
@@ -38,6 +38,10 @@
         const auto respond = [this, aStream, aFrom, aWait, aCallback] {
           ChangeBatch batch;
           batch.next_ = aFrom;
+          if (aStream == ChangeStream::Operators) {
+            ++operatorReads_;
+            batch.next_ = std::max(aFrom, operatorsEnd_);
+          }
           if (aStream == ChangeStream::Operators && aWait > 0ms && recordAfter_) {
             recordAfter_.reset();
             ++batch.next_;
@@ -70,6 +74,8 @@
   std::error_code error_;
   int snapshots_ = 0;
   LogOffset snapshotEnd_ = 10;
+  LogOffset operatorsEnd_ = 0; ///< End of the operators' stream for reads of changes.
+  int operatorReads_ = 0;      ///< Reads of changes of the operators' stream.
   std::optional<std::chrono::milliseconds>
     recordAfter_; ///< If set, a record ends the next long poll after this.
 };
@@ -185,6 +191,34 @@
   EXPECT_EQ(state_.Routes()->Config().version_, 3);
 }
 
+// Guards against one read for each host and each of a quick series of configurations.
+TEST_F(StoreWatchTest, ASeriesOfRelayedChangesTakesFewReads)
+{
+  watch_->Start();
+  watch_->SetRelayed(true);
+  operatorsEnd_ = 10;
+  scheduler_.Run(2s);
+  const int before = operatorReads_;
+  for (int i = 0; i < 25; ++i) {
+    ++operatorsEnd_;
+    watch_->OnRelayedConfigAge(clock_.Now(), operatorsEnd_, 0ms);
+    scheduler_.Run(60ms);
+  }
+  EXPECT_LE(operatorReads_ - before, 5);
+  scheduler_.Run(600ms);
+  watch_->OnRelayedConfigAge(clock_.Now(), operatorsEnd_, 0ms);
+  EXPECT_LE(state_.ConfigAge(), 0ms) << "it has the newest configuration";
+}
+
+// Guards against many reads of all hosts of a new fleet before the operators' first configuration.
+TEST_F(StoreWatchTest, ReadsRarelyBeforeTheFirstConfiguration)
+{
+  operators_.clear();
+  watch_->Start();
+  scheduler_.Run(2s);
+  EXPECT_LE(snapshots_, 1 + 4 + 1) << "of both streams";
+}
+
 // Guards against a withdrawn key, or an evacuated data centre, that is in use again after a
 // restart: a store reader knows a newer offset than the state that the store answers with.
 TEST_F(StoreWatchTest, AnAnswerOlderThanARelayedOffsetIsNotUsed)
