--- a/src/fleet/peer_table.cpp
+++ b/src/fleet/peer_table.cpp
@@ -140,14 +140,12 @@
 }
 
 std::vector<HostRecord>
-PeerTable::FirstHosts(const DataCentreId& aDataCentre,
-                      std::string_view aRole,
-                      std::size_t aCount) const
+PeerTable::ReadersOf(const DataCentreId& aDataCentre) const
 {
   std::vector<std::pair<std::uint64_t, HostRecord>> ranked;
   const auto add = [&](const HostRecord& aHost) {
     if (aHost.dataCentre_ == aDataCentre) {
-      ranked.emplace_back(RendezvousWeight(aHost.id_.Value(), aRole), aHost);
+      ranked.emplace_back(RendezvousWeight(aHost.id_.Value(), "reader"), aHost);
     }
   };
   add(self_);
@@ -162,26 +160,11 @@
   std::sort(ranked.begin(), ranked.end(), [](const auto& aLeft, const auto& aRight) {
     return aLeft.first > aRight.first;
   });
-  std::vector<HostRecord> first;
-  for (std::size_t i = 0; i < std::min(ranked.size(), aCount); ++i) {
-    first.push_back(ranked[i].second);
+  std::vector<HostRecord> readers;
+  for (std::size_t i = 0; i < std::min(ranked.size(), kStoreReadersPerDataCentre); ++i) {
+    readers.push_back(ranked[i].second);
   }
-  return first;
-}
-
-std::vector<HostRecord>
-PeerTable::ReadersOf(const DataCentreId& aDataCentre) const
-{
-  return FirstHosts(aDataCentre, "reader", kStoreReadersPerDataCentre);
-}
-
-bool
-PeerTable::IsHolderCandidate() const
-{
-  const auto candidates = FirstHosts(self_.dataCentre_, "holder", kHoldersPerDataCentre);
-  return std::any_of(candidates.begin(), candidates.end(), [&](const HostRecord& aHost) {
-    return aHost.id_ == self_.id_;
-  });
+  return readers;
 }
 
 bool
--- a/src/fleet/peer_table.h
+++ b/src/fleet/peer_table.h
@@ -69,8 +69,6 @@
   std::vector<HostPartitions> LivePeers() const;
   /** @return whether this host is a store reader of its data centre. */
   bool IsStoreReader() const;
-  /** @return whether this host is one of those of its data centre that join the holders' group. */
-  bool IsHolderCandidate() const;
   /** @return store readers of all data centres, except this host. */
   std::vector<HostRecord> OtherStoreReaders() const;
   /** @return the store reader that this host queries; none if this host is one. */
@@ -90,15 +88,6 @@
   Peer& FindOrAdd(const HostRecord& aHost);
   bool IsLive(const Peer& aPeer) const;
   std::vector<HostRecord> ReadersOf(const DataCentreId& aDataCentre) const;
-  /**
-   * @param aDataCentre data centre of the hosts.
-   * @param aRole name of the role; each role ranks the hosts in another order.
-   * @param aCount number of hosts in the role.
-   * @return the first live hosts by rendezvous weight.
-   */
-  std::vector<HostRecord> FirstHosts(const DataCentreId& aDataCentre,
-                                     std::string_view aRole,
-                                     std::size_t aCount) const;
 
   const Clock& clock_;
   const HostRecord self_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -181,6 +181,7 @@
                       [this] { return static_cast<double>(link_.Connects()); });
     AwaitSignal();
     watch_->Start();
+    holder_->Start();
     gossip_->Start();
     PublishHost();
     ReadHosts();
@@ -406,16 +407,11 @@
       if (aError) {
         LogEvent(LogLevel::Warn, "hosts_not_read", { { "error", aError.message() } });
         scheduler_.After(kNotReadyRetryAfter, [this] { ReadHosts(); });
+        return;
       }
       for (const auto& host : aHosts) {
         peers_.OnStoreRecord(host);
       }
-      if (!isHolderStarted_) {
-        // Hosts that do not know each other yet would all join the group.
-        isHolderStarted_ = true;
-        holder_->SetCandidate(peers_.IsHolderCandidate());
-        holder_->Start();
-      }
     });
   }
 
@@ -511,7 +507,6 @@
   HttpListener readiness_; ///< Serves readiness checks of the balancer.
   HttpListener metricsServer_;
   asio::signal_set signals_;
-  bool isHolderStarted_ = false;
   bool isStartPending_ = false; ///< A call of StartQueued() is posted.
   bool isReady_ = false;        ///< Last readiness that was reported to the balancer.
   bool isDraining_ = false;     ///< SIGTERM or SIGINT was received.
--- a/src/gateway/gossip_service.cpp
+++ b/src/gateway/gossip_service.cpp
@@ -113,7 +113,6 @@
   context_.quota_.SetHostCount(hosts.size());
   context_.retries_.SetHostCount(hosts.size());
   holder_->SetHostCount(hosts.size());
-  holder_->SetCandidate(context_.peers_.IsHolderCandidate());
   context_.fleet_.Upstreams().SetHosts(hosts);
   ApplyLoad();
   if (const auto reader = context_.peers_.AssignedReader()) {
--- a/src/gateway/holder_service.cpp
+++ b/src/gateway/holder_service.cpp
@@ -119,13 +119,6 @@
 HolderService::Leave()
 {
   isLeaving_ = true;
-  LeaveGroup();
-}
-
-void
-HolderService::LeaveGroup()
-{
-  isJoined_ = false;
   lease_.OnMembershipLost();
   store_.LeaveGroup(settings_.memberId_, [](std::error_code aError) {
     LogEvent(LogLevel::Info, "group_left", { { "error", aError ? aError.message() : "" } });
@@ -138,13 +131,6 @@
   if (isLeaving_) {
     return;
   }
-  if (!isCandidate_) {
-    if (isJoined_) {
-      LeaveGroup();
-    }
-    ScheduleJoin();
-    return;
-  }
   const auto sentAt = clock_.Now();
   store_.JoinGroup(
     settings_.memberId_,
@@ -184,12 +170,6 @@
       "partitions_held",
       { { "generation", std::to_string(aMembership.generation_) }, { "partitions", partitions } });
   }
-  ScheduleJoin();
-}
-
-void
-HolderService::ScheduleJoin()
-{
   scheduler_.After(settings_.joinInterval_, [weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
       self->Join();
--- a/src/gateway/holder_service.h
+++ b/src/gateway/holder_service.h
@@ -47,11 +47,8 @@
                 HolderSettings aSettings,
                 ResidencyCallback aOnResidency);
 
-  /** Joins the group now if this host is a candidate, and renews the membership at each join
-   * interval. */
+  /** Joins the group now, and renews the membership at each join interval. */
   void Start();
-  /** Sets whether this host joins the group. A member that is no candidate any more leaves it. */
-  void SetCandidate(bool aIsCandidate) { isCandidate_ = aIsCandidate; }
   /** Leaves the group; no orders are sent from then on. */
   void Leave();
   /** Records a load request for an engine. If the requested version is already resident, publishes
@@ -92,8 +89,6 @@
 
   std::size_t LoadingCount() const;
   void Join();
-  void ScheduleJoin();
-  void LeaveGroup();
   void OnJoined(TimePoint aSentAt, std::error_code aError, const GroupMembership& aMembership);
   void TickEngine(const UpstreamId& aId, Engine& aEngine);
   bool MayLoadWeights(const EngineSpec& aSpec);
@@ -121,7 +116,6 @@
   LoadWindow window_;                    ///< Limit of concurrent adapter loads.
   double weightLoadTokens_ = 1;  ///< Tokens of the bucket that limits loads of model weights.
   TimePoint weightLoadTokensAt_; ///< When weightLoadTokens_ was updated.
-  bool isCandidate_ = true;      ///< This host is one of those that join the group.
   bool isLeaving_ = false;       ///< Leave() was called.
   bool isJoined_ = false;        ///< The last join succeeded.
 };
--- a/src/table/fleet_const.h
+++ b/src/table/fleet_const.h
@@ -20,12 +20,6 @@
  * are two, so that the loss of one costs no more than a time-out.
  */
 constexpr std::size_t kStoreReadersPerDataCentre = 2;
-/**
- * Number of hosts of a data centre that join the group whose members hold the engines. A few
- * suffice for the orders of all engines, each further member costs the store a call a second, and
- * each restart of a member moves partitions.
- */
-constexpr std::size_t kHoldersPerDataCentre = 4;
 /**
  * A store reader that has not answered for this long is considered silent; three gossip intervals,
  * so that single lost datagrams do no harm.
@@ -134,7 +128,7 @@
  * if it has not begun: it waits in the queue of its engine. The rest covers the delay until the
  * release reaches this host, and that of the close of the connection.
  */
-constexpr double kOldVersionBeginFraction = 0.7;
+constexpr double kOldVersionBeginFraction = 0.8;
 
 } // namespace laburnumweir
 
