Keep the fencing token of a partition while it is held

Cause: orders to an engine bore the newest generation of the group, which rises with each host that joins or leaves.

Change: a host's token for a partition is the generation in which it got the partition, and changes only after a gap in the lease or after an engine refused it. The next holder has a higher one, since it gets the partition in a later generation. Ruled out: holding back an order until the confirmations before it have ended, which would delay loads by up to 200 ms for a lost answer.

Tests: HolderLeaseTest.TokenStaysWhileAPartitionIsHeld, HolderServiceTest.OrdersBearOneTokenWhileThePartitionIsHeld. They were not run against the code without the change.

--- a/src/fleet/holder_lease.cpp
+++ b/src/fleet/holder_lease.cpp
@@ -30,14 +30,20 @@
 {
   const auto now = clock_.Now();
   // After a gap in the lease another member may have held the partitions in between.
-  auto held = IsValid() ? std::move(heldSince_) : std::map<std::uint32_t, TimePoint>();
-  heldSince_.clear();
+  const auto before = IsValid() ? std::move(held_) : std::map<std::uint32_t, HeldPartition>();
+  held_.clear();
   for (const auto partition : aMembership.partitions_) {
-    const auto known = held.find(partition);
-    heldSince_[partition] = known == held.end() ? now : known->second;
+    const auto known = before.find(partition);
+    auto& held = held_[partition];
+    held = known == before.end() ? HeldPartition{ now, aMembership.generation_, std::nullopt }
+                                 : known->second;
+    if (held.fencedIn_ && aMembership.generation_ > *held.fencedIn_) {
+      held.token_ = aMembership.generation_;
+      held.fencedIn_.reset();
+    }
   }
   const bool isChanged =
-    !isMember_ || generation_ != aMembership.generation_ || held.size() != heldSince_.size();
+    !isMember_ || generation_ != aMembership.generation_ || before.size() != held_.size();
   isMember_ = true;
   sentAt_ = aSentAt;
   generation_ = aMembership.generation_;
@@ -48,21 +54,36 @@
 HolderLease::OnMembershipLost()
 {
   isMember_ = false;
-  heldSince_.clear();
+  held_.clear();
 }
 
 bool
 HolderLease::MayOrder(std::uint32_t aPartition) const
 {
-  const auto found = heldSince_.find(aPartition);
-  return IsValid() && found != heldSince_.end() && clock_.Now() - found->second >= settleTime_;
+  const auto found = held_.find(aPartition);
+  return IsValid() && found != held_.end() && clock_.Now() - found->second.since_ >= settleTime_;
 }
 
 std::optional<TimePoint>
 HolderLease::HeldSince(std::uint32_t aPartition) const
 {
-  const auto found = heldSince_.find(aPartition);
-  return found == heldSince_.end() ? std::nullopt : std::optional(found->second);
+  const auto found = held_.find(aPartition);
+  return found == held_.end() ? std::nullopt : std::optional(found->second.since_);
+}
+
+std::optional<std::uint64_t>
+HolderLease::TokenOf(std::uint32_t aPartition) const
+{
+  const auto found = held_.find(aPartition);
+  return found == held_.end() ? std::nullopt : std::optional(found->second.token_);
+}
+
+void
+HolderLease::OnFenced(std::uint32_t aPartition)
+{
+  if (const auto found = held_.find(aPartition); found != held_.end()) {
+    found->second.fencedIn_ = generation_;
+  }
 }
 
 std::vector<std::uint32_t>
@@ -70,7 +91,7 @@
 {
   std::vector<std::uint32_t> result;
   if (IsValid()) {
-    for (const auto& [partition, since] : heldSince_) {
+    for (const auto& [partition, held] : held_) {
       result.push_back(partition);
     }
   }
--- a/src/fleet/holder_lease.h
+++ b/src/fleet/holder_lease.h
@@ -50,13 +50,29 @@
   bool MayOrder(std::uint32_t aPartition) const;
   /** @return since when this host holds a partition; none if it does not. */
   std::optional<TimePoint> HeldSince(std::uint32_t aPartition) const;
-  /** @return the fencing token, which is the generation of the group. */
-  std::uint64_t Token() const { return generation_; }
+  /** @return the generation of the group in the last answer. */
+  std::uint64_t Generation() const { return generation_; }
+  /**
+   * @return the fencing token for the engines of a partition: the generation in which this host got
+   * it, so that orders that overtake each other bear the same token; none if it is not held.
+   */
+  std::optional<std::uint64_t> TokenOf(std::uint32_t aPartition) const;
+  /** Records that an engine of a partition has seen a higher token. The partition gets a new token
+   * with the next generation. */
+  void OnFenced(std::uint32_t aPartition);
   /** @return partitions held, including those whose settle time has not ended; empty if the
    * membership may have expired. */
   std::vector<std::uint32_t> Partitions() const;
 
 private:
+  struct HeldPartition
+  {
+    TimePoint since_;         ///< When this host got it.
+    std::uint64_t token_ = 0; ///< Fencing token of its orders.
+    /** Generation in which an engine refused the token; none if none did. */
+    std::optional<std::uint64_t> fencedIn_;
+  };
+
   bool IsValid() const;
 
   const Clock& clock_;
@@ -65,7 +81,7 @@
   std::uint64_t generation_ = 0; ///< Generation of the last answer.
   TimePoint sentAt_;             ///< When the call of the last answer was sent.
   bool isMember_ = false;        ///< Whether this host is a member according to the last answer.
-  std::map<std::uint32_t, TimePoint> heldSince_; ///< When this host got each held partition.
+  std::map<std::uint32_t, HeldPartition> held_; ///< Partitions of the last answer.
 };
 
 } // namespace laburnumweir
--- a/src/gateway/gossip_service.cpp
+++ b/src/gateway/gossip_service.cpp
@@ -82,7 +82,7 @@
 {
   auto message = NewMessage();
   message.hostLoad_ = std::move(aLoad);
-  message.generation_ = holder_->Lease().Token();
+  message.generation_ = holder_->Lease().Generation();
   message.partitions_ = holder_->Lease().Partitions();
   return message;
 }
@@ -96,7 +96,7 @@
 HostPartitions
 GossipService::OwnPartitions() const
 {
-  return { self_, holder_->Lease().Token(), holder_->Lease().Partitions() };
+  return { self_, holder_->Lease().Generation(), holder_->Lease().Partitions() };
 }
 
 void
--- a/src/gateway/holder_service.cpp
+++ b/src/gateway/holder_service.cpp
@@ -134,7 +134,7 @@
   const auto sentAt = clock_.Now();
   store_.JoinGroup(
     settings_.memberId_,
-    lease_.Token(),
+    lease_.Generation(),
     settings_.memberTimeout_,
     [weak = weak_from_this(), sentAt](std::error_code aError, const GroupMembership& aMembership) {
       if (const auto self = weak.lock()) {
@@ -280,7 +280,7 @@
   }
   const auto* service = state_.Routes()->FindService(upstream->entry_.service_);
   if (service == nullptr || !service->engine_ || aEngine.isCallPending_ ||
-      (aEngine.fencedToken_ && *aEngine.fencedToken_ >= lease_.Token())) {
+      (aEngine.fencedToken_ && *aEngine.fencedToken_ >= TokenOf(aId))) {
     return;
   }
   const auto heldSince = lease_.HeldSince(PartitionOfEngine(aId));
@@ -357,7 +357,7 @@
              { "order", aOrder.kind_ == OrderKind::Load ? "load" : "unload" },
              { "adapter", aOrder.model_ + "/" + aOrder.adapter_ },
              { "version", std::to_string(aOrder.version_) },
-             { "token", std::to_string(lease_.Token()) },
+             { "token", std::to_string(TokenOf(aId)) },
              { "orders", std::to_string(upstream->orderCount_) },
              { "resident", std::to_string(ResidentCount(upstream->entry_)) },
              { "loading", std::to_string(engine.orders_.Pending().size()) },
@@ -392,7 +392,8 @@
       }
       break;
     case OrderAnswer::Fenced:
-      engine.fencedToken_ = lease_.Token();
+      engine.fencedToken_ = TokenOf(aId);
+      lease_.OnFenced(PartitionOfEngine(aId));
       break;
     case OrderAnswer::OtherEngine:
       state_.Upstreams().OnMisdirected(aId);
@@ -412,11 +413,17 @@
   TickEngine(aId, engine);
 }
 
+std::uint64_t
+HolderService::TokenOf(const UpstreamId& aEngine) const
+{
+  return lease_.TokenOf(PartitionOfEngine(aEngine)).value_or(0);
+}
+
 FencedOrder
 HolderService::AddFencing(const Upstream& aUpstream, const EngineOrder& aOrder) const
 {
-  return { aOrder,          aUpstream.entry_.id_, aUpstream.entry_.endpoint_,
-           settings_.host_, lease_.Token(),       aUpstream.orderCount_ };
+  return { aOrder,          aUpstream.entry_.id_,          aUpstream.entry_.endpoint_,
+           settings_.host_, TokenOf(aUpstream.entry_.id_), aUpstream.orderCount_ };
 }
 
 void
--- a/src/gateway/holder_service.h
+++ b/src/gateway/holder_service.h
@@ -98,6 +98,8 @@
   void SendConfirmation(const UpstreamId& aId, const EngineOrder& aOrder);
   void OnConfirmed(const UpstreamId& aId, const EngineOrder& aOrder, OrderAnswer aAnswer);
   void FinishLoad(const UpstreamId& aId, Engine& aEngine, const EngineOrder& aOrder);
+  /** @return fencing token of orders to an engine; 0 if its partition is not held. */
+  std::uint64_t TokenOf(const UpstreamId& aEngine) const;
   FencedOrder AddFencing(const Upstream& aUpstream, const EngineOrder& aOrder) const;
   void RequestReport(const UpstreamId& aId);
   void OnReport(const UpstreamId& aId, bool aWasRead, const EngineStateReport& aReport);
--- a/tests/fleet/small_modules_test.cpp
+++ b/tests/fleet/small_modules_test.cpp
@@ -175,7 +175,28 @@
   lease_.OnMembership(clock_.Now(), { 3, { 4 } });
   EXPECT_FALSE(lease_.MayOrder(4));
   EXPECT_NE(lease_.HeldSince(4), before);
-  EXPECT_EQ(lease_.Token(), 3U);
+  EXPECT_EQ(lease_.TokenOf(4), 3U);
+}
+
+// Guards against an order with a higher token that overtakes one with a lower token of the same
+// host on another connection: each host that joins or leaves the group raises its generation.
+TEST_F(HolderLeaseTest, TokenStaysWhileAPartitionIsHeld)
+{
+  lease_.OnMembership(clock_.Now(), { 5, { 4 } });
+  clock_.Advance(1s);
+  lease_.OnMembership(clock_.Now(), { 6, { 4, 7 } });
+  EXPECT_EQ(lease_.TokenOf(4), 5U);
+  EXPECT_EQ(lease_.TokenOf(7), 6U);
+  lease_.OnFenced(4);
+  lease_.OnMembership(clock_.Now(), { 6, { 4, 7 } });
+  EXPECT_EQ(lease_.TokenOf(4), 5U) << "the store has not dealt anew";
+  lease_.OnMembership(clock_.Now(), { 8, { 4, 7 } });
+  EXPECT_EQ(lease_.TokenOf(4), 8U);
+  EXPECT_EQ(lease_.TokenOf(7), 6U);
+  lease_.OnMembership(clock_.Now(), { 9, { 7 } });
+  EXPECT_FALSE(lease_.TokenOf(4));
+  lease_.OnMembership(clock_.Now(), { 10, { 4, 7 } });
+  EXPECT_EQ(lease_.TokenOf(4), 10U) << "another host may have held it";
 }
 
 TEST_F(HolderLeaseTest, CountsTheLifeFromTheQuestion)
--- a/tests/gateway/holder_service_test.cpp
+++ b/tests/gateway/holder_service_test.cpp
@@ -224,6 +224,22 @@
   EXPECT_EQ(sent_[1].fencingToken_, 8U);
 }
 
+// Guards against an order that arrives after a later one with a higher token: the generation rises
+// between an order and its confirmation, which travel on different connections.
+TEST_F(HolderServiceTest, OrdersBearOneTokenWhileThePartitionIsHeld)
+{
+  WaitForLease();
+  RequestLoad("a1");
+  service_->Tick();
+  ASSERT_EQ(sent_.size(), 1U);
+  membership_.generation_ = 9;
+  scheduler_.Run(1100ms);
+  ASSERT_GE(sent_.size(), 2U);
+  for (const auto& order : sent_) {
+    EXPECT_EQ(order.fencingToken_, 7U);
+  }
+}
+
 TEST_F(HolderServiceTest, OrdersNothingWithoutAValidMembership)
 {
   WaitForLease();
