End calls whose caller left and whose answer is large or never ends

Cause, found by reading: when the caller of a request that must not be cancelled leaves, the call goes on without a caller's stream. An answer of more than 256 KB then dereferenced that empty stream and would end the process, and an upstream that never answers kept the connection for good, since the timer stopped with the caller.

Test: EndsACallWhoseCallerLeftAndWhoseAnswerDoesNotEnd; it was not run against the code without the change.

--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -85,6 +85,9 @@
     fields_ = aFields;
     length_ = aLength;
   }
+  if (!answer_) {
+    return HeadAction::Discard; // the caller left while a request that must not be cancelled ran
+  }
   switch (answerClass_) {
     case AnswerClass::Invalid:
       return HeadAction::Reject;
@@ -98,6 +101,9 @@
 bool
 RequestFlow::OnBody(std::string_view aBytes)
 {
+  if (!answer_) {
+    return true;
+  }
   const auto now = context_.clock_.Now();
   if (isBegun_) {
     longestPause_ = std::max(longestPause_, now - lastByte_);
@@ -310,13 +316,15 @@
   }
   if (!call_) {
     Finish(0, "caller_gone");
+  } else {
+    ArmTimer();
   }
 }
 
 void
 RequestFlow::ArmTimer()
 {
-  if (!answer_) {
+  if (!answer_ && !call_) {
     timer_.cancel();
     return;
   }
@@ -324,6 +332,8 @@
   auto next = deadline_;
   if (call_) {
     next += kDeadlineGrace;
+  }
+  if (call_ && answer_) {
     if (mustBeginBy_ && !firstByte_) {
       next = std::min(next, *mustBeginBy_);
     }
@@ -353,10 +363,18 @@
 void
 RequestFlow::OnTimer()
 {
+  const auto now = context_.clock_.Now();
   if (!answer_) {
+    if (call_ && now >= deadline_ + kDeadlineGrace) {
+      call_->Cancel();
+      call_.reset();
+      EndAttempt(AttemptHealth::Unreachable);
+      Finish(0, "caller_gone");
+    } else if (call_) {
+      ArmTimer();
+    }
     return;
   }
-  const auto now = context_.clock_.Now();
   if (now >= deadline_ + (call_ ? kDeadlineGrace : Duration::zero())) {
     if (call_) {
       const bool mayHaveRun = hasSent_;
--- a/tests/gateway/request_flow_fault_test.cpp
+++ b/tests/gateway/request_flow_fault_test.cpp
@@ -255,6 +255,35 @@
   }
 }
 
+// Guards against a crash, and against a connection that is kept for good: the caller of a booking
+// leaves, the request must not be cancelled, and its answer is large or never ends.
+TEST_F(RequestFlowFaultTest, EndsACallWhoseCallerLeftAndWhoseAnswerDoesNotEnd)
+{
+  for (const std::string head : { kGoodHead, "" }) {
+    std::atomic<bool> isClosed = false;
+    ScriptedServer server([&](Peer& aPeer, int) {
+      aPeer.ReadRequest();
+      std::this_thread::sleep_for(100ms);
+      if (!head.empty()) {
+        aPeer.Send(head + "Connection: close\r\n\r\n");
+        const std::string block(32768, 'b');
+        while (aPeer.Send(block)) {
+        }
+      }
+      isClosed = aPeer.WaitClosed(4s) || !head.empty();
+    });
+    SetUpstreams({ server.Address() });
+    answer_ = std::make_shared<FakeAnswer>();
+    Start();
+    context_.run_for(50ms);
+    context_.restart();
+    answer_->onDisconnect_();
+    context_.run_for(2s);
+    context_.restart();
+    EXPECT_TRUE(testing_support::WaitUntil([&] { return isClosed.load(); }, 500ms)) << head;
+  }
+}
+
 // Guards against a request that reaches an upstream that left while the connection was established.
 TEST_F(RequestFlowFaultTest, SendsNothingToAnUpstreamThatLeftMeanwhile)
 {
