Log the shared parts of a prompt with each request that is sent

The logs could not tell a part of a prompt that crashes engines from an overload of the engines that remain. Logic is unchanged.

--- a/src/gateway/message_codec_base.h
+++ b/src/gateway/message_codec_base.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace laburnumweir {
 
@@ -22,6 +23,9 @@
   std::string model_;                ///< Model; empty for plain services.
   std::string adapter_;              ///< Adapter; empty for the base model.
   std::optional<TokenCount> tokens_; ///< Prompt plus maximum output tokens; none if not given.
+  /** Ids of the parts of the prompt that other requests may share, in order. The last part of a
+   * prompt is left out: it belongs to the request or its session alone. */
+  std::vector<std::string> sharedParts_;
 };
 
 /** Values that this host adds to the header of a request to an upstream. */
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/algorithm/string/join.hpp>
 
 namespace laburnumweir {
 
@@ -294,6 +295,7 @@
              { "route", admitted_.route_->name_ },
              { "upstream", upstream_.Value() },
              { "attempt", std::to_string(attempts_) },
+             { "prompt", boost::algorithm::join(admitted_.facts_.sharedParts_, ",") },
              { "waited_ms", std::to_string(Milliseconds(sent_ - admitted_.arrived_)) },
              { "left_ms", std::to_string(Milliseconds(TimeLeft())) },
              { "running", std::to_string(upstream.running_) },
