--- a/tests/gateway/request_flow_support.h
+++ b/tests/gateway/request_flow_support.h
@@ -108,6 +108,7 @@
       entry.slots_ = slots;
       entry.models_ = engineModels_;
       entry.listsModels_ = !engineModels_.empty();
+      entry.startedAt_ = startedAt_;
       slots /= 2;
       fleet_.Upstreams().OnEntry(entry);
     }
@@ -125,7 +126,10 @@
     if (!engineModels_.empty()) {
       admitted.message_.set("X-Model", "m/a1");
     }
-    admitted.message_.body() = "question";
+    if (!prompt_.empty()) {
+      admitted.message_.set("X-Prompt-Prefix", prompt_);
+    }
+    admitted.message_.body() = body_;
     admitted.facts_ = codec_.ReadRequest(admitted.message_);
     admitted.routes_ = fleet_.Routes();
     admitted.route_ = admitted.routes_->Find("a", "/x");
@@ -180,8 +184,11 @@
                      [this](auto aTicket, const auto& aFlow) { waiting_[aTicket] = aFlow; } };
   std::shared_ptr<FakeAnswer> answer_ = std::make_shared<FakeAnswer>();
   std::string id_ = "r1";                     ///< Id of the next request.
+  std::string body_ = "question";             ///< Of the next request.
+  std::string prompt_;                        ///< Parts of its prompt; empty for none.
   std::chrono::milliseconds timeout_{ 1500 }; ///< Of the route and of the caller.
   std::int64_t configVersion_ = 0;
+  std::int64_t startedAt_ = 0;              ///< Start time of the processes of the upstreams.
   std::vector<ResidentModel> engineModels_; ///< If set, the upstreams are engines with these.
   RepeatRule repeat_ = RepeatRule::Once;
   bool isResumable_ = false;
--- a/tests/wire/message_codec_test.cpp
+++ b/tests/wire/message_codec_test.cpp
@@ -42,6 +42,22 @@
 
 // Guards against callers who set fields that only a gateway may set, such as the workspace, and
 // against forwarding the key or the hop-by-hop fields of the caller to an upstream.
+TEST(MessageCodec, LeavesOutThePartOfAPromptThatIsNotShared)
+{
+  using Parts = std::vector<std::string>;
+  for (const auto& [prompt, parts] : std::map<std::string, Parts>{
+         { "5c1e:800,91bd:410,e440:250", { "5c1e", "91bd" } },
+         { "5c1e,91bd:410,", { "5c1e", "91bd" } },
+         { ",:7,e440:250", {} },
+         { "e440:250", {} },
+         { "", {} },
+       }) {
+    Fields fields;
+    fields.set("X-Prompt-Prefix", prompt);
+    EXPECT_EQ(PlatformMessageCodec().ReadRequest(fields).sharedParts_, parts) << prompt;
+  }
+}
+
 TEST(MessageCodec, RemovesWhatCallersMayNotSet)
 {
   Fields fields;
