Refuse requests whose contents have crashed three upstreams

Cause: no host remembered what an upstream was about to answer when its connections broke, and nothing refused the next request with the same content. Evidence: in each crash some host saw a request cut after the head of its answer and before the first event; one part of the prompt is in all of these requests and in none whose answer went on. Change: Quarantine (src/fleet) keeps these suspects by upstream process, with the shared parts of the prompt and a digest of the request. A content is cleared of all crashes before the last time an answer with it began. What the suspects of three crashes have in common and is not cleared is refused with 503 at once, also in the queue. Hosts merge their suspects, begins and quarantines by gossip. Why it works: sound contents begin elsewhere between two crashes; the one that crashes never does. Crashes within 100 ms count once, so that a loss of many upstreams blames nothing. Ruled out: a quarantine by requests in flight alone, since the first part of these prompts is in 34 suspects and in 802 answers.

--- /dev/null
+++ b/src/fleet/quarantine.cpp
@@ -0,0 +1,354 @@
+/** @file quarantine.cpp Requests that crash the upstreams that run them, and their refusal. */
+#include "fleet/quarantine.h"
+
+#include "logging/logging_func.h"
+#include "table/quarantine_const.h"
+
+#include <algorithm>
+#include <boost/algorithm/string/join.hpp>
+#include <boost/range/adaptor/transformed.hpp>
+#include <iterator>
+#include <set>
+
+namespace laburnumweir {
+
+namespace {
+
+using Contents = std::vector<ContentId>;
+using std::chrono::milliseconds;
+
+Contents
+Sorted(std::span<const ContentId> aContents)
+{
+  Contents result(aContents.begin(), aContents.end());
+  std::sort(result.begin(), result.end());
+  result.erase(std::unique(result.begin(), result.end()), result.end());
+  return result;
+}
+
+bool
+Includes(const Contents& aAll, const Contents& aSome)
+{
+  return std::includes(aAll.begin(), aAll.end(), aSome.begin(), aSome.end());
+}
+
+milliseconds
+ToMilliseconds(Duration aDuration)
+{
+  return std::chrono::duration_cast<milliseconds>(aDuration);
+}
+
+std::string
+ToText(const Contents& aContents)
+{
+  return boost::algorithm::join(
+    aContents |
+      boost::adaptors::transformed([](const ContentId& aContent) { return aContent.Value(); }),
+    ",");
+}
+
+void
+LogQuarantine(const char* aEvent, const Contents& aContents)
+{
+  LogEvent(LogLevel::Warn, aEvent, { { "contents", ToText(aContents) } });
+}
+
+/** Counts the crashes that are unlikely to have a common cause other than a request. */
+class CrashCounter
+{
+public:
+  /** Crashes must be added in the order of their times. */
+  void Add(const UpstreamProcess& aProcess, TimePoint aTime)
+  {
+    if ((processes_.empty() || aTime - last_ >= kMinCrashGap) &&
+        processes_.insert(aProcess).second) {
+      last_ = aTime;
+    }
+  }
+  std::size_t Count() const { return processes_.size(); }
+
+private:
+  std::set<UpstreamProcess> processes_;
+  TimePoint last_;
+};
+
+} // namespace
+
+bool
+Quarantine::IsCleared(const ContentId& aContent, TimePoint aSince) const
+{
+  const auto found = lastBegun_.find(aContent);
+  return found != lastBegun_.end() && found->second > aSince;
+}
+
+std::vector<ContentId>
+Quarantine::UnclearedContents(const Suspect& aSuspect) const
+{
+  Contents result;
+  std::copy_if(aSuspect.contents_.begin(),
+               aSuspect.contents_.end(),
+               std::back_inserter(result),
+               [&](const ContentId& aContent) { return !IsCleared(aContent, aSuspect.at_); });
+  return result;
+}
+
+bool
+Quarantine::IsExplained(const Suspect& aSuspect) const
+{
+  return std::any_of(entries_.begin(), entries_.end(), [&](const Entry& aEntry) {
+    return Includes(aSuspect.contents_, aEntry.contents_);
+  });
+}
+
+bool
+Quarantine::IsOfInterest(const ContentId& aContent) const
+{
+  const auto holds = [&](const auto& aItem) {
+    return std::binary_search(aItem.contents_.begin(), aItem.contents_.end(), aContent);
+  };
+  return std::any_of(suspects_.begin(), suspects_.end(), holds) ||
+         std::any_of(entries_.begin(), entries_.end(), holds);
+}
+
+void
+Quarantine::OnCut(const UpstreamProcess& aProcess, std::span<const ContentId> aContents)
+{
+  if (aContents.empty()) {
+    return;
+  }
+  if (AddSuspect({ aProcess, Sorted(aContents), clock_.Now() })) {
+    FindCauses();
+  }
+}
+
+bool
+Quarantine::AddSuspect(Suspect aSuspect)
+{
+  const auto survived = survived_.find(aSuspect.process_);
+  if (survived != survived_.end() && aSuspect.at_ < survived->second &&
+      survived->second - aSuspect.at_ < kMinRestartTime) {
+    return false;
+  }
+  const bool isKnown = std::any_of(suspects_.begin(), suspects_.end(), [&](const Suspect& aOther) {
+    return aOther.process_ == aSuspect.process_ && aOther.contents_ == aSuspect.contents_;
+  });
+  if (isKnown) {
+    return false;
+  }
+  const auto isOfProcess = [&](const Suspect& aOther) {
+    return aOther.process_ == aSuspect.process_;
+  };
+  const auto ofProcess = std::count_if(suspects_.begin(), suspects_.end(), isOfProcess);
+  if (static_cast<std::size_t>(ofProcess) >= kMaxSuspectsPerUpstream) {
+    suspects_.erase(std::find_if(suspects_.begin(), suspects_.end(), isOfProcess));
+  } else if (suspects_.size() >= kMaxCrashSuspects) {
+    suspects_.erase(suspects_.begin());
+  }
+  const auto position = std::upper_bound(
+    suspects_.begin(), suspects_.end(), aSuspect.at_, [](TimePoint aTime, const Suspect& aOther) {
+      return aTime < aOther.at_;
+    });
+  suspects_.insert(position, std::move(aSuspect));
+  return true;
+}
+
+void
+Quarantine::OnBegun(const UpstreamProcess& aProcess,
+                    TimePoint aSentAt,
+                    std::span<const ContentId> aContents)
+{
+  const auto now = clock_.Now();
+  for (const auto& content : aContents) {
+    lastBegun_[content] = now;
+  }
+  const auto hasSurvived = [&](const Suspect& aSuspect) {
+    return aSuspect.process_ == aProcess && aSuspect.at_ < aSentAt &&
+           aSentAt - aSuspect.at_ < kMinRestartTime;
+  };
+  if (std::erase_if(suspects_, hasSurvived) > 0) {
+    survived_[aProcess] = aSentAt;
+  }
+  NarrowEntries();
+}
+
+void
+Quarantine::FindCauses()
+{
+  while (FindCause()) {
+    NarrowEntries();
+  }
+}
+
+bool
+Quarantine::FindCause()
+{
+  std::map<ContentId, CrashCounter> crashes;
+  for (const auto& suspect : suspects_) {
+    if (!IsExplained(suspect)) {
+      for (const auto& content : UnclearedContents(suspect)) {
+        crashes[content].Add(suspect.process_, suspect.at_);
+      }
+    }
+  }
+  const auto worst =
+    std::max_element(crashes.begin(), crashes.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.second.Count() < aRight.second.Count();
+    });
+  if (worst == crashes.end() || worst->second.Count() < kMinCrashes) {
+    return false;
+  }
+  std::optional<Contents> common;
+  TimePoint lastCrash;
+  for (const auto& suspect : suspects_) {
+    const auto contents = UnclearedContents(suspect);
+    if (IsExplained(suspect) ||
+        !std::binary_search(contents.begin(), contents.end(), worst->first)) {
+      continue;
+    }
+    Contents shared;
+    std::set_intersection(contents.begin(),
+                          contents.end(),
+                          common ? common->begin() : contents.begin(),
+                          common ? common->end() : contents.end(),
+                          std::back_inserter(shared));
+    common = std::move(shared);
+    lastCrash = suspect.at_;
+  }
+  LogEvent(
+    LogLevel::Warn,
+    "quarantine_started",
+    { { "contents", ToText(*common) }, { "crashes", std::to_string(worst->second.Count()) } });
+  AddEntry({ std::move(*common), lastCrash, clock_.Now() + kQuarantineTime });
+  return true;
+}
+
+void
+Quarantine::AddEntry(Entry aEntry)
+{
+  const auto known = std::find_if(entries_.begin(), entries_.end(), [&](const Entry& aOther) {
+    return Includes(aEntry.contents_, aOther.contents_);
+  });
+  if (known != entries_.end()) {
+    known->until_ = std::max(known->until_, aEntry.until_);
+    return;
+  }
+  if (entries_.size() >= kMaxQuarantines) {
+    entries_.erase(entries_.begin());
+  }
+  entries_.push_back(std::move(aEntry));
+}
+
+void
+Quarantine::NarrowEntries()
+{
+  bool hasChanged = false;
+  for (auto& entry : entries_) {
+    const auto cleared = std::erase_if(entry.contents_, [&](const ContentId& aContent) {
+      return IsCleared(aContent, entry.since_);
+    });
+    if (cleared > 0) {
+      hasChanged = true;
+      LogQuarantine(entry.contents_.empty() ? "quarantine_lifted" : "quarantine_narrowed",
+                    entry.contents_);
+    }
+  }
+  if (hasChanged) {
+    std::vector<Entry> entries;
+    entries.swap(entries_);
+    for (auto& entry : entries) {
+      if (!entry.contents_.empty()) {
+        AddEntry(std::move(entry));
+      }
+    }
+  }
+}
+
+std::optional<Duration>
+Quarantine::TimeLeft(std::span<const ContentId> aContents) const
+{
+  if (entries_.empty()) {
+    return std::nullopt;
+  }
+  const auto now = clock_.Now();
+  const auto contents = Sorted(aContents);
+  std::optional<Duration> left;
+  for (const auto& entry : entries_) {
+    if (entry.until_ > now && Includes(contents, entry.contents_)) {
+      left = std::max(left.value_or(Duration::zero()), entry.until_ - now);
+    }
+  }
+  return left;
+}
+
+QuarantineReport
+Quarantine::Report() const
+{
+  QuarantineReport report;
+  const auto now = clock_.Now();
+  for (const auto& entry : entries_) {
+    report.entries_.push_back(
+      { entry.contents_, ToMilliseconds(now - entry.since_), ToMilliseconds(entry.until_ - now) });
+  }
+  if (suspects_.empty() && entries_.empty()) {
+    return report;
+  }
+  for (auto suspect = suspects_.rbegin();
+       suspect != suspects_.rend() && now - suspect->at_ < kCrashReportTime &&
+       report.suspects_.size() < kMaxReportedSuspects;
+       ++suspect) {
+    report.suspects_.push_back(
+      { suspect->process_, suspect->contents_, ToMilliseconds(now - suspect->at_) });
+  }
+  for (const auto& [content, time] : lastBegun_) {
+    if (now - time < kCrashReportTime && IsOfInterest(content)) {
+      report.begun_.push_back({ content, ToMilliseconds(now - time) });
+    }
+  }
+  return report;
+}
+
+void
+Quarantine::Merge(const QuarantineReport& aReport)
+{
+  const auto now = clock_.Now();
+  for (const auto& begun : aReport.begun_) {
+    auto& last = lastBegun_[begun.content_];
+    last = std::max(last, now - begun.age_);
+  }
+  bool isNew = false;
+  for (const auto& suspect : aReport.suspects_) {
+    isNew =
+      AddSuspect({ suspect.process_, Sorted(suspect.contents_), now - suspect.age_ }) || isNew;
+  }
+  for (const auto& reported : aReport.entries_) {
+    Entry entry{ Sorted(reported.contents_), now - reported.age_, now + reported.left_ };
+    std::erase_if(entry.contents_,
+                  [&](const ContentId& aContent) { return IsCleared(aContent, entry.since_); });
+    if (!entry.contents_.empty() && entry.until_ > now) {
+      if (!IsExplained({ {}, entry.contents_, now })) {
+        LogQuarantine("quarantine_learned", entry.contents_);
+      }
+      AddEntry(std::move(entry));
+    }
+  }
+  NarrowEntries();
+  if (isNew) {
+    FindCauses();
+  }
+}
+
+void
+Quarantine::Expire()
+{
+  const auto now = clock_.Now();
+  std::erase_if(suspects_,
+                [&](const Suspect& aSuspect) { return now - aSuspect.at_ >= kCrashSuspectTtl; });
+  std::erase_if(entries_, [&](const Entry& aEntry) { return aEntry.until_ <= now; });
+  std::erase_if(survived_,
+                [&](const auto& aItem) { return now - aItem.second >= kCrashReportTime; });
+  std::erase_if(lastBegun_, [&](const auto& aItem) {
+    return now - aItem.second >= kCrashReportTime && !IsOfInterest(aItem.first);
+  });
+}
+
+} // namespace laburnumweir
--- /dev/null
+++ b/src/fleet/quarantine.h
@@ -0,0 +1,137 @@
+/** @file quarantine.h Requests that crash the upstreams that run them, and their refusal. */
+#ifndef LABURNUMWEIR_FLEET_QUARANTINE_H
+#define LABURNUMWEIR_FLEET_QUARANTINE_H
+
+#include "core/clock_base.h"
+#include "core/id_type.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <utility>
+#include <vector>
+
+namespace laburnumweir {
+
+/** Something that several requests may have in common: a shared part of their prompts, or the whole
+ * request if a caller sends it again. */
+using ContentId = StringId<struct ContentTag>;
+
+/** One process of an upstream: its id and its start time in Unix ms. */
+using UpstreamProcess = std::pair<UpstreamId, std::int64_t>;
+
+/** A request whose connection to an upstream broke while the upstream began to answer it. */
+struct CrashSuspect
+{
+  UpstreamProcess process_;         ///< Process that may have crashed.
+  std::vector<ContentId> contents_; ///< Contents of the request, sorted.
+  std::chrono::milliseconds age_{}; ///< Time since the connection broke.
+};
+
+/** The answer to a request with a content has begun, so the content does not crash upstreams. */
+struct ContentBegun
+{
+  ContentId content_;
+  std::chrono::milliseconds age_{}; ///< Time since the answer began.
+};
+
+/** Contents that crash upstreams if one request holds all of them. */
+struct QuarantineEntry
+{
+  std::vector<ContentId> contents_;  ///< Sorted, never empty.
+  std::chrono::milliseconds age_{};  ///< Time since the last crash that led to it.
+  std::chrono::milliseconds left_{}; ///< Time until it ends.
+};
+
+/** What a host tells the others of crashes. */
+struct QuarantineReport
+{
+  std::vector<CrashSuspect> suspects_;
+  std::vector<ContentBegun> begun_;
+  std::vector<QuarantineEntry> entries_;
+};
+
+/**
+ * Finds what the requests have in common that were at the crashes of upstreams, and tells which
+ * requests must not run. Each crash has some suspects; a content is cleared of all crashes before
+ * the last time at which an answer to a request with it began. Contents that are not cleared of
+ * kMinCrashes crashes are quarantined: all that the suspects have in common, since any of them may
+ * be the cause. An entry loses the contents that are cleared later. All hosts merge their reports,
+ * in any order and any number of times. Not thread-safe.
+ */
+class Quarantine
+{
+public:
+  /** @param aClock time source; must outlive this. */
+  explicit Quarantine(const Clock& aClock)
+    : clock_(aClock)
+  {
+  }
+
+  /**
+   * Records that a connection broke while an upstream began to answer.
+   * @param aProcess the upstream. @param aContents contents of the request; may be empty.
+   */
+  void OnCut(const UpstreamProcess& aProcess, std::span<const ContentId> aContents);
+  /**
+   * Records that the answer to a request has begun.
+   * @param aProcess upstream that answers. @param aSentAt when the request was sent.
+   * @param aContents contents of the request.
+   */
+  void OnBegun(const UpstreamProcess& aProcess,
+               TimePoint aSentAt,
+               std::span<const ContentId> aContents);
+  /** @return time until a request with these contents may run; none if it may run now. */
+  std::optional<Duration> TimeLeft(std::span<const ContentId> aContents) const;
+
+  /** @return the recent suspects and begins, and all quarantines. */
+  QuarantineReport Report() const;
+  /** Applies the report of another host. */
+  void Merge(const QuarantineReport& aReport);
+  /** Removes what has expired. */
+  void Expire();
+  /** @return number of quarantines. */
+  std::size_t Size() const { return entries_.size(); }
+
+private:
+  struct Suspect
+  {
+    UpstreamProcess process_;
+    std::vector<ContentId> contents_; ///< Sorted.
+    TimePoint at_;                    ///< When the connection broke.
+  };
+  struct Entry
+  {
+    std::vector<ContentId> contents_; ///< Sorted, never empty.
+    TimePoint since_; ///< Last crash that led to it; begins after it clear contents.
+    TimePoint until_;
+  };
+
+  /** @return false if it is known already or its process has survived. */
+  bool AddSuspect(Suspect aSuspect);
+  void AddEntry(Entry aEntry);
+  /** Starts a quarantine for each group of contents that has crashed enough upstreams. */
+  void FindCauses();
+  /** Starts the quarantine of the contents with the most crashes. @return false if there are none.
+   */
+  bool FindCause();
+  /** @return the contents that have not begun since the suspected crash. */
+  std::vector<ContentId> UnclearedContents(const Suspect& aSuspect) const;
+  bool IsCleared(const ContentId& aContent, TimePoint aSince) const;
+  bool IsExplained(const Suspect& aSuspect) const;
+  /** Removes contents that are cleared, and entries that another entry includes. */
+  void NarrowEntries();
+  bool IsOfInterest(const ContentId& aContent) const;
+
+  const Clock& clock_;
+  std::vector<Suspect> suspects_;                 ///< Oldest first.
+  std::vector<Entry> entries_;                    ///< Quarantines, oldest first.
+  std::map<ContentId, TimePoint> lastBegun_;      ///< When an answer last began, by content.
+  std::map<UpstreamProcess, TimePoint> survived_; ///< When a request was sent that it answered.
+};
+
+} // namespace laburnumweir
+
+#endif
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -90,6 +90,7 @@
     , queue_(clock_)
     , self_{ settings_.host_, settings_.gossipEndpoint_, settings_.dataCentre_ }
     , peers_(clock_, self_)
+    , quarantine_(clock_)
     , link_(aContext)
     , flowContext_{ aContext,
                     clock_,
@@ -98,6 +99,7 @@
                     quota_,
                     retries_,
                     queue_,
+                    quarantine_,
                     link_,
                     metrics_,
                     settings_.bounds_,
@@ -119,9 +121,10 @@
     , signals_(aContext, SIGTERM, SIGHUP, SIGINT)
   {
     gossip_ = std::make_shared<GossipService>(
-      GossipContext{ clock_, scheduler_, fleet_, quota_, retries_, peers_ }, self_, life_, [this] {
-        ScheduleStartQueued();
-      });
+      GossipContext{ clock_, scheduler_, fleet_, quota_, retries_, peers_, quarantine_ },
+      self_,
+      life_,
+      [this] { ScheduleStartQueued(); });
     fleet_.Upstreams().SetHasIdleConnection(
       [this](const Endpoint& aEndpoint) { return link_.HasIdle(aEndpoint); });
     HolderSettings holder;
@@ -179,6 +182,8 @@
                       [this] { return peers_.IsStoreReader() ? 1.0 : 0.0; });
     metrics_.SetGauge("laburnumweir_gateway_upstream_connects",
                       [this] { return static_cast<double>(link_.Connects()); });
+    metrics_.SetGauge("laburnumweir_gateway_quarantines",
+                      [this] { return static_cast<double>(quarantine_.Size()); });
     AwaitSignal();
     watch_->Start();
     holder_->Start();
@@ -494,6 +499,7 @@
   WaitQueue queue_;       ///< Order of the requests in waiting_.
   const HostRecord self_; ///< Published to the store and to peers.
   PeerTable peers_;
+  Quarantine quarantine_; ///< Requests that crash upstreams.
   UpstreamLink link_;
   FlowContext flowContext_; ///< References to the services above.
   std::unordered_map<WaitTicket, std::shared_ptr<RequestFlow>> waiting_; ///< Queued requests.
--- a/src/gateway/gossip_message.cpp
+++ b/src/gateway/gossip_message.cpp
@@ -17,7 +17,8 @@
 // h host, a address, p port, z data centre, n message number, l start time of the process,
 // c has a load report, d demand by workspace, r running requests by upstream, g generation,
 // o partitions, e engines with their adapters, u uses that started, k uses that still run,
-// w load requests, q query, s answer, x changed upstreams, m live hosts.
+// w load requests, q query, s answer, x changed upstreams, m live hosts, f crash suspects,
+// b contents that have begun, y quarantines.
 
 /** @return text of a cell; empty if the cell is missing or of another type. */
 std::string
@@ -264,6 +265,78 @@
   return counts;
 }
 
+void
+AppendContents(const std::vector<ContentId>& aContents, json::array& aRow)
+{
+  for (const auto& content : aContents) {
+    aRow.emplace_back(content.Value());
+  }
+}
+
+/** @return the contents in the cells from the given column on. */
+std::vector<ContentId>
+ContentsFrom(const json::array& aRow, std::size_t aFirstColumn)
+{
+  std::vector<ContentId> contents;
+  for (std::size_t i = aFirstColumn; i < aRow.size(); ++i) {
+    contents.emplace_back(TextAt(aRow, i));
+  }
+  return contents;
+}
+
+std::chrono::milliseconds
+MillisecondsAt(const json::array& aRow, std::size_t aIndex)
+{
+  return std::chrono::milliseconds(NumberAt<std::int64_t>(aRow, aIndex));
+}
+
+void
+EncodeQuarantine(const QuarantineReport& aReport, json::object& aObject)
+{
+  json::array suspects;
+  for (const auto& suspect : aReport.suspects_) {
+    const auto& [upstream, startedAt] = suspect.process_;
+    json::array row{ upstream.Value(), startedAt, suspect.age_.count() };
+    AppendContents(suspect.contents_, row);
+    suspects.emplace_back(std::move(row));
+  }
+  json::array begun;
+  for (const auto& content : aReport.begun_) {
+    begun.emplace_back(json::array{ content.content_.Value(), content.age_.count() });
+  }
+  json::array entries;
+  for (const auto& entry : aReport.entries_) {
+    json::array row{ entry.age_.count(), entry.left_.count() };
+    AppendContents(entry.contents_, row);
+    entries.emplace_back(std::move(row));
+  }
+  for (auto [key, rows] :
+       { std::pair("f", &suspects), std::pair("b", &begun), std::pair("y", &entries) }) {
+    if (!rows->empty()) {
+      aObject[key] = std::move(*rows);
+    }
+  }
+}
+
+QuarantineReport
+DecodeQuarantine(const json::object& aObject)
+{
+  QuarantineReport report;
+  ForRows(aObject, "f", [&](const json::array& aRow) {
+    report.suspects_.push_back({ { UpstreamId(TextAt(aRow, 0)), NumberAt<std::int64_t>(aRow, 1) },
+                                 ContentsFrom(aRow, 3),
+                                 MillisecondsAt(aRow, 2) });
+  });
+  ForRows(aObject, "b", [&](const json::array& aRow) {
+    report.begun_.push_back({ ContentId(TextAt(aRow, 0)), MillisecondsAt(aRow, 1) });
+  });
+  ForRows(aObject, "y", [&](const json::array& aRow) {
+    report.entries_.push_back(
+      { ContentsFrom(aRow, 2), MillisecondsAt(aRow, 0), MillisecondsAt(aRow, 1) });
+  });
+  return report;
+}
+
 } // namespace
 
 std::uint64_t
@@ -294,6 +367,7 @@
     }
     object["o"] = std::move(partitions);
   }
+  EncodeQuarantine(aMessage.quarantine_, object);
   if (const auto& query = aMessage.query_) {
     object["q"] = json::array{ query->upstreamsOffset_, query->hostsDigest_ };
   }
@@ -373,6 +447,7 @@
   }
   ForRows(
     object, "m", [&](const json::array& aRow) { message.hosts_.push_back(DecodeHost(aRow)); });
+  message.quarantine_ = DecodeQuarantine(object);
   ForRows(object, "o", [&](const json::array& aRow) {
     message.partitions_.push_back(NumberAt<std::uint32_t>(aRow, 0));
   });
--- a/src/gateway/gossip_message.h
+++ b/src/gateway/gossip_message.h
@@ -5,6 +5,7 @@
 #include "fleet/count_table.h"
 #include "fleet/engine_orders.h"
 #include "fleet/peer_table.h"
+#include "fleet/quarantine.h"
 
 #include <chrono>
 #include <optional>
@@ -82,6 +83,7 @@
   std::vector<AdapterUse> startedUses_;    ///< Uses that started since the last message.
   std::vector<AdapterUse> runningUses_;    ///< Uses that started earlier and still run.
   std::vector<EngineLoadRequest> loadRequests_; ///< Load requests of the sender.
+  QuarantineReport quarantine_;                 ///< Crashes known to the sender.
 };
 
 /** @return digest of the hosts and their partitions; depends on the order of the hosts. */
--- a/src/gateway/gossip_service.cpp
+++ b/src/gateway/gossip_service.cpp
@@ -84,6 +84,7 @@
   message.hostLoad_ = std::move(aLoad);
   message.generation_ = holder_->Lease().Generation();
   message.partitions_ = holder_->Lease().Partitions();
+  message.quarantine_ = context_.quarantine_.Report();
   return message;
 }
 
@@ -109,6 +110,7 @@
 GossipService::SendRound()
 {
   context_.peers_.Expire();
+  context_.quarantine_.Expire();
   const auto hosts = context_.peers_.Hosts();
   context_.quota_.SetHostCount(hosts.size());
   context_.retries_.SetHostCount(hosts.size());
@@ -319,6 +321,7 @@
   if (message->hostLoad_ && isNewest) {
     OnHostLoad(*message);
   }
+  context_.quarantine_.Merge(message->quarantine_);
   bool hasChanged = false;
   for (const auto& residency : message->residency_) {
     hasChanged = context_.fleet_.Upstreams().OnResidency(residency) || hasChanged;
--- a/src/gateway/gossip_service.h
+++ b/src/gateway/gossip_service.h
@@ -6,6 +6,7 @@
 #include "fleet/count_table.h"
 #include "fleet/fleet_state.h"
 #include "fleet/peer_table.h"
+#include "fleet/quarantine.h"
 #include "fleet/quota_share.h"
 #include "fleet/retry_share.h"
 #include "gateway/gossip_link.h"
@@ -30,6 +31,7 @@
   QuotaShare& quota_;
   RetryShare& retries_;
   PeerTable& peers_;
+  Quarantine& quarantine_;
 };
 
 /**
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -1,6 +1,7 @@
 /** @file request_flow.cpp Choice of an upstream, queueing and sending of one request. */
 #include "gateway/request_flow.h"
 
+#include "core/hash_func.h"
 #include "logging/logging_func.h"
 #include "table/fleet_const.h"
 #include "table/flow_const.h"
@@ -16,6 +17,39 @@
 using BoostError = boost::system::error_code;
 using std::chrono::milliseconds;
 
+namespace {
+
+/**
+ * @return digest of what stays the same if the caller sends the request again. It cannot equal the
+ * id of a part of a prompt.
+ */
+ContentId
+DigestOf(const AdmittedRequest& aRequest)
+{
+  const auto& message = aRequest.message_;
+  std::string head;
+  for (const auto text :
+       { message.method_string(), message[http::field::host], message.target() }) {
+    head.append(text.data(), text.size()).push_back('\n');
+  }
+  head += aRequest.workspace_ == nullptr ? "" : aRequest.workspace_->id_.Value();
+  return ContentId("request:" + std::to_string(RendezvousWeight(head, message.body())));
+}
+
+/** @return the shared parts of the prompt, and at the end the digest of the request. */
+std::vector<ContentId>
+ContentsOf(const AdmittedRequest& aRequest)
+{
+  std::vector<ContentId> contents;
+  for (const auto& part : aRequest.facts_.sharedParts_) {
+    contents.emplace_back(part);
+  }
+  contents.push_back(DigestOf(aRequest));
+  return contents;
+}
+
+} // namespace
+
 RequestFlow::RequestFlow(FlowContext& aContext,
                          AdmittedRequest aRequest,
                          std::shared_ptr<AnswerStream> aAnswer)
@@ -33,6 +67,7 @@
     timeout = std::min<Duration>(timeout, route.timeout_);
   }
   deadline_ = admitted_.arrived_ + timeout;
+  contents_ = ContentsOf(admitted_);
 }
 
 void
@@ -171,6 +206,10 @@
     Reply(401, "key_withdrawn", std::nullopt);
     return true;
   }
+  if (const auto timeLeft = context_.quarantine_.TimeLeft(contents_)) {
+    Reply(runs_ > 0 ? 502 : 503, "quarantined", timeLeft);
+    return true;
+  }
   const auto choice = ChooseUpstream();
   if (choice.upstream_ == nullptr) {
     if (!choice.hasUntried_ && !failed_.empty()) {
@@ -281,6 +320,8 @@
   auto& upstream = *aChoice.upstream_;
   upstream_ = upstream.entry_.id_;
   endpoint_ = upstream.entry_.endpoint_;
+  startedAt_ = upstream.entry_.startedAt_;
+  eventsBefore_ = events_.Events();
   sent_ = context_.clock_.Now();
   firstByte_.reset();
   hasSent_ = false;
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -5,6 +5,7 @@
 #include "fleet/engine_orders.h"
 #include "fleet/event_cutter.h"
 #include "fleet/fleet_state.h"
+#include "fleet/quarantine.h"
 #include "fleet/quota_share.h"
 #include "fleet/retry_share.h"
 #include "fleet/wait_queue.h"
@@ -44,10 +45,11 @@
   boost::asio::io_context& context_;
   const Clock& clock_;
   const MessageCodec& codec_;
-  FleetState& fleet_;   ///< Routes, workspaces, adapters and upstreams.
-  QuotaShare& quota_;   ///< This host's share of the workspaces' quotas.
-  RetryShare& retries_; ///< This host's share of the retry budget.
-  WaitQueue& queue_;    ///< Order of the requests that wait for a free slot.
+  FleetState& fleet_;      ///< Routes, workspaces, adapters and upstreams.
+  QuotaShare& quota_;      ///< This host's share of the workspaces' quotas.
+  RetryShare& retries_;    ///< This host's share of the retry budget.
+  WaitQueue& queue_;       ///< Order of the requests that wait for a free slot.
+  Quarantine& quarantine_; ///< Requests that crash upstreams.
   UpstreamLink& link_;
   Metrics& metrics_;
   const GatewayBounds& bounds_; ///< Limits that hold over all hosts; may change on a reload.
@@ -137,6 +139,10 @@
   void OnTimer();
   void OnSilence();
   void EndAttempt(AttemptHealth aHealth);
+  /** Records that the answer of the last attempt shows no crash. */
+  void RecordBegun();
+  /** Records that the last attempt may have crashed its upstream, unless its answer had begun. */
+  void RecordCut();
   /** Closes the connection of an attempt whose answer goes on beyond a limit, and ends the attempt.
    */
   void EndCall(AnswerClass aClass);
@@ -161,9 +167,11 @@
   std::shared_ptr<AnswerStream> answer_; ///< Empty once the request ended or the caller left.
   boost::asio::steady_timer timer_;      ///< Expires at the next time limit; see ArmTimer().
   TimePoint deadline_;                   ///< When the caller stops waiting.
+  std::vector<ContentId> contents_;      ///< What the request may have in common with others.
   std::shared_ptr<UpstreamCall> call_;   ///< Running attempt; empty if none.
   UpstreamId upstream_;                  ///< Upstream of the last attempt.
   Endpoint endpoint_;                    ///< Address of upstream_.
+  std::int64_t startedAt_ = 0;           ///< Start time of its process, Unix ms.
   TimePoint sent_;                       ///< When the last attempt started.
   std::optional<TimePoint> firstByte_;   ///< When the answer head of the last attempt was received.
   TimePoint lastByte_;                   ///< When bytes of the answer were last received.
@@ -182,6 +190,7 @@
   std::uint32_t runs_ = 0;                  ///< Attempts that ran or may have run.
   std::uint32_t attempts_ = 0;              ///< All attempts, including those that were not run.
   bool hasSent_ = false;          ///< Bytes of the last attempt may have reached upstream_.
+  std::size_t eventsBefore_ = 0;  ///< Events of the attempts before the last one.
   bool isSilenceHandled_ = false; ///< OnSilence() has handled the silence of this attempt.
   AnswerClass answerClass_ = AnswerClass::None; ///< Result of the checks of the answer.
   AnswerFacts answerFacts_;                     ///< Values of the answer's header fields.
--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -3,6 +3,7 @@
 
 #include "logging/logging_func.h"
 #include "table/flow_const.h"
+#include "table/quarantine_const.h"
 
 #include <algorithm>
 #include <array>
@@ -118,6 +119,10 @@
     }
     if (events_.Events() > eventsBefore) {
       lastEvent_ = now;
+      const auto begunAt = eventsBefore_ + kBegunEvents;
+      if (eventsBefore < begunAt && events_.Events() >= begunAt) {
+        RecordBegun();
+      }
     }
   } else if (isBegun_) {
     output = std::string(aBytes);
@@ -163,6 +168,26 @@
   OnEnd(CallEnd::Malformed);
 }
 
+void
+RequestFlow::RecordBegun()
+{
+  context_.quarantine_.OnBegun({ upstream_, startedAt_ }, sent_, contents_);
+}
+
+void
+RequestFlow::RecordCut()
+{
+  if (answerClass_ == AnswerClass::Valid) {
+    if (!isStreaming_ || events_.Events() < eventsBefore_ + kBegunEvents) {
+      context_.quarantine_.OnCut({ upstream_, startedAt_ }, contents_);
+    }
+  } else if (answerClass_ == AnswerClass::None) {
+    // Many requests may have waited at the upstream or run without an answer yet. Of these, only
+    // one that is sent again is told from the others.
+    context_.quarantine_.OnCut({ upstream_, startedAt_ }, { &contents_.back(), 1 });
+  }
+}
+
 void
 RequestFlow::EndAttempt(AttemptHealth aHealth)
 {
@@ -182,6 +207,10 @@
 {
   const auto self = shared_from_this();
   call_.reset();
+  const bool isCut = aEnd == CallEnd::Lost || (aEnd == CallEnd::Complete && events_.HasPart());
+  if (hasSent_ && isCut) {
+    RecordCut();
+  }
   if (!answer_) {
     // The caller left while a request that must not be cancelled was running.
     EndAttempt(aEnd == CallEnd::Complete ? AttemptHealth::Good : AttemptHealth::Failed);
@@ -202,6 +231,7 @@
   const bool isComplete = aEnd == CallEnd::Complete && !events_.HasPart();
   if (isComplete && answerClass_ == AnswerClass::Valid) {
     EndAttempt(AttemptHealth::Good);
+    RecordBegun();
     ForwardAnswer();
   } else if (isComplete && answerClass_ == AnswerClass::Error) {
     const bool isFailure = status_ / 100 == 5;
--- /dev/null
+++ b/src/table/quarantine_const.h
@@ -0,0 +1,50 @@
+/** @file quarantine_const.h Constants of the quarantine of requests that crash upstreams. */
+#ifndef LABURNUMWEIR_TABLE_QUARANTINE_CONST_H
+#define LABURNUMWEIR_TABLE_QUARANTINE_CONST_H
+
+#include "core/clock_base.h"
+
+#include <chrono>
+#include <cstddef>
+
+namespace laburnumweir {
+
+/**
+ * Number of upstream processes that must have crashed on a content before it is quarantined. A
+ * sound content is rarely at two crashes without beginning anywhere in between.
+ */
+constexpr std::size_t kMinCrashes = 3;
+/**
+ * Crashes closer together than this count as one. A power loss or a lost link ends many upstreams
+ * at once, and a content that many requests share is then at several of them by chance.
+ */
+constexpr Duration kMinCrashGap = std::chrono::milliseconds(100);
+/** Duration of a quarantine. After it, the content must crash kMinCrashes upstreams anew. */
+constexpr Duration kQuarantineTime = std::chrono::minutes(10);
+/** Time for which a suspected crash counts. */
+constexpr Duration kCrashSuspectTtl = std::chrono::minutes(10);
+/**
+ * Time for which crash suspects and begins of answers are sent to the other hosts; many gossip
+ * intervals, so that lost datagrams do no harm.
+ */
+constexpr Duration kCrashReportTime = std::chrono::seconds(5);
+/**
+ * Minimum time from the crash of an upstream until it serves again under the same id. An answer to
+ * a request that was sent to the same process within this time after a suspected crash shows that
+ * there was none.
+ */
+constexpr Duration kMinRestartTime = std::chrono::seconds(1);
+/** A stream of fewer complete events than this has only begun. */
+constexpr std::size_t kBegunEvents = 2;
+/** Maximum number of crash suspects that are kept, about 200 bytes each. */
+constexpr std::size_t kMaxCrashSuspects = 128;
+/** Maximum number of crash suspects of one upstream process; one that is cut off has many. */
+constexpr std::size_t kMaxSuspectsPerUpstream = 8;
+/** Maximum number of crash suspects in one gossip message, about 100 bytes each. */
+constexpr std::size_t kMaxReportedSuspects = 16;
+/** Maximum number of quarantines; the oldest is dropped for a further one. */
+constexpr std::size_t kMaxQuarantines = 64;
+
+} // namespace laburnumweir
+
+#endif
--- a/tests/gateway/gossip_message_test.cpp
+++ b/tests/gateway/gossip_message_test.cpp
@@ -9,6 +9,8 @@
 namespace laburnumweir {
 namespace {
 
+using namespace std::chrono_literals;
+
 GossipMessage
 MakeMessage()
 {
@@ -24,6 +26,11 @@
   message.startedUses_ = { { UpstreamId("e1"), "m", "a1" } };
   message.runningUses_ = { { UpstreamId("e2"), "m", "a2" } };
   message.loadRequests_ = { { UpstreamId("e2"), { "m", "a3", 4, LoadPriority::Late } } };
+  message.quarantine_.suspects_ = {
+    { { UpstreamId("e3"), 1791294744030 }, { ContentId("p1"), ContentId("p2") }, 40ms }
+  };
+  message.quarantine_.begun_ = { { ContentId("p1"), 20ms } };
+  message.quarantine_.entries_ = { { { ContentId("p3") }, 70ms, 9s } };
   return message;
 }
 
@@ -47,6 +54,15 @@
   EXPECT_EQ(decoded->residency_.at(0).startedAt_, 5);
   EXPECT_EQ(decoded->residency_.at(0).models_.at(0).adapters_,
             sent.residency_[0].models_[0].adapters_);
+  const auto& suspect = decoded->quarantine_.suspects_.at(0);
+  EXPECT_EQ(suspect.process_, sent.quarantine_.suspects_[0].process_);
+  EXPECT_EQ(suspect.contents_, sent.quarantine_.suspects_[0].contents_);
+  EXPECT_EQ(suspect.age_, 40ms);
+  EXPECT_EQ(decoded->quarantine_.begun_.at(0).content_, ContentId("p1"));
+  EXPECT_EQ(decoded->quarantine_.begun_.at(0).age_, 20ms);
+  EXPECT_EQ(decoded->quarantine_.entries_.at(0).contents_, sent.quarantine_.entries_[0].contents_);
+  EXPECT_EQ(decoded->quarantine_.entries_.at(0).age_, 70ms);
+  EXPECT_EQ(decoded->quarantine_.entries_.at(0).left_, 9s);
   EXPECT_EQ(decoded->startedUses_, sent.startedUses_);
   EXPECT_EQ(decoded->runningUses_, sent.runningUses_);
   EXPECT_EQ(decoded->loadRequests_.at(0).request_.version_, 4);
--- a/tests/gateway/gossip_service_test.cpp
+++ b/tests/gateway/gossip_service_test.cpp
@@ -58,6 +58,7 @@
     , quota_(aClock)
     , retries_(aClock, { 0, 100, 10s })
     , peers_(aClock, aSelf)
+    , quarantine_(aClock)
   {
     ServeStore();
     HolderSettings settings;
@@ -69,7 +70,10 @@
     watch_ =
       std::make_shared<StoreWatch>(store_, fleet_, clock_, scheduler_, WatchSettings(), [] {});
     gossip_ = std::make_shared<GossipService>(
-      GossipContext{ clock_, scheduler_, fleet_, quota_, retries_, peers_ }, self_, 1, [] {});
+      GossipContext{ clock_, scheduler_, fleet_, quota_, retries_, peers_, quarantine_ },
+      self_,
+      1,
+      [] {});
     gossip_->Connect(*this, *holder_, *watch_);
   }
   Host(const Host&) = delete;
@@ -98,6 +102,7 @@
   QuotaShare quota_;
   RetryShare retries_;
   PeerTable peers_;
+  Quarantine quarantine_;
   std::shared_ptr<HolderService> holder_;
   std::shared_ptr<StoreWatch> watch_;
   std::shared_ptr<GossipService> gossip_;
@@ -284,6 +289,24 @@
   Network network_;
 };
 
+// Guards against a content that crashes an engine for each host: no host sees more than one of the
+// crashes.
+TEST_F(GossipServiceTest, AllHostsRefuseWhatCrashedUpstreamsOfOthers)
+{
+  network_.lossEvery_ = 10;
+  network_.Start();
+  const std::vector<ContentId> bad{ ContentId("bad") };
+  std::int64_t process = 0;
+  for (const auto* name : { "h4", "h11", "h18" }) {
+    network_.Find(HostId(name)).quarantine_.OnCut({ UpstreamId("e1"), ++process }, bad);
+    network_.scheduler_.Run(200ms);
+  }
+  network_.scheduler_.Run(1300ms);
+  for (const auto& host : network_.hosts_) {
+    EXPECT_TRUE(host->quarantine_.TimeLeft(bad)) << host->self_.id_.Value();
+  }
+}
+
 // Guards against store reads that grow with the number of hosts. With 21 hosts in three data
 // centres, only two store readers in each data centre may read the store.
 TEST_F(GossipServiceTest, OnlyReadersReadTheStore)
--- a/tests/gateway/request_flow_support.h
+++ b/tests/gateway/request_flow_support.h
@@ -163,6 +163,7 @@
   QuotaShare quota_{ clock_ };
   RetryShare retries_{ clock_, { 1, 100, 10s } };
   WaitQueue queue_{ clock_ };
+  Quarantine quarantine_{ clock_ };
   UpstreamLink link_{ context_ };
   Metrics metrics_;
   GatewayBounds bounds_;
@@ -174,6 +175,7 @@
                      quota_,
                      retries_,
                      queue_,
+                     quarantine_,
                      link_,
                      metrics_,
                      bounds_,
