Keep quarantines in the store for hosts that start

Cause: quarantines were kept by gossip only, and hosts keep nothing. Change: a host that finds a quarantine writes it to the topic that hosts read at their start anyway, so no call is added to a start. Store readers update the records of quarantines that are narrowed, lifted or over. A record is limited to the longest quarantine, whatever the writer's time of day.

--- a/src/fleet/fleet_store_base.h
+++ b/src/fleet/fleet_store_base.h
@@ -3,9 +3,11 @@
 #define LABURNUMWEIR_FLEET_FLEET_STORE_BASE_H
 
 #include "fleet/fleet_type.h"
+#include "fleet/quarantine.h"
 
 #include <functional>
 #include <optional>
+#include <span>
 #include <string>
 #include <system_error>
 #include <variant>
@@ -81,6 +83,20 @@
   auto operator<=>(const HostRecord&) const = default;
 };
 
+/** Record of a quarantine in the store, from which hosts that start learn of it. */
+struct QuarantineRecord
+{
+  std::vector<ContentId> contents_;
+  WallTime until_; ///< When it ends.
+};
+
+/** Records that hosts wrote for other hosts. */
+struct HostTopicRecords
+{
+  std::vector<HostRecord> hosts_;             ///< Some may be gone.
+  std::vector<QuarantineRecord> quarantines_; ///< Some may have ended.
+};
+
 /** Partitions that the group assigned to a member. */
 struct GroupMembership
 {
@@ -94,7 +110,7 @@
 public:
   using ChangesCallback = std::function<void(std::error_code, ChangeBatch)>;
   using MembershipCallback = std::function<void(std::error_code, GroupMembership)>;
-  using HostsCallback = std::function<void(std::error_code, std::vector<HostRecord>)>;
+  using RecordsCallback = std::function<void(std::error_code, HostTopicRecords)>;
   using DoneCallback = std::function<void(std::error_code)>;
 
   virtual ~FleetStore() = default;
@@ -124,8 +140,12 @@
   virtual void LeaveGroup(const HostId& aMember, DoneCallback aCallback) = 0;
   /** Writes the record of this host. */
   virtual void PublishHost(const HostRecord& aRecord, DoneCallback aCallback) = 0;
-  /** Reads the records of all hosts; some hosts may be gone. */
-  virtual void ReadHosts(HostsCallback aCallback) = 0;
+  /** Writes a quarantine. */
+  virtual void WriteQuarantine(const QuarantineRecord& aRecord, DoneCallback aCallback) = 0;
+  /** Removes the record of the quarantine of these contents. */
+  virtual void RemoveQuarantine(std::span<const ContentId> aContents, DoneCallback aCallback) = 0;
+  /** Reads all records that hosts wrote. */
+  virtual void ReadHostTopic(RecordsCallback aCallback) = 0;
 };
 
 } // namespace laburnumweir
--- a/src/fleet/quarantine.cpp
+++ b/src/fleet/quarantine.cpp
@@ -218,7 +218,9 @@
     LogLevel::Warn,
     "quarantine_started",
     { { "contents", ToText(*common) }, { "crashes", std::to_string(worst->second.Count()) } });
-  AddEntry({ std::move(*common), lastCrash, clock_.Now() + kQuarantineTime });
+  const auto until = clock_.Now() + kQuarantineTime;
+  changes_.push_back({ {}, *common, until });
+  AddEntry({ std::move(*common), lastCrash, until });
   return true;
 }
 
@@ -243,13 +245,14 @@
 {
   bool hasChanged = false;
   for (auto& entry : entries_) {
-    const auto cleared = std::erase_if(entry.contents_, [&](const ContentId& aContent) {
-      return IsCleared(aContent, entry.since_);
-    });
-    if (cleared > 0) {
+    const auto before = entry.contents_;
+    std::erase_if(entry.contents_,
+                  [&](const ContentId& aContent) { return IsCleared(aContent, entry.since_); });
+    if (entry.contents_.size() < before.size()) {
       hasChanged = true;
+      changes_.push_back({ before, entry.contents_, entry.until_ });
       LogQuarantine(entry.contents_.empty() ? "quarantine_lifted" : "quarantine_narrowed",
-                    entry.contents_);
+                    entry.contents_.empty() ? before : entry.contents_);
     }
   }
   if (hasChanged) {
@@ -343,7 +346,14 @@
   const auto now = clock_.Now();
   std::erase_if(suspects_,
                 [&](const Suspect& aSuspect) { return now - aSuspect.at_ >= kCrashSuspectTtl; });
-  std::erase_if(entries_, [&](const Entry& aEntry) { return aEntry.until_ <= now; });
+  std::erase_if(entries_, [&](const Entry& aEntry) {
+    const bool isOver = aEntry.until_ <= now;
+    if (isOver) {
+      changes_.push_back({ aEntry.contents_, {}, aEntry.until_ });
+      LogQuarantine("quarantine_expired", aEntry.contents_);
+    }
+    return isOver;
+  });
   std::erase_if(survived_,
                 [&](const auto& aItem) { return now - aItem.second >= kCrashReportTime; });
   std::erase_if(lastBegun_, [&](const auto& aItem) {
--- a/src/fleet/quarantine.h
+++ b/src/fleet/quarantine.h
@@ -53,6 +53,14 @@
   std::vector<QuarantineEntry> entries_;
 };
 
+/** Start, change or end of a quarantine. */
+struct QuarantineChange
+{
+  std::vector<ContentId> before_; ///< Contents before the change; empty if it starts.
+  std::vector<ContentId> after_;  ///< Contents after the change; empty if it ends.
+  TimePoint until_;               ///< When it ends.
+};
+
 /**
  * Finds what the requests have in common that were at the crashes of upstreams, and tells which
  * requests must not run. Each crash has some suspects; a content is cleared of all crashes before
@@ -92,6 +100,8 @@
   void Merge(const QuarantineReport& aReport);
   /** Removes what has expired. */
   void Expire();
+  /** @return the changes since the last call. Quarantines that only others found are left out. */
+  std::vector<QuarantineChange> TakeChanges() { return std::exchange(changes_, {}); }
   /** @return number of quarantines. */
   std::size_t Size() const { return entries_.size(); }
 
@@ -126,6 +136,7 @@
   bool IsOfInterest(const ContentId& aContent) const;
 
   const Clock& clock_;
+  std::vector<QuarantineChange> changes_;         ///< See TakeChanges().
   std::vector<Suspect> suspects_;                 ///< Oldest first.
   std::vector<Entry> entries_;                    ///< Quarantines, oldest first.
   std::map<ContentId, TimePoint> lastBegun_;      ///< When an answer last began, by content.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include "core/system_clock.h"
 #include "gateway/gossip_service.h"
 #include "gateway/holder_service.h"
+#include "gateway/quarantine_service.h"
 #include "gateway/request_flow.h"
 #include "gateway/store_watch.h"
 #include "http/strand_scheduler.h"
@@ -145,6 +146,8 @@
     watch.upstreamInterval_ = settings_.bounds_.maxDrainDelay_ * 2 / 5;
     watch_ = std::make_shared<StoreWatch>(
       ports_.store_, fleet_, clock_, scheduler_, watch, [this] { OnFleetChange(); });
+    quarantineService_ = std::make_shared<QuarantineService>(
+      ports_.store_, quarantine_, clock_, scheduler_, [this] { return peers_.IsStoreReader(); });
     gossip_->Connect(gossipLink_, *holder_, *watch_);
   }
 
@@ -188,8 +191,9 @@
     watch_->Start();
     holder_->Start();
     gossip_->Start();
+    quarantineService_->Start();
     PublishHost();
-    ReadHosts();
+    ReadHostTopic();
     RepeatWhileAlive(scheduler_, kQueueCheckInterval, gossip_, [this] { OnTick(); });
     RepeatWhileAlive(scheduler_, kReloadInterval, gossip_, [this] { Reload("interval"); });
     return true;
@@ -406,17 +410,18 @@
     });
   }
 
-  void ReadHosts()
+  void ReadHostTopic()
   {
-    ports_.store_.ReadHosts([this](std::error_code aError, const std::vector<HostRecord>& aHosts) {
+    ports_.store_.ReadHostTopic([this](std::error_code aError, const HostTopicRecords& aRecords) {
       if (aError) {
         LogEvent(LogLevel::Warn, "hosts_not_read", { { "error", aError.message() } });
-        scheduler_.After(kNotReadyRetryAfter, [this] { ReadHosts(); });
+        scheduler_.After(kNotReadyRetryAfter, [this] { ReadHostTopic(); });
         return;
       }
-      for (const auto& host : aHosts) {
+      for (const auto& host : aRecords.hosts_) {
         peers_.OnStoreRecord(host);
       }
+      quarantineService_->OnStored(aRecords.quarantines_);
     });
   }
 
@@ -504,6 +509,7 @@
   FlowContext flowContext_; ///< References to the services above.
   std::unordered_map<WaitTicket, std::shared_ptr<RequestFlow>> waiting_; ///< Queued requests.
   std::shared_ptr<GossipService> gossip_;
+  std::shared_ptr<QuarantineService> quarantineService_;
   std::shared_ptr<HolderService> holder_; ///< Sends orders to engines.
   std::shared_ptr<StoreWatch> watch_;     ///< Reads changes of the store.
   GossipLink gossipLink_;
--- /dev/null
+++ b/src/gateway/quarantine_service.cpp
@@ -0,0 +1,109 @@
+/** @file quarantine_service.cpp Keeps quarantines in the store for hosts that start later. */
+#include "gateway/quarantine_service.h"
+
+#include "logging/logging_func.h"
+#include "table/fleet_const.h"
+#include "table/quarantine_const.h"
+
+namespace laburnumweir {
+
+using std::chrono::milliseconds;
+
+QuarantineService::QuarantineService(FleetStore& aStore,
+                                     Quarantine& aQuarantine,
+                                     const Clock& aClock,
+                                     Scheduler& aScheduler,
+                                     std::function<bool()> aUpdatesRecords)
+  : store_(aStore)
+  , quarantine_(aQuarantine)
+  , clock_(aClock)
+  , scheduler_(aScheduler)
+  , updatesRecords_(std::move(aUpdatesRecords))
+{
+}
+
+void
+QuarantineService::Start()
+{
+  RepeatWhileAlive(scheduler_, kGossipInterval, weak_from_this(), [this] {
+    QueueChanges();
+    WriteNext();
+  });
+}
+
+void
+QuarantineService::OnStored(std::span<const QuarantineRecord> aRecords)
+{
+  QuarantineReport report;
+  for (const auto& record : aRecords) {
+    const auto left = std::chrono::duration_cast<milliseconds>(record.until_ - clock_.WallNow());
+    report.entries_.push_back(
+      { record.contents_,
+        milliseconds(0),
+        std::min<milliseconds>(left, std::chrono::duration_cast<milliseconds>(kQuarantineTime)) });
+  }
+  quarantine_.Merge(report);
+}
+
+void
+QuarantineService::QueueChanges()
+{
+  for (const auto& change : quarantine_.TakeChanges()) {
+    const bool isStart = change.before_.empty();
+    if (!isStart && !updatesRecords_()) {
+      continue;
+    }
+    if (!isStart) {
+      unwritten_[change.before_] = std::nullopt;
+    }
+    if (!change.after_.empty()) {
+      unwritten_[change.after_] = clock_.WallNow() + std::chrono::duration_cast<WallTime::duration>(
+                                                       change.until_ - clock_.Now());
+    }
+  }
+}
+
+void
+QuarantineService::WriteNext()
+{
+  if (isWriting_ || unwritten_.empty()) {
+    return;
+  }
+  isWriting_ = true;
+  const auto [contents, until] = *unwritten_.begin();
+  auto callback =
+    [weak = weak_from_this(), contents = contents, until = until](std::error_code aError) {
+      if (const auto self = weak.lock()) {
+        self->OnWritten(contents, until, aError);
+      }
+    };
+  if (until) {
+    store_.WriteQuarantine({ contents, *until }, std::move(callback));
+  } else {
+    store_.RemoveQuarantine(contents, std::move(callback));
+  }
+}
+
+void
+QuarantineService::OnWritten(const std::vector<ContentId>& aContents,
+                             std::optional<WallTime> aUntil,
+                             std::error_code aError)
+{
+  if (aError) {
+    LogEvent(LogLevel::Warn, "quarantine_not_written", { { "error", aError.message() } });
+    scheduler_.After(kQuarantineWriteRetryDelay, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->isWriting_ = false;
+      }
+    });
+    return;
+  }
+  isWriting_ = false;
+  const auto written = unwritten_.find(aContents);
+  if (written != unwritten_.end() && written->second == aUntil) {
+    unwritten_.erase(written);
+  }
+  WriteNext();
+}
+
+} // namespace laburnumweir
--- a/src/table/quarantine_const.h
+++ b/src/table/quarantine_const.h
@@ -34,6 +34,8 @@
  * there was none.
  */
 constexpr Duration kMinRestartTime = std::chrono::seconds(1);
+/** Time after which a failed write of a quarantine to the store is repeated. */
+constexpr Duration kQuarantineWriteRetryDelay = std::chrono::milliseconds(500);
 /** A stream of fewer complete events than this has only begun. */
 constexpr std::size_t kBegunEvents = 2;
 /** Maximum number of crash suspects that are kept, about 200 bytes each. */
--- a/tests/gateway/gateway_support.h
+++ b/tests/gateway/gateway_support.h
@@ -59,7 +59,9 @@
               (override));
   MOCK_METHOD(void, LeaveGroup, (const HostId&, DoneCallback), (override));
   MOCK_METHOD(void, PublishHost, (const HostRecord&, DoneCallback), (override));
-  MOCK_METHOD(void, ReadHosts, (HostsCallback), (override));
+  MOCK_METHOD(void, WriteQuarantine, (const QuarantineRecord&, DoneCallback), (override));
+  MOCK_METHOD(void, RemoveQuarantine, (std::span<const ContentId>, DoneCallback), (override));
+  MOCK_METHOD(void, ReadHostTopic, (RecordsCallback), (override));
 };
 
 class MockEngines : public EngineControl
--- /dev/null
+++ b/tests/gateway/quarantine_service_test.cpp
@@ -0,0 +1,120 @@
+/** @file quarantine_service_test.cpp Tests which quarantines are written to the store and read. */
+#include "gateway/quarantine_service.h"
+
+#include "gateway/gateway_support.h"
+#include "table/quarantine_const.h"
+
+#include <gtest/gtest.h>
+
+namespace laburnumweir {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::NiceMock;
+using Contents = std::vector<ContentId>;
+
+class QuarantineServiceTest : public testing::Test
+{
+protected:
+  QuarantineServiceTest()
+  {
+    ON_CALL(store_, WriteQuarantine)
+      .WillByDefault([this](const QuarantineRecord& aRecord, const auto& aCallback) {
+        if (!isStoreDown_) {
+          stored_[aRecord.contents_] = aRecord;
+        }
+        aCallback(isStoreDown_ ? make_error_code(StoreError::Unreachable) : std::error_code());
+      });
+    ON_CALL(store_, RemoveQuarantine)
+      .WillByDefault([this](std::span<const ContentId> aContents, const auto& aCallback) {
+        stored_.erase(Contents(aContents.begin(), aContents.end()));
+        aCallback({});
+      });
+    service_->Start();
+  }
+
+  void CrashThree(const Contents& aContents)
+  {
+    for (int i = 0; i < 3; ++i) {
+      scheduler_.Run(200ms);
+      quarantine_.OnCut({ UpstreamId("u"), ++process_ }, aContents);
+    }
+  }
+  std::vector<QuarantineRecord> Stored() const
+  {
+    std::vector<QuarantineRecord> records;
+    for (const auto& [contents, record] : stored_) {
+      records.push_back(record);
+    }
+    return records;
+  }
+
+  FakeClock clock_;
+  testing_support::FakeScheduler scheduler_{ clock_ };
+  NiceMock<testing_support::MockStore> store_;
+  Quarantine quarantine_{ clock_ };
+  std::map<Contents, QuarantineRecord> stored_; ///< Records in the store.
+  bool isStoreDown_ = false;
+  bool isReader_ = true; ///< Whether the host updates records.
+  std::shared_ptr<QuarantineService> service_ =
+    std::make_shared<QuarantineService>(store_, quarantine_, clock_, scheduler_, [this] {
+      return isReader_;
+    });
+  std::int64_t process_ = 0; ///< Start time of the last process that crashed.
+};
+
+const Contents kBad{ ContentId("bad") };
+const Contents kBadAndRare{ ContentId("bad"), ContentId("rare") };
+
+// Guards against a fleet that learns anew, at the cost of three upstreams, what it knew before all
+// its hosts were killed.
+TEST_F(QuarantineServiceTest, HostsThatStartLearnWhatTheStoreHolds)
+{
+  isReader_ = false;
+  CrashThree(kBad);
+  scheduler_.Run(300ms);
+  Quarantine restarted(clock_);
+  QuarantineService(store_, restarted, clock_, scheduler_, [] { return false; }).OnStored(Stored());
+  EXPECT_TRUE(restarted.TimeLeft(kBad));
+}
+
+TEST_F(QuarantineServiceTest, RepeatsFailedWrites)
+{
+  isStoreDown_ = true;
+  CrashThree(kBad);
+  scheduler_.Run(2s);
+  EXPECT_TRUE(stored_.empty());
+  isStoreDown_ = false;
+  scheduler_.Run(1s);
+  EXPECT_EQ(stored_.size(), 1U);
+}
+
+// Guards against a wrong quarantine that comes back with each restart after it was lifted.
+TEST_F(QuarantineServiceTest, StoreReadersUpdateRecords)
+{
+  CrashThree(kBadAndRare);
+  scheduler_.Run(300ms);
+  EXPECT_TRUE(stored_.contains(kBadAndRare));
+  quarantine_.OnBegun({ UpstreamId("sound"), 1 }, clock_.Now(), { &kBadAndRare[1], 1 });
+  scheduler_.Run(300ms);
+  EXPECT_EQ(stored_.size(), 1U);
+  EXPECT_TRUE(stored_.contains(kBad));
+  quarantine_.OnBegun({ UpstreamId("sound"), 1 }, clock_.Now(), kBad);
+  scheduler_.Run(300ms);
+  EXPECT_TRUE(stored_.empty());
+}
+
+TEST_F(QuarantineServiceTest, IgnoresRecordsThatHaveEndedAndLimitsTheOthers)
+{
+  const Contents ended{ ContentId("ended") };
+  const std::vector<QuarantineRecord> records{ { ended, clock_.WallNow() - 1s },
+                                               { kBad, clock_.WallNow() + 100h } };
+  service_->OnStored(records);
+  EXPECT_FALSE(quarantine_.TimeLeft(ended));
+  const auto left = quarantine_.TimeLeft(kBad);
+  ASSERT_TRUE(left);
+  EXPECT_LE(*left, kQuarantineTime) << "the time of day of the writer was wrong";
+}
+
+} // namespace
+} // namespace laburnumweir
--- a/tests/wire/client_test.cpp
+++ b/tests/wire/client_test.cpp
@@ -192,6 +192,42 @@
   EXPECT_EQ(Join().first, make_error_code(StoreError::Unreachable));
 }
 
+// Guards against hosts that forget, when all are killed at once, what has crashed upstreams.
+TEST_F(ClientTest, WritesReadsAndRemovesQuarantines)
+{
+  // In base64, the value is {"contents":["p1","p2"],"until":1000}.
+  Serve({ Answer(200, R"({"offset":1,"end_offset":2})"),
+          Answer(200, R"({"items":[
+            {"key":"quarantine/1","value":"eyJjb250ZW50cyI6WyJwMSIsInAyIl0sInVudGlsIjoxMDAwfQ=="},
+            {"key":"quarantine/2","value":"b2Rk"}],"has_more":false,"end_offset":2})"),
+          Answer(200, R"({"offset":2,"end_offset":3})") });
+  bool isDone = false;
+  const auto onDone = [&](std::error_code aError) {
+    EXPECT_FALSE(aError);
+    isDone = true;
+  };
+  const QuarantineRecord record{ { ContentId("p1"), ContentId("p2") }, WallTime(1s) };
+  store_->WriteQuarantine(record, onDone);
+  RunUntil(isDone);
+  EXPECT_NE(bodies_.at(0).find(R"({"contents":["p1","p2"],"until":1000})"), std::string::npos);
+  isDone = false;
+  store_->ReadHostTopic([&](std::error_code aError, const HostTopicRecords& aRecords) {
+    EXPECT_FALSE(aError);
+    ASSERT_EQ(aRecords.quarantines_.size(), 1U);
+    EXPECT_EQ(aRecords.quarantines_[0].contents_, record.contents_);
+    EXPECT_EQ(aRecords.quarantines_[0].until_, record.until_);
+    EXPECT_TRUE(aRecords.hosts_.empty());
+    isDone = true;
+  });
+  RunUntil(isDone);
+  isDone = false;
+  store_->RemoveQuarantine(record.contents_, onDone);
+  RunUntil(isDone);
+  const auto key = bodies_.at(0).find("quarantine/");
+  ASSERT_NE(key, std::string::npos);
+  EXPECT_EQ(bodies_.at(2).size(), bodies_.at(0).find('{')) << "a record without a value";
+}
+
 TEST_F(ClientTest, PublishesAndReadsHosts)
 {
   // In base64, MTAuMS4wLjI1Ojc2MDAgZGMx is "10.1.0.25:7600 dc1" and b2Rk is "odd".
@@ -207,10 +243,10 @@
   RunUntil(isDone);
   EXPECT_NE(bodies_.at(0).find("10.1.0.25:7600 dc1"), std::string::npos);
   isDone = false;
-  store_->ReadHosts([&](std::error_code aError, const std::vector<HostRecord>& aHosts) {
+  store_->ReadHostTopic([&](std::error_code aError, const HostTopicRecords& aRecords) {
     EXPECT_FALSE(aError);
-    ASSERT_EQ(aHosts.size(), 1U);
-    EXPECT_EQ(aHosts[0], host);
+    ASSERT_EQ(aRecords.hosts_.size(), 1U);
+    EXPECT_EQ(aRecords.hosts_[0], host);
     isDone = true;
   });
   RunUntil(isDone);
