Take a stream without framing and without events as broken off

What callers saw: a complete, empty success (200) where an engine ended while it began to answer. Cause: an answer with neither a length nor chunks ends with its connection, so the parser reports a complete body. A part of an event was checked for already; no event at all was not. Such a crash was also no suspect for a quarantine. Change: the link reports the end of the connection as an end of its own (CallEnd::Closed), and the request takes a stream without events as broken off then.

--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -139,6 +139,9 @@
   void OnTimer();
   void OnSilence();
   void EndAttempt(AttemptHealth aHealth);
+  /** @return Lost for a stream that was broken off although its framing is complete; else aEnd, or
+   * Complete if that is Closed. */
+  CallEnd EndOfContent(CallEnd aEnd) const;
   /** Records that the answer of the last attempt shows no crash. */
   void RecordBegun();
   /** Records that the last attempt may have crashed its upstream, unless its answer had begun. */
--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -202,33 +202,45 @@
   context_.onSlotFree_();
 }
 
+CallEnd
+RequestFlow::EndOfContent(CallEnd aEnd) const
+{
+  if (aEnd != CallEnd::Complete && aEnd != CallEnd::Closed) {
+    return aEnd;
+  }
+  // A stream that was broken off before its first event also ends between two events.
+  const bool isEmptyStream =
+    aEnd == CallEnd::Closed && isStreaming_ && events_.Events() == eventsBefore_;
+  return events_.HasPart() || isEmptyStream ? CallEnd::Lost : CallEnd::Complete;
+}
+
 void
 RequestFlow::OnEnd(CallEnd aEnd)
 {
   const auto self = shared_from_this();
   call_.reset();
-  const bool isCut = aEnd == CallEnd::Lost || (aEnd == CallEnd::Complete && events_.HasPart());
-  if (hasSent_ && isCut) {
+  const auto end = EndOfContent(aEnd);
+  if (hasSent_ && end == CallEnd::Lost) {
     RecordCut();
   }
   if (!answer_) {
     // The caller left while a request that must not be cancelled was running.
-    EndAttempt(aEnd == CallEnd::Complete ? AttemptHealth::Good : AttemptHealth::Failed);
+    EndAttempt(end == CallEnd::Complete ? AttemptHealth::Good : AttemptHealth::Failed);
     Finish(0, "caller_gone");
     return;
   }
-  if (aEnd == CallEnd::NotSent || !hasSent_) {
+  if (end == CallEnd::NotSent || !hasSent_) {
     EndAttempt(AttemptHealth::Unreachable);
     failed_.insert(upstream_);
     OnNotRun("no_connection");
     return;
   }
-  if (answerClass_ == AnswerClass::NotRun && (aEnd == CallEnd::Complete || status_ == 421)) {
+  if (answerClass_ == AnswerClass::NotRun && (end == CallEnd::Complete || status_ == 421)) {
     EndAttempt(answerFacts_.isMisdirected_ ? AttemptHealth::Good : AttemptHealth::Busy);
     OnNotRun(answerFacts_.isMisdirected_ ? "misdirected" : "refused_by_upstream");
     return;
   }
-  const bool isComplete = aEnd == CallEnd::Complete && !events_.HasPart();
+  const bool isComplete = end == CallEnd::Complete;
   if (isComplete && answerClass_ == AnswerClass::Valid) {
     EndAttempt(AttemptHealth::Good);
     RecordBegun();
@@ -243,11 +255,11 @@
     }
   } else {
     // If the connection closed before any byte of an answer, the upstream itself may have ended.
-    EndAttempt(answerClass_ == AnswerClass::None && aEnd == CallEnd::Lost
+    EndAttempt(answerClass_ == AnswerClass::None && end == CallEnd::Lost
                  ? AttemptHealth::Unreachable
                  : AttemptHealth::Failed);
     OnFailed(answerClass_ == AnswerClass::Invalid ? "answer_not_genuine"
-             : aEnd == CallEnd::Malformed         ? "answer_malformed"
+             : end == CallEnd::Malformed          ? "answer_malformed"
                                                   : "answer_cut",
              false);
   }
--- a/src/gateway/upstream_link.cpp
+++ b/src/gateway/upstream_link.cpp
@@ -329,7 +329,7 @@
         SteadyClock::now() + ParseIdleTimeout({ field.data(), field.size() });
       link_.PutIdle(endpoint_, std::move(connection_));
     }
-    Finish(CallEnd::Complete);
+    Finish(isClosedByUpstream_ ? CallEnd::Closed : CallEnd::Complete);
   }
 
   void Finish(CallEnd aEnd)
--- a/src/gateway/upstream_link.h
+++ b/src/gateway/upstream_link.h
@@ -19,7 +19,10 @@
 /** How a call ended. */
 enum class CallEnd : std::uint8_t
 {
-  Complete,  ///< The complete answer was received.
+  Complete, ///< The complete answer was received.
+  /** The connection was closed in order, which is the end of an answer with neither length nor
+   * chunks. Only the content can show whether it is complete. */
+  Closed,
   NotSent,   ///< No connection was established, so nothing was sent.
   Lost,      ///< The connection ended after the start of sending and before the end of the answer.
   Malformed, ///< Received bytes are not an HTTP answer, or too many answers were skipped.
--- a/tests/gateway/request_flow_crash_test.cpp
+++ b/tests/gateway/request_flow_crash_test.cpp
@@ -59,5 +59,82 @@
   EXPECT_EQ(answer_->status_, 503U) << "a request that is refused for its content has not run";
 }
 
+// Guards against an identical request of a caller that crashes each service it is repeated at.
+TEST_F(RequestFlowTest, RepeatedRequestThatCrashesServicesIsNotSentToFurtherOnes)
+{
+  std::atomic<int> crashes = 0;
+  ScriptedServer server([&](Peer& aPeer, int) {
+    while (const auto request = aPeer.ReadRequest()) {
+      if (request->body() == "deadly") {
+        ++crashes;
+        aPeer.Close();
+        return;
+      }
+      aPeer.Send(Answer("fine", "HTTP/1.1 200 OK\r\nX-Attempt-Id: sound\r\nX-Server-Stamp: s\r\n"));
+    }
+  });
+  for (int i = 0; i < 6; ++i) {
+    startedAt_ = i + 1;
+    SetUpstreams({ server.Address() });
+    for (const auto* body : { "question", "deadly" }) {
+      answer_ = std::make_shared<FakeAnswer>();
+      id_ = body == std::string("deadly") ? "r" + std::to_string(i) : "sound";
+      body_ = body;
+      Start();
+      Finish();
+      if (id_ == "sound") {
+        EXPECT_EQ(answer_->body_, "fine");
+      }
+    }
+    std::this_thread::sleep_for(120ms);
+  }
+  EXPECT_EQ(crashes, 3);
+}
+
+/** An answer with neither a length nor chunks. */
+struct UnframedAnswer
+{
+  std::string body_;
+  RepeatRule repeat_ = RepeatRule::Stream;
+  bool isComplete_ = false; ///< Whether the caller may take it as complete.
+};
+
+class UnframedAnswerTest
+  : public RequestFlowTest
+  , public testing::WithParamInterface<UnframedAnswer>
+{};
+
+// Guards against a stream that was broken off and reaches the caller as a complete success: its end
+// is that of the connection.
+TEST_P(UnframedAnswerTest, IsCompleteOnlyIfItEndsBetweenEvents)
+{
+  const auto& answer = GetParam();
+  ScriptedServer server([&](Peer& aPeer, int) {
+    aPeer.ReadRequest();
+    aPeer.Send(kGoodHead + std::string("\r\n") + answer.body_);
+    aPeer.Close();
+  });
+  SetUpstreams({ server.Address() });
+  repeat_ = answer.repeat_;
+  SetUpstreams({ server.Address() });
+  Start();
+  Finish();
+  EXPECT_EQ(answer_->isComplete_ && answer_->status_ == 200, answer.isComplete_);
+  if (answer.isComplete_) {
+    EXPECT_EQ(answer_->body_, answer.body_);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  All,
+  UnframedAnswerTest,
+  testing::Values(
+    UnframedAnswer{ "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", RepeatRule::Stream, true },
+    UnframedAnswer{ "id: 1\ndata: a\n\nid: 2\nda", RepeatRule::Stream, false },
+    UnframedAnswer{ "id: 1\nda", RepeatRule::Stream, false },
+    UnframedAnswer{ "", RepeatRule::Stream, false },
+    UnframedAnswer{ ": comment\n\n", RepeatRule::Stream, false },
+    UnframedAnswer{ "booked", RepeatRule::Once, true }));
+
 } // namespace
 } // namespace laburnumweir
