Blame shared parts of a prompt on several requests, not on one that is repeated

Cause: a host repeated a request at three engines. The three crashes had the whole request in common, so only this request was quarantined, and its crashes no longer counted for its parts. The next request with the part began anew. Change: a request is quarantined for its own crashes; parts are quarantined for the crashes of at least two requests, also those of requests that are quarantined already. Ruled out: a part that escapes by other parts of its prompts; the combination was never the cause here. QuarantineTest.FindsThePartBehindRepeatedRequests plays the pattern; it needs the new type of contents and was not run on the old code.

--- a/src/fleet/quarantine.cpp
+++ b/src/fleet/quarantine.cpp
@@ -26,6 +26,15 @@
   return result;
 }
 
+/** @return the parts and the digest of the request, sorted. */
+Contents
+AllOf(const RequestContents& aContents)
+{
+  auto all = aContents.parts_;
+  all.push_back(aContents.request_);
+  return Sorted(all);
+}
+
 bool
 Includes(const Contents& aAll, const Contents& aSome)
 {
@@ -60,15 +69,19 @@
   /** Crashes must be added in the order of their times. */
   void Add(const UpstreamProcess& aProcess, TimePoint aTime)
   {
-    if ((processes_.empty() || aTime - last_ >= kMinCrashGap) &&
+    last_ = aTime;
+    if ((processes_.empty() || aTime - lastCounted_ >= kMinCrashGap) &&
         processes_.insert(aProcess).second) {
-      last_ = aTime;
+      lastCounted_ = aTime;
     }
   }
   std::size_t Count() const { return processes_.size(); }
+  /** @return time of the last crash, also of one that was not counted. */
+  TimePoint Last() const { return last_; }
 
 private:
   std::set<UpstreamProcess> processes_;
+  TimePoint lastCounted_;
   TimePoint last_;
 };
 
@@ -82,41 +95,45 @@
 }
 
 std::vector<ContentId>
-Quarantine::UnclearedContents(const Suspect& aSuspect) const
+Quarantine::UnclearedParts(const Suspect& aSuspect) const
 {
   Contents result;
-  std::copy_if(aSuspect.contents_.begin(),
-               aSuspect.contents_.end(),
+  std::copy_if(aSuspect.contents_.parts_.begin(),
+               aSuspect.contents_.parts_.end(),
                std::back_inserter(result),
-               [&](const ContentId& aContent) { return !IsCleared(aContent, aSuspect.at_); });
+               [&](const ContentId& aPart) { return !IsCleared(aPart, aSuspect.at_); });
   return result;
 }
 
 bool
-Quarantine::IsExplained(const Suspect& aSuspect) const
+Quarantine::IsQuarantined(const Contents& aContents) const
 {
   return std::any_of(entries_.begin(), entries_.end(), [&](const Entry& aEntry) {
-    return Includes(aSuspect.contents_, aEntry.contents_);
+    return Includes(aContents, aEntry.contents_);
   });
 }
 
 bool
 Quarantine::IsOfInterest(const ContentId& aContent) const
 {
-  const auto holds = [&](const auto& aItem) {
-    return std::binary_search(aItem.contents_.begin(), aItem.contents_.end(), aContent);
+  const auto holds = [&](const Contents& aContents) {
+    return std::binary_search(aContents.begin(), aContents.end(), aContent);
   };
-  return std::any_of(suspects_.begin(), suspects_.end(), holds) ||
-         std::any_of(entries_.begin(), entries_.end(), holds);
+  return std::any_of(suspects_.begin(),
+                     suspects_.end(),
+                     [&](const Suspect& aSuspect) {
+                       return aSuspect.contents_.request_ == aContent ||
+                              holds(aSuspect.contents_.parts_);
+                     }) ||
+         std::any_of(entries_.begin(), entries_.end(), [&](const Entry& aEntry) {
+           return holds(aEntry.contents_);
+         });
 }
 
 void
-Quarantine::OnCut(const UpstreamProcess& aProcess, std::span<const ContentId> aContents)
+Quarantine::OnCut(const UpstreamProcess& aProcess, const RequestContents& aContents)
 {
-  if (aContents.empty()) {
-    return;
-  }
-  if (AddSuspect({ aProcess, Sorted(aContents), clock_.Now() })) {
+  if (AddSuspect({ aProcess, { Sorted(aContents.parts_), aContents.request_ }, clock_.Now() })) {
     FindCauses();
   }
 }
@@ -130,7 +147,8 @@
     return false;
   }
   const bool isKnown = std::any_of(suspects_.begin(), suspects_.end(), [&](const Suspect& aOther) {
-    return aOther.process_ == aSuspect.process_ && aOther.contents_ == aSuspect.contents_;
+    return aOther.process_ == aSuspect.process_ &&
+           aOther.contents_.request_ == aSuspect.contents_.request_;
   });
   if (isKnown) {
     return false;
@@ -155,12 +173,13 @@
 void
 Quarantine::OnBegun(const UpstreamProcess& aProcess,
                     TimePoint aSentAt,
-                    std::span<const ContentId> aContents)
+                    const RequestContents& aContents)
 {
   const auto now = clock_.Now();
-  for (const auto& content : aContents) {
-    lastBegun_[content] = now;
+  for (const auto& part : aContents.parts_) {
+    lastBegun_[part] = now;
   }
+  lastBegun_[aContents.request_] = now;
   const auto hasSurvived = [&](const Suspect& aSuspect) {
     return aSuspect.process_ == aProcess && aSuspect.at_ < aSentAt &&
            aSentAt - aSuspect.at_ < kMinRestartTime;
@@ -174,56 +193,85 @@
 void
 Quarantine::FindCauses()
 {
-  while (FindCause()) {
+  while (FindParts() || FindRequest()) {
     NarrowEntries();
   }
 }
 
 bool
-Quarantine::FindCause()
+Quarantine::FindRequest()
 {
   std::map<ContentId, CrashCounter> crashes;
   for (const auto& suspect : suspects_) {
-    if (!IsExplained(suspect)) {
-      for (const auto& content : UnclearedContents(suspect)) {
-        crashes[content].Add(suspect.process_, suspect.at_);
-      }
+    const auto& request = suspect.contents_.request_;
+    if (!IsCleared(request, suspect.at_) && !IsQuarantined(AllOf(suspect.contents_))) {
+      crashes[request].Add(suspect.process_, suspect.at_);
     }
   }
-  const auto worst =
-    std::max_element(crashes.begin(), crashes.end(), [](const auto& aLeft, const auto& aRight) {
-      return aLeft.second.Count() < aRight.second.Count();
-    });
-  if (worst == crashes.end() || worst->second.Count() < kMinCrashes) {
+  const auto found = std::find_if(crashes.begin(), crashes.end(), [](const auto& aItem) {
+    return aItem.second.Count() >= kMinCrashes;
+  });
+  if (found == crashes.end()) {
     return false;
   }
-  std::optional<Contents> common;
-  TimePoint lastCrash;
+  StartQuarantine({ found->first }, found->second.Last(), found->second.Count());
+  return true;
+}
+
+bool
+Quarantine::FindParts()
+{
+  struct Evidence
+  {
+    CrashCounter crashes_;
+    std::set<ContentId> requests_;
+    Contents common_; ///< Uncleared parts that all these requests have in common.
+  };
+  std::map<ContentId, Evidence> byPart;
   for (const auto& suspect : suspects_) {
-    const auto contents = UnclearedContents(suspect);
-    if (IsExplained(suspect) ||
-        !std::binary_search(contents.begin(), contents.end(), worst->first)) {
+    if (IsQuarantined(suspect.contents_.parts_)) {
       continue;
     }
-    Contents shared;
-    std::set_intersection(contents.begin(),
-                          contents.end(),
-                          common ? common->begin() : contents.begin(),
-                          common ? common->end() : contents.end(),
-                          std::back_inserter(shared));
-    common = std::move(shared);
-    lastCrash = suspect.at_;
+    const auto parts = UnclearedParts(suspect);
+    for (const auto& part : parts) {
+      auto& evidence = byPart[part];
+      evidence.crashes_.Add(suspect.process_, suspect.at_);
+      const auto before = evidence.requests_.empty() ? parts : std::exchange(evidence.common_, {});
+      evidence.common_.clear();
+      std::set_intersection(parts.begin(),
+                            parts.end(),
+                            before.begin(),
+                            before.end(),
+                            std::back_inserter(evidence.common_));
+      evidence.requests_.insert(suspect.contents_.request_);
+    }
   }
-  LogEvent(
-    LogLevel::Warn,
-    "quarantine_started",
-    { { "contents", ToText(*common) }, { "crashes", std::to_string(worst->second.Count()) } });
-  const auto until = clock_.Now() + kQuarantineTime;
-  changes_.push_back({ {}, *common, until });
-  AddEntry({ std::move(*common), lastCrash, until });
+  const Evidence* worst = nullptr;
+  for (const auto& [part, evidence] : byPart) {
+    if (evidence.crashes_.Count() >= kMinCrashes &&
+        evidence.requests_.size() >= kMinCrashingRequests &&
+        (worst == nullptr || evidence.crashes_.Count() > worst->crashes_.Count())) {
+      worst = &evidence;
+    }
+  }
+  if (worst == nullptr) {
+    return false;
+  }
+  StartQuarantine(worst->common_, worst->crashes_.Last(), worst->crashes_.Count());
   return true;
 }
 
+void
+Quarantine::StartQuarantine(Contents aContents, TimePoint aLastCrash, std::size_t aCrashes)
+{
+  LogEvent(LogLevel::Warn,
+           "quarantine_started",
+           { { "contents", ToText(aContents) }, { "crashes", std::to_string(aCrashes) } });
+  const auto until = clock_.Now() + kQuarantineTime;
+  changes_.push_back({ {}, aContents, until });
+  AddEntry({ std::move(aContents), aLastCrash, until });
+}
+
 void
 Quarantine::AddEntry(Entry aEntry)
 {
@@ -267,13 +315,13 @@
 }
 
 std::optional<Duration>
-Quarantine::TimeLeft(std::span<const ContentId> aContents) const
+Quarantine::TimeLeft(const RequestContents& aContents) const
 {
   if (entries_.empty()) {
     return std::nullopt;
   }
   const auto now = clock_.Now();
-  const auto contents = Sorted(aContents);
+  const auto contents = AllOf(aContents);
   std::optional<Duration> left;
   for (const auto& entry : entries_) {
     if (entry.until_ > now && Includes(contents, entry.contents_)) {
@@ -320,15 +368,17 @@
   }
   bool isNew = false;
   for (const auto& suspect : aReport.suspects_) {
-    isNew =
-      AddSuspect({ suspect.process_, Sorted(suspect.contents_), now - suspect.age_ }) || isNew;
+    isNew = AddSuspect({ suspect.process_,
+                         { Sorted(suspect.contents_.parts_), suspect.contents_.request_ },
+                         now - suspect.age_ }) ||
+            isNew;
   }
   for (const auto& reported : aReport.entries_) {
     Entry entry{ Sorted(reported.contents_), now - reported.age_, now + reported.left_ };
     std::erase_if(entry.contents_,
                   [&](const ContentId& aContent) { return IsCleared(aContent, entry.since_); });
     if (!entry.contents_.empty() && entry.until_ > now) {
-      if (!IsExplained({ {}, entry.contents_, now })) {
+      if (!IsQuarantined(entry.contents_)) {
         LogQuarantine("quarantine_learned", entry.contents_);
       }
       AddEntry(std::move(entry));
--- a/src/fleet/quarantine.h
+++ b/src/fleet/quarantine.h
@@ -19,6 +19,13 @@
  * request if a caller sends it again. */
 using ContentId = StringId<struct ContentTag>;
 
+/** The contents of a request. */
+struct RequestContents
+{
+  std::vector<ContentId> parts_; ///< Shared parts of its prompt.
+  ContentId request_;            ///< Digest of the whole request; the same if it is sent again.
+};
+
 /** One process of an upstream: its id and its start time in Unix ms. */
 using UpstreamProcess = std::pair<UpstreamId, std::int64_t>;
 
@@ -26,7 +33,7 @@
 struct CrashSuspect
 {
   UpstreamProcess process_;         ///< Process that may have crashed.
-  std::vector<ContentId> contents_; ///< Contents of the request, sorted.
+  RequestContents contents_;        ///< Without parts if others are as likely to be the cause.
   std::chrono::milliseconds age_{}; ///< Time since the connection broke.
 };
 
@@ -64,10 +71,11 @@
 /**
  * Finds what the requests have in common that were at the crashes of upstreams, and tells which
  * requests must not run. Each crash has some suspects; a content is cleared of all crashes before
- * the last time at which an answer to a request with it began. Contents that are not cleared of
- * kMinCrashes crashes are quarantined: all that the suspects have in common, since any of them may
- * be the cause. An entry loses the contents that are cleared later. All hosts merge their reports,
- * in any order and any number of times. Not thread-safe.
+ * the last time at which an answer to a request with it began. A request that was at kMinCrashes
+ * crashes without being cleared is quarantined. So are the parts that several requests at
+ * kMinCrashes crashes have in common, as one combination, since any of them may be the cause; an
+ * entry loses the parts that are cleared later. All hosts merge their reports, in any order and any
+ * number of times. Not thread-safe.
  */
 class Quarantine
 {
@@ -80,9 +88,9 @@
 
   /**
    * Records that a connection broke while an upstream began to answer.
-   * @param aProcess the upstream. @param aContents contents of the request; may be empty.
+   * @param aProcess the upstream. @param aContents contents of the request.
    */
-  void OnCut(const UpstreamProcess& aProcess, std::span<const ContentId> aContents);
+  void OnCut(const UpstreamProcess& aProcess, const RequestContents& aContents);
   /**
    * Records that the answer to a request has begun.
    * @param aProcess upstream that answers. @param aSentAt when the request was sent.
@@ -90,9 +98,9 @@
    */
   void OnBegun(const UpstreamProcess& aProcess,
                TimePoint aSentAt,
-               std::span<const ContentId> aContents);
+               const RequestContents& aContents);
   /** @return time until a request with these contents may run; none if it may run now. */
-  std::optional<Duration> TimeLeft(std::span<const ContentId> aContents) const;
+  std::optional<Duration> TimeLeft(const RequestContents& aContents) const;
 
   /** @return the recent suspects and begins, and all quarantines. */
   QuarantineReport Report() const;
@@ -109,8 +117,8 @@
   struct Suspect
   {
     UpstreamProcess process_;
-    std::vector<ContentId> contents_; ///< Sorted.
-    TimePoint at_;                    ///< When the connection broke.
+    RequestContents contents_; ///< Parts are sorted.
+    TimePoint at_;             ///< When the connection broke.
   };
   struct Entry
   {
@@ -122,15 +130,20 @@
   /** @return false if it is known already or its process has survived. */
   bool AddSuspect(Suspect aSuspect);
   void AddEntry(Entry aEntry);
-  /** Starts a quarantine for each group of contents that has crashed enough upstreams. */
+  /** Starts the quarantines that the suspects justify. */
   void FindCauses();
-  /** Starts the quarantine of the contents with the most crashes. @return false if there are none.
-   */
-  bool FindCause();
-  /** @return the contents that have not begun since the suspected crash. */
-  std::vector<ContentId> UnclearedContents(const Suspect& aSuspect) const;
+  /** Quarantines the request with the most crashes. @return false if none has enough. */
+  bool FindRequest();
+  /** Quarantines the parts with the most crashes. @return false if none has enough. */
+  bool FindParts();
+  void StartQuarantine(std::vector<ContentId> aContents,
+                       TimePoint aLastCrash,
+                       std::size_t aCrashes);
+  /** @return the parts that have not begun since the suspected crash. */
+  std::vector<ContentId> UnclearedParts(const Suspect& aSuspect) const;
   bool IsCleared(const ContentId& aContent, TimePoint aSince) const;
-  bool IsExplained(const Suspect& aSuspect) const;
+  /** @return whether a quarantine includes these contents, which are sorted. */
+  bool IsQuarantined(const std::vector<ContentId>& aContents) const;
   /** Removes contents that are cleared, and entries that another entry includes. */
   void NarrowEntries();
   bool IsOfInterest(const ContentId& aContent) const;
--- a/src/gateway/gossip_message.cpp
+++ b/src/gateway/gossip_message.cpp
@@ -296,8 +296,10 @@
   json::array suspects;
   for (const auto& suspect : aReport.suspects_) {
     const auto& [upstream, startedAt] = suspect.process_;
-    json::array row{ upstream.Value(), startedAt, suspect.age_.count() };
-    AppendContents(suspect.contents_, row);
+    json::array row{
+      upstream.Value(), startedAt, suspect.age_.count(), suspect.contents_.request_.Value()
+    };
+    AppendContents(suspect.contents_.parts_, row);
     suspects.emplace_back(std::move(row));
   }
   json::array begun;
@@ -324,7 +326,7 @@
   QuarantineReport report;
   ForRows(aObject, "f", [&](const json::array& aRow) {
     report.suspects_.push_back({ { UpstreamId(TextAt(aRow, 0)), NumberAt<std::int64_t>(aRow, 1) },
-                                 ContentsFrom(aRow, 3),
+                                 { ContentsFrom(aRow, 4), ContentId(TextAt(aRow, 3)) },
                                  MillisecondsAt(aRow, 2) });
   });
   ForRows(aObject, "b", [&](const json::array& aRow) {
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -36,15 +36,14 @@
   return ContentId("request:" + std::to_string(RendezvousWeight(head, message.body())));
 }
 
-/** @return the shared parts of the prompt, and at the end the digest of the request. */
-std::vector<ContentId>
+RequestContents
 ContentsOf(const AdmittedRequest& aRequest)
 {
-  std::vector<ContentId> contents;
+  RequestContents contents;
   for (const auto& part : aRequest.facts_.sharedParts_) {
-    contents.emplace_back(part);
+    contents.parts_.emplace_back(part);
   }
-  contents.push_back(DigestOf(aRequest));
+  contents.request_ = DigestOf(aRequest);
   return contents;
 }
 
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -170,7 +170,7 @@
   std::shared_ptr<AnswerStream> answer_; ///< Empty once the request ended or the caller left.
   boost::asio::steady_timer timer_;      ///< Expires at the next time limit; see ArmTimer().
   TimePoint deadline_;                   ///< When the caller stops waiting.
-  std::vector<ContentId> contents_;      ///< What the request may have in common with others.
+  RequestContents contents_;             ///< What it may have in common with other requests.
   std::shared_ptr<UpstreamCall> call_;   ///< Running attempt; empty if none.
   UpstreamId upstream_;                  ///< Upstream of the last attempt.
   Endpoint endpoint_;                    ///< Address of upstream_.
--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -184,7 +184,7 @@
   } else if (answerClass_ == AnswerClass::None) {
     // Many requests may have waited at the upstream or run without an answer yet. Of these, only
     // one that is sent again is told from the others.
-    context_.quarantine_.OnCut({ upstream_, startedAt_ }, { &contents_.back(), 1 });
+    context_.quarantine_.OnCut({ upstream_, startedAt_ }, { {}, contents_.request_ });
   }
 }
 
--- a/src/table/quarantine_const.h
+++ b/src/table/quarantine_const.h
@@ -14,6 +14,11 @@
  * sound content is rarely at two crashes without beginning anywhere in between.
  */
 constexpr std::size_t kMinCrashes = 3;
+/**
+ * Number of different requests that must have been at these crashes for a quarantine of the parts
+ * that they share. A request that crashes several upstreams may do so by what it does not share.
+ */
+constexpr std::size_t kMinCrashingRequests = 2;
 /**
  * Crashes closer together than this count as one. A power loss or a lost link ends many upstreams
  * at once, and a content that many requests share is then at several of them by chance.
--- a/tests/fleet/quarantine_test.cpp
+++ b/tests/fleet/quarantine_test.cpp
@@ -14,10 +14,13 @@
 using namespace std::chrono_literals;
 using Contents = std::vector<ContentId>;
 
-Contents
-MakeContents(std::initializer_list<const char*> aNames)
+/** @return the contents of a request with these parts that is like no other. */
+RequestContents
+MakeContents(std::initializer_list<const char*> aParts)
 {
-  return Contents(aNames.begin(), aNames.end());
+  static int number = 0;
+  return { Contents(aParts.begin(), aParts.end()),
+           ContentId("request:" + std::to_string(++number)) };
 }
 
 class QuarantineTest : public testing::Test
@@ -95,6 +98,34 @@
   EXPECT_TRUE(MayRun({ "rare" }));
 }
 
+// Guards against a request that crashes upstreams and is sent again, by its caller or a host.
+TEST_F(QuarantineTest, RefusesARequestThatCrashedThreeProcesses)
+{
+  const RequestContents request{ { ContentId("a") }, ContentId("request:x") };
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_FALSE(quarantine_.TimeLeft(request));
+    clock_.Advance(200ms);
+    quarantine_.OnCut({ UpstreamId("u"), ++process_ }, { {}, request.request_ });
+  }
+  EXPECT_TRUE(quarantine_.TimeLeft(request));
+  EXPECT_TRUE(MayRun({ "a" }));
+}
+
+// Guards against a part whose crashes are all blamed on single requests, since each request with it
+// is repeated until it has crashed three upstreams.
+TEST_F(QuarantineTest, FindsThePartBehindRepeatedRequests)
+{
+  const auto first = MakeContents({ "bad" });
+  for (int i = 0; i < 3; ++i) {
+    clock_.Advance(200ms);
+    quarantine_.OnCut({ UpstreamId("u"), ++process_ }, first);
+  }
+  EXPECT_TRUE(quarantine_.TimeLeft(first));
+  EXPECT_TRUE(MayRun({ "bad" })) << "the cause may be something that only this request holds";
+  Crash({ "bad" });
+  EXPECT_FALSE(MayRun({ "bad" }));
+}
+
 // Guards against refusing a common part after many upstreams lost power at the same time.
 TEST_F(QuarantineTest, CountsCrashesAtTheSameTimeOnce)
 {
@@ -190,7 +221,7 @@
   for (int i = 0; i < 500; ++i) {
     clock_.Advance(1ms);
     const auto name = "c" + std::to_string(i);
-    quarantine_.OnCut({ UpstreamId("u" + std::to_string(i)), 1 }, Contents{ ContentId(name) });
+    quarantine_.OnCut({ UpstreamId("u" + std::to_string(i)), 1 }, MakeContents({ name.c_str() }));
   }
   EXPECT_EQ(quarantine_.Report().suspects_.size(), kMaxReportedSuspects);
   for (int i = 0; i < 200; ++i) {
--- a/tests/gateway/gossip_message_test.cpp
+++ b/tests/gateway/gossip_message_test.cpp
@@ -26,9 +26,9 @@
   message.startedUses_ = { { UpstreamId("e1"), "m", "a1" } };
   message.runningUses_ = { { UpstreamId("e2"), "m", "a2" } };
   message.loadRequests_ = { { UpstreamId("e2"), { "m", "a3", 4, LoadPriority::Late } } };
-  message.quarantine_.suspects_ = {
-    { { UpstreamId("e3"), 1791294744030 }, { ContentId("p1"), ContentId("p2") }, 40ms }
-  };
+  message.quarantine_.suspects_ = { { { UpstreamId("e3"), 1791294744030 },
+                                      { { ContentId("p1"), ContentId("p2") }, ContentId("r") },
+                                      40ms } };
   message.quarantine_.begun_ = { { ContentId("p1"), 20ms } };
   message.quarantine_.entries_ = { { { ContentId("p3") }, 70ms, 9s } };
   return message;
@@ -56,7 +56,8 @@
             sent.residency_[0].models_[0].adapters_);
   const auto& suspect = decoded->quarantine_.suspects_.at(0);
   EXPECT_EQ(suspect.process_, sent.quarantine_.suspects_[0].process_);
-  EXPECT_EQ(suspect.contents_, sent.quarantine_.suspects_[0].contents_);
+  EXPECT_EQ(suspect.contents_.parts_, sent.quarantine_.suspects_[0].contents_.parts_);
+  EXPECT_EQ(suspect.contents_.request_, ContentId("r"));
   EXPECT_EQ(suspect.age_, 40ms);
   EXPECT_EQ(decoded->quarantine_.begun_.at(0).content_, ContentId("p1"));
   EXPECT_EQ(decoded->quarantine_.begun_.at(0).age_, 20ms);
--- a/tests/gateway/gossip_service_test.cpp
+++ b/tests/gateway/gossip_service_test.cpp
@@ -295,7 +295,7 @@
 {
   network_.lossEvery_ = 10;
   network_.Start();
-  const std::vector<ContentId> bad{ ContentId("bad") };
+  const RequestContents bad{ {}, ContentId("bad") };
   std::int64_t process = 0;
   for (const auto* name : { "h4", "h11", "h18" }) {
     network_.Find(HostId(name)).quarantine_.OnCut({ UpstreamId("e1"), ++process }, bad);
--- a/tests/gateway/quarantine_service_test.cpp
+++ b/tests/gateway/quarantine_service_test.cpp
@@ -37,7 +37,9 @@
   {
     for (int i = 0; i < 3; ++i) {
       scheduler_.Run(200ms);
-      quarantine_.OnCut({ UpstreamId("u"), ++process_ }, aContents);
+      ++process_;
+      quarantine_.OnCut({ UpstreamId("u"), process_ },
+                        { aContents, ContentId("request:" + std::to_string(process_)) });
     }
   }
   std::vector<QuarantineRecord> Stored() const
@@ -75,7 +77,7 @@
   scheduler_.Run(300ms);
   Quarantine restarted(clock_);
   QuarantineService(store_, restarted, clock_, scheduler_, [] { return false; }).OnStored(Stored());
-  EXPECT_TRUE(restarted.TimeLeft(kBad));
+  EXPECT_TRUE(restarted.TimeLeft({ kBad, {} }));
 }
 
 TEST_F(QuarantineServiceTest, RepeatsFailedWrites)
@@ -95,11 +97,11 @@
   CrashThree(kBadAndRare);
   scheduler_.Run(300ms);
   EXPECT_TRUE(stored_.contains(kBadAndRare));
-  quarantine_.OnBegun({ UpstreamId("sound"), 1 }, clock_.Now(), { &kBadAndRare[1], 1 });
+  quarantine_.OnBegun({ UpstreamId("sound"), 1 }, clock_.Now(), { { kBadAndRare[1] }, {} });
   scheduler_.Run(300ms);
   EXPECT_EQ(stored_.size(), 1U);
   EXPECT_TRUE(stored_.contains(kBad));
-  quarantine_.OnBegun({ UpstreamId("sound"), 1 }, clock_.Now(), kBad);
+  quarantine_.OnBegun({ UpstreamId("sound"), 1 }, clock_.Now(), { kBad, {} });
   scheduler_.Run(300ms);
   EXPECT_TRUE(stored_.empty());
 }
@@ -110,8 +112,8 @@
   const std::vector<QuarantineRecord> records{ { ended, clock_.WallNow() - 1s },
                                                { kBad, clock_.WallNow() + 100h } };
   service_->OnStored(records);
-  EXPECT_FALSE(quarantine_.TimeLeft(ended));
-  const auto left = quarantine_.TimeLeft(kBad);
+  EXPECT_FALSE(quarantine_.TimeLeft({ ended, {} }));
+  const auto left = quarantine_.TimeLeft({ kBad, {} });
   ASSERT_TRUE(left);
   EXPECT_LE(*left, kQuarantineTime) << "the time of day of the writer was wrong";
 }
