--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -4,6 +4,7 @@
 #include "fleet/upstream_table.h"
 
 #include "core/hash_func.h"
+#include "logging/logging_func.h"
 #include "table/fleet_const.h"
 
 #include <algorithm>
@@ -402,6 +403,25 @@
   }
 }
 
+void
+UpstreamTable::OnRequestLimit(const UpstreamId& aId,
+                              std::int64_t aStartedAt,
+                              std::optional<double> aLimit)
+{
+  auto* upstream = Find(aId);
+  if (upstream == nullptr || upstream->entry_.startedAt_ != aStartedAt ||
+      upstream->requestLimit_ == aLimit) {
+    return;
+  }
+  LogEvent(
+    LogLevel::Info,
+    "request_limit",
+    { { "upstream", aId.Value() },
+      { "per_second", aLimit ? std::to_string(*aLimit) : "none" },
+      { "before", upstream->requestLimit_ ? std::to_string(*upstream->requestLimit_) : "none" } });
+  upstream->requestLimit_ = aLimit;
+}
+
 Upstream*
 UpstreamTable::Find(const UpstreamId& aId)
 {
--- a/src/fleet/upstream_table.h
+++ b/src/fleet/upstream_table.h
@@ -60,7 +60,8 @@
   std::uint64_t orderCount_ = 0;   ///< Orders accepted by an engine; from its holder.
   bool differsFromHolder_ = false; ///< Its entry lists other models than its holder sent.
   std::optional<TimePoint> residencyReceivedAt_; ///< When its holder last sent its residency.
-  bool isMisdirected_ = false;                   ///< Another upstream answers at its endpoint.
+  std::optional<double> requestLimit_; ///< Requests/s it takes from all hosts; none = no limit.
+  bool isMisdirected_ = false;         ///< Another upstream answers at its endpoint.
 };
 
 /** Requirements of a request on an upstream. */
@@ -143,6 +144,11 @@
   /** Excludes an upstream until its next entry, as another one answers at its endpoint. */
   void OnMisdirected(const UpstreamId& aId);
   /** Updates the end of the cold phase. @param aFor remaining time, from an answer. */
+  /**
+   * Applies the limit that an answer of an upstream names.
+   * @param aStartedAt start time of its process. @param aLimit requests/s; none if it names none.
+   */
+  void OnRequestLimit(const UpstreamId& aId, std::int64_t aStartedAt, std::optional<double> aLimit);
   void OnColdTime(const UpstreamId& aId, Duration aFor);
 
   /** @return the upstream, or nullptr if it is unknown. */
--- a/src/gateway/message_codec_base.h
+++ b/src/gateway/message_codec_base.h
@@ -48,7 +48,8 @@
   bool isMisdirected_ = false; ///< The address serves another upstream, model or version.
   UpstreamId upstream_;        ///< Upstream that answers; empty if not given.
   std::optional<std::chrono::milliseconds>
-    coldTimeLeft_; ///< Remaining cold start; none if not given.
+    coldTimeLeft_;                     ///< Remaining cold start; none if not given.
+  std::optional<double> requestLimit_; ///< Requests/s it takes from all hosts; none if no limit.
 };
 
 /** Reads and writes the header fields that a platform defines. */
--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -79,6 +79,9 @@
   if (answerFacts_.coldTimeLeft_) {
     context_.fleet_.Upstreams().OnColdTime(upstream_, *answerFacts_.coldTimeLeft_);
   }
+  if (isGenuine || isProvenRefusal) {
+    context_.fleet_.Upstreams().OnRequestLimit(upstream_, startedAt_, answerFacts_.requestLimit_);
+  }
   isStreaming_ = IsStream() && answerClass_ == AnswerClass::Valid;
   status_ = aStatus;
   if (!isBegun_) {
--- a/tests/wire/message_codec_test.cpp
+++ b/tests/wire/message_codec_test.cpp
@@ -58,6 +58,24 @@
   }
 }
 
+TEST(MessageCodec, ReadsTheRequestLimitOfAnUpstream)
+{
+  using Limit = std::optional<double>;
+  for (const auto& [text, limit] : std::map<std::string, Limit>{ { "2.5", 2.5 },
+                                                                 { "40", 40.0 },
+                                                                 { "0", 0.0 },
+                                                                 { "-1", {} },
+                                                                 { "nan", {} },
+                                                                 { "inf", {} },
+                                                                 { "2.5/s", {} },
+                                                                 { "", {} } }) {
+    Fields fields;
+    fields.set("Server-Limit", text);
+    EXPECT_EQ(PlatformMessageCodec().ReadAnswer(200, fields).requestLimit_, limit) << text;
+  }
+  EXPECT_FALSE(PlatformMessageCodec().ReadAnswer(200, {}).requestLimit_);
+}
+
 TEST(MessageCodec, RemovesWhatCallersMayNotSet)
 {
   Fields fields;
