Read the other hosts' records after the own one is published

Cause, as read in the code: a host published its record and read the others at the same time. Two hosts that start together can both read before the other's write; if both are store readers, nobody introduces them, since store readers only tell of the hosts that query them. It also leaves them out of each other's sums of load, demand and quarantines. The logs of the failing runs do not name the hosts that a host knows, so the cause is inferred, not traced. Change: HostRegistration reads after its write is acknowledged. Of two hosts the one that is written last then reads the other, and its gossip introduces it. No call is added.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include "core/system_clock.h"
 #include "gateway/gossip_service.h"
 #include "gateway/holder_service.h"
+#include "gateway/host_registration.h"
 #include "gateway/quarantine_service.h"
 #include "gateway/request_flow.h"
 #include "gateway/store_watch.h"
@@ -148,6 +149,13 @@
       ports_.store_, fleet_, clock_, scheduler_, watch, [this] { OnFleetChange(); });
     quarantineService_ = std::make_shared<QuarantineService>(
       ports_.store_, quarantine_, clock_, scheduler_, [this] { return peers_.IsStoreReader(); });
+    registration_ = std::make_shared<HostRegistration>(
+      ports_.store_, scheduler_, self_, [this](const HostTopicRecords& aRecords) {
+        for (const auto& host : aRecords.hosts_) {
+          peers_.OnStoreRecord(host);
+        }
+        quarantineService_->OnStored(aRecords.quarantines_);
+      });
     gossip_->Connect(gossipLink_, *holder_, *watch_);
   }
 
@@ -192,8 +200,7 @@
     holder_->Start();
     gossip_->Start();
     quarantineService_->Start();
-    PublishHost();
-    ReadHostTopic();
+    registration_->Start();
     RepeatWhileAlive(scheduler_, kQueueCheckInterval, gossip_, [this] { OnTick(); });
     RepeatWhileAlive(scheduler_, kReloadInterval, gossip_, [this] { Reload("interval"); });
     return true;
@@ -400,31 +407,6 @@
     }
   }
 
-  void PublishHost()
-  {
-    ports_.store_.PublishHost(self_, [this](std::error_code aError) {
-      if (aError) {
-        LogEvent(LogLevel::Warn, "host_not_published", { { "error", aError.message() } });
-        scheduler_.After(kNotReadyRetryAfter, [this] { PublishHost(); });
-      }
-    });
-  }
-
-  void ReadHostTopic()
-  {
-    ports_.store_.ReadHostTopic([this](std::error_code aError, const HostTopicRecords& aRecords) {
-      if (aError) {
-        LogEvent(LogLevel::Warn, "hosts_not_read", { { "error", aError.message() } });
-        scheduler_.After(kNotReadyRetryAfter, [this] { ReadHostTopic(); });
-        return;
-      }
-      for (const auto& host : aRecords.hosts_) {
-        peers_.OnStoreRecord(host);
-      }
-      quarantineService_->OnStored(aRecords.quarantines_);
-    });
-  }
-
   void AwaitSignal()
   {
     signals_.async_wait([this](BoostError aError, int aSignal) {
@@ -510,6 +492,7 @@
   std::unordered_map<WaitTicket, std::shared_ptr<RequestFlow>> waiting_; ///< Queued requests.
   std::shared_ptr<GossipService> gossip_;
   std::shared_ptr<QuarantineService> quarantineService_;
+  std::shared_ptr<HostRegistration> registration_;
   std::shared_ptr<HolderService> holder_; ///< Sends orders to engines.
   std::shared_ptr<StoreWatch> watch_;     ///< Reads changes of the store.
   GossipLink gossipLink_;
