Keep the request limits that upstreams name, for all hosts together

What callers saw: little; the upstreams in need saw it. Cause: no host read the limit. Class: a statement of an upstream about its own capacity that is not used. Evidence: request_limit lines show when each host was told; the rates of request_sent do not change then. Change: hosts learn a limit from an answer or from each other's load reports. While an upstream has one, a request needs a permit. For each upstream one host issues permits from a token bucket, chosen by rendezvous among the live hosts; a silent one is replaced after two unanswered requests. Upstreams without a limit are preferred. Where a permit is denied, the adapter is loaded elsewhere. Ruled out: equal shares of the limit, since with 83 hosts and 5 requests a second most hosts could never send, or a burst of all exceeds it.

--- a/src/fleet/count_table.cpp
+++ b/src/fleet/count_table.cpp
@@ -25,7 +25,9 @@
       sum.recentPerSecond_ += demand.recentPerSecond_;
     }
     for (const auto& load : aCounts.load_) {
-      load_[load.upstream_] += load.running_;
+      auto& sum = load_[load.upstream_];
+      sum.running_ += load.running_;
+      sum.requestLimit_ = LowerLimit(sum.requestLimit_, load.requestLimit_);
     }
   }
   /** Adds a received report unless it has expired. Running requests expire sooner than demand,
@@ -48,9 +50,10 @@
       sum.grantedPerSecond_ = std::max(sum.grantedPerSecond_, demand.grantedPerSecond_);
       sum.recentPerSecond_ = std::max(sum.recentPerSecond_, demand.recentPerSecond_);
     }
-    for (const auto& [upstream, running] : aOther.load_) {
+    for (const auto& [upstream, load] : aOther.load_) {
       auto& sum = load_[upstream];
-      sum = std::max(sum, running);
+      sum.running_ = std::max(sum.running_, load.running_);
+      sum.requestLimit_ = LowerLimit(sum.requestLimit_, load.requestLimit_);
     }
   }
   HostLoad Result() const
@@ -64,16 +67,21 @@
                                  demand.recentPerSecond_ });
     }
     counts.load_.reserve(load_.size());
-    for (const auto& [upstream, running] : load_) {
-      counts.load_.push_back({ upstream, running });
+    for (const auto& [upstream, load] : load_) {
+      counts.load_.push_back({ upstream, load.running_, load.requestLimit_ });
     }
     return counts;
   }
 
 private:
+  static std::optional<double> LowerLimit(std::optional<double> aLeft, std::optional<double> aRight)
+  {
+    return aLeft && aRight ? std::min(aLeft, aRight) : aLeft ? aLeft : aRight;
+  }
+
   TimePoint now_;
   std::map<WorkspaceId, WorkspaceDemand> demand_;
-  std::map<UpstreamId, std::uint32_t> load_;
+  std::map<UpstreamId, UpstreamLoad> load_;
 };
 
 void
--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -6,6 +6,7 @@
 #include "core/hash_func.h"
 #include "logging/logging_func.h"
 #include "table/fleet_const.h"
+#include "table/limit_const.h"
 
 #include <algorithm>
 #include <cmath>
@@ -125,10 +126,7 @@
 {
   auto& peer = peers_[aPeer];
   peer.receivedAt_ = clock_.Now();
-  peer.running_.clear();
-  for (const auto& load : aLoad) {
-    peer.running_[load.upstream_] = load.running_;
-  }
+  peer.loads_.assign(aLoad.begin(), aLoad.end());
   SumPeerLoads();
 }
 
@@ -147,11 +145,16 @@
 {
   for (auto& [id, upstream] : upstreams_) {
     upstream.peersRunning_ = 0;
+    upstream.peersLimit_.reset();
   }
   for (const auto& [host, peer] : peers_) {
-    for (const auto& [id, running] : peer.running_) {
-      if (auto* upstream = Find(id)) {
-        upstream->peersRunning_ += running;
+    for (const auto& load : peer.loads_) {
+      if (auto* upstream = Find(load.upstream_)) {
+        upstream->peersRunning_ += load.running_;
+        if (load.requestLimit_) {
+          upstream->peersLimit_ =
+            std::min(*load.requestLimit_, upstream->peersLimit_.value_or(*load.requestLimit_));
+        }
       }
     }
   }
@@ -269,7 +272,8 @@
     // they load the new one, then cold ones.
     const bool hasModel = ResidentVersion(upstream, aNeed.model_, {}).has_value();
     const bool isCold = upstream.coldUntil_ > aNow;
-    const bool isBusy = upstream.running_ + upstream.peersRunning_ > aBusyThreshold;
+    const bool isBusy = upstream.running_ + upstream.peersRunning_ > aBusyThreshold ||
+                        upstream.permitDeniedUntil_ > aNow;
     const int tier = (hasModel ? 8 : 0) + (isBusy ? 0 : 4) + (version ? 0 : 2) + (isCold ? 0 : 1);
     const std::pair<int, std::uint64_t> rank{ tier, RendezvousWeight(id.Value(), key) };
     if (best == nullptr || rank > bestRank) {
@@ -286,6 +290,7 @@
   UpstreamChoice choice;
   const auto now = clock_.Now();
   double minCost = std::numeric_limits<double>::max();
+  double minPermitCost = std::numeric_limits<double>::max();
   bool isResident = false;
   double minResidentLoad = std::numeric_limits<double>::max();
   for (auto& [id, upstream] : upstreams_) {
@@ -306,14 +311,24 @@
         continue;
       }
       version = *residentVersion;
-      isResident = true;
-      minResidentLoad =
-        std::min(minResidentLoad, static_cast<double>(upstream.running_ + upstream.peersRunning_));
+      // Where a permit was denied, more requests come for the adapter than its engine may get.
+      if (upstream.permitDeniedUntil_ <= now) {
+        isResident = true;
+        minResidentLoad = std::min(minResidentLoad,
+                                   static_cast<double>(upstream.running_ + upstream.peersRunning_));
+      }
     }
     if (!HasFreeSlot(upstream) || !MaySendIfCold(upstream, now)) {
       continue;
     }
     const double cost = CostOf(upstream);
+    if (NeedsPermit(upstream, now)) {
+      if (upstream.permitDeniedUntil_ <= now && cost < minPermitCost) {
+        minPermitCost = cost;
+        choice.permitTarget_ = id;
+      }
+      continue;
+    }
     if (cost < minCost) {
       minCost = cost;
       choice.upstream_ = &upstream;
@@ -335,6 +350,7 @@
 {
   if (auto* upstream = Find(aId)) {
     ++upstream->running_;
+    upstream->permits_ -= upstream->permits_ > 0 ? 1 : 0;
     if (upstream->coldUntil_ > clock_.Now()) {
       upstream->coldTokens_ = std::max(0.0, upstream->coldTokens_ - 1.0);
     }
@@ -409,17 +425,59 @@
                               std::optional<double> aLimit)
 {
   auto* upstream = Find(aId);
-  if (upstream == nullptr || upstream->entry_.startedAt_ != aStartedAt ||
-      upstream->requestLimit_ == aLimit) {
+  if (upstream == nullptr || upstream->entry_.startedAt_ != aStartedAt) {
     return;
   }
-  LogEvent(
-    LogLevel::Info,
-    "request_limit",
-    { { "upstream", aId.Value() },
-      { "per_second", aLimit ? std::to_string(*aLimit) : "none" },
-      { "before", upstream->requestLimit_ ? std::to_string(*upstream->requestLimit_) : "none" } });
+  if (upstream->requestLimit_ != aLimit) {
+    const auto toText = [](std::optional<double> aRate) {
+      return aRate ? std::to_string(*aRate) : "none";
+    };
+    LogEvent(LogLevel::Info,
+             "request_limit",
+             { { "upstream", aId.Value() },
+               { "per_second", toText(aLimit) },
+               { "before", toText(upstream->requestLimit_) } });
+  }
   upstream->requestLimit_ = aLimit;
+  upstream->limitHeardAt_ = clock_.Now();
+}
+
+std::optional<double>
+UpstreamTable::LimitOf(const Upstream& aUpstream, TimePoint aNow)
+{
+  const bool isOwnRecent =
+    aUpstream.limitHeardAt_ && aNow - *aUpstream.limitHeardAt_ < kOwnLimitTtl;
+  return isOwnRecent ? aUpstream.requestLimit_ : aUpstream.peersLimit_;
+}
+
+bool
+UpstreamTable::NeedsPermit(const Upstream& aUpstream, TimePoint aNow)
+{
+  const bool hasPermit = aUpstream.permits_ > 0 && aNow < aUpstream.permitsUntil_;
+  return !hasPermit && LimitOf(aUpstream, aNow);
+}
+
+std::optional<double>
+UpstreamTable::RequestLimit(const UpstreamId& aId) const
+{
+  const auto found = upstreams_.find(aId);
+  return found == upstreams_.end() ? std::nullopt : LimitOf(found->second, clock_.Now());
+}
+
+void
+UpstreamTable::OnPermit(const UpstreamId& aId, const Permit& aPermit)
+{
+  auto* upstream = Find(aId);
+  if (upstream == nullptr) {
+    return;
+  }
+  const auto now = clock_.Now();
+  if (!aPermit.isGranted_) {
+    upstream->permitDeniedUntil_ = now + aPermit.delay_;
+    return;
+  }
+  upstream->permits_ = now < upstream->permitsUntil_ ? upstream->permits_ + 1 : 1;
+  upstream->permitsUntil_ = now + kPermitTtl;
 }
 
 Upstream*
@@ -433,9 +491,14 @@
 UpstreamTable::OwnLoad() const
 {
   std::vector<UpstreamLoad> result;
+  const auto now = clock_.Now();
   for (const auto& [id, upstream] : upstreams_) {
-    if (upstream.running_ > 0) {
-      result.push_back({ id, upstream.running_ });
+    UpstreamLoad load{ id, upstream.running_ };
+    if (upstream.limitHeardAt_ && now - *upstream.limitHeardAt_ < kLimitReportTime) {
+      load.requestLimit_ = upstream.requestLimit_;
+    }
+    if (load.running_ > 0 || load.requestLimit_) {
+      result.push_back(load);
     }
   }
   return result;
--- a/src/fleet/upstream_table.h
+++ b/src/fleet/upstream_table.h
@@ -6,6 +6,7 @@
 
 #include "core/clock_base.h"
 #include "fleet/fleet_type.h"
+#include "fleet/permit_issuer.h"
 
 #include <functional>
 #include <map>
@@ -24,6 +25,7 @@
 {
   UpstreamId upstream_;
   std::uint32_t running_ = 0; ///< Requests that were sent and have not ended.
+  std::optional<double> requestLimit_ = std::nullopt; ///< Named in a recent answer, requests/s.
 };
 
 /** Models and adapters resident at an engine after an order, as its holder sends them. */
@@ -60,8 +62,13 @@
   std::uint64_t orderCount_ = 0;   ///< Orders accepted by an engine; from its holder.
   bool differsFromHolder_ = false; ///< Its entry lists other models than its holder sent.
   std::optional<TimePoint> residencyReceivedAt_; ///< When its holder last sent its residency.
-  std::optional<double> requestLimit_; ///< Requests/s it takes from all hosts; none = no limit.
-  bool isMisdirected_ = false;         ///< Another upstream answers at its endpoint.
+  std::optional<double> requestLimit_;    ///< Requests/s that its last answer to this host allows.
+  std::optional<TimePoint> limitHeardAt_; ///< When that answer was received; none if there is none.
+  std::optional<double> peersLimit_; ///< Requests/s that peers have reported; none if none did.
+  std::uint32_t permits_ = 0;        ///< Requests that this host may send while it has a limit.
+  TimePoint permitsUntil_;           ///< When these permits expire.
+  TimePoint permitDeniedUntil_;      ///< No permit is requested before this time.
+  bool isMisdirected_ = false;       ///< Another upstream answers at its endpoint.
 };
 
 /** Requirements of a request on an upstream. */
@@ -78,11 +85,12 @@
 /** Result of UpstreamTable::Choose(). */
 struct UpstreamChoice
 {
-  Upstream* upstream_ = nullptr;         ///< Where to send the request; nullptr if it must wait.
-  std::int64_t adapterVersion_ = 0;      ///< Version resident there; 0 without an adapter.
-  std::optional<UpstreamId> loadTarget_; ///< Engine that should load the adapter; may be none.
-  bool isReplica_ = false;               ///< The adapter is resident already, at busy engines.
-  bool hasUntried_ = false;              ///< Whether a usable upstream was not tried yet.
+  Upstream* upstream_ = nullptr;           ///< Where to send the request; nullptr if it must wait.
+  std::int64_t adapterVersion_ = 0;        ///< Version resident there; 0 without an adapter.
+  std::optional<UpstreamId> loadTarget_;   ///< Engine that should load the adapter; may be none.
+  bool isReplica_ = false;                 ///< The adapter is resident already, at busy engines.
+  std::optional<UpstreamId> permitTarget_; ///< Upstream whose permit would allow to send it.
+  bool hasUntried_ = false;                ///< Whether a usable upstream was not tried yet.
 };
 
 /** Upstreams of all services with the choice between them. Not thread-safe. */
@@ -144,12 +152,16 @@
   /** Excludes an upstream until its next entry, as another one answers at its endpoint. */
   void OnMisdirected(const UpstreamId& aId);
   /** Updates the end of the cold phase. @param aFor remaining time, from an answer. */
+  void OnColdTime(const UpstreamId& aId, Duration aFor);
   /**
    * Applies the limit that an answer of an upstream names.
    * @param aStartedAt start time of its process. @param aLimit requests/s; none if it names none.
    */
   void OnRequestLimit(const UpstreamId& aId, std::int64_t aStartedAt, std::optional<double> aLimit);
-  void OnColdTime(const UpstreamId& aId, Duration aFor);
+  /** @return requests/s that an upstream takes from all hosts; none if it has no limit. */
+  std::optional<double> RequestLimit(const UpstreamId& aId) const;
+  /** Applies the answer to a request for a permit. A permit is valid for kPermitTtl. */
+  void OnPermit(const UpstreamId& aId, const Permit& aPermit);
 
   /** @return the upstream, or nullptr if it is unknown. */
   Upstream* Find(const UpstreamId& aId);
@@ -170,7 +182,7 @@
   struct LoadReport
   {
     TimePoint receivedAt_;
-    std::unordered_map<UpstreamId, std::uint32_t> running_; ///< Requests by upstream.
+    std::vector<UpstreamLoad> loads_;
   };
 
   // These functions get the current time as a parameter, because reading the clock for each of some
@@ -178,6 +190,9 @@
   bool IsUsableAt(const Upstream& aUpstream, TimePoint aNow) const;
   bool HasFreeSlot(const Upstream& aUpstream) const;
   bool MaySendIfCold(Upstream& aUpstream, TimePoint aNow);
+  static std::optional<double> LimitOf(const Upstream& aUpstream, TimePoint aNow);
+  /** @return whether a limit and the lack of a permit forbid to send a request. */
+  static bool NeedsPermit(const Upstream& aUpstream, TimePoint aNow);
   double CostOf(const Upstream& aUpstream) const;
   double MeanRunning(const ServiceName& aService, TimePoint aNow) const;
   std::optional<UpstreamId> ChooseEngineToLoad(const UpstreamNeed& aNeed,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -108,6 +108,9 @@
                     [this](const auto& aEngine, const auto& aRequest) {
                       gossip_->RequestLoad(aEngine, aRequest);
                     },
+                    [this](const UpstreamId& aUpstream) {
+                      return gossip_->RequestPermit(aUpstream);
+                    },
                     [this](const AdapterUse& aUse) { gossip_->OnUseStarted(aUse); },
                     [this](const AdapterUse& aUse) { gossip_->OnUseEnded(aUse); },
                     [this] { ScheduleStartQueued(); },
--- a/src/gateway/gossip_message.cpp
+++ b/src/gateway/gossip_message.cpp
@@ -18,7 +18,7 @@
 // c has a load report, d demand by workspace, r running requests by upstream, g generation,
 // o partitions, e engines with their adapters, u uses that started, k uses that still run,
 // w load requests, q query, s answer, x changed upstreams, m live hosts, f crash suspects,
-// b contents that have begun, y quarantines.
+// b contents that have begun, y quarantines, j permit requests, i permit answers.
 
 /** @return text of a cell; empty if the cell is missing or of another type. */
 std::string
@@ -243,7 +243,11 @@
   }
   json::array running;
   for (const auto& entry : aLoad.load_) {
-    running.emplace_back(json::array{ entry.upstream_.Value(), entry.running_ });
+    json::array row{ entry.upstream_.Value(), entry.running_ };
+    if (entry.requestLimit_) {
+      row.emplace_back(*entry.requestLimit_);
+    }
+    running.emplace_back(std::move(row));
   }
   aObject["d"] = std::move(demand);
   aObject["r"] = std::move(running);
@@ -260,7 +264,11 @@
                                NumberAt<double>(aRow, 3) });
   });
   ForRows(aObject, "r", [&](const json::array& aRow) {
-    counts.load_.push_back({ UpstreamId(TextAt(aRow, 0)), NumberAt<std::uint32_t>(aRow, 1) });
+    UpstreamLoad load{ UpstreamId(TextAt(aRow, 0)), NumberAt<std::uint32_t>(aRow, 1) };
+    if (aRow.size() > 2) {
+      load.requestLimit_ = NumberAt<double>(aRow, 2);
+    }
+    counts.load_.push_back(std::move(load));
   });
   return counts;
 }
@@ -404,6 +412,22 @@
                                     want.request_.version_,
                                     static_cast<int>(want.request_.priority_) });
   }
+  json::array permitRequests;
+  for (const auto& request : aMessage.permitRequests_) {
+    permitRequests.emplace_back(json::array{ request.upstream_.Value(), request.limit_ });
+  }
+  json::array permitAnswers;
+  for (const auto& answer : aMessage.permitAnswers_) {
+    const auto delay = std::chrono::duration_cast<std::chrono::milliseconds>(answer.permit_.delay_);
+    permitAnswers.emplace_back(
+      json::array{ answer.upstream_.Value(), answer.permit_.isGranted_ ? 1 : 0, delay.count() });
+  }
+  if (!permitRequests.empty()) {
+    object["j"] = std::move(permitRequests);
+  }
+  if (!permitAnswers.empty()) {
+    object["i"] = std::move(permitAnswers);
+  }
   if (!engines.empty()) {
     object["e"] = std::move(engines);
   }
@@ -476,6 +500,13 @@
                                         NumberAt<std::int64_t>(aRow, 3),
                                         DecodeReason(NumberAt<int>(aRow, 4)) } });
   });
+  ForRows(object, "j", [&](const json::array& aRow) {
+    message.permitRequests_.push_back({ UpstreamId(TextAt(aRow, 0)), NumberAt<double>(aRow, 1) });
+  });
+  ForRows(object, "i", [&](const json::array& aRow) {
+    message.permitAnswers_.push_back(
+      { UpstreamId(TextAt(aRow, 0)), { NumberAt<int>(aRow, 1) != 0, MillisecondsAt(aRow, 2) } });
+  });
   return message;
 }
 
--- a/src/gateway/gossip_message.h
+++ b/src/gateway/gossip_message.h
@@ -5,6 +5,7 @@
 #include "fleet/count_table.h"
 #include "fleet/engine_orders.h"
 #include "fleet/peer_table.h"
+#include "fleet/permit_issuer.h"
 #include "fleet/quarantine.h"
 
 #include <chrono>
@@ -33,6 +34,20 @@
   LoadRequest request_;
 };
 
+/** Request for a permit, sent to the host that issues those of the upstream. */
+struct PermitRequest
+{
+  UpstreamId upstream_;
+  double limit_ = 0; ///< Requests/s that the upstream takes from all hosts, as known to the sender.
+};
+
+/** Answer to a PermitRequest. */
+struct PermitAnswer
+{
+  UpstreamId upstream_;
+  Permit permit_;
+};
+
 /** Query of a host to a store reader. The message also carries the load report of the host. */
 struct RelayQuery
 {
@@ -84,6 +99,8 @@
   std::vector<AdapterUse> runningUses_;    ///< Uses that started earlier and still run.
   std::vector<EngineLoadRequest> loadRequests_; ///< Load requests of the sender.
   QuarantineReport quarantine_;                 ///< Crashes known to the sender.
+  std::vector<PermitRequest> permitRequests_;
+  std::vector<PermitAnswer> permitAnswers_;
 };
 
 /** @return digest of the hosts and their partitions; depends on the order of the hosts. */
--- a/src/gateway/gossip_service.cpp
+++ b/src/gateway/gossip_service.cpp
@@ -1,8 +1,10 @@
 /** @file gossip_service.cpp Exchanges load reports, live hosts and store changes between hosts. */
 #include "gateway/gossip_service.h"
 
+#include "core/hash_func.h"
 #include "logging/logging_func.h"
 #include "table/fleet_const.h"
+#include "table/limit_const.h"
 
 #include <algorithm>
 
@@ -44,12 +46,14 @@
 GossipService::GossipService(const GossipContext& aContext,
                              HostRecord aSelf,
                              std::int64_t aStartTime,
-                             std::function<void()> aOnResidency)
+                             std::function<void()> aOnChange)
   : context_(aContext)
   , self_(std::move(aSelf))
   , startTime_(aStartTime)
-  , onResidency_(std::move(aOnResidency))
+  , onChange_(std::move(aOnChange))
   , hostLoads_(aContext.clock_)
+  , issuer_(aContext.clock_)
+  , issuers_{ self_ }
 {
 }
 
@@ -111,6 +115,11 @@
 {
   context_.peers_.Expire();
   context_.quarantine_.Expire();
+  issuer_.Expire();
+  issuers_ = { self_ };
+  for (const auto& peer : context_.peers_.LivePeers()) {
+    issuers_.push_back(peer.host_);
+  }
   const auto hosts = context_.peers_.Hosts();
   context_.quota_.SetHostCount(hosts.size());
   context_.retries_.SetHostCount(hosts.size());
@@ -322,6 +331,7 @@
     OnHostLoad(*message);
   }
   context_.quarantine_.Merge(message->quarantine_);
+  OnPermitMessage(*message);
   bool hasChanged = false;
   for (const auto& residency : message->residency_) {
     hasChanged = context_.fleet_.Upstreams().OnResidency(residency) || hasChanged;
@@ -337,7 +347,7 @@
     holder_->RequestLoad(want.engine_, want.request_);
   }
   if (hasChanged) {
-    onResidency_();
+    onChange_();
   }
 }
 
@@ -383,6 +393,90 @@
   }
 }
 
+HostRecord
+GossipService::IssuerOf(const UpstreamId& aUpstream) const
+{
+  const auto now = context_.clock_.Now();
+  const HostRecord* issuer = &self_;
+  std::uint64_t maxWeight = 0;
+  for (const auto& host : issuers_) {
+    const auto silent = silentIssuers_.find(host.id_);
+    const auto weight = RendezvousWeight(host.id_.Value(), aUpstream.Value());
+    if (weight >= maxWeight && (silent == silentIssuers_.end() || silent->second <= now)) {
+      issuer = &host;
+      maxWeight = weight;
+    }
+  }
+  return *issuer;
+}
+
+bool
+GossipService::RequestPermit(const UpstreamId& aUpstream)
+{
+  const auto now = context_.clock_.Now();
+  const auto limit = context_.fleet_.Upstreams().RequestLimit(aUpstream);
+  if (!limit) {
+    return false;
+  }
+  auto& open = permitRequests_[aUpstream];
+  if (!open.issuer_.IsEmpty() && now - open.sentAt_ < kPermitTimeout) {
+    return false;
+  }
+  if (!open.issuer_.IsEmpty() && ++open.unanswered_ >= kMaxUnansweredPermits) {
+    LogEvent(LogLevel::Warn,
+             "permit_issuer_silent",
+             { { "issuer", open.issuer_.Value() }, { "upstream", aUpstream.Value() } });
+    silentIssuers_[open.issuer_] = now + kSilentIssuerTime;
+    open.unanswered_ = 0;
+  }
+  const auto issuer = IssuerOf(aUpstream);
+  if (auto& last = lastIssuers_[aUpstream]; last != issuer.id_) {
+    last = issuer.id_;
+    LogEvent(LogLevel::Info,
+             "permit_issuer_chosen",
+             { { "upstream", aUpstream.Value() },
+               { "issuer", issuer.id_.Value() },
+               { "per_second", std::to_string(*limit) },
+               { "hosts", std::to_string(issuers_.size()) } });
+  }
+  if (issuer.id_ == self_.id_) {
+    permitRequests_.erase(aUpstream);
+    const auto permit = issuer_.Issue(aUpstream, *limit);
+    context_.fleet_.Upstreams().OnPermit(aUpstream, permit);
+    return permit.isGranted_;
+  }
+  if (open.issuer_ != issuer.id_) {
+    open = { issuer.id_, now, 0 };
+  }
+  open.sentAt_ = now;
+  auto message = NewMessage();
+  message.permitRequests_.push_back({ aUpstream, *limit });
+  Send(issuer.gossip_, message);
+  return false;
+}
+
+void
+GossipService::OnPermitMessage(const GossipMessage& aMessage)
+{
+  auto answer = NewMessage();
+  for (const auto& request : aMessage.permitRequests_) {
+    answer.permitAnswers_.push_back(
+      { request.upstream_, issuer_.Issue(request.upstream_, request.limit_) });
+  }
+  if (!answer.permitAnswers_.empty()) {
+    Send(aMessage.host_.gossip_, answer);
+  }
+  bool isGranted = false;
+  for (const auto& permit : aMessage.permitAnswers_) {
+    permitRequests_.erase(permit.upstream_);
+    context_.fleet_.Upstreams().OnPermit(permit.upstream_, permit.permit_);
+    isGranted = isGranted || permit.permit_.isGranted_;
+  }
+  if (isGranted) {
+    onChange_();
+  }
+}
+
 void
 GossipService::OnUseStarted(const AdapterUse& aUse)
 {
@@ -420,7 +514,7 @@
   for (const auto& target : targets) {
     link_->Send(target, payload);
   }
-  onResidency_();
+  onChange_();
 }
 
 } // namespace laburnumweir
--- a/src/gateway/gossip_service.h
+++ b/src/gateway/gossip_service.h
@@ -47,12 +47,13 @@
   /**
    * @param aSelf this host.
    * @param aStartTime start time of this process, Unix ms.
-   * @param aOnResidency called when the resident adapters of an engine changed.
+   * @param aOnChange called when requests that wait may be able to start: an adapter is resident,
+   * or a permit was granted.
    */
   GossipService(const GossipContext& aContext,
                 HostRecord aSelf,
                 std::int64_t aStartTime,
-                std::function<void()> aOnResidency);
+                std::function<void()> aOnChange);
 
   /** Sets the objects that gossip works with. Must be called before Start(); all objects must
    * outlive the service. */
@@ -63,6 +64,12 @@
   void OnPayload(std::string_view aPayload);
   /** Sends a load request to the holder of an engine. */
   void RequestLoad(const UpstreamId& aEngine, const LoadRequest& aRequest);
+  /**
+   * Requests a permit to send a request to an upstream that limits them, from the host that issues
+   * its permits. The answer is applied to the upstreams and reported with the function for changes.
+   * @return whether this host is the issuer and the permit is granted.
+   */
+  bool RequestPermit(const UpstreamId& aUpstream);
   /** Records that a request with an adapter started; reported to the holder of the engine. */
   void OnUseStarted(const AdapterUse& aUse);
   /** Records that a request with an adapter ended. */
@@ -79,6 +86,18 @@
     TimePoint sentAt_;
   };
 
+  /** A request for a permit that was not answered yet. */
+  struct OpenPermitRequest
+  {
+    HostId issuer_;
+    TimePoint sentAt_;
+    int unanswered_ = 0; ///< Earlier requests to this issuer without an answer.
+  };
+
+  /** @return the host that issues the permits of an upstream; all hosts that know the same hosts
+   * agree. */
+  HostRecord IssuerOf(const UpstreamId& aUpstream) const;
+  void OnPermitMessage(const GossipMessage& aMessage);
   GossipMessage NewMessage();
   GossipMessage NewLoadMessage(HostLoad aLoad);
   HostLoad OwnLoad() const;
@@ -98,8 +117,8 @@
 
   GossipContext context_;
   const HostRecord self_;
-  const std::int64_t startTime_;      ///< Start time of this process, Unix ms.
-  std::function<void()> onResidency_; ///< Called when resident adapters of an engine changed.
+  const std::int64_t startTime_;   ///< Start time of this process, Unix ms.
+  std::function<void()> onChange_; ///< Called when requests that wait may be able to start.
   DatagramSender* link_ = nullptr;
   HolderService* holder_ = nullptr;
   StoreWatch* watch_ = nullptr;
@@ -113,6 +132,11 @@
   std::vector<HostPartitions> receivedHosts_; ///< Live hosts that the store reader sent last.
   std::map<UpstreamId, std::set<Endpoint>> loadWaiters_; ///< Peers that requested loads, by engine.
   std::set<AdapterUse> unsentUses_;                      ///< Uses that were not sent yet.
+  PermitIssuer issuer_;
+  std::vector<HostRecord> issuers_; ///< Live hosts, this one included.
+  std::map<UpstreamId, OpenPermitRequest> permitRequests_;
+  std::map<UpstreamId, HostId> lastIssuers_;  ///< Hosts that were last asked for permits.
+  std::map<HostId, TimePoint> silentIssuers_; ///< When hosts that did not answer are asked again.
   std::map<AdapterUse, std::uint32_t> runningUses_; ///< Number of running requests of this host.
 };
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -138,6 +138,10 @@
   need.minVersion_ = release == nullptr ? 0 : release->version_;
   mustBeginBy_.reset();
   auto choice = context_.fleet_.Upstreams().Choose(need);
+  if (choice.upstream_ == nullptr && choice.permitTarget_ &&
+      context_.requestPermit_(*choice.permitTarget_)) {
+    choice = context_.fleet_.Upstreams().Choose(need);
+  }
   if (choice.loadTarget_) {
     if (loadingEngine_ != choice.loadTarget_) {
       loadingEngine_ = choice.loadTarget_;
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -55,6 +55,9 @@
   const GatewayBounds& bounds_; ///< Limits that hold over all hosts; may change on a reload.
   /** Asks an engine to load the model or adapter that a request needs. */
   std::function<void(const UpstreamId&, const LoadRequest&)> requestLoad_;
+  /** Requests a permit of an upstream that limits its requests. @return whether there is one now.
+   */
+  std::function<bool(const UpstreamId&)> requestPermit_;
   /** Called when a request that uses an adapter is sent to an engine. */
   std::function<void(const AdapterUse&)> onUseStarted_;
   /** Called when an attempt with an adapter has ended, whatever its result. */
--- /dev/null
+++ b/src/table/limit_const.h
@@ -0,0 +1,41 @@
+/** @file limit_const.h Constants of the request limits that upstreams name. */
+#ifndef LABURNUMWEIR_TABLE_LIMIT_CONST_H
+#define LABURNUMWEIR_TABLE_LIMIT_CONST_H
+
+#include "core/clock_base.h"
+
+#include <chrono>
+
+namespace laburnumweir {
+
+/**
+ * Time for which the last answer of an upstream to this host tells its limit. Afterwards the hosts
+ * that still get answers know better; if there are none, one request shows whether it has a limit.
+ */
+constexpr Duration kOwnLimitTtl = std::chrono::seconds(5);
+/** Time for which a host reports a limit that an answer named. */
+constexpr Duration kLimitReportTime = std::chrono::seconds(2);
+/** Minimum rate at which permits are issued, requests/s; only an answer shows that a limit has
+ * ended. */
+constexpr double kMinPermitRate = 0.25;
+/** Permits that may be issued at once, as the number for this time, and one at least. */
+constexpr Duration kPermitBurstTime = std::chrono::milliseconds(500);
+/** Time after the last request for a permit until the issuer forgets the upstream. */
+constexpr Duration kPermitBucketTtl = std::chrono::seconds(30);
+/** Time for which a permit is valid; it covers one round of the wait queue. */
+constexpr Duration kPermitTtl = std::chrono::milliseconds(200);
+/** Time after which an unanswered permit request is sent again. */
+constexpr Duration kPermitTimeout = std::chrono::milliseconds(100);
+/** Number of unanswered permit requests after which another host is asked; datagrams may be lost.
+ */
+constexpr int kMaxUnansweredPermits = 2;
+/** Time for which a host that did not answer is not asked for permits. */
+constexpr Duration kSilentIssuerTime = std::chrono::seconds(2);
+/** Bounds of the time after a denial until a host asks again. */
+constexpr Duration kMinPermitDelay = std::chrono::milliseconds(50);
+/** See kMinPermitDelay. */
+constexpr Duration kMaxPermitDelay = std::chrono::milliseconds(500);
+
+} // namespace laburnumweir
+
+#endif
--- a/tests/gateway/gossip_message_test.cpp
+++ b/tests/gateway/gossip_message_test.cpp
@@ -29,6 +29,9 @@
   message.quarantine_.suspects_ = { { { UpstreamId("e3"), 1791294744030 },
                                       { { ContentId("p1"), ContentId("p2") }, ContentId("r") },
                                       40ms } };
+  message.hostLoad_->load_.push_back({ UpstreamId("e4"), 2, 4.5 });
+  message.permitRequests_ = { { UpstreamId("e4"), 4.5 } };
+  message.permitAnswers_ = { { UpstreamId("e5"), { false, 150ms } } };
   message.quarantine_.begun_ = { { ContentId("p1"), 20ms } };
   message.quarantine_.entries_ = { { { ContentId("p3") }, 70ms, 9s } };
   return message;
@@ -54,6 +57,13 @@
   EXPECT_EQ(decoded->residency_.at(0).startedAt_, 5);
   EXPECT_EQ(decoded->residency_.at(0).models_.at(0).adapters_,
             sent.residency_[0].models_[0].adapters_);
+  EXPECT_FALSE(decoded->hostLoad_->load_.at(0).requestLimit_);
+  EXPECT_EQ(decoded->hostLoad_->load_.at(1).requestLimit_, 4.5);
+  EXPECT_EQ(decoded->permitRequests_.at(0).upstream_, UpstreamId("e4"));
+  EXPECT_EQ(decoded->permitRequests_.at(0).limit_, 4.5);
+  EXPECT_EQ(decoded->permitAnswers_.at(0).upstream_, UpstreamId("e5"));
+  EXPECT_FALSE(decoded->permitAnswers_.at(0).permit_.isGranted_);
+  EXPECT_EQ(decoded->permitAnswers_.at(0).permit_.delay_, 150ms);
   const auto& suspect = decoded->quarantine_.suspects_.at(0);
   EXPECT_EQ(suspect.process_, sent.quarantine_.suspects_[0].process_);
   EXPECT_EQ(suspect.contents_.parts_, sent.quarantine_.suspects_[0].contents_.parts_);
--- a/tests/gateway/gossip_service_test.cpp
+++ b/tests/gateway/gossip_service_test.cpp
@@ -307,6 +307,65 @@
   }
 }
 
+// Guards against an upstream in need that gets its limit from each host instead of from all
+// together.
+TEST_F(GossipServiceTest, AllHostsTogetherKeepTheLimitOfAnUpstream)
+{
+  constexpr double kLimit = 4;
+  constexpr auto kTime = 10s;
+  const UpstreamId engine("e1");
+  network_.lossEvery_ = 20;
+  network_.Start();
+  // One host gets an answer that names the limit; the others learn of it by gossip.
+  auto& told = network_.hosts_[5]->fleet_.Upstreams();
+  int permits = 0;
+  for (Duration time{}; time < kTime; time += 50ms) {
+    told.OnRequestLimit(engine, 1, kLimit);
+    network_.scheduler_.Run(50ms);
+    for (const auto& host : network_.hosts_) {
+      auto& upstreams = host->fleet_.Upstreams();
+      host->gossip_->RequestPermit(engine);
+      const auto& upstream = *upstreams.Find(engine);
+      if (upstream.permits_ > 0 && network_.clock_.Now() < upstream.permitsUntil_) {
+        ++permits;
+        upstreams.OnAttemptSent(engine);
+        upstreams.OnAttemptEnded(engine, AttemptHealth::Good, 1ms);
+      }
+    }
+  }
+  EXPECT_LE(permits, kLimit * 10 * 3 / 2 + 5);
+  EXPECT_GE(permits, kLimit * 10 / 2);
+  for (const auto& host : network_.hosts_) {
+    EXPECT_EQ(host->fleet_.Upstreams().RequestLimit(engine), kLimit) << host->self_.id_.Value();
+  }
+}
+
+// Guards against an upstream with a limit that gets nothing because the host that issues its
+// permits is gone.
+TEST_F(GossipServiceTest, AnotherHostIssuesPermitsInPlaceOfOneThatIsGone)
+{
+  const UpstreamId engine("e1");
+  network_.Start();
+  auto& first = *network_.hosts_.front();
+  first.fleet_.Upstreams().OnRequestLimit(engine, 1, 100);
+  const auto& upstream = *first.fleet_.Upstreams().Find(engine);
+  const auto granted = [&](Duration aTime) {
+    const auto before = upstream.permitsUntil_;
+    for (Duration time{}; time < aTime; time += 20ms) {
+      first.fleet_.Upstreams().OnRequestLimit(engine, 1, 100);
+      first.gossip_->RequestPermit(engine);
+      network_.scheduler_.Run(20ms);
+    }
+    return upstream.permitsUntil_ > before;
+  };
+  EXPECT_TRUE(granted(1s));
+  for (auto& host : network_.hosts_) {
+    host->isDead_ = host.get() != &first;
+  }
+  granted(5s);
+  EXPECT_TRUE(granted(1s));
+}
+
 // Guards against store reads that grow with the number of hosts. With 21 hosts in three data
 // centres, only two store readers in each data centre may read the store.
 TEST_F(GossipServiceTest, OnlyReadersReadTheStore)
--- a/tests/gateway/request_flow_support.h
+++ b/tests/gateway/request_flow_support.h
@@ -164,6 +164,7 @@
   RetryShare retries_{ clock_, { 1, 100, 10s } };
   WaitQueue queue_{ clock_ };
   Quarantine quarantine_{ clock_ };
+  PermitIssuer issuer_{ clock_ }; ///< This host issues all permits.
   UpstreamLink link_{ context_ };
   Metrics metrics_;
   GatewayBounds bounds_;
@@ -180,6 +181,12 @@
                      metrics_,
                      bounds_,
                      [](const auto&, const auto&) {},
+                     [this](const UpstreamId& aUpstream) {
+                       const auto limit = fleet_.Upstreams().RequestLimit(aUpstream);
+                       const auto permit = issuer_.Issue(aUpstream, *limit);
+                       fleet_.Upstreams().OnPermit(aUpstream, permit);
+                       return permit.isGranted_;
+                     },
                      [](const auto&) {},
                      [](const auto&) {},
                      [] {},
