Ask only one host for the permits of an upstream while it is live

Cause: two lost datagrams in a row made a host take the next issuer for two seconds, which issued the whole limit once more. With 21 hosts this happened most of the time. Change: the issuer changes only with the live hosts. An unanswered request counts as a denial, so that the adapter is loaded elsewhere.

--- a/src/gateway/gossip_service.cpp
+++ b/src/gateway/gossip_service.cpp
@@ -396,42 +396,29 @@
 HostRecord
 GossipService::IssuerOf(const UpstreamId& aUpstream) const
 {
-  const auto now = context_.clock_.Now();
-  const HostRecord* issuer = &self_;
-  std::uint64_t maxWeight = 0;
-  for (const auto& host : issuers_) {
-    const auto silent = silentIssuers_.find(host.id_);
-    const auto weight = RendezvousWeight(host.id_.Value(), aUpstream.Value());
-    if (weight >= maxWeight && (silent == silentIssuers_.end() || silent->second <= now)) {
-      issuer = &host;
-      maxWeight = weight;
-    }
-  }
-  return *issuer;
+  return *std::max_element(
+    issuers_.begin(), issuers_.end(), [&](const HostRecord& aLeft, const HostRecord& aRight) {
+      return RendezvousWeight(aLeft.id_.Value(), aUpstream.Value()) <
+             RendezvousWeight(aRight.id_.Value(), aUpstream.Value());
+    });
 }
 
 bool
 GossipService::RequestPermit(const UpstreamId& aUpstream)
 {
   const auto now = context_.clock_.Now();
-  const auto limit = context_.fleet_.Upstreams().RequestLimit(aUpstream);
+  auto& upstreams = context_.fleet_.Upstreams();
+  const auto limit = upstreams.RequestLimit(aUpstream);
   if (!limit) {
     return false;
   }
   auto& open = permitRequests_[aUpstream];
-  if (!open.issuer_.IsEmpty() && now - open.sentAt_ < kPermitTimeout) {
+  if (open.sentAt_ && now - *open.sentAt_ < kPermitTimeout) {
     return false;
   }
-  if (!open.issuer_.IsEmpty() && ++open.unanswered_ >= kMaxUnansweredPermits) {
-    LogEvent(LogLevel::Warn,
-             "permit_issuer_silent",
-             { { "issuer", open.issuer_.Value() }, { "upstream", aUpstream.Value() } });
-    silentIssuers_[open.issuer_] = now + kSilentIssuerTime;
-    open.unanswered_ = 0;
-  }
   const auto issuer = IssuerOf(aUpstream);
-  if (auto& last = lastIssuers_[aUpstream]; last != issuer.id_) {
-    last = issuer.id_;
+  if (open.issuer_ != issuer.id_) {
+    open.issuer_ = issuer.id_;
     LogEvent(LogLevel::Info,
              "permit_issuer_chosen",
              { { "upstream", aUpstream.Value() },
@@ -440,13 +427,13 @@
                { "hosts", std::to_string(issuers_.size()) } });
   }
   if (issuer.id_ == self_.id_) {
-    permitRequests_.erase(aUpstream);
     const auto permit = issuer_.Issue(aUpstream, *limit);
-    context_.fleet_.Upstreams().OnPermit(aUpstream, permit);
+    upstreams.OnPermit(aUpstream, permit);
     return permit.isGranted_;
   }
-  if (open.issuer_ != issuer.id_) {
-    open = { issuer.id_, now, 0 };
+  if (open.sentAt_) {
+    // Another issuer would grant the limit once more while this one, or the datagram, is only late.
+    upstreams.OnPermit(aUpstream, { false, kMinPermitDelay });
   }
   open.sentAt_ = now;
   auto message = NewMessage();
@@ -468,7 +455,7 @@
   }
   bool isGranted = false;
   for (const auto& permit : aMessage.permitAnswers_) {
-    permitRequests_.erase(permit.upstream_);
+    permitRequests_[permit.upstream_].sentAt_.reset();
     context_.fleet_.Upstreams().OnPermit(permit.upstream_, permit.permit_);
     isGranted = isGranted || permit.permit_.isGranted_;
   }
--- a/src/gateway/gossip_service.h
+++ b/src/gateway/gossip_service.h
@@ -86,12 +86,11 @@
     TimePoint sentAt_;
   };
 
-  /** A request for a permit that was not answered yet. */
-  struct OpenPermitRequest
+  /** Where the permits of an upstream are requested. */
+  struct PermitSource
   {
-    HostId issuer_;
-    TimePoint sentAt_;
-    int unanswered_ = 0; ///< Earlier requests to this issuer without an answer.
+    HostId issuer_;                   ///< Host that was last asked.
+    std::optional<TimePoint> sentAt_; ///< When the request was sent that is not answered yet.
   };
 
   /** @return the host that issues the permits of an upstream; all hosts that know the same hosts
@@ -133,11 +132,9 @@
   std::map<UpstreamId, std::set<Endpoint>> loadWaiters_; ///< Peers that requested loads, by engine.
   std::set<AdapterUse> unsentUses_;                      ///< Uses that were not sent yet.
   PermitIssuer issuer_;
-  std::vector<HostRecord> issuers_; ///< Live hosts, this one included.
-  std::map<UpstreamId, OpenPermitRequest> permitRequests_;
-  std::map<UpstreamId, HostId> lastIssuers_;  ///< Hosts that were last asked for permits.
-  std::map<HostId, TimePoint> silentIssuers_; ///< When hosts that did not answer are asked again.
-  std::map<AdapterUse, std::uint32_t> runningUses_; ///< Number of running requests of this host.
+  std::vector<HostRecord> issuers_;                   ///< Live hosts, this one included.
+  std::map<UpstreamId, PermitSource> permitRequests_; ///< Upstreams that had a limit.
+  std::map<AdapterUse, std::uint32_t> runningUses_;   ///< Number of running requests of this host.
 };
 
 } // namespace laburnumweir
--- a/src/table/limit_const.h
+++ b/src/table/limit_const.h
@@ -26,11 +26,6 @@
 constexpr Duration kPermitTtl = std::chrono::milliseconds(200);
 /** Time after which an unanswered permit request is sent again. */
 constexpr Duration kPermitTimeout = std::chrono::milliseconds(100);
-/** Number of unanswered permit requests after which another host is asked; datagrams may be lost.
- */
-constexpr int kMaxUnansweredPermits = 2;
-/** Time for which a host that did not answer is not asked for permits. */
-constexpr Duration kSilentIssuerTime = std::chrono::seconds(2);
 /** Bounds of the time after a denial until a host asks again. */
 constexpr Duration kMinPermitDelay = std::chrono::milliseconds(50);
 /** See kMinPermitDelay. */
