Keep the suspects that began when many others waited at the same upstream

What callers would see: a part of a prompt that crashes engines one after the other under heavy load, since the request that began is crowded out. Cause: of one upstream process eight suspects are kept and sixteen are sent, the newest ones. All requests that waited there are suspects too, as whole requests. Change: suspects with parts of prompts are kept and sent first. QuarantineTest.RequestsThatWaitedDoNotCrowdOutTheOneThatBegan failed before: with 60 waiting requests at each of three crashes neither the host nor its peer found the cause. It passes now.

--- a/src/fleet/quarantine.cpp
+++ b/src/fleet/quarantine.cpp
@@ -9,6 +9,7 @@
 #include <boost/range/adaptor/transformed.hpp>
 #include <iterator>
 #include <set>
+#include <span>
 
 namespace laburnumweir {
 
@@ -157,10 +158,14 @@
     return aOther.process_ == aSuspect.process_;
   };
   const auto ofProcess = std::count_if(suspects_.begin(), suspects_.end(), isOfProcess);
-  if (static_cast<std::size_t>(ofProcess) >= kMaxSuspectsPerUpstream) {
-    suspects_.erase(std::find_if(suspects_.begin(), suspects_.end(), isOfProcess));
-  } else if (suspects_.size() >= kMaxCrashSuspects) {
-    suspects_.erase(suspects_.begin());
+  const bool hasParts = !aSuspect.contents_.parts_.empty();
+  if (static_cast<std::size_t>(ofProcess) >= kMaxSuspectsPerUpstream &&
+      !MakeRoom(isOfProcess, hasParts)) {
+    return false;
+  }
+  const auto isAny = [](const Suspect&) { return true; };
+  if (suspects_.size() >= kMaxCrashSuspects && !MakeRoom(isAny, hasParts)) {
+    return false;
   }
   const auto position = std::upper_bound(
     suspects_.begin(), suspects_.end(), aSuspect.at_, [](TimePoint aTime, const Suspect& aOther) {
@@ -170,6 +175,23 @@
   return true;
 }
 
+bool
+Quarantine::MakeRoom(const std::function<bool(const Suspect&)>& aIsCandidate, bool aForParts)
+{
+  const auto isWithoutParts = [&](const Suspect& aOther) {
+    return aIsCandidate(aOther) && aOther.contents_.parts_.empty();
+  };
+  auto dropped = std::find_if(suspects_.begin(), suspects_.end(), isWithoutParts);
+  if (dropped == suspects_.end() && aForParts) {
+    dropped = std::find_if(suspects_.begin(), suspects_.end(), aIsCandidate);
+  }
+  if (dropped == suspects_.end()) {
+    return false;
+  }
+  suspects_.erase(dropped);
+  return true;
+}
+
 void
 Quarantine::OnBegun(const UpstreamProcess& aProcess,
                     TimePoint aSentAt,
@@ -343,12 +365,16 @@
   if (suspects_.empty() && entries_.empty()) {
     return report;
   }
-  for (auto suspect = suspects_.rbegin();
-       suspect != suspects_.rend() && now - suspect->at_ < kCrashReportTime &&
-       report.suspects_.size() < kMaxReportedSuspects;
-       ++suspect) {
-    report.suspects_.push_back(
-      { suspect->process_, suspect->contents_, ToMilliseconds(now - suspect->at_) });
+  for (const bool hasParts : { true, false }) {
+    for (auto suspect = suspects_.rbegin();
+         suspect != suspects_.rend() && now - suspect->at_ < kCrashReportTime &&
+         report.suspects_.size() < kMaxReportedSuspects;
+         ++suspect) {
+      if (suspect->contents_.parts_.empty() != hasParts) {
+        report.suspects_.push_back(
+          { suspect->process_, suspect->contents_, ToMilliseconds(now - suspect->at_) });
+      }
+    }
   }
   for (const auto& [content, time] : lastBegun_) {
     if (now - time < kCrashReportTime && IsOfInterest(content)) {
--- a/src/fleet/quarantine.h
+++ b/src/fleet/quarantine.h
@@ -7,9 +7,9 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
-#include <span>
 #include <utility>
 #include <vector>
 
@@ -129,6 +129,13 @@
 
   /** @return false if it is known already or its process has survived. */
   bool AddSuspect(Suspect aSuspect);
+  /**
+   * Drops the oldest candidate without parts: of the many requests that waited at an upstream, one
+   * more or less says little.
+   * @param aForParts whether a candidate with parts may be dropped if there is no other.
+   * @return false if none was dropped.
+   */
+  bool MakeRoom(const std::function<bool(const Suspect&)>& aIsCandidate, bool aForParts);
   void AddEntry(Entry aEntry);
   /** Starts the quarantines that the suspects justify. */
   void FindCauses();
@@ -146,6 +153,7 @@
   bool IsQuarantined(const std::vector<ContentId>& aContents) const;
   /** Removes contents that are cleared, and entries that another entry includes. */
   void NarrowEntries();
+  /** @return whether a suspect or a quarantine holds the content. */
   bool IsOfInterest(const ContentId& aContent) const;
 
   const Clock& clock_;
--- a/src/table/quarantine_const.h
+++ b/src/table/quarantine_const.h
@@ -47,7 +47,8 @@
 constexpr std::size_t kMaxCrashSuspects = 128;
 /** Maximum number of crash suspects of one upstream process; one that is cut off has many. */
 constexpr std::size_t kMaxSuspectsPerUpstream = 8;
-/** Maximum number of crash suspects in one gossip message, about 100 bytes each. */
+/** Maximum number of crash suspects in one gossip message, about 100 bytes each; those with parts
+ * of prompts go first. */
 constexpr std::size_t kMaxReportedSuspects = 16;
 /** Maximum number of quarantines; the oldest is dropped for a further one. */
 constexpr std::size_t kMaxQuarantines = 64;
--- a/tests/fleet/quarantine_test.cpp
+++ b/tests/fleet/quarantine_test.cpp
@@ -216,6 +216,23 @@
   EXPECT_LE(*left, kQuarantineTime / 2);
 }
 
+// Guards against a cause that is crowded out by the many requests that waited at the same
+// upstreams.
+TEST_F(QuarantineTest, RequestsThatWaitedDoNotCrowdOutTheOneThatBegan)
+{
+  Quarantine peer(clock_);
+  for (int i = 0; i < 3; ++i) {
+    Crash({ "bad" });
+    for (int waiting = 0; waiting < 60; ++waiting) {
+      quarantine_.OnCut({ UpstreamId("u"), process_ }, MakeContents({}));
+    }
+    clock_.Advance(20ms);
+    peer.Merge({ quarantine_.Report().suspects_, {}, {} });
+  }
+  EXPECT_FALSE(MayRun({ "bad" }));
+  EXPECT_TRUE(peer.TimeLeft(MakeContents({ "bad" }))) << "found from suspects alone";
+}
+
 TEST_F(QuarantineTest, StateAndReportsAreBounded)
 {
   for (int i = 0; i < 500; ++i) {
