End a quarantine at the same time on all hosts

What callers would see: requests refused for longer than the quarantine lasts, or for ever, where messages between hosts are late. Cause: a host took the later end of a quarantine from each report, which is late by the time of a message, and one whose quarantine had ended learned it again from one whose quarantine had not. Change: the end of a known quarantine stays, and one with under five seconds left is not reported. QuarantineTest.LateReportsDoNotExtendAQuarantine (reports a second late) failed without each of the two changes and passes now.

--- a/src/fleet/quarantine.cpp
+++ b/src/fleet/quarantine.cpp
@@ -297,11 +297,8 @@
 void
 Quarantine::AddEntry(Entry aEntry)
 {
-  const auto known = std::find_if(entries_.begin(), entries_.end(), [&](const Entry& aOther) {
-    return Includes(aEntry.contents_, aOther.contents_);
-  });
-  if (known != entries_.end()) {
-    known->until_ = std::max(known->until_, aEntry.until_);
+  // The end of a known entry stays: what other hosts report of it is late by the time of a message.
+  if (IsQuarantined(aEntry.contents_)) {
     return;
   }
   if (entries_.size() >= kMaxQuarantines) {
@@ -359,8 +356,11 @@
   QuarantineReport report;
   const auto now = clock_.Now();
   for (const auto& entry : entries_) {
-    report.entries_.push_back(
-      { entry.contents_, ToMilliseconds(now - entry.since_), ToMilliseconds(entry.until_ - now) });
+    if (entry.until_ - now >= kMinReportedQuarantine) {
+      report.entries_.push_back({ entry.contents_,
+                                  ToMilliseconds(now - entry.since_),
+                                  ToMilliseconds(entry.until_ - now) });
+    }
   }
   if (suspects_.empty() && entries_.empty()) {
     return report;
--- a/src/table/quarantine_const.h
+++ b/src/table/quarantine_const.h
@@ -26,6 +26,12 @@
 constexpr Duration kMinCrashGap = std::chrono::milliseconds(100);
 /** Duration of a quarantine. After it, the content must crash kMinCrashes upstreams anew. */
 constexpr Duration kQuarantineTime = std::chrono::minutes(10);
+/**
+ * Minimum time left of a quarantine that is sent to the other hosts. It exceeds the delay of
+ * messages: a host whose quarantine has ended would learn it again from one whose quarantine ends a
+ * moment later.
+ */
+constexpr Duration kMinReportedQuarantine = std::chrono::seconds(5);
 /** Time for which a suspected crash counts. */
 constexpr Duration kCrashSuspectTtl = std::chrono::minutes(10);
 /**
--- a/tests/fleet/quarantine_test.cpp
+++ b/tests/fleet/quarantine_test.cpp
@@ -233,6 +233,28 @@
   EXPECT_TRUE(peer.TimeLeft(MakeContents({ "bad" }))) << "found from suspects alone";
 }
 
+// Guards against a quarantine that never ends, since each host takes the end of it from late
+// messages of another.
+TEST_F(QuarantineTest, LateReportsDoNotExtendAQuarantine)
+{
+  const RequestContents bad{ { ContentId("bad") }, ContentId("request:x") };
+  Quarantine peer(clock_);
+  for (int i = 0; i < 3; ++i) {
+    Crash({ "bad" });
+  }
+  auto late = quarantine_.Report();
+  for (Duration time{}; time < kQuarantineTime + 10s; time += 1s) {
+    clock_.Advance(1s);
+    peer.Expire();
+    quarantine_.Expire();
+    peer.Merge(late);
+    late = peer.Report();
+    quarantine_.Merge(late);
+    late = quarantine_.Report();
+  }
+  EXPECT_FALSE(quarantine_.TimeLeft(bad));
+}
+
 TEST_F(QuarantineTest, StateAndReportsAreBounded)
 {
   for (int i = 0; i < 500; ++i) {
