Serve callers that read more slowly than the send buffer drains by a third

Cause: a stall is measured from the last byte that the socket took, and the kernel takes bytes again only when a third of its send buffer is free. With a buffer of some MB and the limit of 200 ms of the tests, a reader of 2.6 MB/s was cut; with the default limit a slower one. Evidence: ReaderThatNeedsLongForAThirdOfTheSendBufferIsServed, which reads 8 KiB each 3 ms, failed 3 of 3 times (3,910,656 of 8,388,608 bytes) and passes 3 of 3 times. Change: before a caller counts as stalled, the bytes that it has not acknowledged are compared with those when progress was last seen. Only serve is concerned; the gateway has no such limit.

--- a/src/caller/answer_writer.cpp
+++ b/src/caller/answer_writer.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <utility>
 
 namespace laburnumweir {
@@ -21,6 +23,14 @@
 // A stalled caller is noticed between steps, so a step must be small against a large answer.
 constexpr std::size_t kWriteStep = std::size_t{ 64 } << 10;
 
+/** @return bytes that the kernel holds for a socket and that its peer has not acknowledged. */
+int
+UnacknowledgedBytes(CallerSocket& aSocket)
+{
+  int bytes = 0;
+  return ::ioctl(aSocket.native_handle(), SIOCOUTQ, &bytes) == 0 ? bytes : 0;
+}
+
 } // namespace
 
 AnswerWriter::AnswerWriter(CallerSocket& aSocket, std::size_t aBuffered)
@@ -68,7 +78,7 @@
     return;
   }
   isWriting_ = true;
-  progress_ = std::chrono::steady_clock::now();
+  RecordProgress();
   const auto count = std::min(unsent_.size(), kMaxGather);
   std::vector<asio::const_buffer> buffers;
   buffers.reserve(count);
@@ -79,7 +89,7 @@
     socket_,
     buffers,
     [this, aOwner](BoostError aError, std::size_t) {
-      progress_ = std::chrono::steady_clock::now();
+      RecordProgress();
       return aError ? 0 : kWriteStep;
     },
     [this, aOwner, aDone, count](BoostError aError, std::size_t) {
@@ -134,4 +144,21 @@
   return isWriting_ ? progress_ : std::chrono::steady_clock::time_point::max();
 }
 
+void
+AnswerWriter::RecordProgress()
+{
+  progress_ = std::chrono::steady_clock::now();
+  unacknowledged_ = UnacknowledgedBytes(socket_);
+}
+
+bool
+AnswerWriter::HasProgressed()
+{
+  if (isWriting_ && UnacknowledgedBytes(socket_) < unacknowledged_) {
+    RecordProgress();
+    return true;
+  }
+  return false;
+}
+
 } // namespace laburnumweir
--- a/src/caller/answer_writer.h
+++ b/src/caller/answer_writer.h
@@ -56,10 +56,17 @@
   bool IsEmpty() const { return unsent_.empty(); }
   /** @return bytes that the socket has not taken. */
   std::size_t UnsentBytes() const { return unsentBytes_; }
-  /** @return when the socket last took a byte; the maximum if no write is under way. */
+  /** @return when progress was last seen; the maximum if no write is under way. */
   std::chrono::steady_clock::time_point WaitingSince() const;
+  /**
+   * Checks whether the caller has acknowledged bytes since progress was last seen. The socket takes
+   * further bytes only when a third of its send buffer is free, which a slow caller may need long
+   * for.
+   */
+  bool HasProgressed();
 
 private:
+  void RecordProgress();
   void OnWritten(const std::shared_ptr<void>& aOwner,
                  const Done& aDone,
                  bool aIsWritten,
@@ -69,7 +76,8 @@
   const std::size_t buffered_;                     ///< Unsent bytes that delay nothing.
   std::deque<std::string> unsent_;                 ///< Bytes; those being written are in front.
   std::vector<std::function<void()>> waiting_;     ///< Called when few bytes are unsent.
-  std::chrono::steady_clock::time_point progress_; ///< When the socket last took a byte.
+  std::chrono::steady_clock::time_point progress_; ///< When progress was last seen.
+  int unacknowledged_ = 0;                         ///< Bytes in the kernel's send buffer then.
   std::size_t unsentBytes_ = 0;                    ///< Size of unsent_.
   bool isWriting_ = false;                         ///< A write is under way.
   bool isClosed_ = false;                          ///< Close() was called.
--- a/src/caller/caller_connection.cpp
+++ b/src/caller/caller_connection.cpp
@@ -542,7 +542,7 @@
   {
     armedFor_ = SteadyClock::time_point::max();
     const auto now = SteadyClock::now();
-    if (now >= WriteLimit()) {
+    if (now >= WriteLimit() && !writer_.HasProgressed()) {
       Close();
       return;
     }
--- a/tests/caller/caller_limit_test.cpp
+++ b/tests/caller/caller_limit_test.cpp
@@ -238,6 +238,28 @@
   EXPECT_GE(size, 8 * kMegabyte);
 }
 
+/** Guards against cutting a slow but sound reader shortly before the end of its answer: the kernel
+ * takes further bytes only when a third of its send buffer is free, and a caller may need longer
+ * than the limit of a stall to read so much. */
+TEST_F(CallerServerTest, ReaderThatNeedsLongForAThirdOfTheSendBufferIsServed)
+{
+  constexpr std::size_t kStep = 8192;
+  Listen(ShortLimits());
+  EXPECT_CALL(handler_, Start).WillOnce([](const CallerRequest&, const SinkPtr& aSink) {
+    aSink->Complete(200, {}, std::string(8 * kMegabyte, 'x'));
+    return nullptr;
+  });
+  auto caller = Connect();
+  caller.Send(Post());
+  std::size_t size = 0;
+  while (size < 8 * kMegabyte && caller.ReadSome(kTestTimeout, kStep)) {
+    size += caller.Input().size();
+    caller.Input().clear();
+    std::this_thread::sleep_for(3ms);
+  }
+  EXPECT_GE(size, 8 * kMegabyte);
+}
+
 /** Guards against a handler that ignores aWritten filling the memory. */
 TEST_F(CallerServerTest, UnsentBytesAreBounded)
 {
--- a/tests/support/net_support.h
+++ b/tests/support/net_support.h
@@ -91,8 +91,12 @@
     return !error;
   }
 
-  /** Reads some bytes into Input(). @return false at the end, on an error, or in silence. */
-  bool ReadSome(std::chrono::milliseconds aTimeout = kTestTimeout)
+  /**
+   * Reads some bytes into Input().
+   * @param aMaxBytes at most this many, and no more than 64 KiB.
+   * @return false at the end, on an error, or in silence.
+   */
+  bool ReadSome(std::chrono::milliseconds aTimeout = kTestTimeout, std::size_t aMaxBytes = 65536)
   {
     isEnded_ = isReset_ = false;
     if (!WaitReadable(aTimeout)) {
@@ -100,7 +104,7 @@
     }
     char bytes[65536];
     boost::system::error_code error;
-    const auto size = socket_.read_some(boost::asio::buffer(bytes), error);
+    const auto size = socket_.read_some(boost::asio::buffer(bytes, aMaxBytes), error);
     input_.append(bytes, size);
     isEnded_ = error.failed();
     isReset_ = error == boost::asio::error::connection_reset;
