Keep the data of a test's handler alive until its server has stopped

Cause: the handler of the test took a local variable of the test by reference; requests that are still running when the test's body ends use it after it is destroyed.

--- a/tests/caller/caller_limit_test.cpp
+++ b/tests/caller/caller_limit_test.cpp
@@ -326,7 +326,7 @@
   Listen(settings);
   const auto part = std::make_shared<std::string>(32768, 'x');
   EXPECT_CALL(handler_, Start)
-    .WillRepeatedly([&](const CallerRequest& aRequest, const SinkPtr& aSink) -> RunningPtr {
+    .WillRepeatedly([part](const CallerRequest& aRequest, const SinkPtr& aSink) -> RunningPtr {
       if (!aRequest.stream_) {
         aSink->Complete(200, {}, "ok");
         return nullptr;
