Let the limit of an upstream last until an answer names none

Cause: it answered nobody for five seconds; then its limit expired on all hosts at once, and each sent the requests that waited for it (eight of them within 10 ms at second 21.57). Change: an old limit holds until an answer or another host says more. A host still learns the end by a permit. RequestLimitTest.LimitLastsUntilAnAnswerNamesNone fails on the code before. It and PeersKnowALimitBetterThanAnOldAnswer replace LimitEndsWithTheAnswersThatNameIt, which asked for the expiry that is the fault; its other checks are kept.

--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -447,7 +447,8 @@
 {
   const bool isOwnRecent =
     aUpstream.limitHeardAt_ && aNow - *aUpstream.limitHeardAt_ < kOwnLimitTtl;
-  return isOwnRecent ? aUpstream.requestLimit_ : aUpstream.peersLimit_;
+  // Without news, an old limit still holds: if it just ended, the hosts would all send at once.
+  return isOwnRecent || !aUpstream.peersLimit_ ? aUpstream.requestLimit_ : aUpstream.peersLimit_;
 }
 
 bool
--- a/src/table/limit_const.h
+++ b/src/table/limit_const.h
@@ -9,8 +9,8 @@
 namespace laburnumweir {
 
 /**
- * Time for which the last answer of an upstream to this host tells its limit. Afterwards the hosts
- * that still get answers know better; if there are none, one request shows whether it has a limit.
+ * Time for which the last answer of an upstream to this host says more of its limit than the
+ * reports of the other hosts.
  */
 constexpr Duration kOwnLimitTtl = std::chrono::seconds(5);
 /** Time for which a host reports a limit that an answer named. */
