--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -333,19 +333,29 @@
   body_.clear();
   loadingEngine_.reset();
   ++attempts_;
-  LogEvent(LogLevel::Info,
-           "request_sent",
-           { { "id", admitted_.facts_.id_.Value() },
-             { "route", admitted_.route_->name_ },
-             { "upstream", upstream_.Value() },
-             { "attempt", std::to_string(attempts_) },
-             { "prompt", boost::algorithm::join(admitted_.facts_.sharedParts_, ",") },
-             { "waited_ms", std::to_string(Milliseconds(sent_ - admitted_.arrived_)) },
-             { "left_ms", std::to_string(Milliseconds(TimeLeft())) },
-             { "running", std::to_string(upstream.running_) },
-             { "peers_running", std::to_string(upstream.peersRunning_) },
-             { "config", std::to_string(admitted_.routes_->Config().version_) },
-             { "proof_ms", std::to_string(Milliseconds(context_.fleet_.ConfigAge())) } });
+  const auto& facts = admitted_.facts_;
+  const auto residentVersion =
+    UpstreamTable::ResidentVersion(upstream, facts.model_, facts.adapter_).value_or(0);
+  const auto* release = context_.fleet_.FindRelease(facts.model_, facts.adapter_);
+  LogEvent(
+    LogLevel::Info,
+    "request_sent",
+    { { "id", admitted_.facts_.id_.Value() },
+      { "route", admitted_.route_->name_ },
+      { "upstream", upstream_.Value() },
+      { "attempt", std::to_string(attempts_) },
+      { "prompt", boost::algorithm::join(admitted_.facts_.sharedParts_, ",") },
+      { "version", std::to_string(residentVersion) },
+      { "demanded", std::to_string(aChoice.adapterVersion_) },
+      { "released", release == nullptr ? "none" : std::to_string(release->version_) },
+      { "release_age_ms",
+        release == nullptr ? "" : std::to_string(Milliseconds(sent_ - release->learnedAt_)) },
+      { "waited_ms", std::to_string(Milliseconds(sent_ - admitted_.arrived_)) },
+      { "left_ms", std::to_string(Milliseconds(TimeLeft())) },
+      { "running", std::to_string(upstream.running_) },
+      { "peers_running", std::to_string(upstream.peersRunning_) },
+      { "config", std::to_string(admitted_.routes_->Config().version_) },
+      { "proof_ms", std::to_string(Milliseconds(context_.fleet_.ConfigAge())) } });
   auto request = BuildRequest(upstream, aChoice.adapterVersion_);
   context_.fleet_.Upstreams().OnAttemptSent(upstream_);
   if (!admitted_.facts_.adapter_.empty()) {
