Keep the history of an adapter's releases, so that a new one does not allow replaced versions

Cause: FleetState kept the newest release of an adapter only. In the period after it in which older versions may serve while the new one is loaded, RequestFlow accepted any older version, also one whose own period had ended, and demanded none of the engine. Class: a state is replaced where a history is needed.

Change: ReleaseHistory keeps each release with its time. A request may use the oldest version whose successor's period has not ended, and demands the version that the engine is known to hold once any is excluded.

--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -21,15 +21,7 @@
     if (const auto* config = std::get_if<FleetConfig>(&change)) {
       newest = config;
     } else if (const auto* release = std::get_if<AdapterRelease>(&change)) {
-      auto& state = releases_[{ release->model_, release->adapter_ }];
-      if (state.version_ < release->version_) {
-        state = { release->version_, clock_.Now() };
-        LogEvent(LogLevel::Info,
-                 "release_learned",
-                 { { "model", release->model_ },
-                   { "adapter", release->adapter_ },
-                   { "version", std::to_string(release->version_) } });
-      }
+      OnRelease(*release);
     } else if (const auto* evacuation = std::get_if<EvacuationChange>(&change)) {
       if (evacuation->isEvacuated_) {
         evacuated.insert(evacuation->dataCentre_);
@@ -66,6 +58,20 @@
   return isNewer;
 }
 
+void
+FleetState::OnRelease(const AdapterRelease& aRelease)
+{
+  if (!releases_[{ aRelease.model_, aRelease.adapter_ }].OnReleased(aRelease.version_,
+                                                                    clock_.Now())) {
+    return;
+  }
+  LogEvent(LogLevel::Info,
+           "release_learned",
+           { { "model", aRelease.model_ },
+             { "adapter", aRelease.adapter_ },
+             { "version", std::to_string(aRelease.version_) } });
+}
+
 void
 FleetState::Remove(const UpstreamId& aId, std::string_view aReason)
 {
@@ -155,8 +161,8 @@
   return confirmedAt_ ? clock_.Now() - *confirmedAt_ : Duration::max();
 }
 
-const ReleaseState*
-FleetState::FindRelease(const std::string& aModel, const std::string& aAdapter) const
+const ReleaseHistory*
+FleetState::FindReleases(const std::string& aModel, const std::string& aAdapter) const
 {
   const auto found = releases_.find({ aModel, aAdapter });
   return found == releases_.end() ? nullptr : &found->second;
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -3,6 +3,7 @@
 #define LABURNUMWEIR_FLEET_FLEET_STATE_H
 
 #include "fleet/fleet_store_base.h"
+#include "fleet/release_history.h"
 #include "fleet/route_table.h"
 #include "fleet/upstream_changes.h"
 #include "fleet/upstream_table.h"
@@ -15,13 +16,6 @@
 
 namespace laburnumweir {
 
-/** Announced version of an adapter, which requests should get. */
-struct ReleaseState
-{
-  std::int64_t version_ = 0;
-  TimePoint learnedAt_; ///< When this host read the announcement.
-};
-
 /** Configuration, releases and upstreams, applied from the store's streams. Not thread-safe. */
 class FleetState
 {
@@ -58,10 +52,11 @@
   const UpstreamChanges& Changes() const { return changes_; }
   /** @return whether the upstreams' stream was read at least once. */
   bool HasUpstreams() const { return hasUpstreams_; }
-  /** @return the announced version of an adapter, or nullptr if none was announced. */
-  const ReleaseState* FindRelease(const std::string& aModel, const std::string& aAdapter) const;
+  /** @return the released versions of an adapter, or nullptr if none was released. */
+  const ReleaseHistory* FindReleases(const std::string& aModel, const std::string& aAdapter) const;
 
 private:
+  void OnRelease(const AdapterRelease& aRelease);
   void Remove(const UpstreamId& aId, std::string_view aReason);
   void ApplyUpstream(const UpstreamChange& aChange, LogOffset aNext, bool aDeferRemovals);
 
@@ -72,7 +67,8 @@
   LogOffset next_ = 0;                    ///< Offset up to which the upstreams' stream was applied.
   std::set<DataCentreId> evacuated_;      ///< Data centres whose upstreams get no requests.
   std::set<UpstreamId> deferredRemovals_; ///< Upstreams whose removal is deferred.
-  std::map<std::pair<std::string, std::string>, ReleaseState> releases_; ///< By model and adapter.
+  /** Released versions by model and adapter. */
+  std::map<std::pair<std::string, std::string>, ReleaseHistory> releases_;
   std::optional<TimePoint> confirmedAt_; ///< Time up to which all changes are known.
   bool hasUpstreams_ = false;
 };
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -106,12 +106,20 @@
 }
 
 Duration
-RequestFlow::OldVersionGrace() const
+RequestFlow::OldVersionPeriod() const
 {
   return std::chrono::duration_cast<Duration>(kOldVersionFraction *
                                               context_.bounds_.maxVersionDelay_);
 }
 
+const ReleaseHistory*
+RequestFlow::Releases() const
+{
+  const auto& facts = admitted_.facts_;
+  return facts.adapter_.empty() ? nullptr
+                                : context_.fleet_.FindReleases(facts.model_, facts.adapter_);
+}
+
 UpstreamChoice
 RequestFlow::ChooseUpstream()
 {
@@ -133,9 +141,9 @@
   }
   need.excluded_ = &excluded_;
   need.loadTimedOut_ = &loadTimedOut_;
-  const auto* release =
-    facts.adapter_.empty() ? nullptr : context_.fleet_.FindRelease(facts.model_, facts.adapter_);
-  need.minVersion_ = release == nullptr ? 0 : release->version_;
+  const auto* releases = Releases();
+  const auto newest = releases == nullptr ? 0 : releases->Newest();
+  need.minVersion_ = newest;
   mustBeginBy_.reset();
   auto choice = context_.fleet_.Upstreams().Choose(need);
   if (choice.upstream_ == nullptr && choice.permitTarget_ &&
@@ -174,18 +182,20 @@
       loadTimedOut_.clear();
     }
   }
-  if (choice.upstream_ == nullptr && release != nullptr &&
-      now - release->learnedAt_ < OldVersionGrace()) {
-    need.minVersion_ = 0;
-    const auto olderChoice = context_.fleet_.Upstreams().Choose(need);
-    choice.upstream_ = olderChoice.upstream_;
-    choice.adapterVersion_ = 0; // any: the engine may receive the new version at any moment
-    mustBeginBy_ =
-      release->learnedAt_ + std::chrono::duration_cast<Duration>(kOldVersionBeginFraction *
-                                                                 context_.bounds_.maxVersionDelay_);
-  } else if (release == nullptr) {
-    choice.adapterVersion_ = 0;
+  if (choice.upstream_ == nullptr && releases != nullptr) {
+    need.minVersion_ = releases->OldestUsable(now, OldVersionPeriod());
+    if (need.minVersion_ < newest) {
+      const auto olderChoice = context_.fleet_.Upstreams().Choose(need);
+      choice.upstream_ = olderChoice.upstream_;
+      choice.adapterVersion_ = olderChoice.adapterVersion_;
+      if (const auto replaced = releases->ReplacedAfter(choice.adapterVersion_)) {
+        mustBeginBy_ = *replaced + std::chrono::duration_cast<Duration>(
+                                     kOldVersionBeginFraction * context_.bounds_.maxVersionDelay_);
+      }
+    }
   }
+  // If any version may be used, none is demanded: the engine may receive the new one at any moment.
+  choice.demandedVersion_ = need.minVersion_ > 0 ? choice.adapterVersion_ : 0;
   return choice;
 }
 
@@ -324,6 +334,7 @@
   upstream_ = upstream.entry_.id_;
   endpoint_ = upstream.entry_.endpoint_;
   startedAt_ = upstream.entry_.startedAt_;
+  version_ = aChoice.adapterVersion_;
   eventsBefore_ = events_.Events();
   sent_ = context_.clock_.Now();
   firstByte_.reset();
@@ -333,30 +344,24 @@
   body_.clear();
   loadingEngine_.reset();
   ++attempts_;
-  const auto& facts = admitted_.facts_;
-  const auto residentVersion =
-    UpstreamTable::ResidentVersion(upstream, facts.model_, facts.adapter_).value_or(0);
-  const auto* release = context_.fleet_.FindRelease(facts.model_, facts.adapter_);
-  LogEvent(
-    LogLevel::Info,
-    "request_sent",
-    { { "id", admitted_.facts_.id_.Value() },
-      { "route", admitted_.route_->name_ },
-      { "upstream", upstream_.Value() },
-      { "attempt", std::to_string(attempts_) },
-      { "prompt", boost::algorithm::join(admitted_.facts_.sharedParts_, ",") },
-      { "version", std::to_string(residentVersion) },
-      { "demanded", std::to_string(aChoice.adapterVersion_) },
-      { "released", release == nullptr ? "none" : std::to_string(release->version_) },
-      { "release_age_ms",
-        release == nullptr ? "" : std::to_string(Milliseconds(sent_ - release->learnedAt_)) },
-      { "waited_ms", std::to_string(Milliseconds(sent_ - admitted_.arrived_)) },
-      { "left_ms", std::to_string(Milliseconds(TimeLeft())) },
-      { "running", std::to_string(upstream.running_) },
-      { "peers_running", std::to_string(upstream.peersRunning_) },
-      { "config", std::to_string(admitted_.routes_->Config().version_) },
-      { "proof_ms", std::to_string(Milliseconds(context_.fleet_.ConfigAge())) } });
-  auto request = BuildRequest(upstream, aChoice.adapterVersion_);
+  const auto* releases = Releases();
+  LogEvent(LogLevel::Info,
+           "request_sent",
+           { { "id", admitted_.facts_.id_.Value() },
+             { "route", admitted_.route_->name_ },
+             { "upstream", upstream_.Value() },
+             { "attempt", std::to_string(attempts_) },
+             { "prompt", boost::algorithm::join(admitted_.facts_.sharedParts_, ",") },
+             { "version", std::to_string(version_) },
+             { "demanded", std::to_string(aChoice.demandedVersion_) },
+             { "released", releases == nullptr ? "none" : std::to_string(releases->Newest()) },
+             { "waited_ms", std::to_string(Milliseconds(sent_ - admitted_.arrived_)) },
+             { "left_ms", std::to_string(Milliseconds(TimeLeft())) },
+             { "running", std::to_string(upstream.running_) },
+             { "peers_running", std::to_string(upstream.peersRunning_) },
+             { "config", std::to_string(admitted_.routes_->Config().version_) },
+             { "proof_ms", std::to_string(Milliseconds(context_.fleet_.ConfigAge())) } });
+  auto request = BuildRequest(upstream, aChoice.demandedVersion_);
   context_.fleet_.Upstreams().OnAttemptSent(upstream_);
   if (!admitted_.facts_.adapter_.empty()) {
     context_.onUseStarted_({ upstream_, admitted_.facts_.model_, admitted_.facts_.adapter_ });
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -128,8 +128,10 @@
   Duration TimeLeft() const { return deadline_ - context_.clock_.Now(); }
   /** @return the last moment at which an attempt may start, so that its answer is still in time. */
   TimePoint LatestStart() const;
-  /** @return time after an adapter release in which its old version may still be used. */
-  Duration OldVersionGrace() const;
+  /** @return time after a release of the adapter in which older versions may still be used. */
+  Duration OldVersionPeriod() const;
+  /** @return the released versions of the adapter; nullptr if there are none. */
+  const ReleaseHistory* Releases() const;
   std::uint32_t Rank() const;
   /** @return whether the last confirmation of the configuration is too old to trust the key. */
   bool IsConfigTooOld() const;
@@ -188,6 +190,7 @@
   std::set<UpstreamId> excluded_;     ///< failed_ and the refusing upstreams still in backoff.
   std::set<UpstreamId> loadTimedOut_; ///< Engines that did not load the adapter in time.
   std::optional<WaitTicket> ticket_;  ///< Ticket in the queue; empty if not queued.
+  std::int64_t version_ = 0;          ///< Version of the adapter at the engine of the last attempt.
   /** Latest begin of a run with an old version of the adapter; none if no older one may be used. */
   std::optional<TimePoint> mustBeginBy_;
   std::optional<UpstreamId> loadingEngine_; ///< Engine that has been requested to load the adapter.
--- a/src/table/fleet_const.h
+++ b/src/table/fleet_const.h
@@ -129,6 +129,9 @@
  * release reaches this host, and that of the close of the connection.
  */
 constexpr double kOldVersionBeginFraction = 0.8;
+/** Time for which replaced versions of an adapter are remembered: the longest that a request may
+ * last. */
+constexpr Duration kReleaseRetention = std::chrono::hours(1);
 
 } // namespace laburnumweir
 
--- /dev/null
+++ b/tests/gateway/request_flow_version_test.cpp
@@ -0,0 +1,75 @@
+/** @file request_flow_version_test.cpp Tests of RequestFlow with released versions of an adapter.
+ */
+#include "gateway/request_flow_support.h"
+
+#include <thread>
+
+namespace laburnumweir {
+namespace {
+
+using namespace std::chrono_literals;
+using testing_support::Answer;
+using testing_support::FakeAnswer;
+using testing_support::Peer;
+using testing_support::RequestFlowTest;
+using testing_support::ScriptedServer;
+
+constexpr std::chrono::milliseconds kVersionDelay = 400ms;
+
+/** One engine that holds version 1 of the adapter a1 and answers all requests. */
+class ReleaseTest : public RequestFlowTest
+{
+protected:
+  ReleaseTest()
+  {
+    bounds_.maxVersionDelay_ = kVersionDelay;
+    engineModels_ = { { "m", { { "a1", 1 } } } };
+    timeout_ = 200ms;
+  }
+
+  void Release(std::int64_t aVersion)
+  {
+    ChangeBatch batch;
+    batch.changes_ = { AdapterRelease{ "m", "a1", aVersion } };
+    fleet_.ApplyOperators(batch);
+    fleet_.OnConfigConfirmed(clock_.Now());
+  }
+
+  /** Sends one request. @return the status of its answer. */
+  unsigned Request()
+  {
+    answer_ = std::make_shared<FakeAnswer>();
+    Start();
+    Finish();
+    return answer_->status_;
+  }
+
+  ScriptedServer server_{ [](Peer& aPeer, int) {
+    while (aPeer.ReadRequest()) {
+      aPeer.Send(Answer("fine"));
+    }
+  } };
+};
+
+// Guards against refusals while engines load a version that has just been released.
+TEST_F(ReleaseTest, OldVersionServesWhileTheNewOneIsLoaded)
+{
+  SetUpstreams({ server_.Address() });
+  Release(2);
+  EXPECT_EQ(Request(), 200U);
+}
+
+// Guards against work on a version that was replaced long ago: a second release, made soon after
+// the first, allowed every older version again.
+TEST_F(ReleaseTest, SecondReleaseDoesNotExtendTheGraceOfTheFirst)
+{
+  SetUpstreams({ server_.Address() });
+  Release(2);
+  std::this_thread::sleep_for(kVersionDelay);
+  fleet_.OnConfigConfirmed(clock_.Now());
+  Release(3);
+  EXPECT_EQ(Request(), 503U) << "version 1 was replaced by version 2 more than the bound ago";
+}
+
+} // namespace
+} // namespace laburnumweir
