Count the period of a replaced adapter version from the last time it was not replaced

A host that had just started, or that read a release late, let an old version of an adapter serve for the whole period again: it counted from the time at which it read the release, while the bound counts from the acknowledgement.

A release that a host reads was made after the time up to which the host knew all changes, its last confirmation. The period counts from then, and a host that has just started grants none. StoreWatch applies a batch before it takes the batch's own confirmation. Since the delay until a release reaches the host now is a part of the period, the period for new requests rises from 0.5 to 0.6 of the bound; requests still have to begin by 0.8 of it.

--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -61,15 +61,19 @@
 void
 FleetState::OnRelease(const AdapterRelease& aRelease)
 {
-  if (!releases_[{ aRelease.model_, aRelease.adapter_ }].OnReleased(aRelease.version_,
-                                                                    clock_.Now())) {
+  // A host that has just started does not know how long ago the release was made.
+  const auto after = confirmedAt_.value_or(TimePoint::min());
+  if (!releases_[{ aRelease.model_, aRelease.adapter_ }].OnReleased(aRelease.version_, after)) {
     return;
   }
   LogEvent(LogLevel::Info,
            "release_learned",
            { { "model", aRelease.model_ },
              { "adapter", aRelease.adapter_ },
-             { "version", std::to_string(aRelease.version_) } });
+             { "version", std::to_string(aRelease.version_) },
+             { "max_age_ms",
+               confirmedAt_ ? std::to_string((clock_.Now() - after) / std::chrono::milliseconds(1))
+                            : "unknown" } });
 }
 
 void
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -23,7 +23,11 @@
   /** @param aClock time source; must outlive this. @param aHost this host. */
   FleetState(const Clock& aClock, const HostId& aHost, const DataCentreId& aDataCentre);
 
-  /** Applies a batch of the operators' stream. @return whether the configuration changed. */
+  /**
+   * Applies a batch of the operators' stream. What is new in it was written after the time up to
+   * which all changes are known; the batch must be applied before its own confirmation.
+   * @return whether the configuration changed.
+   */
   bool ApplyOperators(const ChangeBatch& aBatch);
   /**
    * Applies a batch of the upstreams' stream.
--- a/src/gateway/store_watch.cpp
+++ b/src/gateway/store_watch.cpp
@@ -120,11 +120,11 @@
   // confirms that there was no record during the whole wait.
   const bool hasNoRecords = operatorsOffset_ == aBatch.next_ && clock_.Now() - aSentAt >= pollWait_;
   operatorsOffset_ = aBatch.next_;
+  state_.ApplyOperators(aBatch);
   state_.OnConfigConfirmed(hasNoRecords ? aSentAt + pollWait_ : aSentAt);
   // An answer with records confirms only the time at which the poll was sent, up to a whole wait
   // ago. The next poll does not wait, so that it confirms the current time.
   pollWait_ = hasNoRecords ? settings_.configWait_ : std::chrono::milliseconds(0);
-  state_.ApplyOperators(aBatch);
   onChange_();
   // Without a configuration, everything is read again later: a long poll has nothing to wait for in
   // the topic, which may not exist yet.
--- a/src/table/fleet_const.h
+++ b/src/table/fleet_const.h
@@ -120,13 +120,13 @@
 constexpr Duration kLoadPriorityTtl = std::chrono::milliseconds(300);
 /**
  * Fraction of the release bound for which old versions of an adapter may serve after a release,
- * while the new one is loaded; the rest covers the delay until the release reaches this host.
+ * while the new one is loaded.
  */
-constexpr double kOldVersionFraction = 0.5;
+constexpr double kOldVersionFraction = 0.6;
 /**
  * Fraction of the release bound after which a request that was sent to an old version is withdrawn
- * if it has not begun: it waits in the queue of its engine. The rest covers the delay until the
- * release reaches this host, and that of the close of the connection.
+ * if it has not begun: it waits in the queue of its engine. The rest covers the close of the
+ * connection.
  */
 constexpr double kOldVersionBeginFraction = 0.8;
 /** Time for which replaced versions of an adapter are remembered: the longest that a request may
--- a/tests/gateway/request_flow_version_test.cpp
+++ b/tests/gateway/request_flow_version_test.cpp
@@ -71,5 +71,14 @@
   EXPECT_EQ(Request(), 503U) << "version 1 was replaced by version 2 more than the bound ago";
 }
 
+// Guards against work on an old version at a host that has just started: it took the time at which
+// it read the release for the time at which the release was made.
+TEST_F(ReleaseTest, HostThatStartsDoesNotExtendTheGrace)
+{
+  Release(2);
+  SetUpstreams({ server_.Address() });
+  EXPECT_EQ(Request(), 503U) << "the release may have been made long before the start";
+}
+
 } // namespace
 } // namespace laburnumweir
