Withdraw requests that wait at their engine when their adapter version is replaced

A request that was sent before its host knew a release, and then waited in the queue of its engine, could begin on the old version at any later time: the latest begin was set only when the release was known at the choice of the engine.

Whether the version for which the last attempt was sent has been replaced too long ago is now looked up while the attempt runs, in an interval of a twentieth of the bound until the answer begins, and once more before the request is written to its connection.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -120,6 +120,16 @@
                                 : context_.fleet_.FindReleases(facts.model_, facts.adapter_);
 }
 
+bool
+RequestFlow::IsVersionTooOld() const
+{
+  const auto* releases = Releases();
+  const auto replaced = releases == nullptr ? std::nullopt : releases->ReplacedAfter(version_);
+  const auto period = std::chrono::duration_cast<Duration>(kOldVersionBeginFraction *
+                                                           context_.bounds_.maxVersionDelay_);
+  return replaced && *replaced + period <= context_.clock_.Now();
+}
+
 UpstreamChoice
 RequestFlow::ChooseUpstream()
 {
@@ -144,7 +154,6 @@
   const auto* releases = Releases();
   const auto newest = releases == nullptr ? 0 : releases->Newest();
   need.minVersion_ = newest;
-  mustBeginBy_.reset();
   auto choice = context_.fleet_.Upstreams().Choose(need);
   if (choice.upstream_ == nullptr && choice.permitTarget_ &&
       context_.requestPermit_(*choice.permitTarget_)) {
@@ -188,10 +197,6 @@
       const auto olderChoice = context_.fleet_.Upstreams().Choose(need);
       choice.upstream_ = olderChoice.upstream_;
       choice.adapterVersion_ = olderChoice.adapterVersion_;
-      if (const auto replaced = releases->ReplacedAfter(choice.adapterVersion_)) {
-        mustBeginBy_ = *replaced + std::chrono::duration_cast<Duration>(
-                                     kOldVersionBeginFraction * context_.bounds_.maxVersionDelay_);
-      }
     }
   }
   // If any version may be used, none is demanded: the engine may receive the new one at any moment.
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -132,6 +132,9 @@
   Duration OldVersionPeriod() const;
   /** @return the released versions of the adapter; nullptr if there are none. */
   const ReleaseHistory* Releases() const;
+  /** @return whether the version for which the last attempt was sent was replaced so long ago that
+   * it must not begin any more. */
+  bool IsVersionTooOld() const;
   std::uint32_t Rank() const;
   /** @return whether the last confirmation of the configuration is too old to trust the key. */
   bool IsConfigTooOld() const;
@@ -191,8 +194,6 @@
   std::set<UpstreamId> loadTimedOut_; ///< Engines that did not load the adapter in time.
   std::optional<WaitTicket> ticket_;  ///< Ticket in the queue; empty if not queued.
   std::int64_t version_ = 0;          ///< Version of the adapter at the engine of the last attempt.
-  /** Latest begin of a run with an old version of the adapter; none if no older one may be used. */
-  std::optional<TimePoint> mustBeginBy_;
   std::optional<UpstreamId> loadingEngine_; ///< Engine that has been requested to load the adapter.
   TimePoint loadRequestedAt_;               ///< When the load was first requested there.
   TimePoint loadLastRequestedAt_;           ///< When the load was last requested there.
--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -31,12 +31,14 @@
     return;
   }
   const auto* upstream = context_.fleet_.Upstreams().Find(upstream_);
-  if (upstream == nullptr || !context_.fleet_.Upstreams().IsUsable(*upstream)) {
-    // It left, or its data centre was evacuated, while the connection was established.
+  // It may have left, or its data centre may have been evacuated, while the connection was
+  // established.
+  const bool hasLeft = upstream == nullptr || !context_.fleet_.Upstreams().IsUsable(*upstream);
+  if (hasLeft || IsVersionTooOld()) {
     call_->Cancel();
     call_.reset();
     EndAttempt(AttemptHealth::Good);
-    OnNotRun("upstream_left");
+    OnNotRun(hasLeft ? "upstream_left" : "old_version_not_begun");
     return;
   }
   hasSent_ = true;
@@ -379,8 +381,11 @@
     next += kDeadlineGrace;
   }
   if (call_ && answer_) {
-    if (mustBeginBy_ && !firstByte_) {
-      next = std::min(next, *mustBeginBy_);
+    if (!firstByte_ && !admitted_.facts_.adapter_.empty()) {
+      // A release may come at any time.
+      next = std::min(next,
+                      now + std::chrono::duration_cast<Duration>(
+                              kOldVersionCheckFraction * context_.bounds_.maxVersionDelay_));
     }
     if (!hasSent_) {
       next = std::min(next, sent_ + kConnectTimeout);
@@ -439,7 +444,7 @@
     OnNotRun("connect_timeout");
     return;
   }
-  if (call_ && hasSent_ && !firstByte_ && mustBeginBy_ && now >= *mustBeginBy_) {
+  if (call_ && hasSent_ && !firstByte_ && IsVersionTooOld()) {
     call_->Cancel();
     call_.reset();
     EndAttempt(AttemptHealth::Good);
--- a/src/table/fleet_const.h
+++ b/src/table/fleet_const.h
@@ -129,6 +129,11 @@
  * connection.
  */
 constexpr double kOldVersionBeginFraction = 0.8;
+/**
+ * Interval of the checks whether the version for which a request was sent has been replaced, as a
+ * fraction of the release bound. Requests that are not answered yet are checked.
+ */
+constexpr double kOldVersionCheckFraction = 0.05;
 /** Time for which replaced versions of an adapter are remembered: the longest that a request may
  * last. */
 constexpr Duration kReleaseRetention = std::chrono::hours(1);
--- a/tests/gateway/request_flow_version_test.cpp
+++ b/tests/gateway/request_flow_version_test.cpp
@@ -2,6 +2,7 @@
  */
 #include "gateway/request_flow_support.h"
 
+#include <atomic>
 #include <thread>
 
 namespace laburnumweir {
@@ -80,5 +81,30 @@
   EXPECT_EQ(Request(), 503U) << "the release may have been made long before the start";
 }
 
+// Guards against work on an old version by a request that was sent before the release was known and
+// then waited in the queue of its engine.
+TEST_F(ReleaseTest, RequestThatWaitsAtItsEngineIsWithdrawn)
+{
+  std::atomic<bool> isClosed = false;
+  ScriptedServer busy([&](Peer& aPeer, int) {
+    aPeer.ReadRequest();
+    aPeer.ReadRequest(); // returns when the connection is closed
+    isClosed = true;
+  });
+  repeat_ = RepeatRule::Stream;
+  timeout_ = 5s;
+  SetUpstreams({ busy.Address() });
+  Start();
+  context_.run_for(50ms);
+  context_.restart();
+  Release(2);
+  const auto end = clock_.Now() + kVersionDelay;
+  while (!isClosed && clock_.Now() < end) {
+    context_.run_for(5ms);
+    context_.restart();
+  }
+  EXPECT_TRUE(isClosed);
+}
+
 } // namespace
 } // namespace laburnumweir
