Compare positions in the store by era and offset

In a drill the store may come back from an older copy of itself. It then gives out the offsets of the lost records again, and the header Store-Era, in all its answers, rises by one. Hosts compared the bare offsets: an answer with an offset below the newest one that a store reader had was refused as store_answer_stale and read again, for as long as the new offsets were below the old ones. No configuration of that time came into force, and hosts with strict revocation refused requests with keys. A host also took a store reader of another era for one with the same configuration if the offsets happened to be equal.

A position is now an era and an offset, compared by the era first, in the store watch and in the queries and answers between hosts; messages without an era are of era 0, as are answers without the header. The check against stale answers within one era stays as it was.

Tests that named an offset name a position with era 0 or that of the mock store now; what they check is the same.

--- a/bench/gateway_benchmark.cpp
+++ b/bench/gateway_benchmark.cpp
@@ -130,7 +130,7 @@
 {
   auto message = MakeSum();
   RelayReply answer;
-  answer.upstreamsOffset_ = 7;
+  answer.upstreams_ = StorePosition{ 0, 7 };
   answer.changes_.emplace();
   for (int i = 0; i < aState.range(0); ++i) {
     answer.changes_->push_back({ MakeEntry(i).id_, MakeEntry(i) });
--- a/src/fleet/fleet_store_base.h
+++ b/src/fleet/fleet_store_base.h
@@ -22,7 +22,8 @@
   Refused,         ///< Refused without effect (store is busy or over its rate limit).
   HistoryLost,     ///< The requested records are deleted; the caller must read all again.
   Unreadable,      ///< The answer violates the protocol.
-  NotMember        ///< This host is not a member of the group.
+  NotMember,       ///< This host is not a member of the group.
+  Outdated         ///< The answer is of an earlier era than one that this host has seen.
 };
 
 const std::error_category&
@@ -31,6 +32,19 @@
 std::error_code
 make_error_code(StoreError aError);
 
+/** Rises when the store loses acknowledged records and returns from an older copy of itself. The
+ * offsets of lost records are given out again. */
+using StoreEra = std::uint64_t;
+
+/** Offset in a stream of the store, with the era in which it was given out. */
+struct StorePosition
+{
+  StoreEra era_ = 0;
+  LogOffset next_ = 0; ///< Offset of the next record.
+
+  auto operator<=>(const StorePosition&) const = default;
+};
+
 /** Evacuation of a data centre, or the end of one. */
 struct EvacuationChange
 {
@@ -53,12 +67,14 @@
 {
   bool isSnapshot_ = false; ///< Whether it is the whole state, so that absent items are gone.
   std::vector<FleetChange> changes_; ///< Oldest first.
+  StoreEra era_ = 0;                 ///< Era of the store that answered.
   LogOffset next_ = 0;               ///< Offset at which the next read starts.
   std::size_t unreadable_ = 0;       ///< Records that were skipped as undecodable.
   /** Whether each record up to next_ gave one change, so that the offset of each change follows
    * from its position. */
   bool isGapless_ = false;
 
+  StorePosition Next() const { return { era_, next_ }; }
   /** @return offset after the record of a change; next_ if its record is not known. */
   LogOffset OffsetAfter(std::size_t aIndex) const
   {
@@ -118,12 +134,12 @@
   virtual void ReadAll(ChangeStream aStream, ChangesCallback aCallback) = 0;
   /**
    * Reads changes of a stream.
-   * @param aFrom offset of the first change.
+   * @param aFrom position of the first change.
    * @param aWait maximum wait for a change; zero returns at once.
    * @param aCallback receives the changes, perhaps none.
    */
   virtual void ReadChanges(ChangeStream aStream,
-                           LogOffset aFrom,
+                           StorePosition aFrom,
                            std::chrono::milliseconds aWait,
                            ChangesCallback aCallback) = 0;
   /**
--- a/src/fleet/store_error.cpp
+++ b/src/fleet/store_error.cpp
@@ -22,6 +22,8 @@
         return "the answer of the store violates the protocol";
       case StoreError::NotMember:
         return "this host is not a member of the group";
+      case StoreError::Outdated:
+        return "the answer is of an earlier era of the store";
     }
     return "unknown store error";
   }
--- a/src/gateway/gossip_message.cpp
+++ b/src/gateway/gossip_message.cpp
@@ -178,29 +178,34 @@
 }
 
 json::value
-EncodeOffset(const std::optional<LogOffset>& aOffset)
+EncodeOffset(const std::optional<StorePosition>& aPosition)
 {
-  return aOffset ? json::value(*aOffset) : json::value(nullptr);
+  return aPosition ? json::value(aPosition->next_) : json::value(nullptr);
 }
 
-std::optional<LogOffset>
-DecodeOffset(const json::array& aRow, std::size_t aIndex)
+/** @return position whose offset and era are in these cells; none if there is no offset. Hosts that
+ * know no eras send none. */
+std::optional<StorePosition>
+DecodePosition(const json::array& aRow, std::size_t aOffsetIndex, std::size_t aEraIndex)
 {
-  if (aIndex >= aRow.size() || !aRow[aIndex].is_number()) {
+  if (aOffsetIndex >= aRow.size() || !aRow[aOffsetIndex].is_number()) {
     return std::nullopt;
   }
-  return NumberAt<LogOffset>(aRow, aIndex);
+  return StorePosition{ NumberAt<StoreEra>(aRow, aEraIndex),
+                        NumberAt<LogOffset>(aRow, aOffsetIndex) };
 }
 
 void
 EncodeReply(const RelayReply& aAnswer, json::object& aObject)
 {
   aObject["s"] = json::array{ aAnswer.query_,
-                              EncodeOffset(aAnswer.operatorsOffset_),
+                              EncodeOffset(aAnswer.operators_),
                               aAnswer.configAge_.count(),
-                              EncodeOffset(aAnswer.upstreamsOffset_),
+                              EncodeOffset(aAnswer.upstreams_),
                               aAnswer.upstreamAge_.count(),
-                              aAnswer.hostsDigest_ };
+                              aAnswer.hostsDigest_,
+                              aAnswer.operators_.value_or(StorePosition()).era_,
+                              aAnswer.upstreams_.value_or(StorePosition()).era_ };
   if (aAnswer.changes_) {
     json::array changes;
     for (const auto& change : *aAnswer.changes_) {
@@ -215,9 +220,9 @@
 {
   RelayReply answer;
   answer.query_ = NumberAt<std::uint64_t>(aRow, 0);
-  answer.operatorsOffset_ = DecodeOffset(aRow, 1);
+  answer.operators_ = DecodePosition(aRow, 1, 6);
   answer.configAge_ = std::chrono::milliseconds(NumberAt<std::int64_t>(aRow, 2));
-  answer.upstreamsOffset_ = DecodeOffset(aRow, 3);
+  answer.upstreams_ = DecodePosition(aRow, 3, 7);
   answer.upstreamAge_ = std::chrono::milliseconds(NumberAt<std::int64_t>(aRow, 4));
   answer.hostsDigest_ = NumberAt<std::uint64_t>(aRow, 5);
   if (aObject.contains("x")) {
@@ -379,7 +384,8 @@
   }
   EncodeQuarantine(aMessage.quarantine_, object);
   if (const auto& query = aMessage.query_) {
-    object["q"] = json::array{ query->upstreamsOffset_, query->hostsDigest_ };
+    object["q"] =
+      json::array{ query->upstreams_.next_, query->hostsDigest_, query->upstreams_.era_ };
   }
   if (aMessage.reply_) {
     EncodeReply(*aMessage.reply_, object);
@@ -466,7 +472,8 @@
   ReadField(object, "g", message.generation_);
   if (const auto* value = object.if_contains("q"); value != nullptr && value->is_array()) {
     const auto& row = value->get_array();
-    message.query_ = RelayQuery{ NumberAt<LogOffset>(row, 0), NumberAt<std::uint64_t>(row, 1) };
+    message.query_ = RelayQuery{ { NumberAt<StoreEra>(row, 2), NumberAt<LogOffset>(row, 0) },
+                                 NumberAt<std::uint64_t>(row, 1) };
   }
   if (const auto* value = object.if_contains("s"); value != nullptr && value->is_array()) {
     message.reply_ = DecodeReply(value->get_array(), object);
--- a/src/gateway/gossip_message.h
+++ b/src/gateway/gossip_message.h
@@ -51,7 +51,7 @@
 /** Query of a host to a store reader. The message also carries the load report of the host. */
 struct RelayQuery
 {
-  LogOffset upstreamsOffset_ = 0; ///< Next offset of the upstreams' stream at the sender.
+  StorePosition upstreams_;       ///< Position of the sender in the upstreams' stream.
   std::uint64_t hostsDigest_ = 0; ///< Digest of the last list of live hosts received; 0 if none.
 };
 
@@ -61,17 +61,15 @@
  */
 struct RelayReply
 {
-  std::uint64_t query_ = 0; ///< Number of the message with the query.
-  std::optional<LogOffset>
-    operatorsOffset_; ///< Next offset of the operators' stream; none if unknown.
-  /** Time since the store confirmed that the operators' stream ends at that offset. */
+  std::uint64_t query_ = 0;                ///< Number of the message with the query.
+  std::optional<StorePosition> operators_; ///< In the operators' stream; none if unknown.
+  /** Time since the store confirmed that the operators' stream ends at that position. */
   std::chrono::milliseconds configAge_{ 0 };
-  std::optional<LogOffset>
-    upstreamsOffset_; ///< Next offset of the upstreams' stream; none if unknown.
+  std::optional<StorePosition> upstreams_; ///< In the upstreams' stream; none if unknown.
   /** Time since the entries were requested; kIncompletePageAge if a part of the changes did not
    * fit, so that the entries of the receiver do not count as newer than before. */
   std::chrono::milliseconds upstreamAge_{ 0 };
-  /** Changes since the offset in the query; none if unknown. */
+  /** Changes since the position in the query; none if unknown. */
   std::optional<std::vector<UpstreamChange>> changes_;
   /** Digest of the live hosts. The message lists them if it differs from the digest in the query.
    */
--- a/src/gateway/gossip_service.cpp
+++ b/src/gateway/gossip_service.cpp
@@ -201,7 +201,8 @@
 GossipService::SendQuery(const HostRecord& aReader)
 {
   auto message = NewLoadMessage(OwnLoad());
-  message.query_ = RelayQuery{ watch_->Position().upstreamsOffset_.value_or(0), hostsDigest_ };
+  message.query_ =
+    RelayQuery{ watch_->Position().upstreams_.value_or(StorePosition()), hostsDigest_ };
   openQueries_[message.number_] = { aReader.id_, context_.clock_.Now() };
   if (openQueries_.size() > kMaxOpenQueries) {
     openQueries_.erase(openQueries_.begin());
@@ -218,16 +219,19 @@
   answer.query_ = aQuery.number_;
   const auto proofAge = context_.fleet_.ConfigAge();
   if (proofAge < Duration::max()) {
-    answer.operatorsOffset_ = position.operatorsOffset_;
+    answer.operators_ = position.operators_;
     answer.configAge_ = std::chrono::ceil<milliseconds>(proofAge);
   }
-  answer.upstreamsOffset_ = position.upstreamsOffset_;
+  answer.upstreams_ = position.upstreams_;
   answer.upstreamAge_ = std::chrono::ceil<milliseconds>(position.upstreamAge_);
-  if (auto page = context_.fleet_.Changes().PageSince(
-        aQuery.query_->upstreamsOffset_, kMaxRelayedBytes, EstimatedSize)) {
+  auto page = position.upstreams_
+                ? context_.fleet_.Changes().PageSince(
+                    aQuery.query_->upstreams_.next_, kMaxRelayedBytes, EstimatedSize)
+                : std::nullopt;
+  if (page) {
     answer.changes_ = std::move(page->changes_);
     if (page->next_) {
-      answer.upstreamsOffset_ = page->next_;
+      answer.upstreams_->next_ = *page->next_;
       answer.upstreamAge_ = kIncompletePageAge;
     }
   }
@@ -255,15 +259,16 @@
     readerAnsweredAt_ = context_.clock_.Now();
     hasAnswer_ = true;
   }
-  if (answer.operatorsOffset_) {
-    watch_->OnRelayedConfigAge(sentAt, *answer.operatorsOffset_, answer.configAge_);
+  if (answer.operators_) {
+    watch_->OnRelayedConfigAge(sentAt, *answer.operators_, answer.configAge_);
   }
-  if (answer.upstreamsOffset_ && answer.changes_) {
+  if (answer.upstreams_ && answer.changes_) {
     ChangeBatch batch;
-    batch.next_ = *answer.upstreamsOffset_;
+    batch.era_ = answer.upstreams_->era_;
+    batch.next_ = answer.upstreams_->next_;
     batch.changes_.assign(answer.changes_->begin(), answer.changes_->end());
     watch_->OnRelayedUpstreams(sentAt, batch, answer.upstreamAge_);
-  } else if (answer.upstreamsOffset_) {
+  } else if (answer.upstreams_) {
     watch_->OnRelayGap();
   }
   if (const auto reader = context_.peers_.AssignedReader();
--- a/src/gateway/store_watch.cpp
+++ b/src/gateway/store_watch.cpp
@@ -60,7 +60,7 @@
   const auto sentAt = clock_.Now();
   const bool isReadDue =
     isOperatorReadDue_ && sentAt - operatorsReadAt_ >= settings_.relayedReadInterval_;
-  if (isRelayed_ && operatorsOffset_ && !isReadDue && state_.ConfigAge() <= kMaxRelayedConfigAge) {
+  if (isRelayed_ && operators_ && !isReadDue && state_.ConfigAge() <= kMaxRelayedConfigAge) {
     // The relayed configuration was confirmed recently enough: while a long poll of this host
     // waits, the configuration also stays unconfirmed for up to the whole wait.
     pollWait_ = std::chrono::milliseconds(0);
@@ -69,14 +69,14 @@
   }
   isOperatorReadDue_ = false;
   operatorsReadAt_ = sentAt;
-  auto callback = [weak = weak_from_this(), sentAt, knownNext = relayedOperatorsOffset_](
+  auto callback = [weak = weak_from_this(), sentAt, knownNext = relayedOperators_](
                     std::error_code aError, const ChangeBatch& aBatch) {
     if (const auto self = weak.lock()) {
       self->OnOperators(sentAt, knownNext, aError, aBatch);
     }
   };
-  if (operatorsOffset_) {
-    store_.ReadChanges(ChangeStream::Operators, *operatorsOffset_, pollWait_, callback);
+  if (operators_) {
+    store_.ReadChanges(ChangeStream::Operators, *operators_, pollWait_, callback);
   } else {
     store_.ReadAll(ChangeStream::Operators, callback);
   }
@@ -84,13 +84,13 @@
 
 void
 StoreWatch::OnOperators(TimePoint aSentAt,
-                        LogOffset aKnownNext,
+                        StorePosition aKnownNext,
                         std::error_code aError,
                         const ChangeBatch& aBatch)
 {
   if (aError == make_error_code(StoreError::HistoryLost)) {
     LogEvent(LogLevel::Info, "history_lost", { { "stream", "operators" } });
-    operatorsOffset_.reset();
+    operators_.reset();
     RunAfter(kMinPollInterval, &StoreWatch::PollOperators);
     return;
   }
@@ -106,20 +106,22 @@
     RunAfter(RetryDelay(), &StoreWatch::PollOperators);
     return;
   }
-  if (aBatch.next_ < aKnownNext) {
+  if (aBatch.Next() < aKnownNext) {
     // Applying it could restore a withdrawn key or end an evacuation that is in force.
     LogEvent(LogLevel::Warn,
              "store_answer_stale",
              { { "stream", "operators" },
                { "offset", std::to_string(aBatch.next_) },
-               { "known_offset", std::to_string(aKnownNext) } });
+               { "era", std::to_string(aBatch.era_) },
+               { "known_offset", std::to_string(aKnownNext.next_) },
+               { "known_era", std::to_string(aKnownNext.era_) } });
     RunAfter(RetryDelay(), &StoreWatch::PollOperators);
     return;
   }
   // The store answers a long poll as soon as there is a record, so a poll that ends without one
   // confirms that there was no record during the whole wait.
-  const bool hasNoRecords = operatorsOffset_ == aBatch.next_ && clock_.Now() - aSentAt >= pollWait_;
-  operatorsOffset_ = aBatch.next_;
+  const bool hasNoRecords = operators_ == aBatch.Next() && clock_.Now() - aSentAt >= pollWait_;
+  operators_ = aBatch.Next();
   state_.OnConfigConfirmed(hasNoRecords ? aSentAt + pollWait_ : aSentAt);
   // An answer with records confirms only the time at which the poll was sent, up to a whole wait
   // ago. The next poll does not wait, so that it confirms the current time.
@@ -129,7 +131,7 @@
   // Without a configuration, everything is read again later: a long poll has nothing to wait for in
   // the topic, which may not exist yet.
   if (!state_.Routes()) {
-    operatorsOffset_.reset();
+    operators_.reset();
     RunAfter(settings_.noConfigDelay_, &StoreWatch::PollOperators);
     return;
   }
@@ -139,7 +141,7 @@
 bool
 StoreWatch::AreUpstreamsRelayed() const
 {
-  return isRelayed_ && upstreamsOffset_ && !isUpstreamReadDue_ &&
+  return isRelayed_ && upstreams_ && !isUpstreamReadDue_ &&
          clock_.Now() - upstreamsRequestedAt_ <= settings_.upstreamInterval_ + kMaxRelayDelay;
 }
 
@@ -163,9 +165,9 @@
       self->OnUpstreams(sentAt, aError, aBatch);
     }
   };
-  if (upstreamsOffset_) {
+  if (upstreams_) {
     store_.ReadChanges(
-      ChangeStream::Upstreams, *upstreamsOffset_, std::chrono::milliseconds(0), callback);
+      ChangeStream::Upstreams, *upstreams_, std::chrono::milliseconds(0), callback);
   } else {
     store_.ReadAll(ChangeStream::Upstreams, callback);
   }
@@ -176,7 +178,7 @@
 {
   if (aError == make_error_code(StoreError::HistoryLost)) {
     LogEvent(LogLevel::Info, "history_lost", { { "stream", "upstreams" } });
-    upstreamsOffset_.reset();
+    upstreams_.reset();
     RunAfter(kMinPollInterval, &StoreWatch::PollUpstreams);
     return;
   }
@@ -202,18 +204,18 @@
   }
   upstreamsUpdatedAt_ = now;
   upstreamsRequestedAt_ = std::max(upstreamsRequestedAt_, aSentAt);
-  upstreamsOffset_ = aBatch.next_;
+  upstreams_ = aBatch.Next();
   state_.ApplyUpstreams(aBatch, flushRemovalsAt_.has_value());
   onChange_();
 }
 
 void
-StoreWatch::OnRelayedConfigAge(TimePoint aSentAt, LogOffset aNext, Duration aConfigAge)
+StoreWatch::OnRelayedConfigAge(TimePoint aSentAt, StorePosition aNext, Duration aConfigAge)
 {
-  relayedOperatorsOffset_ = std::max(relayedOperatorsOffset_, aNext);
-  if (operatorsOffset_ == aNext) {
+  relayedOperators_ = std::max(relayedOperators_, aNext);
+  if (operators_ == aNext) {
     state_.OnConfigConfirmed(aSentAt - aConfigAge);
-  } else if (operatorsOffset_ && *operatorsOffset_ < aNext) {
+  } else if (operators_ && *operators_ < aNext) {
     isOperatorReadDue_ = true;
   }
 }
@@ -222,7 +224,7 @@
 StoreWatch::OnRelayedUpstreams(TimePoint aSentAt, const ChangeBatch& aBatch, Duration aAge)
 {
   // An answer to an earlier query may arrive after this host has read the store itself.
-  if (upstreamsOffset_ && aBatch.next_ >= *upstreamsOffset_) {
+  if (upstreams_ && aBatch.next_ >= upstreams_->next_) {
     ApplyUpstreams(aSentAt - aAge, aBatch);
   }
 }
@@ -230,7 +232,7 @@
 WatchPosition
 StoreWatch::Position() const
 {
-  return { operatorsOffset_, upstreamsOffset_, clock_.Now() - upstreamsRequestedAt_ };
+  return { operators_, upstreams_, clock_.Now() - upstreamsRequestedAt_ };
 }
 
 } // namespace laburnumweir
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -12,13 +12,11 @@
 
 namespace laburnumweir {
 
-/** Offsets up to which a host has read the store's streams; sent to the hosts that query it. */
+/** Positions up to which a host has read the store's streams; sent to the hosts that query it. */
 struct WatchPosition
 {
-  std::optional<LogOffset>
-    operatorsOffset_; ///< Next offset of the operators' stream; none if unknown.
-  std::optional<LogOffset>
-    upstreamsOffset_;      ///< Next offset of the upstreams' stream; none if unknown.
+  std::optional<StorePosition> operators_; ///< In the operators' stream; none if unknown.
+  std::optional<StorePosition> upstreams_; ///< In the upstreams' stream; none if unknown.
   Duration upstreamAge_{}; ///< Time since the newest state of the entries was requested.
 };
 
@@ -72,11 +70,11 @@
   /**
    * Processes the position of a store reader in the operators' stream.
    * @param aSentAt when the query was sent.
-   * @param aNext next offset of the store reader; if equal to the offset of this host, both have
-   * the same configuration.
+   * @param aNext position of the store reader; if equal to that of this host, both have the same
+   * configuration.
    * @param aConfigAge age of the configuration at the store reader when it answered.
    */
-  void OnRelayedConfigAge(TimePoint aSentAt, LogOffset aNext, Duration aConfigAge);
+  void OnRelayedConfigAge(TimePoint aSentAt, StorePosition aNext, Duration aConfigAge);
   /**
    * Applies changes of the upstreams' stream that a store reader relayed.
    * @param aSentAt when the query was sent.
@@ -96,7 +94,7 @@
   void PollOperators();
   /** @param aKnownNext end of the operators' stream that was known when the read was sent. */
   void OnOperators(TimePoint aSentAt,
-                   LogOffset aKnownNext,
+                   StorePosition aKnownNext,
                    std::error_code aError,
                    const ChangeBatch& aBatch);
   void PollUpstreams();
@@ -114,17 +112,17 @@
   const Clock& clock_;
   Scheduler& scheduler_;
   const WatchSettings settings_;
-  std::function<void()> onChange_;           ///< Called after each batch that was applied.
-  std::chrono::milliseconds pollWait_{ 0 };  ///< Wait of the current or next long poll.
-  std::optional<LogOffset> operatorsOffset_; ///< Next offset; if none, a snapshot is read.
-  LogOffset relayedOperatorsOffset_ = 0;     ///< Highest next offset that a store reader had.
-  std::optional<LogOffset> upstreamsOffset_; ///< Next offset; if none, a snapshot is read.
-  TimePoint operatorsReadAt_;                ///< When the operators' stream was last read.
-  TimePoint upstreamsUpdatedAt_;             ///< When entries were last read or relayed.
-  TimePoint upstreamsRequestedAt_; ///< When the newest state of the entries was requested.
-  bool isRelayed_ = false;         ///< A store reader relays the content of the store.
-  bool isOperatorReadDue_ = false; ///< A store reader has a newer configuration.
-  bool isUpstreamReadDue_ = false; ///< A store reader lacks the changes.
+  std::function<void()> onChange_;          ///< Called after each batch that was applied.
+  std::chrono::milliseconds pollWait_{ 0 }; ///< Wait of the current or next long poll.
+  std::optional<StorePosition> operators_;  ///< Next position; if none, a snapshot is read.
+  StorePosition relayedOperators_;          ///< Newest position that a store reader had.
+  std::optional<StorePosition> upstreams_;  ///< Next position; if none, a snapshot is read.
+  TimePoint operatorsReadAt_;               ///< When the operators' stream was last read.
+  TimePoint upstreamsUpdatedAt_;            ///< When entries were last read or relayed.
+  TimePoint upstreamsRequestedAt_;          ///< When the newest state of the entries was requested.
+  bool isRelayed_ = false;                  ///< A store reader relays the content of the store.
+  bool isOperatorReadDue_ = false;          ///< A store reader has a newer configuration.
+  bool isUpstreamReadDue_ = false;          ///< A store reader lacks the changes.
   std::optional<TimePoint> flushRemovalsAt_; ///< When deferred removals take effect.
   bool isConnected_ = false;                 ///< The last read of the operators' stream succeeded.
 };
--- a/tests/gateway/gateway_support.h
+++ b/tests/gateway/gateway_support.h
@@ -51,7 +51,7 @@
   MOCK_METHOD(void, ReadAll, (ChangeStream, ChangesCallback), (override));
   MOCK_METHOD(void,
               ReadChanges,
-              (ChangeStream, LogOffset, std::chrono::milliseconds, ChangesCallback),
+              (ChangeStream, StorePosition, std::chrono::milliseconds, ChangesCallback),
               (override));
   MOCK_METHOD(void,
               JoinGroup,
--- a/tests/gateway/gossip_message_test.cpp
+++ b/tests/gateway/gossip_message_test.cpp
@@ -91,26 +91,26 @@
 TEST(GossipMessage, PreservesQueriesAndAnswersOfStoreReaders)
 {
   GossipMessage message = MakeMessage();
-  message.query_ = RelayQuery{ 77, 0xffffffffffffffffULL };
+  message.query_ = RelayQuery{ { 3, 77 }, 0xffffffffffffffffULL };
   auto decoded = DecodeGossip(EncodeGossip(message));
   ASSERT_TRUE(decoded && decoded->query_);
-  EXPECT_EQ(decoded->query_->upstreamsOffset_, 77U);
+  EXPECT_EQ(decoded->query_->upstreams_, (StorePosition{ 3, 77 }));
   EXPECT_EQ(decoded->query_->hostsDigest_, 0xffffffffffffffffULL);
   EXPECT_FALSE(decoded->reply_);
 
   message.query_.reset();
   RelayReply answer;
   answer.query_ = 5;
-  answer.operatorsOffset_ = 9;
+  answer.operators_ = StorePosition{ 2, 9 };
   answer.configAge_ = std::chrono::milliseconds(1400);
   answer.upstreamAge_ = std::chrono::milliseconds(300);
   message.reply_ = answer;
   decoded = DecodeGossip(EncodeGossip(message));
   ASSERT_TRUE(decoded && decoded->reply_);
   EXPECT_EQ(decoded->reply_->query_, 5U);
-  EXPECT_EQ(decoded->reply_->operatorsOffset_, std::optional<LogOffset>(9));
+  EXPECT_EQ(decoded->reply_->operators_, (StorePosition{ 2, 9 }));
   EXPECT_EQ(decoded->reply_->configAge_, answer.configAge_);
-  EXPECT_FALSE(decoded->reply_->upstreamsOffset_) << "an unknown offset must not be decoded as 0";
+  EXPECT_FALSE(decoded->reply_->upstreams_) << "an unknown position must not be decoded as 0";
   EXPECT_FALSE(decoded->reply_->changes_) << "unknown changes must not be decoded as an empty list";
 
   auto entry = testing_support::MakeEngine("e1");
@@ -120,7 +120,7 @@
   auto plain = testing_support::MakeEngine("p1");
   plain.listsModels_ = false;
   plain.models_.clear();
-  message.reply_->upstreamsOffset_ = 80;
+  message.reply_->upstreams_ = StorePosition{ 3, 80 };
   message.reply_->changes_ = { { entry.id_, entry },
                                { plain.id_, plain },
                                { UpstreamId("gone"), std::nullopt } };
@@ -129,6 +129,7 @@
   };
   decoded = DecodeGossip(EncodeGossip(message));
   ASSERT_TRUE(decoded && decoded->reply_ && decoded->reply_->changes_);
+  EXPECT_EQ(decoded->reply_->upstreams_, (StorePosition{ 3, 80 }));
   const auto& changes = *decoded->reply_->changes_;
   ASSERT_EQ(changes.size(), 3U);
   ASSERT_TRUE(changes[0].entry_ && changes[1].entry_);
@@ -149,6 +150,19 @@
   EXPECT_EQ(decoded->hosts_[0].partitions_, message.hosts_[0].partitions_);
 }
 
+// Guards against a message of a host that knows no eras yet being taken as unreadable, or its
+// offsets being taken as unknown.
+TEST(GossipMessage, OffsetsWithoutAnEraAreOfEraZero)
+{
+  const auto decoded =
+    DecodeGossip(R"({"h":"h","a":"1.2.3.4","p":1,"z":"d","n":1,"l":1,"q":[77,5],)"
+                 R"("s":[1,9,1400,80,300,6]})");
+  ASSERT_TRUE(decoded && decoded->query_ && decoded->reply_);
+  EXPECT_EQ(decoded->query_->upstreams_, (StorePosition{ 0, 77 }));
+  EXPECT_EQ(decoded->reply_->operators_, (StorePosition{ 0, 9 }));
+  EXPECT_EQ(decoded->reply_->upstreams_, (StorePosition{ 0, 80 }));
+}
+
 // Guards against truncated messages, or fields of other types, that are decoded as valid values.
 TEST(GossipMessage, RejectsTruncatedAndMistypedMessages)
 {
--- a/tests/gateway/gossip_service_test.cpp
+++ b/tests/gateway/gossip_service_test.cpp
@@ -257,13 +257,13 @@
     });
   ON_CALL(store_, ReadChanges)
     .WillByDefault([this, answer](ChangeStream aStream,
-                                  LogOffset aFrom,
+                                  StorePosition aFrom,
                                   std::chrono::milliseconds aWait,
                                   const auto& aCallback) {
       answer(aWait + 5ms, aCallback, [this, aStream, aFrom] {
         ChangeBatch batch;
         if (aStream == ChangeStream::Operators) {
-          for (auto at = aFrom; at < shared_.operators_; ++at) {
+          for (auto at = aFrom.next_; at < shared_.operators_; ++at) {
             FleetConfig config;
             config.version_ = static_cast<std::int64_t>(at + 1);
             batch.changes_.emplace_back(config);
@@ -271,7 +271,7 @@
           batch.next_ = shared_.operators_;
         } else {
           for (const auto& [offset, change] : shared_.upstreams_) {
-            if (offset >= aFrom) {
+            if (offset >= aFrom.next_) {
               batch.changes_.emplace_back(change);
             }
           }
--- a/tests/gateway/store_watch_test.cpp
+++ b/tests/gateway/store_watch_test.cpp
@@ -26,21 +26,27 @@
         ++snapshots_;
         ChangeBatch batch;
         batch.isSnapshot_ = true;
+        batch.era_ = era_;
         batch.next_ = snapshotEnd_;
         batch.changes_ = aStream == ChangeStream::Operators ? operators_ : upstreams_;
         aCallback(error_, std::move(batch));
       });
     ON_CALL(store_, ReadChanges)
       .WillByDefault([this](ChangeStream aStream,
-                            LogOffset aFrom,
+                            StorePosition aFrom,
                             std::chrono::milliseconds aWait,
                             const FleetStore::ChangesCallback& aCallback) {
         const auto respond = [this, aStream, aFrom, aWait, aCallback] {
           ChangeBatch batch;
-          batch.next_ = aFrom;
+          if (aFrom.era_ != era_) {
+            aCallback(StoreError::HistoryLost, std::move(batch));
+            return;
+          }
+          batch.era_ = era_;
+          batch.next_ = aFrom.next_;
           if (aStream == ChangeStream::Operators) {
             ++operatorReads_;
-            batch.next_ = std::max(aFrom, operatorsEnd_);
+            batch.next_ = std::max(aFrom.next_, operatorsEnd_);
           }
           if (aStream == ChangeStream::Operators && aWait > 0ms && recordAfter_) {
             recordAfter_.reset();
@@ -60,6 +66,13 @@
     upstreams_ = { UpstreamChange{ UpstreamId("e1"), MakeEngine("e1") } };
   }
 
+  /** Replaces the store by an older copy of it that ends at an offset. */
+  void Restore(LogOffset aEnd)
+  {
+    ++era_;
+    snapshotEnd_ = aEnd;
+    operatorsEnd_ = aEnd;
+  }
   bool HasEngine() { return state_.Upstreams().Find(UpstreamId("e1")) != nullptr; }
 
   FakeClock clock_;
@@ -73,6 +86,7 @@
   std::vector<FleetChange> nextChanges_;
   std::error_code error_;
   int snapshots_ = 0;
+  StoreEra era_ = 1;
   LogOffset snapshotEnd_ = 10;
   LogOffset operatorsEnd_ = 0; ///< End of the operators' stream for reads of changes.
   int operatorReads_ = 0;      ///< Reads of changes of the operators' stream.
@@ -105,12 +119,13 @@
 {
   ON_CALL(store_, ReadChanges(ChangeStream::Operators, _, _, _))
     .WillByDefault([this](ChangeStream,
-                          LogOffset aFrom,
+                          StorePosition aFrom,
                           std::chrono::milliseconds,
                           const FleetStore::ChangesCallback& aCallback) {
       scheduler_.After(1s, [aFrom, aCallback] {
         ChangeBatch batch;
-        batch.next_ = aFrom + 1;
+        batch.era_ = aFrom.era_;
+        batch.next_ = aFrom.next_ + 1;
         aCallback({}, std::move(batch));
       });
     });
@@ -201,12 +216,12 @@
   const int before = operatorReads_;
   for (int i = 0; i < 25; ++i) {
     ++operatorsEnd_;
-    watch_->OnRelayedConfigAge(clock_.Now(), operatorsEnd_, 0ms);
+    watch_->OnRelayedConfigAge(clock_.Now(), { era_, operatorsEnd_ }, 0ms);
     scheduler_.Run(60ms);
   }
   EXPECT_LE(operatorReads_ - before, 5);
   scheduler_.Run(600ms);
-  watch_->OnRelayedConfigAge(clock_.Now(), operatorsEnd_, 0ms);
+  watch_->OnRelayedConfigAge(clock_.Now(), { era_, operatorsEnd_ }, 0ms);
   EXPECT_LE(state_.ConfigAge(), 0ms) << "it has the newest configuration";
 }
 
@@ -223,7 +238,7 @@
 // restart: a store reader knows a newer offset than the state that the store answers with.
 TEST_F(StoreWatchTest, AnAnswerOlderThanARelayedOffsetIsNotUsed)
 {
-  watch_->OnRelayedConfigAge(clock_.Now(), 12, 0ms);
+  watch_->OnRelayedConfigAge(clock_.Now(), { era_, 12 }, 0ms);
   watch_->Start();
   scheduler_.Run(500ms);
   EXPECT_FALSE(state_.Routes());
@@ -234,6 +249,50 @@
   EXPECT_LE(state_.ConfigAge(), 500ms);
 }
 
+// Guards against a host that takes no configuration for long after the store came back from an
+// older copy: the offsets are below those that the store reader had before, so each answer looked
+// older than what the host knew of.
+TEST_F(StoreWatchTest, ReadsAStoreThatCameBackWithLowerOffsets)
+{
+  watch_->Start();
+  watch_->OnRelayedConfigAge(clock_.Now(), { era_, 12 }, 0ms);
+  scheduler_.Run(500ms);
+  Restore(7);
+  FleetConfig config;
+  config.version_ = 4;
+  operators_ = { config };
+  scheduler_.Run(2s);
+  EXPECT_EQ(state_.Routes()->Config().version_, 4);
+  EXPECT_LE(state_.ConfigAge(), 2s);
+}
+
+// Guards against a state of before the loss that is taken as newer than one of after it, because
+// its offsets are higher.
+TEST_F(StoreWatchTest, AnAnswerOfAnEarlierEraThanARelayedPositionIsNotUsed)
+{
+  watch_->OnRelayedConfigAge(clock_.Now(), { era_ + 1, 5 }, 0ms);
+  watch_->Start();
+  scheduler_.Run(500ms);
+  EXPECT_FALSE(state_.Routes());
+  Restore(5);
+  scheduler_.Run(500ms);
+  EXPECT_TRUE(state_.Routes());
+}
+
+// Guards against a configuration that counts as confirmed by a store reader of another era that
+// has the same offset.
+TEST_F(StoreWatchTest, OnlyTheSameEraConfirmsTheConfiguration)
+{
+  watch_->Start();
+  error_ = StoreError::Unreachable;
+  scheduler_.Run(5s);
+  watch_->OnRelayedConfigAge(clock_.Now(), { era_ - 1, snapshotEnd_ }, 0ms);
+  watch_->OnRelayedConfigAge(clock_.Now(), { era_ + 1, snapshotEnd_ }, 0ms);
+  EXPECT_GE(state_.ConfigAge(), 3s);
+  watch_->OnRelayedConfigAge(clock_.Now(), { era_, snapshotEnd_ }, 0ms);
+  EXPECT_LE(state_.ConfigAge(), 0ms);
+}
+
 TEST_F(StoreWatchTest, ASnapshotEndsEvacuationsThatItDoesNotName)
 {
   watch_->Start();
--- a/tests/wire/client_test.cpp
+++ b/tests/wire/client_test.cpp
@@ -13,11 +13,18 @@
 using testing_support::Peer;
 using testing_support::ScriptedServer;
 
+/** @param aFields header fields, each with its line end. */
 std::string
-Answer(int aStatus, const std::string& aBody)
+Answer(int aStatus, const std::string& aBody, const std::string& aFields = "")
 {
-  return "HTTP/1.1 " + std::to_string(aStatus) +
-         " X\r\nContent-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+  return "HTTP/1.1 " + std::to_string(aStatus) + " X\r\n" + aFields +
+         "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+std::string
+EraField(const std::string& aEra)
+{
+  return "Store-Era: " + aEra + "\r\n";
 }
 
 /** Answers each request with the next scripted text; for an empty text it resets the connection. */
@@ -71,15 +78,17 @@
     return result;
   }
 
-  std::pair<std::error_code, ChangeBatch> ReadChanges(LogOffset aFrom)
+  std::pair<std::error_code, ChangeBatch> ReadChanges(LogOffset aFrom, StoreEra aEra = 0)
   {
     bool isDone = false;
     std::pair<std::error_code, ChangeBatch> result;
-    store_->ReadChanges(
-      ChangeStream::Operators, aFrom, 0ms, [&](std::error_code aError, ChangeBatch aBatch) {
-        result = { aError, std::move(aBatch) };
-        isDone = true;
-      });
+    store_->ReadChanges(ChangeStream::Operators,
+                        { aEra, aFrom },
+                        0ms,
+                        [&](std::error_code aError, ChangeBatch aBatch) {
+                          result = { aError, std::move(aBatch) };
+                          isDone = true;
+                        });
     RunUntil(isDone);
     return result;
   }
@@ -141,6 +150,43 @@
   EXPECT_NE(targets_.at(1).find("after=evacuate%2Fz1"), std::string::npos) << targets_.at(1);
 }
 
+// Guards against an answer of an earlier era that is taken as the newest state: a snapshot that was
+// sent before the store came back from an older copy may arrive after an answer of the new era.
+TEST_F(ClientTest, ReadsTheEraOfEachAnswer)
+{
+  const std::string page = R"({"items":[],"has_more":false,"end_offset":6})";
+  Serve({ Answer(200, page, EraField("2")),
+          Answer(200, page, EraField("1")),
+          Answer(200, page),
+          Answer(503, "", EraField("3")),
+          Answer(200, page, EraField("2")),
+          Answer(200, page, "store-era: 3\r\n"),
+          Answer(200, page, EraField("4x")) });
+  const auto [error, batch] = ReadAll(ChangeStream::Operators);
+  EXPECT_FALSE(error);
+  EXPECT_EQ(batch.Next(), (StorePosition{ 2, 6 }));
+  EXPECT_EQ(ReadAll(ChangeStream::Operators).first, make_error_code(StoreError::Outdated));
+  EXPECT_EQ(ReadAll(ChangeStream::Operators).first, make_error_code(StoreError::Outdated))
+    << "an answer without the field is of era 0";
+  EXPECT_EQ(ReadAll(ChangeStream::Operators).first, make_error_code(StoreError::Refused));
+  EXPECT_EQ(ReadAll(ChangeStream::Operators).first, make_error_code(StoreError::Outdated))
+    << "a refusal named a newer era";
+  EXPECT_EQ(ReadAll(ChangeStream::Operators).second.Next(), (StorePosition{ 3, 6 }));
+  EXPECT_EQ(ReadAll(ChangeStream::Operators).first, make_error_code(StoreError::Unreadable));
+}
+
+// Guards against a snapshot whose pages are of two eras: records of the first pages may be lost in
+// the second era, and its changes would be read from an offset of the first one.
+TEST_F(ClientTest, PagesOfTwoErasAreNoSnapshot)
+{
+  Serve({ Answer(200,
+                 R"({"items":[{"key":"evacuate/z1","value":"e30=","offset":1}],"has_more":true,
+                     "end_offset":6})",
+                 EraField("1")),
+          Answer(200, R"({"items":[],"has_more":false,"end_offset":4})", EraField("2")) });
+  EXPECT_EQ(ReadAll(ChangeStream::Operators).first, make_error_code(StoreError::HistoryLost));
+}
+
 TEST_F(ClientTest, ReadsChanges)
 {
   std::string offsets(16, '\0');
