Lose the history when the store answers in another era

After the store has come back from an older copy, an offset that a host has read up to may exist again. A read from it succeeded, and the records of the new era before it were skipped silently: only an offset that the store does not have gets 410.

A long poll from such an offset would learn of the new era only when it ends, after 1.4 s of a bound that may be 2 s; the poll after a failed call therefore does not wait.

Without the check AReadFromAPositionOfAnotherEraLosesItsHistory fails, and with a wait after a failed call NoticesANewEraWithoutWaitingForALongPoll does.

--- a/src/fleet/fleet_store_base.h
+++ b/src/fleet/fleet_store_base.h
@@ -133,7 +133,8 @@
   /** Reads the whole state of a stream; the batch is a snapshot. */
   virtual void ReadAll(ChangeStream aStream, ChangesCallback aCallback) = 0;
   /**
-   * Reads changes of a stream.
+   * Reads changes of a stream. Fails with HistoryLost if the store is in another era than that of
+   * the position.
    * @param aFrom position of the first change.
    * @param aWait maximum wait for a change; zero returns at once.
    * @param aCallback receives the changes, perhaps none.
--- a/src/gateway/store_watch.cpp
+++ b/src/gateway/store_watch.cpp
@@ -103,6 +103,9 @@
         { "call_ms", std::to_string((clock_.Now() - aSentAt) / std::chrono::milliseconds(1)) } });
   }
   if (aError) {
+    // The store may come back in another era, where a long poll from an offset that was given out
+    // again would learn of that only at its end.
+    pollWait_ = std::chrono::milliseconds(0);
     RunAfter(RetryDelay(), &StoreWatch::PollOperators);
     return;
   }
--- a/tests/gateway/store_watch_test.cpp
+++ b/tests/gateway/store_watch_test.cpp
@@ -266,6 +266,24 @@
   EXPECT_LE(state_.ConfigAge(), 2s);
 }
 
+// Guards against a configuration that comes into force too late after the store came back from an
+// older copy: the next long poll starts at an offset that the copy has too, so that it learns of
+// the new era only when it ends.
+TEST_F(StoreWatchTest, NoticesANewEraWithoutWaitingForALongPoll)
+{
+  watch_->Start();
+  scheduler_.Run(5s);
+  error_ = StoreError::Unreachable;
+  scheduler_.Run(2s);
+  error_ = {};
+  Restore(snapshotEnd_);
+  FleetConfig config;
+  config.version_ = 4;
+  operators_ = { config };
+  scheduler_.Run(WatchSettings().retryDelay_ + 100ms);
+  EXPECT_EQ(state_.Routes()->Config().version_, 4);
+}
+
 // Guards against a state of before the loss that is taken as newer than one of after it, because
 // its offsets are higher.
 TEST_F(StoreWatchTest, AnAnswerOfAnEarlierEraThanARelayedPositionIsNotUsed)
--- a/tests/wire/client_test.cpp
+++ b/tests/wire/client_test.cpp
@@ -199,6 +199,21 @@
   EXPECT_NE(targets_.at(0).find("from=11"), std::string::npos);
 }
 
+// Guards against records that are skipped after the store came back from an older copy: an offset
+// that was read in the old era is given out again, so that a read from it succeeds although the
+// records of the new era before it were not read.
+TEST_F(ClientTest, AReadFromAPositionOfAnotherEraLosesItsHistory)
+{
+  std::string offsets(16, '\0');
+  offsets[7] = 12;
+  const auto page = offsets + EncodeKeyedRecord("evacuate/z1", "");
+  Serve({ Answer(200, page, EraField("1")), Answer(200, page, EraField("2")) });
+  const auto [error, batch] = ReadChanges(11, 1);
+  EXPECT_FALSE(error);
+  EXPECT_EQ(batch.Next(), (StorePosition{ 1, 12 }));
+  EXPECT_EQ(ReadChanges(12, 1).first, make_error_code(StoreError::HistoryLost));
+}
+
 // Guards against a lost history or a lost membership being retried like a store that is overloaded
 // or unreachable.
 TEST_F(ClientTest, DistinguishesStoreErrors)
