--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -108,6 +108,9 @@
 void
 FleetState::ApplyUpstreams(const ChangeBatch& aBatch, bool aDeferRemovals)
 {
+  if (aBatch.isSnapshot_) {
+    changes_.OnSnapshot(aBatch.Next());
+  }
   std::set<UpstreamId> seen;
   for (std::size_t i = 0; i < aBatch.changes_.size(); ++i) {
     if (const auto* upstream = std::get_if<UpstreamChange>(&aBatch.changes_[i])) {
@@ -132,7 +135,6 @@
     for (const auto& id : missing) {
       ApplyUpstream({ id, std::nullopt }, aBatch.next_, aDeferRemovals);
     }
-    changes_.OnSnapshot(aBatch.next_);
   }
   next_ = aBatch.next_;
   hasUpstreams_ = true;
--- a/src/fleet/upstream_changes.cpp
+++ b/src/fleet/upstream_changes.cpp
@@ -76,26 +76,32 @@
 }
 
 void
-UpstreamChanges::OnSnapshot(LogOffset aNext)
+UpstreamChanges::OnSnapshot(StorePosition aNext)
 {
+  if (aNext.era_ != era_) {
+    entries_.clear();
+    removed_.clear();
+    removalsKnownFrom_ = 0;
+    era_ = aNext.era_;
+  }
   // A snapshot does not list upstreams that were removed before it.
-  removalsKnownFrom_ = std::max(removalsKnownFrom_, aNext);
+  removalsKnownFrom_ = std::max(removalsKnownFrom_, aNext.next_);
 }
 
 std::optional<std::vector<UpstreamChange>>
-UpstreamChanges::Since(LogOffset aFrom) const
+UpstreamChanges::Since(StorePosition aFrom) const
 {
-  if (aFrom < removalsKnownFrom_) {
+  if (!KnowsChangesSince(aFrom)) {
     return std::nullopt;
   }
   std::vector<UpstreamChange> changes;
   for (const auto& [id, known] : entries_) {
-    if (known.changeOffset_ > aFrom) {
+    if (known.changeOffset_ > aFrom.next_) {
       changes.push_back({ id, known.entry_ });
     }
   }
   for (const auto& [id, offset] : removed_) {
-    if (offset > aFrom) {
+    if (offset > aFrom.next_) {
       changes.push_back({ id, std::nullopt });
     }
   }
@@ -103,21 +109,21 @@
 }
 
 std::optional<UpstreamChangePage>
-UpstreamChanges::PageSince(LogOffset aFrom,
+UpstreamChanges::PageSince(StorePosition aFrom,
                            std::size_t aMaxSize,
                            const std::function<std::size_t(const UpstreamChange&)>& aSizeOf) const
 {
-  if (aFrom < removalsKnownFrom_) {
+  if (!KnowsChangesSince(aFrom)) {
     return std::nullopt;
   }
   std::multimap<LogOffset, UpstreamChange> changes;
   for (const auto& [id, known] : entries_) {
-    if (known.changeOffset_ > aFrom) {
+    if (known.changeOffset_ > aFrom.next_) {
       changes.emplace(known.changeOffset_, UpstreamChange{ id, known.entry_ });
     }
   }
   for (const auto& [id, offset] : removed_) {
-    if (offset > aFrom) {
+    if (offset > aFrom.next_) {
       changes.emplace(offset, UpstreamChange{ id, std::nullopt });
     }
   }
--- a/src/fleet/upstream_changes.h
+++ b/src/fleet/upstream_changes.h
@@ -21,9 +21,9 @@
 };
 
 /**
- * Keeps the entries of upstreams with the store offset of their last change. A store reader uses it
- * to send another host the changes since the offset that this host has. An entry that differs only
- * in its heartbeat is not a change. Not thread-safe.
+ * Keeps the entries of upstreams with the store offset of their last change, all in one era. A
+ * store reader uses it to send another host the changes since the position that this host has. An
+ * entry that differs only in its heartbeat is not a change. Not thread-safe.
  */
 class UpstreamChanges
 {
@@ -38,28 +38,37 @@
   void OnEntry(const UpstreamEntry& aEntry, LogOffset aNext);
   /** Applies a removal. @param aNext hosts at a lower offset do not know of it yet. */
   void OnRemoved(const UpstreamId& aId, LogOffset aNext);
-  /** Marks the end of a snapshot; earlier removals are unknown. @param aNext its offset. */
-  void OnSnapshot(LogOffset aNext);
+  /**
+   * Starts a snapshot; earlier removals are unknown. One of another era replaces all entries.
+   * @param aNext position of its end.
+   */
+  void OnSnapshot(StorePosition aNext);
 
   /**
-   * @param aFrom offset up to which a host has all changes.
-   * @return the changes since, perhaps with some earlier ones; none if removals since then are not
-   *         known any more, so that the host needs the whole state.
+   * @param aFrom position up to which a host has all changes.
+   * @return the changes since, perhaps with some earlier ones; none if the position is of another
+   *         era or removals since then are not known any more, so that the host needs the whole
+   *         state.
    */
-  std::optional<std::vector<UpstreamChange>> Since(LogOffset aFrom) const;
+  std::optional<std::vector<UpstreamChange>> Since(StorePosition aFrom) const;
   /**
-   * @param aFrom offset up to which a host has all changes.
+   * @param aFrom position up to which a host has all changes.
    * @param aMaxSize limit of the sum of the sizes.
    * @param aSizeOf size of a change.
-   * @return the oldest changes since that fit into the limit; none if removals since then are not
-   *         known any more, or if the first changes, which have the same offset, do not fit.
+   * @return the oldest changes since that fit into the limit; none if Since() returns none, or if
+   *         the first changes, which have the same offset, do not fit.
    */
   std::optional<UpstreamChangePage> PageSince(
-    LogOffset aFrom,
+    StorePosition aFrom,
     std::size_t aMaxSize,
     const std::function<std::size_t(const UpstreamChange&)>& aSizeOf) const;
 
 private:
+  bool KnowsChangesSince(StorePosition aFrom) const
+  {
+    return aFrom.era_ == era_ && aFrom.next_ >= removalsKnownFrom_;
+  }
+
   struct KnownEntry
   {
     UpstreamEntry entry_;
@@ -69,6 +78,7 @@
   };
 
   const Clock& clock_;
+  StoreEra era_ = 0; ///< Era of all offsets.
   std::map<UpstreamId, KnownEntry> entries_;
   std::map<UpstreamId, LogOffset> removed_; ///< Removed upstreams with the offset of the removal.
   LogOffset removalsKnownFrom_ = 0;         ///< Removals before this offset are not known any more.
--- a/src/gateway/gossip_service.cpp
+++ b/src/gateway/gossip_service.cpp
@@ -224,10 +224,9 @@
   }
   answer.upstreams_ = position.upstreams_;
   answer.upstreamAge_ = std::chrono::ceil<milliseconds>(position.upstreamAge_);
-  auto page = position.upstreams_
-                ? context_.fleet_.Changes().PageSince(
-                    aQuery.query_->upstreams_.next_, kMaxRelayedBytes, EstimatedSize)
-                : std::nullopt;
+  auto page = position.upstreams_ ? context_.fleet_.Changes().PageSince(
+                                      aQuery.query_->upstreams_, kMaxRelayedBytes, EstimatedSize)
+                                  : std::nullopt;
   if (page) {
     answer.changes_ = std::move(page->changes_);
     if (page->next_) {
--- a/src/gateway/store_watch.cpp
+++ b/src/gateway/store_watch.cpp
@@ -226,8 +226,9 @@
 void
 StoreWatch::OnRelayedUpstreams(TimePoint aSentAt, const ChangeBatch& aBatch, Duration aAge)
 {
-  // An answer to an earlier query may arrive after this host has read the store itself.
-  if (upstreams_ && aBatch.next_ >= upstreams_->next_) {
+  // An answer to an earlier query may arrive after this host has read the store itself, perhaps in
+  // another era.
+  if (upstreams_ && aBatch.era_ == upstreams_->era_ && aBatch.next_ >= upstreams_->next_) {
     ApplyUpstreams(aSentAt - aAge, aBatch);
   }
 }
--- a/tests/fleet/relay_modules_test.cpp
+++ b/tests/fleet/relay_modules_test.cpp
@@ -168,7 +168,7 @@
   }
   std::size_t ChangeCount(LogOffset aFrom)
   {
-    const auto changes = changes_.Since(aFrom);
+    const auto changes = changes_.Since({ 0, aFrom });
     EXPECT_TRUE(changes);
     return changes ? changes->size() : 0;
   }
@@ -188,7 +188,7 @@
   changes_.OnEntry(Entry(3, "a2"), 12);
   EXPECT_EQ(ChangeCount(11), 1U);
   changes_.OnEntry(Entry(2), 13);
-  EXPECT_EQ(changes_.Since(0)->at(0).entry_->models_[0].adapters_[0].name_, "a2")
+  EXPECT_EQ(changes_.Since({ 0, 0 })->at(0).entry_->models_[0].adapters_[0].name_, "a2")
     << "an entry older than the known one is ignored";
 }
 
@@ -229,14 +229,14 @@
     entry.id_ = UpstreamId("e" + std::to_string(i));
     changes_.OnEntry(entry, static_cast<LogOffset>(10 + i / 2));
   }
-  auto page = changes_.PageSince(0, 3, size);
+  auto page = changes_.PageSince({ 0, 0 }, 3, size);
   ASSERT_TRUE(page);
   EXPECT_EQ(page->changes_.size(), 2U);
   EXPECT_EQ(page->next_, 10U);
-  page = changes_.PageSince(*page->next_, 100, size);
+  page = changes_.PageSince({ 0, *page->next_ }, 100, size);
   EXPECT_EQ(page->changes_.size(), 7U);
   EXPECT_FALSE(page->next_);
-  EXPECT_FALSE(changes_.PageSince(0, 1, size)) << "two changes have the first offset";
+  EXPECT_FALSE(changes_.PageSince({ 0, 0 }, 1, size)) << "two changes have the first offset";
 }
 
 TEST_F(UpstreamChangesTest, TellsWhoIsGoneAndWhoCameBack)
@@ -244,13 +244,13 @@
   changes_.OnEntry(Entry(1), 10);
   changes_.OnRemoved(UpstreamId("e1"), 20);
   ASSERT_EQ(ChangeCount(10), 1U);
-  EXPECT_FALSE(changes_.Since(10)->at(0).entry_);
+  EXPECT_FALSE(changes_.Since({ 0, 10 })->at(0).entry_);
   EXPECT_EQ(ChangeCount(20), 0U);
   auto back = Entry(1);
   back.startedAt_ = 2;
   changes_.OnEntry(back, 30);
   ASSERT_EQ(ChangeCount(10), 1U);
-  EXPECT_TRUE(changes_.Since(10)->at(0).entry_);
+  EXPECT_TRUE(changes_.Since({ 0, 10 })->at(0).entry_);
 }
 
 // Guards against a host that misses changes: if the changes since an offset are no longer known,
@@ -258,15 +258,34 @@
 TEST_F(UpstreamChangesTest, SaysWhenItDoesNotKnow)
 {
   changes_.OnEntry(Entry(1), 10);
-  changes_.OnSnapshot(10);
-  EXPECT_FALSE(changes_.Since(9));
-  EXPECT_TRUE(changes_.Since(10));
+  changes_.OnSnapshot({ 0, 10 });
+  EXPECT_FALSE(changes_.Since({ 0, 9 }));
+  EXPECT_TRUE(changes_.Since({ 0, 10 }));
   for (int i = 0; i < 2000; ++i) {
     changes_.OnRemoved(UpstreamId("r" + std::to_string(i)), 11 + i);
   }
-  EXPECT_FALSE(changes_.Since(11)) << "old removals are dropped to bound the memory";
+  EXPECT_FALSE(changes_.Since({ 0, 11 })) << "old removals are dropped to bound the memory";
   EXPECT_EQ(ChangeCount(2005), 5U);
 }
 
+// Guards against changes that a host never receives after the store came back from an older copy:
+// the offsets of its new records are below those at which the host last had all changes.
+TEST_F(UpstreamChangesTest, ANewEraStartsAgain)
+{
+  const auto size = [](const UpstreamChange&) { return std::size_t{ 1 }; };
+  changes_.OnSnapshot({ 1, 100 });
+  changes_.OnEntry(Entry(7, "a2"), 100);
+  changes_.OnRemoved(UpstreamId("e2"), 101);
+  changes_.OnSnapshot({ 2, 50 });
+  changes_.OnEntry(Entry(5), 50);
+  EXPECT_FALSE(changes_.Since({ 1, 101 })) << "the host lacks what the store lost and got since";
+  EXPECT_FALSE(changes_.PageSince({ 1, 101 }, 100, size));
+  ASSERT_TRUE(changes_.Since({ 2, 50 }));
+  EXPECT_TRUE(changes_.Since({ 2, 50 })->empty());
+  changes_.OnEntry(Entry(8, "a2"), 51);
+  EXPECT_EQ(changes_.Since({ 2, 50 })->size(), 1U)
+    << "a host that read the copy has the older entry";
+}
+
 } // namespace
 } // namespace laburnumweir
--- a/tests/gateway/store_watch_test.cpp
+++ b/tests/gateway/store_watch_test.cpp
@@ -311,6 +311,23 @@
   EXPECT_LE(state_.ConfigAge(), 0ms);
 }
 
+// Guards against changes of two eras that are mixed: a late answer of a store reader to a query of
+// the old era has a higher offset than the snapshot of the new one.
+TEST_F(StoreWatchTest, RelayedChangesOfAnotherEraAreNotApplied)
+{
+  watch_->Start();
+  scheduler_.Run(1s);
+  ChangeBatch batch;
+  batch.era_ = era_;
+  batch.next_ = snapshotEnd_ + 1;
+  batch.changes_ = { UpstreamChange{ UpstreamId("e2"), MakeEngine("e2") } };
+  Restore(5);
+  scheduler_.Run(1s);
+  watch_->OnRelayedUpstreams(clock_.Now(), batch, 0ms);
+  EXPECT_EQ(state_.Upstreams().Find(UpstreamId("e2")), nullptr);
+  EXPECT_EQ(watch_->Position().upstreams_, (StorePosition{ era_, 5 }));
+}
+
 TEST_F(StoreWatchTest, ASnapshotEndsEvacuationsThatItDoesNotName)
 {
   watch_->Start();
