Keep evacuations that the store has lost until they can be written again

A record that ends one applies at once.

KeepsAnEvacuationThatTheCopyLacks and EndsAnEvacuationThatIsNotWrittenAgain fail without this.

An evacuation that had ended and that the copy still names is in force until its end is written again: it cannot be told from one that was written after the store came back, which has to be in force at once.

--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -13,10 +13,16 @@
 }
 
 bool
-FleetState::ApplyOperators(const ChangeBatch& aBatch)
+FleetState::ApplyOperators(const ChangeBatch& aBatch, bool aKeepEvacuations)
 {
   const FleetConfig* newest = nullptr;
-  auto evacuated = aBatch.isSnapshot_ ? std::set<DataCentreId>() : evacuated_;
+  auto evacuated = evacuated_;
+  if (aBatch.isSnapshot_ && aKeepEvacuations) {
+    unnamed_ = evacuated_;
+  } else if (aBatch.isSnapshot_) {
+    evacuated.clear();
+    unnamed_.clear();
+  }
   for (const auto& change : aBatch.changes_) {
     if (const auto* config = std::get_if<FleetConfig>(&change)) {
       newest = config;
@@ -31,6 +37,7 @@
                    { "version", std::to_string(release->version_) } });
       }
     } else if (const auto* evacuation = std::get_if<EvacuationChange>(&change)) {
+      unnamed_.erase(evacuation->dataCentre_);
       if (evacuation->isEvacuated_) {
         evacuated.insert(evacuation->dataCentre_);
       } else {
@@ -43,15 +50,7 @@
              "operator_records_unreadable",
              { { "count", std::to_string(aBatch.unreadable_) } });
   }
-  if (evacuated != evacuated_) {
-    std::string names;
-    for (const auto& dataCentre : evacuated) {
-      names += (names.empty() ? "" : ",") + dataCentre.Value();
-    }
-    LogEvent(LogLevel::Info, "evacuation_changed", { { "data_centres", names } });
-    evacuated_ = evacuated;
-    upstreams_.SetEvacuated(std::move(evacuated));
-  }
+  SetEvacuated(std::move(evacuated));
   const bool isNewer =
     newest != nullptr && (!routes_ || routes_->Config().version_ < newest->version_);
   if (isNewer) {
@@ -66,6 +65,32 @@
   return isNewer;
 }
 
+void
+FleetState::SetEvacuated(std::set<DataCentreId> aEvacuated)
+{
+  if (aEvacuated == evacuated_) {
+    return;
+  }
+  std::string names;
+  for (const auto& dataCentre : aEvacuated) {
+    names += (names.empty() ? "" : ",") + dataCentre.Value();
+  }
+  LogEvent(LogLevel::Info, "evacuation_changed", { { "data_centres", names } });
+  evacuated_ = aEvacuated;
+  upstreams_.SetEvacuated(std::move(aEvacuated));
+}
+
+void
+FleetState::EndUnnamedEvacuations()
+{
+  auto evacuated = evacuated_;
+  for (const auto& dataCentre : unnamed_) {
+    evacuated.erase(dataCentre);
+  }
+  unnamed_.clear();
+  SetEvacuated(std::move(evacuated));
+}
+
 void
 FleetState::Remove(const UpstreamId& aId, std::string_view aReason)
 {
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -29,8 +29,15 @@
   /** @param aClock time source; must outlive this. @param aHost this host. */
   FleetState(const Clock& aClock, const HostId& aHost, const DataCentreId& aDataCentre);
 
-  /** Applies a batch of the operators' stream. @return whether the configuration changed. */
-  bool ApplyOperators(const ChangeBatch& aBatch);
+  /**
+   * Applies a batch of the operators' stream.
+   * @param aKeepEvacuations keep evacuations that a snapshot does not name until
+   * EndUnnamedEvacuations(). Set after the store has lost records, which operators write again.
+   * @return whether the configuration changed.
+   */
+  bool ApplyOperators(const ChangeBatch& aBatch, bool aKeepEvacuations = false);
+  /** Ends the evacuations that were kept although a snapshot does not name them. */
+  void EndUnnamedEvacuations();
   /**
    * Applies a batch of the upstreams' stream.
    * @param aDeferRemovals defer removals until ApplyDeferredRemovals(). Set after an outage of the
@@ -62,6 +69,7 @@
   const ReleaseState* FindRelease(const std::string& aModel, const std::string& aAdapter) const;
 
 private:
+  void SetEvacuated(std::set<DataCentreId> aEvacuated);
   void Remove(const UpstreamId& aId, std::string_view aReason);
   void ApplyUpstream(const UpstreamChange& aChange, LogOffset aNext, bool aDeferRemovals);
 
@@ -71,6 +79,7 @@
   UpstreamChanges changes_;               ///< Entries as the store holds them.
   LogOffset next_ = 0;                    ///< Offset up to which the upstreams' stream was applied.
   std::set<DataCentreId> evacuated_;      ///< Data centres whose upstreams get no requests.
+  std::set<DataCentreId> unnamed_;        ///< Evacuated, but not named by the last snapshot.
   std::set<UpstreamId> deferredRemovals_; ///< Upstreams whose removal is deferred.
   std::map<std::pair<std::string, std::string>, ReleaseState> releases_; ///< By model and adapter.
   std::optional<TimePoint> confirmedAt_; ///< Time up to which all changes are known.
--- a/src/gateway/store_watch.cpp
+++ b/src/gateway/store_watch.cpp
@@ -18,6 +18,15 @@
 // covers two lost datagrams.
 constexpr Duration kMaxRelayDelay = 2 * kGossipInterval;
 
+/** @return whether an era is newer than the one known before, if there was one. */
+bool
+EnterEra(std::optional<StoreEra>& aKnown, StoreEra aEra)
+{
+  const bool isNewer = aKnown && *aKnown < aEra;
+  aKnown = std::max(aKnown.value_or(aEra), aEra);
+  return isNewer;
+}
+
 } // namespace
 
 StoreWatch::StoreWatch(FleetStore& aStore,
@@ -129,7 +138,11 @@
   // An answer with records confirms only the time at which the poll was sent, up to a whole wait
   // ago. The next poll does not wait, so that it confirms the current time.
   pollWait_ = hasNoRecords ? settings_.configWait_ : std::chrono::milliseconds(0);
-  state_.ApplyOperators(aBatch);
+  if (EnterEra(operatorsEra_, aBatch.era_)) {
+    endEvacuationsAt_ = clock_.Now() + settings_.removalHoldTime_;
+    RunAfter(settings_.removalHoldTime_, &StoreWatch::EndUnnamedEvacuations);
+  }
+  state_.ApplyOperators(aBatch, endEvacuationsAt_.has_value());
   onChange_();
   // Without a configuration, everything is read again later: a long poll has nothing to wait for in
   // the topic, which may not exist yet.
@@ -141,6 +154,16 @@
   RunAfter(kMinPollInterval, &StoreWatch::PollOperators);
 }
 
+void
+StoreWatch::EndUnnamedEvacuations()
+{
+  if (endEvacuationsAt_ && clock_.Now() >= *endEvacuationsAt_) {
+    endEvacuationsAt_.reset();
+    state_.EndUnnamedEvacuations();
+    onChange_();
+  }
+}
+
 bool
 StoreWatch::AreUpstreamsRelayed() const
 {
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -38,8 +38,8 @@
    * With the short delay, the number of failing calls in an outage would grow with the number of
    * hosts. */
   std::chrono::milliseconds relayedRetryDelay_{ 1000 };
-  /** Time after an outage within which live upstreams have written their expired entries again;
-   * removals are deferred until then. */
+  /** Time after an outage, or after a loss of records, within which live upstreams have written
+   * their entries again and operators their evacuations; removals are deferred until then. */
   std::chrono::milliseconds removalHoldTime_{ 2300 };
   /** Interval of the checks whether a store reader still relays. */
   std::chrono::milliseconds relayCheckInterval_{ 100 };
@@ -97,6 +97,7 @@
                    StorePosition aKnownNext,
                    std::error_code aError,
                    const ChangeBatch& aBatch);
+  void EndUnnamedEvacuations();
   void PollUpstreams();
   void OnUpstreams(TimePoint aSentAt, std::error_code aError, const ChangeBatch& aBatch);
   void ApplyUpstreams(TimePoint aSentAt, const ChangeBatch& aBatch);
@@ -116,13 +117,16 @@
   std::chrono::milliseconds pollWait_{ 0 }; ///< Wait of the current or next long poll.
   std::optional<StorePosition> operators_;  ///< Next position; if none, a snapshot is read.
   StorePosition relayedOperators_;          ///< Newest position that a store reader had.
-  std::optional<StorePosition> upstreams_;  ///< Next position; if none, a snapshot is read.
-  TimePoint operatorsReadAt_;               ///< When the operators' stream was last read.
-  TimePoint upstreamsUpdatedAt_;            ///< When entries were last read or relayed.
-  TimePoint upstreamsRequestedAt_;          ///< When the newest state of the entries was requested.
-  bool isRelayed_ = false;                  ///< A store reader relays the content of the store.
-  bool isOperatorReadDue_ = false;          ///< A store reader has a newer configuration.
-  bool isUpstreamReadDue_ = false;          ///< A store reader lacks the changes.
+  std::optional<StoreEra> operatorsEra_;    ///< Newest era that the operators' stream was read in.
+  /** When evacuations end that the last snapshot does not name. */
+  std::optional<TimePoint> endEvacuationsAt_;
+  std::optional<StorePosition> upstreams_; ///< Next position; if none, a snapshot is read.
+  TimePoint operatorsReadAt_;              ///< When the operators' stream was last read.
+  TimePoint upstreamsUpdatedAt_;           ///< When entries were last read or relayed.
+  TimePoint upstreamsRequestedAt_;         ///< When the newest state of the entries was requested.
+  bool isRelayed_ = false;                 ///< A store reader relays the content of the store.
+  bool isOperatorReadDue_ = false;         ///< A store reader has a newer configuration.
+  bool isUpstreamReadDue_ = false;         ///< A store reader lacks the changes.
   std::optional<TimePoint> flushRemovalsAt_; ///< When deferred removals take effect.
   bool isConnected_ = false;                 ///< The last read of the operators' stream succeeded.
 };
--- a/tests/gateway/store_watch_test.cpp
+++ b/tests/gateway/store_watch_test.cpp
@@ -52,6 +52,10 @@
             recordAfter_.reset();
             ++batch.next_;
           }
+          if (aStream == ChangeStream::Operators && !error_ && !nextOperators_.empty()) {
+            batch.changes_ = std::exchange(nextOperators_, {});
+            batch.next_ = ++operatorsEnd_;
+          }
           if (aStream == ChangeStream::Upstreams && !error_) {
             batch.changes_ = std::exchange(nextChanges_, {});
           }
@@ -83,7 +87,8 @@
     std::make_shared<StoreWatch>(store_, state_, clock_, scheduler_, WatchSettings(), [] {});
   std::vector<FleetChange> operators_;
   std::vector<FleetChange> upstreams_;
-  std::vector<FleetChange> nextChanges_;
+  std::vector<FleetChange> nextOperators_; ///< With the next read of the operators' changes.
+  std::vector<FleetChange> nextChanges_;   ///< With the next read of the upstreams' changes.
   std::error_code error_;
   int snapshots_ = 0;
   StoreEra era_ = 1;
@@ -328,6 +333,60 @@
   EXPECT_EQ(watch_->Position().upstreams_, (StorePosition{ era_, 5 }));
 }
 
+class StoreWatchRestoreTest : public StoreWatchTest
+{
+protected:
+  /** Starts with the evacuation of dc1, which the store then loses. */
+  void LoseEvacuation()
+  {
+    const auto config = operators_;
+    operators_.emplace_back(EvacuationChange{ DataCentreId("dc1"), true });
+    watch_->Start();
+    scheduler_.Run(2s);
+    EXPECT_FALSE(IsUsable());
+    Restore(5);
+    operators_ = config;
+    scheduler_.Run(2s);
+  }
+  bool IsUsable()
+  {
+    return state_.Upstreams().IsUsable(*state_.Upstreams().Find(UpstreamId("e1")));
+  }
+};
+
+// Guards against requests to an evacuated data centre after the store came back from an older copy
+// that lacks the evacuation: operators need a moment to write it again.
+TEST_F(StoreWatchRestoreTest, KeepsAnEvacuationThatTheCopyLacks)
+{
+  LoseEvacuation();
+  EXPECT_FALSE(IsUsable());
+  nextOperators_ = { EvacuationChange{ DataCentreId("dc1"), true } };
+  scheduler_.Run(6s);
+  EXPECT_FALSE(IsUsable()) << "it was written again";
+}
+
+TEST_F(StoreWatchRestoreTest, EndsAnEvacuationThatIsNotWrittenAgain)
+{
+  LoseEvacuation();
+  EXPECT_FALSE(IsUsable());
+  scheduler_.Run(2s);
+  EXPECT_TRUE(IsUsable());
+}
+
+TEST_F(StoreWatchRestoreTest, AnEndThatIsWrittenAfterTheRestoreAppliesAtOnce)
+{
+  const auto config = operators_;
+  operators_.emplace_back(EvacuationChange{ DataCentreId("dc1"), true });
+  watch_->Start();
+  scheduler_.Run(2s);
+  Restore(5);
+  operators_ = config;
+  nextOperators_ = { EvacuationChange{ DataCentreId("dc1"), false } };
+  scheduler_.Run(1600ms);
+  EXPECT_TRUE(nextOperators_.empty());
+  EXPECT_TRUE(IsUsable());
+}
+
 TEST_F(StoreWatchTest, ASnapshotEndsEvacuationsThatItDoesNotName)
 {
   watch_->Start();
