Defer removals of upstreams after the store has lost records

Removals are deferred after an outage that is long enough for entries to expire. An older copy of the store may lack entries of running upstreams after a much shorter outage; these upstreams were removed at once, with what was known of their adapters and load, and came back as new ones with their next heartbeat.

KeepsUpstreamsThatTheCopyLacks fails without this.

--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -41,7 +41,7 @@
   /**
    * Applies a batch of the upstreams' stream.
    * @param aDeferRemovals defer removals until ApplyDeferredRemovals(). Set after an outage of the
-   * store, when entries of running upstreams may have expired.
+   * store, when entries of running upstreams may have expired, or after it has lost records.
    */
   void ApplyUpstreams(const ChangeBatch& aBatch, bool aDeferRemovals);
   /** Applies the deferred removals. */
--- a/src/gateway/store_watch.cpp
+++ b/src/gateway/store_watch.cpp
@@ -228,6 +228,9 @@
       { { "gap_ms", std::to_string((now - upstreamsUpdatedAt_) / std::chrono::milliseconds(1)) } });
     flushRemovalsAt_ = now + settings_.removalHoldTime_;
   }
+  if (EnterEra(upstreamsEra_, aBatch.era_)) {
+    flushRemovalsAt_ = now + settings_.removalHoldTime_;
+  }
   upstreamsUpdatedAt_ = now;
   upstreamsRequestedAt_ = std::max(upstreamsRequestedAt_, aSentAt);
   upstreams_ = aBatch.Next();
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -121,6 +121,7 @@
   /** When evacuations end that the last snapshot does not name. */
   std::optional<TimePoint> endEvacuationsAt_;
   std::optional<StorePosition> upstreams_; ///< Next position; if none, a snapshot is read.
+  std::optional<StoreEra> upstreamsEra_;   ///< Newest era that the upstreams' stream was read in.
   TimePoint operatorsReadAt_;              ///< When the operators' stream was last read.
   TimePoint upstreamsUpdatedAt_;           ///< When entries were last read or relayed.
   TimePoint upstreamsRequestedAt_;         ///< When the newest state of the entries was requested.
--- a/tests/gateway/store_watch_test.cpp
+++ b/tests/gateway/store_watch_test.cpp
@@ -387,6 +387,27 @@
   EXPECT_TRUE(IsUsable());
 }
 
+// Guards against the removal of live upstreams after the store came back from an older copy that
+// lacks their entries, after an outage that is too short for entries to expire.
+TEST_F(StoreWatchRestoreTest, KeepsUpstreamsThatTheCopyLacks)
+{
+  upstreams_.emplace_back(UpstreamChange{ UpstreamId("e2"), MakeEngine("e2") });
+  watch_->Start();
+  scheduler_.Run(1s);
+  Restore(5);
+  upstreams_.clear();
+  scheduler_.Run(1s);
+  EXPECT_EQ(watch_->Position().upstreams_, (StorePosition{ era_, 5 }));
+  EXPECT_TRUE(HasEngine());
+  auto renewed = MakeEngine("e1");
+  renewed.heartbeat_ = 2;
+  nextChanges_ = { UpstreamChange{ UpstreamId("e1"), renewed } };
+  scheduler_.Run(3s);
+  EXPECT_TRUE(HasEngine());
+  EXPECT_EQ(state_.Upstreams().Find(UpstreamId("e2")), nullptr)
+    << "its entry was not written again";
+}
+
 TEST_F(StoreWatchTest, ASnapshotEndsEvacuationsThatItDoesNotName)
 {
   watch_->Start();
