Do not bring back a removed upstream with an old entry

An upstream that had been removed came back, and got requests, when the store came back from an older copy that still had one of its entries.

The last entry of a removed upstream stays known for a minute by the start of its process and its heartbeat, and an entry that is not newer is ignored. A running upstream writes a newer heartbeat and is accepted at once. The time to live runs out only when a batch is applied, so that an outage of the store does not use it up.

A host that learns of changes from a store reader does not know the last heartbeat, since mere heartbeats are not relayed; the removal carries it. Hosts that do not know these two cells read the row as a removal.

ARemovedUpstreamDoesNotComeBackWithAnOldEntry and ARelayedRemovalTellsTheLastEntry fail without the check, the latter also without the relayed stamp.

--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -2,6 +2,7 @@
 #include "fleet/fleet_state.h"
 
 #include "logging/logging_func.h"
+#include "table/fleet_const.h"
 
 namespace laburnumweir {
 
@@ -92,8 +93,18 @@
 }
 
 void
-FleetState::Remove(const UpstreamId& aId, std::string_view aReason)
+FleetState::Remove(const UpstreamId& aId,
+                   LogOffset aNext,
+                   EntryStamp aLastStamp,
+                   std::string_view aReason)
 {
+  if (const auto* known = upstreams_.Find(aId)) {
+    aLastStamp = std::max(aLastStamp, known->entry_.Stamp());
+  }
+  auto& removed = removed_[aId];
+  removed.stamp_ = std::max(removed.stamp_, aLastStamp);
+  removed.removedAt_ = clock_.Now();
+  changes_.OnRemoved(aId, aNext, removed.stamp_);
   if (upstreams_.OnRemoved(aId)) {
     LogEvent(LogLevel::Info,
              "upstream_gone",
@@ -108,13 +119,16 @@
     if (aDeferRemovals && upstreams_.Find(aChange.id_) != nullptr) {
       deferredRemovals_.insert(aChange.id_);
     } else {
-      changes_.OnRemoved(aChange.id_, aNext);
-      Remove(aChange.id_, "entry removed");
+      Remove(aChange.id_, aNext, aChange.lastStamp_, "entry removed");
     }
     return;
   }
   changes_.OnEntry(*aChange.entry_, aNext);
   deferredRemovals_.erase(aChange.id_);
+  const auto removed = removed_.find(aChange.id_);
+  if (removed != removed_.end() && aChange.entry_->Stamp() <= removed->second.stamp_) {
+    return; // written before the removal, which the store has lost
+  }
   const auto* known = upstreams_.Find(aChange.id_);
   const bool wasDraining = known != nullptr && known->entry_.isDraining_;
   const bool isNewProcess = upstreams_.OnEntry(*aChange.entry_);
@@ -161,6 +175,10 @@
       ApplyUpstream({ id, std::nullopt }, aBatch.next_, aDeferRemovals);
     }
   }
+  // Expires them only with a batch, so that an outage does not use up their time to live.
+  std::erase_if(removed_, [oldest = clock_.Now() - kRemovedUpstreamTtl](const auto& aRemoved) {
+    return aRemoved.second.removedAt_ < oldest;
+  });
   next_ = aBatch.next_;
   hasUpstreams_ = true;
 }
@@ -170,8 +188,7 @@
 {
   for (const auto& id : deferredRemovals_) {
     // Hosts that have the state at the offset next_ have not received this removal.
-    changes_.OnRemoved(id, next_ + 1);
-    Remove(id, "entry missing after the store returned");
+    Remove(id, next_ + 1, {}, "entry missing after the store returned");
   }
   deferredRemovals_.clear();
 }
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -69,18 +69,33 @@
   const ReleaseState* FindRelease(const std::string& aModel, const std::string& aAdapter) const;
 
 private:
+  /** Last entry of a removed upstream. */
+  struct RemovedUpstream
+  {
+    EntryStamp stamp_;
+    TimePoint removedAt_;
+  };
+
   void SetEvacuated(std::set<DataCentreId> aEvacuated);
-  void Remove(const UpstreamId& aId, std::string_view aReason);
+  /**
+   * @param aNext hosts at a lower offset do not know of the removal yet.
+   * @param aLastStamp of the last entry before, as far as known.
+   */
+  void Remove(const UpstreamId& aId,
+              LogOffset aNext,
+              EntryStamp aLastStamp,
+              std::string_view aReason);
   void ApplyUpstream(const UpstreamChange& aChange, LogOffset aNext, bool aDeferRemovals);
 
   const Clock& clock_;
   std::shared_ptr<const RouteTable> routes_; ///< Configuration in force.
   UpstreamTable upstreams_;
-  UpstreamChanges changes_;               ///< Entries as the store holds them.
-  LogOffset next_ = 0;                    ///< Offset up to which the upstreams' stream was applied.
-  std::set<DataCentreId> evacuated_;      ///< Data centres whose upstreams get no requests.
-  std::set<DataCentreId> unnamed_;        ///< Evacuated, but not named by the last snapshot.
-  std::set<UpstreamId> deferredRemovals_; ///< Upstreams whose removal is deferred.
+  UpstreamChanges changes_;          ///< Entries as the store holds them.
+  LogOffset next_ = 0;               ///< Offset up to which the upstreams' stream was applied.
+  std::set<DataCentreId> evacuated_; ///< Data centres whose upstreams get no requests.
+  std::set<DataCentreId> unnamed_;   ///< Evacuated, but not named by the last snapshot.
+  std::map<UpstreamId, RemovedUpstream> removed_; ///< Removed within kRemovedUpstreamTtl.
+  std::set<UpstreamId> deferredRemovals_;         ///< Upstreams whose removal is deferred.
   std::map<std::pair<std::string, std::string>, ReleaseState> releases_; ///< By model and adapter.
   std::optional<TimePoint> confirmedAt_; ///< Time up to which all changes are known.
   bool hasUpstreams_ = false;
--- a/src/fleet/fleet_store_base.h
+++ b/src/fleet/fleet_store_base.h
@@ -57,6 +57,7 @@
 {
   UpstreamId id_;
   std::optional<UpstreamEntry> entry_; ///< Empty if the entry was removed.
+  EntryStamp lastStamp_ = {};          ///< Of the last entry before a removal, if known.
 };
 
 /** One change in a stream of the store. */
--- a/src/fleet/fleet_type.h
+++ b/src/fleet/fleet_type.h
@@ -125,6 +125,15 @@
   auto operator<=>(const ResidentModel&) const = default;
 };
 
+/** Orders the entries of an upstream by the time at which they were written. */
+struct EntryStamp
+{
+  std::int64_t startedAt_ = 0;  ///< Start time of the process, Unix ms.
+  std::uint64_t heartbeat_ = 0; ///< Rises with each entry of one process instance.
+
+  auto operator<=>(const EntryStamp&) const = default;
+};
+
 /** Entry in the store that an upstream writes about itself. */
 struct UpstreamEntry
 {
@@ -139,6 +148,8 @@
   std::uint64_t heartbeat_ = 0; ///< Rises with each entry of one process instance.
   std::vector<ResidentModel> models_;
   bool listsModels_ = false; ///< Whether the entry states models_.
+
+  EntryStamp Stamp() const { return { startedAt_, heartbeat_ }; }
 };
 
 /** A version of an adapter that operators announced. */
--- a/src/fleet/upstream_changes.cpp
+++ b/src/fleet/upstream_changes.cpp
@@ -61,16 +61,16 @@
 }
 
 void
-UpstreamChanges::OnRemoved(const UpstreamId& aId, LogOffset aNext)
+UpstreamChanges::OnRemoved(const UpstreamId& aId, LogOffset aNext, EntryStamp aLastStamp)
 {
   entries_.erase(aId);
-  removed_[aId] = aNext;
+  removed_[aId] = { aNext, aLastStamp };
   if (removed_.size() > kMaxRemovals) {
     const auto oldest =
       std::min_element(removed_.begin(), removed_.end(), [](const auto& aLeft, const auto& aRight) {
-        return aLeft.second < aRight.second;
+        return aLeft.second.offset_ < aRight.second.offset_;
       });
-    removalsKnownFrom_ = std::max(removalsKnownFrom_, oldest->second);
+    removalsKnownFrom_ = std::max(removalsKnownFrom_, oldest->second.offset_);
     removed_.erase(oldest);
   }
 }
@@ -100,9 +100,9 @@
       changes.push_back({ id, known.entry_ });
     }
   }
-  for (const auto& [id, offset] : removed_) {
-    if (offset > aFrom.next_) {
-      changes.push_back({ id, std::nullopt });
+  for (const auto& [id, removal] : removed_) {
+    if (removal.offset_ > aFrom.next_) {
+      changes.push_back({ id, std::nullopt, removal.lastStamp_ });
     }
   }
   return changes;
@@ -122,9 +122,9 @@
       changes.emplace(known.changeOffset_, UpstreamChange{ id, known.entry_ });
     }
   }
-  for (const auto& [id, offset] : removed_) {
-    if (offset > aFrom.next_) {
-      changes.emplace(offset, UpstreamChange{ id, std::nullopt });
+  for (const auto& [id, removal] : removed_) {
+    if (removal.offset_ > aFrom.next_) {
+      changes.emplace(removal.offset_, UpstreamChange{ id, std::nullopt, removal.lastStamp_ });
     }
   }
   UpstreamChangePage page;
--- a/src/fleet/upstream_changes.h
+++ b/src/fleet/upstream_changes.h
@@ -36,8 +36,12 @@
 
   /** Applies an entry that was read. @param aNext offset after its record, or a later one. */
   void OnEntry(const UpstreamEntry& aEntry, LogOffset aNext);
-  /** Applies a removal. @param aNext hosts at a lower offset do not know of it yet. */
-  void OnRemoved(const UpstreamId& aId, LogOffset aNext);
+  /**
+   * Applies a removal.
+   * @param aNext hosts at a lower offset do not know of it yet.
+   * @param aLastStamp of the last entry before, if known.
+   */
+  void OnRemoved(const UpstreamId& aId, LogOffset aNext, EntryStamp aLastStamp = {});
   /**
    * Starts a snapshot; earlier removals are unknown. One of another era replaces all entries.
    * @param aNext position of its end.
@@ -77,11 +81,17 @@
     bool isRepeatDue_ = false;   ///< Its models were not sent again since they changed.
   };
 
+  struct Removal
+  {
+    LogOffset offset_ = 0; ///< Hosts at a lower offset do not know of it yet.
+    EntryStamp lastStamp_; ///< Of the last entry before.
+  };
+
   const Clock& clock_;
   StoreEra era_ = 0; ///< Era of all offsets.
   std::map<UpstreamId, KnownEntry> entries_;
-  std::map<UpstreamId, LogOffset> removed_; ///< Removed upstreams with the offset of the removal.
-  LogOffset removalsKnownFrom_ = 0;         ///< Removals before this offset are not known any more.
+  std::map<UpstreamId, Removal> removed_;
+  LogOffset removalsKnownFrom_ = 0; ///< Removals before this offset are not known any more.
 };
 
 } // namespace laburnumweir
--- a/src/gateway/gossip_message.cpp
+++ b/src/gateway/gossip_message.cpp
@@ -130,7 +130,7 @@
   return host;
 }
 
-/** @return row of the upstream; with the identifier alone if the upstream was removed. */
+/** @return row of the upstream; without an endpoint if the upstream was removed. */
 json::array
 EncodeUpstream(const UpstreamChange& aChange)
 {
@@ -148,6 +148,9 @@
     if (entry->listsModels_) {
       row.emplace_back(EncodeModels(entry->models_));
     }
+  } else {
+    row.emplace_back(aChange.lastStamp_.startedAt_);
+    row.emplace_back(aChange.lastStamp_.heartbeat_);
   }
   return row;
 }
@@ -173,6 +176,8 @@
       entry.models_ = DecodeModels(aRow[kModelsColumn]);
     }
     change.entry_ = std::move(entry);
+  } else {
+    change.lastStamp_ = { NumberAt<std::int64_t>(aRow, 1), NumberAt<std::uint64_t>(aRow, 2) };
   }
   return change;
 }
--- a/src/table/fleet_const.h
+++ b/src/table/fleet_const.h
@@ -108,6 +108,11 @@
  * been written before that: a heartbeat of up to 2 s and one interval between reads.
  */
 constexpr Duration kMaxEntryAge = std::chrono::milliseconds(2500);
+/**
+ * Time for which the last entry of a removed upstream stays known. The store may come back from a
+ * copy that still has this entry or an older one; such copies are some seconds old.
+ */
+constexpr Duration kRemovedUpstreamTtl = std::chrono::seconds(60);
 /**
  * Time for which an adapter counts as in use after a host last reported a running request for it;
  * four gossip intervals. Unloading an adapter in use blocks the engine: it processes no orders
--- a/tests/fleet/relay_modules_test.cpp
+++ b/tests/fleet/relay_modules_test.cpp
@@ -242,9 +242,10 @@
 TEST_F(UpstreamChangesTest, TellsWhoIsGoneAndWhoCameBack)
 {
   changes_.OnEntry(Entry(1), 10);
-  changes_.OnRemoved(UpstreamId("e1"), 20);
+  changes_.OnRemoved(UpstreamId("e1"), 20, { 1, 1 });
   ASSERT_EQ(ChangeCount(10), 1U);
   EXPECT_FALSE(changes_.Since({ 0, 10 })->at(0).entry_);
+  EXPECT_EQ(changes_.Since({ 0, 10 })->at(0).lastStamp_, (EntryStamp{ 1, 1 }));
   EXPECT_EQ(ChangeCount(20), 0U);
   auto back = Entry(1);
   back.startedAt_ = 2;
--- a/tests/gateway/gossip_message_test.cpp
+++ b/tests/gateway/gossip_message_test.cpp
@@ -123,7 +123,7 @@
   message.reply_->upstreams_ = StorePosition{ 3, 80 };
   message.reply_->changes_ = { { entry.id_, entry },
                                { plain.id_, plain },
-                               { UpstreamId("gone"), std::nullopt } };
+                               { UpstreamId("gone"), std::nullopt, { 1791294744026, 31 } } };
   message.hosts_ = {
     { { HostId("h2"), { "127.0.0.2", 7600 }, DataCentreId("dc2") }, 4, { 1, 3 } }
   };
@@ -144,6 +144,7 @@
   EXPECT_EQ(changes[0].entry_->models_, entry.models_);
   EXPECT_FALSE(changes[1].entry_->listsModels_);
   EXPECT_FALSE(changes[2].entry_);
+  EXPECT_EQ(changes[2].lastStamp_, (EntryStamp{ 1791294744026, 31 }));
   ASSERT_EQ(decoded->hosts_.size(), 1U);
   EXPECT_EQ(decoded->hosts_[0].host_, message.hosts_[0].host_);
   EXPECT_EQ(decoded->hosts_[0].generation_, 4U);
--- a/tests/gateway/store_watch_test.cpp
+++ b/tests/gateway/store_watch_test.cpp
@@ -348,6 +348,12 @@
     operators_ = config;
     scheduler_.Run(2s);
   }
+  UpstreamChange EntryWithHeartbeat(std::uint64_t aHeartbeat)
+  {
+    auto entry = MakeEngine("e1");
+    entry.heartbeat_ = aHeartbeat;
+    return { entry.id_, entry };
+  }
   bool IsUsable()
   {
     return state_.Upstreams().IsUsable(*state_.Upstreams().Find(UpstreamId("e1")));
@@ -399,15 +405,55 @@
   scheduler_.Run(1s);
   EXPECT_EQ(watch_->Position().upstreams_, (StorePosition{ era_, 5 }));
   EXPECT_TRUE(HasEngine());
-  auto renewed = MakeEngine("e1");
-  renewed.heartbeat_ = 2;
-  nextChanges_ = { UpstreamChange{ UpstreamId("e1"), renewed } };
+  nextChanges_ = { EntryWithHeartbeat(2) };
   scheduler_.Run(3s);
   EXPECT_TRUE(HasEngine());
   EXPECT_EQ(state_.Upstreams().Find(UpstreamId("e2")), nullptr)
     << "its entry was not written again";
 }
 
+// Guards against requests to an upstream that is gone after the store came back from an older copy
+// that still has one of its entries.
+TEST_F(StoreWatchRestoreTest, ARemovedUpstreamDoesNotComeBackWithAnOldEntry)
+{
+  upstreams_ = { EntryWithHeartbeat(8) };
+  watch_->Start();
+  scheduler_.Run(1s);
+  nextChanges_ = { UpstreamChange{ UpstreamId("e1"), std::nullopt } };
+  scheduler_.Run(1s);
+  ASSERT_FALSE(HasEngine());
+  Restore(5);
+  scheduler_.Run(1s);
+  EXPECT_EQ(watch_->Position().upstreams_, (StorePosition{ era_, 5 }));
+  EXPECT_FALSE(HasEngine());
+  nextChanges_ = { EntryWithHeartbeat(9) };
+  scheduler_.Run(1s);
+  EXPECT_TRUE(HasEngine()) << "it is running";
+}
+
+// Guards against the same at a host that learns of changes from a store reader, which does not
+// relay mere heartbeats.
+TEST_F(StoreWatchRestoreTest, ARelayedRemovalTellsTheLastEntry)
+{
+  upstreams_ = { EntryWithHeartbeat(8) };
+  watch_->Start();
+  scheduler_.Run(1s);
+  ChangeBatch removal;
+  removal.era_ = era_;
+  removal.next_ = snapshotEnd_ + 20;
+  removal.changes_ = { UpstreamChange{ UpstreamId("e1"), std::nullopt, { 1, 20 } } };
+  watch_->OnRelayedUpstreams(clock_.Now(), removal, 0ms);
+  ASSERT_FALSE(HasEngine());
+  Restore(5);
+  upstreams_ = { EntryWithHeartbeat(19) };
+  scheduler_.Run(1s);
+  EXPECT_EQ(watch_->Position().upstreams_, (StorePosition{ era_, 5 }));
+  EXPECT_FALSE(HasEngine());
+  nextChanges_ = { EntryWithHeartbeat(21) };
+  scheduler_.Run(1s);
+  EXPECT_TRUE(HasEngine()) << "it is running";
+}
+
 TEST_F(StoreWatchTest, ASnapshotEndsEvacuationsThatItDoesNotName)
 {
   watch_->Start();
