Report a newer era of the store once

What this host wrote to the store may be lost when the store comes back from an older copy. Nothing uses the function yet.

If each stream reports its own era, ReportsEachNewerEraOnce fails.

--- a/src/gateway/store_watch.cpp
+++ b/src/gateway/store_watch.cpp
@@ -34,13 +34,15 @@
                        const Clock& aClock,
                        Scheduler& aScheduler,
                        WatchSettings aSettings,
-                       std::function<void()> aOnChange)
+                       std::function<void()> aOnChange,
+                       std::function<void()> aOnRestored)
   : store_(aStore)
   , state_(aState)
   , clock_(aClock)
   , scheduler_(aScheduler)
   , settings_(aSettings)
   , onChange_(std::move(aOnChange))
+  , onRestored_(std::move(aOnRestored))
 {
 }
 
@@ -143,6 +145,7 @@
     RunAfter(settings_.removalHoldTime_, &StoreWatch::EndUnnamedEvacuations);
   }
   state_.ApplyOperators(aBatch, endEvacuationsAt_.has_value());
+  OnEra(aBatch.era_);
   onChange_();
   // Without a configuration, everything is read again later: a long poll has nothing to wait for in
   // the topic, which may not exist yet.
@@ -154,6 +157,21 @@
   RunAfter(kMinPollInterval, &StoreWatch::PollOperators);
 }
 
+void
+StoreWatch::OnEra(StoreEra aEra)
+{
+  const auto before = era_;
+  if (!EnterEra(era_, aEra)) {
+    return;
+  }
+  LogEvent(LogLevel::Warn,
+           "store_restored",
+           { { "era", std::to_string(aEra) }, { "era_before", std::to_string(*before) } });
+  if (onRestored_) {
+    onRestored_();
+  }
+}
+
 void
 StoreWatch::EndUnnamedEvacuations()
 {
@@ -235,6 +253,7 @@
   upstreamsRequestedAt_ = std::max(upstreamsRequestedAt_, aSentAt);
   upstreams_ = aBatch.Next();
   state_.ApplyUpstreams(aBatch, flushRemovalsAt_.has_value());
+  OnEra(aBatch.era_);
   onChange_();
 }
 
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -57,13 +57,16 @@
   /**
    * All references must outlive this object.
    * @param aOnChange called after each batch that was applied to the state.
+   * @param aOnRestored called once for each newer era, after the first snapshot of it was applied;
+   * not for the first snapshot after the start. What this host wrote to the store may be lost.
    */
   StoreWatch(FleetStore& aStore,
              FleetState& aState,
              const Clock& aClock,
              Scheduler& aScheduler,
              WatchSettings aSettings,
-             std::function<void()> aOnChange);
+             std::function<void()> aOnChange,
+             std::function<void()> aOnRestored = {});
 
   /** Starts to read both streams. */
   void Start();
@@ -102,6 +105,8 @@
   void OnUpstreams(TimePoint aSentAt, std::error_code aError, const ChangeBatch& aBatch);
   void ApplyUpstreams(TimePoint aSentAt, const ChangeBatch& aBatch);
   bool AreUpstreamsRelayed() const;
+  /** Reports a newer era, whichever stream was read first in it. */
+  void OnEra(StoreEra aEra);
   void RunAfter(Duration aDelay, void (StoreWatch::*aFunction)());
   Duration RetryDelay() const
   {
@@ -114,6 +119,8 @@
   Scheduler& scheduler_;
   const WatchSettings settings_;
   std::function<void()> onChange_;          ///< Called after each batch that was applied.
+  std::function<void()> onRestored_;        ///< Called after the first snapshot of a newer era.
+  std::optional<StoreEra> era_;             ///< Newest era that a stream was read in.
   std::chrono::milliseconds pollWait_{ 0 }; ///< Wait of the current or next long poll.
   std::optional<StorePosition> operators_;  ///< Next position; if none, a snapshot is read.
   StorePosition relayedOperators_;          ///< Newest position that a store reader had.
--- a/tests/gateway/store_watch_test.cpp
+++ b/tests/gateway/store_watch_test.cpp
@@ -83,8 +83,17 @@
   testing_support::FakeScheduler scheduler_{ clock_ };
   testing::NiceMock<testing_support::MockStore> store_;
   FleetState state_{ clock_, HostId("h1"), DataCentreId("dc1") };
-  std::shared_ptr<StoreWatch> watch_ =
-    std::make_shared<StoreWatch>(store_, state_, clock_, scheduler_, WatchSettings(), [] {});
+  std::shared_ptr<StoreWatch> watch_ = std::make_shared<StoreWatch>(
+    store_,
+    state_,
+    clock_,
+    scheduler_,
+    WatchSettings(),
+    [] {},
+    [this] {
+      ++restored_;
+      positionsAtRestore_ = watch_->Position();
+    });
   std::vector<FleetChange> operators_;
   std::vector<FleetChange> upstreams_;
   std::vector<FleetChange> nextOperators_; ///< With the next read of the operators' changes.
@@ -92,6 +101,8 @@
   std::error_code error_;
   int snapshots_ = 0;
   StoreEra era_ = 1;
+  int restored_ = 0; ///< Reports that the store came back from an older copy.
+  WatchPosition positionsAtRestore_;
   LogOffset snapshotEnd_ = 10;
   LogOffset operatorsEnd_ = 0; ///< End of the operators' stream for reads of changes.
   int operatorReads_ = 0;      ///< Reads of changes of the operators' stream.
@@ -454,6 +465,22 @@
   EXPECT_TRUE(HasEngine()) << "it is running";
 }
 
+// Guards against records of this host that stay lost after the store came back from an older copy:
+// the host must learn of it once, although it reads two streams.
+TEST_F(StoreWatchRestoreTest, ReportsEachNewerEraOnce)
+{
+  watch_->Start();
+  scheduler_.Run(3s);
+  EXPECT_EQ(restored_, 0) << "this host has lost nothing";
+  for (int i = 1; i <= 2; ++i) {
+    Restore(5);
+    scheduler_.Run(3s);
+    EXPECT_EQ(restored_, i);
+    const StorePosition end{ era_, 5 };
+    EXPECT_TRUE(positionsAtRestore_.operators_ == end || positionsAtRestore_.upstreams_ == end);
+  }
+}
+
 TEST_F(StoreWatchTest, ASnapshotEndsEvacuationsThatItDoesNotName)
 {
   watch_->Start();
