Test that all hosts follow a store that came back from an older copy

21 hosts in three data centres, with one in seven datagrams lost: a configuration and an entry that are written after the store came back reach all hosts within 2 s, an upstream that the copy lacks is kept until it could have written its entry again, and removals apply after that.

It fails if offsets are compared without their era, if the poll after a failed call waits, or if removals are not deferred.

--- a/tests/gateway/gossip_service_test.cpp
+++ b/tests/gateway/gossip_service_test.cpp
@@ -27,7 +27,10 @@
 /** State of the store, shared by all hosts; counts the read calls. */
 struct SharedStore
 {
-  LogOffset operators_ = 1; ///< Next offset of the operators' stream.
+  LogOffset operators_ = 1; ///< Next offset of the operators' stream; each record is one version.
+  StoreEra era_ = 0;
+  LogOffset copyEnd_ = 0; ///< Where the last copy ended from which the store came back.
+  LogOffset lost_ = 0;    ///< Versions that were lost with it.
   std::vector<std::pair<LogOffset, UpstreamChange>> upstreams_; ///< Records with their offsets.
   std::vector<HostId> members_;  ///< Members of the group in the order of their joins.
   std::uint64_t generation_ = 0; ///< Of the group; rises with each change of the members.
@@ -35,6 +38,20 @@
   bool isDown_ = false;          ///< Every call fails.
 
   LogOffset UpstreamEnd() const { return upstreams_.empty() ? 0 : upstreams_.back().first + 1; }
+  /** @return version of the configuration whose record ends at an offset. */
+  std::int64_t VersionAt(LogOffset aNext) const
+  {
+    return static_cast<std::int64_t>(aNext + (aNext > copyEnd_ ? lost_ : 0));
+  }
+  /** Comes back from a copy that lacks the last records of each stream. */
+  void Restore(LogOffset aLostConfigs, std::size_t aLostEntries)
+  {
+    ++era_;
+    operators_ -= aLostConfigs;
+    copyEnd_ = operators_;
+    lost_ = aLostConfigs;
+    upstreams_.resize(upstreams_.size() - aLostEntries);
+  }
   void Write(const UpstreamChange& aChange) { upstreams_.emplace_back(UpstreamEnd(), aChange); }
 };
 
@@ -241,9 +258,10 @@
       answer(5ms, aCallback, [this, aStream] {
         ChangeBatch batch;
         batch.isSnapshot_ = true;
+        batch.era_ = shared_.era_;
         if (aStream == ChangeStream::Operators) {
           FleetConfig config;
-          config.version_ = static_cast<std::int64_t>(shared_.operators_);
+          config.version_ = shared_.VersionAt(shared_.operators_);
           batch.changes_.emplace_back(config);
           batch.next_ = shared_.operators_;
         } else {
@@ -260,12 +278,18 @@
                                   StorePosition aFrom,
                                   std::chrono::milliseconds aWait,
                                   const auto& aCallback) {
-      answer(aWait + 5ms, aCallback, [this, aStream, aFrom] {
+      const FleetStore::ChangesCallback callback = [this, aFrom, aCallback](std::error_code aError,
+                                                                            ChangeBatch aBatch) {
+        const bool isLost = !aError && aFrom.era_ != shared_.era_;
+        aCallback(isLost ? make_error_code(StoreError::HistoryLost) : aError, std::move(aBatch));
+      };
+      answer(aWait + 5ms, callback, [this, aStream, aFrom] {
         ChangeBatch batch;
+        batch.era_ = shared_.era_;
         if (aStream == ChangeStream::Operators) {
           for (auto at = aFrom.next_; at < shared_.operators_; ++at) {
             FleetConfig config;
-            config.version_ = static_cast<std::int64_t>(at + 1);
+            config.version_ = shared_.VersionAt(at + 1);
             batch.changes_.emplace_back(config);
           }
           batch.next_ = shared_.operators_;
@@ -443,6 +467,36 @@
   }
 }
 
+// Guards against a change that does not reach all hosts in time after the store came back from an
+// older copy, and against upstreams that are lost with it.
+TEST_F(GossipServiceTest, AllHostsFollowAStoreThatCameBackFromAnOlderCopy)
+{
+  network_.lossEvery_ = 7;
+  network_.Start();
+  network_.store_.operators_ += 4;
+  network_.store_.Write({ UpstreamId("e2"), MakeEngine("e2") });
+  network_.scheduler_.Run(2s);
+  network_.store_.isDown_ = true;
+  network_.scheduler_.Run(400ms);
+  network_.store_.Restore(3, 1);
+  network_.store_.isDown_ = false;
+  ++network_.store_.operators_;
+  network_.store_.Write({ UpstreamId("e3"), MakeEngine("e3") });
+  network_.scheduler_.Run(2s);
+  for (const auto& host : network_.hosts_) {
+    EXPECT_EQ(host->fleet_.Routes()->Config().version_, 6) << host->self_.id_.Value();
+    EXPECT_LE(host->fleet_.ConfigAge(), 2s) << host->self_.id_.Value();
+    EXPECT_TRUE(host->Knows("e2")) << host->self_.id_.Value();
+    EXPECT_TRUE(host->Knows("e3")) << host->self_.id_.Value();
+  }
+  network_.store_.Write({ UpstreamId("e1"), std::nullopt });
+  network_.scheduler_.Run(4s);
+  for (const auto& host : network_.hosts_) {
+    EXPECT_FALSE(host->Knows("e1")) << host->self_.id_.Value();
+    EXPECT_FALSE(host->Knows("e2")) << host->self_.id_.Value() << ", it was not written again";
+  }
+}
+
 // Guards against needless calls during an outage of the store. Calls are charged even if the store
 // does not answer, so the 15 hosts that query a store reader must retry less often than the store
 // readers.
