Do not confirm a configuration that the store has lost a newer one of

A host that started after the store had come back from an older copy took the configuration of the copy, although its peers knew a newer one: it accepted withdrawn keys and answered 401 and 404 for new keys and routes.

The load reports now carry the version of the configuration in force and the position in the operators' stream after the read that brought it. A host that has read up to that position and has an older version knows that the store has lost the newer one. Its own then counts as not confirmed, so that it is not ready and refuses requests with keys where revocation is strict, and it answers 503 instead of 401 and 404, until it has read the newer one or no live host has it.

The position is needed, since with the version alone each change would make hosts refuse requests until it has spread (AConfigurationIsConfirmedWhileTheNextOneSpreads). The report goes the way of the sums of load, so that no host hears its own back and it expires with the peer.

AHostThatStartsOnAnOlderCopyLearnsOfTheNewerConfiguration and AConfigurationThatAPeerHasNewerIsNotConfirmed fail without this. The answers of the gateway to callers (503 instead of 401 and 404) have no test of their own.

--- a/src/fleet/count_table.cpp
+++ b/src/fleet/count_table.cpp
@@ -29,6 +29,7 @@
       sum.running_ += load.running_;
       sum.requestLimit_ = LowerLimit(sum.requestLimit_, load.requestLimit_);
     }
+    MergeConfig(aCounts.config_);
   }
   /** Adds a received report unless it has expired. Running requests expire sooner than demand,
    * for which quota stays reserved while a peer is silent. */
@@ -55,10 +56,12 @@
       sum.running_ = std::max(sum.running_, load.running_);
       sum.requestLimit_ = LowerLimit(sum.requestLimit_, load.requestLimit_);
     }
+    MergeConfig(aOther.config_);
   }
   HostLoad Result() const
   {
     HostLoad counts;
+    counts.config_ = config_;
     counts.demand_.reserve(demand_.size());
     for (const auto& [workspace, demand] : demand_) {
       counts.demand_.push_back({ workspace,
@@ -74,6 +77,14 @@
   }
 
 private:
+  /** Keeps the newer configuration; of two equal ones, the one that was read earlier. */
+  void MergeConfig(const ConfigInForce& aOther)
+  {
+    if (aOther.version_ > config_.version_ ||
+        (aOther.version_ == config_.version_ && aOther.next_ < config_.next_)) {
+      config_ = aOther;
+    }
+  }
   static std::optional<double> LowerLimit(std::optional<double> aLeft, std::optional<double> aRight)
   {
     return aLeft && aRight ? std::min(aLeft, aRight) : aLeft ? aLeft : aRight;
@@ -82,6 +93,7 @@
   TimePoint now_;
   std::map<WorkspaceId, WorkspaceDemand> demand_;
   std::map<UpstreamId, UpstreamLoad> load_;
+  ConfigInForce config_;
 };
 
 void
--- a/src/fleet/count_table.h
+++ b/src/fleet/count_table.h
@@ -3,6 +3,7 @@
 #define LABURNUMWEIR_FLEET_COUNT_TABLE_H
 
 #include "core/clock_base.h"
+#include "fleet/fleet_store_base.h"
 #include "fleet/quota_share.h"
 #include "fleet/upstream_table.h"
 
@@ -17,6 +18,7 @@
 {
   std::vector<WorkspaceDemand> demand_;
   std::vector<UpstreamLoad> load_; ///< Running requests by upstream.
+  ConfigInForce config_ = {};      ///< Newest configuration that is in force at one of the hosts.
 };
 
 /**
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -17,6 +17,7 @@
 FleetState::ApplyOperators(const ChangeBatch& aBatch, bool aKeepEvacuations)
 {
   const FleetConfig* newest = nullptr;
+  operatorsNext_ = aBatch.Next();
   auto evacuated = evacuated_;
   if (aBatch.isSnapshot_ && aKeepEvacuations) {
     unnamed_ = evacuated_;
@@ -61,6 +62,7 @@
                { "routes", std::to_string(newest->routes_.size()) },
                { "workspaces", std::to_string(newest->workspaces_.size()) } });
     routes_ = std::make_shared<const RouteTable>(*newest);
+    config_ = { newest->version_, aBatch.Next() };
     upstreams_.SetServices(routes_->Config().services_);
   }
   return isNewer;
@@ -196,7 +198,7 @@
 Duration
 FleetState::ConfigAge() const
 {
-  return confirmedAt_ ? clock_.Now() - *confirmedAt_ : Duration::max();
+  return confirmedAt_ && !IsConfigOutdated() ? clock_.Now() - *confirmedAt_ : Duration::max();
 }
 
 const ReleaseState*
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -52,11 +52,22 @@
     confirmedAt_ = std::max(confirmedAt_.value_or(aUpTo), aUpTo);
   }
 
+  /** Sets the newest configuration that is in force at a live peer. */
+  void SetPeerConfig(const ConfigInForce& aConfig) { peerConfig_ = aConfig; }
+
   /**
    * @return time since the store last confirmed that the configuration is the newest;
-   *         Duration::max() if it never did.
+   *         Duration::max() if it never did, or if IsConfigOutdated().
    */
   Duration ConfigAge() const;
+  /** @return whether a live peer has a newer configuration, which the store has lost: it is not in
+   * the store up to the position where this peer got it. */
+  bool IsConfigOutdated() const
+  {
+    return config_.version_ < peerConfig_.version_ && operatorsNext_ >= peerConfig_.next_;
+  }
+  /** @return the configuration in force at this host. */
+  const ConfigInForce& Config() const { return config_; }
   /** @return the routes in force, or nullptr before the first configuration. */
   const std::shared_ptr<const RouteTable>& Routes() const { return routes_; }
   UpstreamTable& Upstreams() { return upstreams_; }
@@ -89,6 +100,9 @@
 
   const Clock& clock_;
   std::shared_ptr<const RouteTable> routes_; ///< Configuration in force.
+  ConfigInForce config_;                     ///< Its version, and where it was read.
+  ConfigInForce peerConfig_;                 ///< Newest configuration of the live peers.
+  StorePosition operatorsNext_; ///< Position up to which the operators' stream was applied.
   UpstreamTable upstreams_;
   UpstreamChanges changes_;          ///< Entries as the store holds them.
   LogOffset next_ = 0;               ///< Offset up to which the upstreams' stream was applied.
--- a/src/fleet/fleet_store_base.h
+++ b/src/fleet/fleet_store_base.h
@@ -45,6 +45,13 @@
   auto operator<=>(const StorePosition&) const = default;
 };
 
+/** A configuration that is in force at a host. */
+struct ConfigInForce
+{
+  std::int64_t version_ = 0; ///< 0 = none.
+  StorePosition next_;       ///< Position in the operators' stream after the read that brought it.
+};
+
 /** Evacuation of a data centre, or the end of one. */
 struct EvacuationChange
 {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -229,13 +229,13 @@
     admitted.route_ =
       admitted.routes_->Find({ host.data(), host.size() }, { target.data(), target.size() });
     if (admitted.route_ == nullptr) {
-      Refuse(*aAnswer, admitted, 404, "no_route", std::nullopt);
+      RefuseUnknown(*aAnswer, admitted, 404, "no_route");
       return;
     }
     if (admitted.routes_->NeedsKeys() && !admitted.route_->isOpen_) {
       admitted.workspace_ = admitted.routes_->FindWorkspace(admitted.facts_.key_);
       if (admitted.workspace_ == nullptr) {
-        Refuse(*aAnswer, admitted, 401, "key_unknown", std::nullopt);
+        RefuseUnknown(*aAnswer, admitted, 401, "key_unknown");
         return;
       }
     }
@@ -324,6 +324,19 @@
     metrics_.GetCounter("laburnumweir_gateway_requests_total", "outcome", aReason).Add();
   }
 
+  /** Refuses a request for something that is not in the configuration. */
+  void RefuseUnknown(AnswerStream& aAnswer,
+                     const AdmittedRequest& aRequest,
+                     unsigned aStatus,
+                     std::string_view aReason)
+  {
+    if (fleet_.IsConfigOutdated()) {
+      Refuse(aAnswer, aRequest, 503, "configuration_outdated", kNotReadyRetryAfter);
+    } else {
+      Refuse(aAnswer, aRequest, aStatus, aReason, std::nullopt);
+    }
+  }
+
   /**
    * @return whether a request that arrives during a drain may be accepted: either its deadline is
    * within the grace period, or the balancer may not yet have noticed the drain.
--- a/src/gateway/gossip_message.cpp
+++ b/src/gateway/gossip_message.cpp
@@ -18,7 +18,8 @@
 // c has a load report, d demand by workspace, r running requests by upstream, g generation,
 // o partitions, e engines with their adapters, u uses that started, k uses that still run,
 // w load requests, q query, s answer, x changed upstreams, m live hosts, f crash suspects,
-// b contents that have begun, y quarantines, j permit requests, i permit answers.
+// b contents that have begun, y quarantines, j permit requests, i permit answers, v configuration
+// in force.
 
 /** @return text of a cell; empty if the cell is missing or of another type. */
 std::string
@@ -261,6 +262,10 @@
   }
   aObject["d"] = std::move(demand);
   aObject["r"] = std::move(running);
+  if (aLoad.config_.version_ > 0) {
+    const auto& [version, next] = aLoad.config_;
+    aObject["v"] = json::array{ version, next.next_, next.era_ };
+  }
 }
 
 HostLoad
@@ -280,6 +285,11 @@
     }
     counts.load_.push_back(std::move(load));
   });
+  if (const auto* value = aObject.if_contains("v"); value != nullptr && value->is_array()) {
+    const auto& row = value->get_array();
+    counts.config_ = { NumberAt<std::int64_t>(row, 0),
+                       { NumberAt<StoreEra>(row, 2), NumberAt<LogOffset>(row, 1) } };
+  }
   return counts;
 }
 
--- a/src/gateway/gossip_service.cpp
+++ b/src/gateway/gossip_service.cpp
@@ -95,7 +95,9 @@
 HostLoad
 GossipService::OwnLoad() const
 {
-  return { context_.quota_.Demand(), context_.fleet_.Upstreams().OwnLoad() };
+  return { context_.quota_.Demand(),
+           context_.fleet_.Upstreams().OwnLoad(),
+           context_.fleet_.Config() };
 }
 
 HostPartitions
@@ -147,6 +149,7 @@
   const auto others = hostLoads_.TotalOfOthers();
   context_.quota_.OnPeerDemand(Others(), others.demand_);
   context_.fleet_.Upstreams().OnPeerLoad(Others(), others.load_);
+  context_.fleet_.SetPeerConfig(others.config_);
 }
 
 void
@@ -291,13 +294,16 @@
   context_.peers_.OnPartitions(aMessage.host_.id_, aMessage.generation_, aMessage.partitions_);
   if (aMessage.reply_) {
     OnReply(aMessage);
-    return;
-  }
-  hostLoads_.OnPeerLoad(aMessage.host_.id_, *aMessage.hostLoad_, aMessage.query_.has_value());
-  if (aMessage.query_) {
-    SendAnswer(aMessage);
   } else {
-    SendLiveHosts(aMessage.host_);
+    hostLoads_.OnPeerLoad(aMessage.host_.id_, *aMessage.hostLoad_, aMessage.query_.has_value());
+    if (aMessage.query_) {
+      SendAnswer(aMessage);
+    } else {
+      SendLiveHosts(aMessage.host_);
+    }
+  }
+  if (aMessage.hostLoad_->config_.version_ > context_.fleet_.Config().version_) {
+    ApplyLoad(); // Not only with the next round, as this host may act on a lost configuration.
   }
 }
 
--- a/tests/fleet/relay_modules_test.cpp
+++ b/tests/fleet/relay_modules_test.cpp
@@ -138,6 +138,34 @@
   EXPECT_FALSE(counts.IsClient(HostId("nobody")));
 }
 
+HostLoad
+MakeConfigReport(std::int64_t aVersion, StorePosition aNext)
+{
+  HostLoad load;
+  load.config_ = { aVersion, aNext };
+  return load;
+}
+
+// Guards against a host that does not learn of a newer configuration than its own because its store
+// reader lacks it too, and against one that is reported for good after its last host is gone.
+TEST(HostLoadTable, TellsTheNewestConfigurationOfTheLiveHosts)
+{
+  FakeClock clock;
+  HostLoadTable counts(clock);
+  counts.OnPeerLoad(HostId("member1"), MakeConfigReport(4, { 2, 10 }), true);
+  counts.OnPeerLoad(HostId("member2"), MakeConfigReport(6, { 1, 30 }), true);
+  counts.OnPeerLoad(HostId("reader"), MakeConfigReport(6, { 2, 5 }), false);
+  const auto own = MakeConfigReport(5, { 2, 10 });
+  EXPECT_EQ(counts.TotalOfOthers().config_.version_, 6);
+  EXPECT_EQ(counts.TotalOfOthers().config_.next_, (StorePosition{ 1, 30 }));
+  EXPECT_EQ(counts.SumOfClients(own).config_.next_, (StorePosition{ 1, 30 }));
+  EXPECT_EQ(counts.SumWithout(HostId("member2"), own).config_.next_, (StorePosition{ 2, 5 }));
+  counts.OnRelayedTotal(MakeConfigReport(7, { 2, 12 }));
+  EXPECT_EQ(counts.TotalOfOthers().config_.version_, 7);
+  clock.Advance(kPeerLoadTtl);
+  EXPECT_EQ(counts.TotalOfOthers().config_.version_, 0);
+}
+
 // Guards against an exceeded quota while a host becomes a store reader: until the other store
 // readers send their sums, it uses the last sum that it received from its own store reader.
 TEST(HostLoadTable, KeepsTheSumOfItsReaderWhileItBecomesOne)
--- a/tests/gateway/gossip_message_test.cpp
+++ b/tests/gateway/gossip_message_test.cpp
@@ -30,6 +30,7 @@
                                       { { ContentId("p1"), ContentId("p2") }, ContentId("r") },
                                       40ms } };
   message.hostLoad_->load_.push_back({ UpstreamId("e4"), 2, 4.5 });
+  message.hostLoad_->config_ = { 17, { 2, 40 } };
   message.permitRequests_ = { { UpstreamId("e4"), 4.5 } };
   message.permitAnswers_ = { { UpstreamId("e5"), { false, 150ms } } };
   message.quarantine_.begun_ = { { ContentId("p1"), 20ms } };
@@ -51,6 +52,8 @@
   EXPECT_EQ(decoded->hostLoad_->demand_.at(0).grantedPerSecond_, 900);
   EXPECT_EQ(decoded->hostLoad_->demand_.at(0).recentPerSecond_, 2100);
   EXPECT_EQ(decoded->hostLoad_->load_.at(0).running_, 7U);
+  EXPECT_EQ(decoded->hostLoad_->config_.version_, 17);
+  EXPECT_EQ(decoded->hostLoad_->config_.next_, (StorePosition{ 2, 40 }));
   EXPECT_EQ(decoded->generation_, 9U);
   EXPECT_EQ(decoded->partitions_, sent.partitions_);
   EXPECT_EQ(decoded->residency_.at(0).orderCount_, 6U);
--- a/tests/gateway/gossip_service_test.cpp
+++ b/tests/gateway/gossip_service_test.cpp
@@ -497,6 +497,37 @@
   }
 }
 
+// Guards against a withdrawn key that is accepted by a host that starts when the store came back
+// from a copy without the newest configuration, which the other hosts have.
+TEST_F(GossipServiceTest, AHostThatStartsOnAnOlderCopyLearnsOfTheNewerConfiguration)
+{
+  const auto self = network_.hosts_.back()->self_;
+  network_.hosts_.pop_back();
+  network_.store_.operators_ = 5;
+  network_.Start();
+  network_.store_.Restore(2, 0);
+  network_.hosts_.push_back(
+    std::make_unique<Host>(network_, network_.clock_, network_.scheduler_, network_.store_, self));
+  auto& late = *network_.hosts_.back();
+  for (const auto& host : network_.hosts_) {
+    late.peers_.OnStoreRecord(host->self_);
+  }
+  late.Start();
+  network_.scheduler_.Run(1s);
+  EXPECT_EQ(late.fleet_.Routes()->Config().version_, 3);
+  for (const auto& host : network_.hosts_) {
+    EXPECT_EQ(host->fleet_.IsConfigOutdated(), host.get() == &late) << host->self_.id_.Value();
+  }
+  EXPECT_EQ(late.fleet_.ConfigAge(), Duration::max());
+  ++network_.store_.operators_;
+  network_.scheduler_.Run(2s);
+  for (const auto& host : network_.hosts_) {
+    EXPECT_EQ(host->fleet_.Routes()->Config().version_, 6) << host->self_.id_.Value();
+    EXPECT_FALSE(host->fleet_.IsConfigOutdated()) << host->self_.id_.Value();
+    EXPECT_LE(host->fleet_.ConfigAge(), 2s) << host->self_.id_.Value();
+  }
+}
+
 // Guards against needless calls during an outage of the store. Calls are charged even if the store
 // does not answer, so the 15 hosts that query a store reader must retry less often than the store
 // readers.
--- a/tests/gateway/store_watch_test.cpp
+++ b/tests/gateway/store_watch_test.cpp
@@ -481,6 +481,38 @@
   }
 }
 
+// Guards against a withdrawn key that is accepted by a host that starts after the store came back
+// from an older copy: the host reads an older configuration than its peers have.
+TEST_F(StoreWatchRestoreTest, AConfigurationThatAPeerHasNewerIsNotConfirmed)
+{
+  Restore(7);
+  watch_->Start();
+  scheduler_.Run(1s);
+  EXPECT_LE(state_.ConfigAge(), 1s);
+  state_.SetPeerConfig({ 4, { era_ - 1, 10 } });
+  EXPECT_TRUE(state_.IsConfigOutdated());
+  EXPECT_EQ(state_.ConfigAge(), Duration::max());
+  FleetConfig config;
+  config.version_ = 4;
+  nextOperators_ = { config };
+  scheduler_.Run(2s);
+  EXPECT_FALSE(state_.IsConfigOutdated()) << "operators wrote it again";
+  EXPECT_LE(state_.ConfigAge(), 2s);
+}
+
+// Guards against requests that are refused at each change of the configuration until it has reached
+// all hosts.
+TEST_F(StoreWatchRestoreTest, AConfigurationIsConfirmedWhileTheNextOneSpreads)
+{
+  watch_->Start();
+  scheduler_.Run(1s);
+  state_.SetPeerConfig({ 4, { era_, snapshotEnd_ + 1 } });
+  EXPECT_FALSE(state_.IsConfigOutdated());
+  state_.SetPeerConfig({ 4, { era_ + 1, 2 } });
+  EXPECT_FALSE(state_.IsConfigOutdated()) << "the peer has read the store after it came back";
+  EXPECT_LE(state_.ConfigAge(), 1s);
+}
+
 TEST_F(StoreWatchTest, ASnapshotEndsEvacuationsThatItDoesNotName)
 {
   watch_->Start();
