--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -2,6 +2,7 @@
 #include "fleet/fleet_state.h"
 
 #include "logging/logging_func.h"
+#include "table/fleet_const.h"
 
 namespace laburnumweir {
 
@@ -13,16 +14,24 @@
 }
 
 bool
-FleetState::ApplyOperators(const ChangeBatch& aBatch)
+FleetState::ApplyOperators(const ChangeBatch& aBatch, bool aKeepEvacuations)
 {
   const FleetConfig* newest = nullptr;
-  auto evacuated = aBatch.isSnapshot_ ? std::set<DataCentreId>() : evacuated_;
+  operatorsNext_ = aBatch.Next();
+  auto evacuated = evacuated_;
+  if (aBatch.isSnapshot_ && aKeepEvacuations) {
+    unnamed_ = evacuated_;
+  } else if (aBatch.isSnapshot_) {
+    evacuated.clear();
+    unnamed_.clear();
+  }
   for (const auto& change : aBatch.changes_) {
     if (const auto* config = std::get_if<FleetConfig>(&change)) {
       newest = config;
     } else if (const auto* release = std::get_if<AdapterRelease>(&change)) {
       OnRelease(*release);
     } else if (const auto* evacuation = std::get_if<EvacuationChange>(&change)) {
+      unnamed_.erase(evacuation->dataCentre_);
       if (evacuation->isEvacuated_) {
         evacuated.insert(evacuation->dataCentre_);
       } else {
@@ -35,15 +44,7 @@
              "operator_records_unreadable",
              { { "count", std::to_string(aBatch.unreadable_) } });
   }
-  if (evacuated != evacuated_) {
-    std::string names;
-    for (const auto& dataCentre : evacuated) {
-      names += (names.empty() ? "" : ",") + dataCentre.Value();
-    }
-    LogEvent(LogLevel::Info, "evacuation_changed", { { "data_centres", names } });
-    evacuated_ = evacuated;
-    upstreams_.SetEvacuated(std::move(evacuated));
-  }
+  SetEvacuated(std::move(evacuated));
   const bool isNewer =
     newest != nullptr && (!routes_ || routes_->Config().version_ < newest->version_);
   if (isNewer) {
@@ -53,6 +54,7 @@
                { "routes", std::to_string(newest->routes_.size()) },
                { "workspaces", std::to_string(newest->workspaces_.size()) } });
     routes_ = std::make_shared<const RouteTable>(*newest);
+    config_ = { newest->version_, aBatch.Next() };
     upstreams_.SetServices(routes_->Config().services_);
   }
   return isNewer;
@@ -77,8 +79,44 @@
 }
 
 void
-FleetState::Remove(const UpstreamId& aId, std::string_view aReason)
+FleetState::SetEvacuated(std::set<DataCentreId> aEvacuated)
+{
+  if (aEvacuated == evacuated_) {
+    return;
+  }
+  std::string names;
+  for (const auto& dataCentre : aEvacuated) {
+    names += (names.empty() ? "" : ",") + dataCentre.Value();
+  }
+  LogEvent(LogLevel::Info, "evacuation_changed", { { "data_centres", names } });
+  evacuated_ = aEvacuated;
+  upstreams_.SetEvacuated(std::move(aEvacuated));
+}
+
+void
+FleetState::EndUnnamedEvacuations()
 {
+  auto evacuated = evacuated_;
+  for (const auto& dataCentre : unnamed_) {
+    evacuated.erase(dataCentre);
+  }
+  unnamed_.clear();
+  SetEvacuated(std::move(evacuated));
+}
+
+void
+FleetState::Remove(const UpstreamId& aId,
+                   LogOffset aNext,
+                   EntryStamp aLastStamp,
+                   std::string_view aReason)
+{
+  if (const auto* known = upstreams_.Find(aId)) {
+    aLastStamp = std::max(aLastStamp, known->entry_.Stamp());
+  }
+  auto& removed = removed_[aId];
+  removed.stamp_ = std::max(removed.stamp_, aLastStamp);
+  removed.removedAt_ = clock_.Now();
+  changes_.OnRemoved(aId, aNext, removed.stamp_);
   if (upstreams_.OnRemoved(aId)) {
     LogEvent(LogLevel::Info,
              "upstream_gone",
@@ -93,13 +131,16 @@
     if (aDeferRemovals && upstreams_.Find(aChange.id_) != nullptr) {
       deferredRemovals_.insert(aChange.id_);
     } else {
-      changes_.OnRemoved(aChange.id_, aNext);
-      Remove(aChange.id_, "entry removed");
+      Remove(aChange.id_, aNext, aChange.lastStamp_, "entry removed");
     }
     return;
   }
   changes_.OnEntry(*aChange.entry_, aNext);
   deferredRemovals_.erase(aChange.id_);
+  const auto removed = removed_.find(aChange.id_);
+  if (removed != removed_.end() && aChange.entry_->Stamp() <= removed->second.stamp_) {
+    return; // written before the removal, which the store has lost
+  }
   const auto* known = upstreams_.Find(aChange.id_);
   const bool wasDraining = known != nullptr && known->entry_.isDraining_;
   const bool isNewProcess = upstreams_.OnEntry(*aChange.entry_);
@@ -118,6 +159,9 @@
 void
 FleetState::ApplyUpstreams(const ChangeBatch& aBatch, bool aDeferRemovals)
 {
+  if (aBatch.isSnapshot_) {
+    changes_.OnSnapshot(aBatch.Next());
+  }
   std::set<UpstreamId> seen;
   for (std::size_t i = 0; i < aBatch.changes_.size(); ++i) {
     if (const auto* upstream = std::get_if<UpstreamChange>(&aBatch.changes_[i])) {
@@ -142,8 +186,11 @@
     for (const auto& id : missing) {
       ApplyUpstream({ id, std::nullopt }, aBatch.next_, aDeferRemovals);
     }
-    changes_.OnSnapshot(aBatch.next_);
   }
+  // Expires them only with a batch, so that an outage does not use up their time to live.
+  std::erase_if(removed_, [oldest = clock_.Now() - kRemovedUpstreamTtl](const auto& aRemoved) {
+    return aRemoved.second.removedAt_ < oldest;
+  });
   next_ = aBatch.next_;
   hasUpstreams_ = true;
 }
@@ -153,8 +200,7 @@
 {
   for (const auto& id : deferredRemovals_) {
     // Hosts that have the state at the offset next_ have not received this removal.
-    changes_.OnRemoved(id, next_ + 1);
-    Remove(id, "entry missing after the store returned");
+    Remove(id, next_ + 1, {}, "entry missing after the store returned");
   }
   deferredRemovals_.clear();
 }
@@ -162,7 +208,7 @@
 Duration
 FleetState::ConfigAge() const
 {
-  return confirmedAt_ ? clock_.Now() - *confirmedAt_ : Duration::max();
+  return confirmedAt_ && !IsConfigOutdated() ? clock_.Now() - *confirmedAt_ : Duration::max();
 }
 
 const ReleaseHistory*
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -26,13 +26,17 @@
   /**
    * Applies a batch of the operators' stream. What is new in it was written after the time up to
    * which all changes are known; the batch must be applied before its own confirmation.
+   * @param aKeepEvacuations keep evacuations that a snapshot does not name until
+   * EndUnnamedEvacuations(). Set after the store has lost records, which operators write again.
    * @return whether the configuration changed.
    */
-  bool ApplyOperators(const ChangeBatch& aBatch);
+  bool ApplyOperators(const ChangeBatch& aBatch, bool aKeepEvacuations = false);
+  /** Ends the evacuations that were kept although a snapshot does not name them. */
+  void EndUnnamedEvacuations();
   /**
    * Applies a batch of the upstreams' stream.
    * @param aDeferRemovals defer removals until ApplyDeferredRemovals(). Set after an outage of the
-   * store, when entries of running upstreams may have expired.
+   * store, when entries of running upstreams may have expired, or after it has lost records.
    */
   void ApplyUpstreams(const ChangeBatch& aBatch, bool aDeferRemovals);
   /** Applies the deferred removals. */
@@ -43,11 +47,22 @@
     confirmedAt_ = std::max(confirmedAt_.value_or(aUpTo), aUpTo);
   }
 
+  /** Sets the newest configuration that is in force at a live peer. */
+  void SetPeerConfig(const ConfigInForce& aConfig) { peerConfig_ = aConfig; }
+
   /**
    * @return time since the store last confirmed that the configuration is the newest;
-   *         Duration::max() if it never did.
+   *         Duration::max() if it never did, or if IsConfigOutdated().
    */
   Duration ConfigAge() const;
+  /** @return whether a live peer has a newer configuration, which the store has lost: it is not in
+   * the store up to the position where this peer got it. */
+  bool IsConfigOutdated() const
+  {
+    return config_.version_ < peerConfig_.version_ && operatorsNext_ >= peerConfig_.next_;
+  }
+  /** @return the configuration in force at this host. */
+  const ConfigInForce& Config() const { return config_; }
   /** @return the routes in force, or nullptr before the first configuration. */
   const std::shared_ptr<const RouteTable>& Routes() const { return routes_; }
   UpstreamTable& Upstreams() { return upstreams_; }
@@ -60,17 +75,37 @@
   const ReleaseHistory* FindReleases(const std::string& aModel, const std::string& aAdapter) const;
 
 private:
+  /** Last entry of a removed upstream. */
+  struct RemovedUpstream
+  {
+    EntryStamp stamp_;
+    TimePoint removedAt_;
+  };
+
   void OnRelease(const AdapterRelease& aRelease);
-  void Remove(const UpstreamId& aId, std::string_view aReason);
+  void SetEvacuated(std::set<DataCentreId> aEvacuated);
+  /**
+   * @param aNext hosts at a lower offset do not know of the removal yet.
+   * @param aLastStamp of the last entry before, as far as known.
+   */
+  void Remove(const UpstreamId& aId,
+              LogOffset aNext,
+              EntryStamp aLastStamp,
+              std::string_view aReason);
   void ApplyUpstream(const UpstreamChange& aChange, LogOffset aNext, bool aDeferRemovals);
 
   const Clock& clock_;
   std::shared_ptr<const RouteTable> routes_; ///< Configuration in force.
+  ConfigInForce config_;                     ///< Its version, and where it was read.
+  ConfigInForce peerConfig_;                 ///< Newest configuration of the live peers.
+  StorePosition operatorsNext_; ///< Position up to which the operators' stream was applied.
   UpstreamTable upstreams_;
-  UpstreamChanges changes_;               ///< Entries as the store holds them.
-  LogOffset next_ = 0;                    ///< Offset up to which the upstreams' stream was applied.
-  std::set<DataCentreId> evacuated_;      ///< Data centres whose upstreams get no requests.
-  std::set<UpstreamId> deferredRemovals_; ///< Upstreams whose removal is deferred.
+  UpstreamChanges changes_;          ///< Entries as the store holds them.
+  LogOffset next_ = 0;               ///< Offset up to which the upstreams' stream was applied.
+  std::set<DataCentreId> evacuated_; ///< Data centres whose upstreams get no requests.
+  std::set<DataCentreId> unnamed_;   ///< Evacuated, but not named by the last snapshot.
+  std::map<UpstreamId, RemovedUpstream> removed_; ///< Removed within kRemovedUpstreamTtl.
+  std::set<UpstreamId> deferredRemovals_;         ///< Upstreams whose removal is deferred.
   /** Released versions by model and adapter. */
   std::map<std::pair<std::string, std::string>, ReleaseHistory> releases_;
   std::optional<TimePoint> confirmedAt_; ///< Time up to which all changes are known.
--- a/src/fleet/upstream_changes.cpp
+++ b/src/fleet/upstream_changes.cpp
@@ -61,64 +61,70 @@
 }
 
 void
-UpstreamChanges::OnRemoved(const UpstreamId& aId, LogOffset aNext)
+UpstreamChanges::OnRemoved(const UpstreamId& aId, LogOffset aNext, EntryStamp aLastStamp)
 {
   entries_.erase(aId);
-  removed_[aId] = aNext;
+  removed_[aId] = { aNext, aLastStamp };
   if (removed_.size() > kMaxRemovals) {
     const auto oldest =
       std::min_element(removed_.begin(), removed_.end(), [](const auto& aLeft, const auto& aRight) {
-        return aLeft.second < aRight.second;
+        return aLeft.second.offset_ < aRight.second.offset_;
       });
-    removalsKnownFrom_ = std::max(removalsKnownFrom_, oldest->second);
+    removalsKnownFrom_ = std::max(removalsKnownFrom_, oldest->second.offset_);
     removed_.erase(oldest);
   }
 }
 
 void
-UpstreamChanges::OnSnapshot(LogOffset aNext)
+UpstreamChanges::OnSnapshot(StorePosition aNext)
 {
+  if (aNext.era_ != era_) {
+    entries_.clear();
+    removed_.clear();
+    removalsKnownFrom_ = 0;
+    era_ = aNext.era_;
+  }
   // A snapshot does not list upstreams that were removed before it.
-  removalsKnownFrom_ = std::max(removalsKnownFrom_, aNext);
+  removalsKnownFrom_ = std::max(removalsKnownFrom_, aNext.next_);
 }
 
 std::optional<std::vector<UpstreamChange>>
-UpstreamChanges::Since(LogOffset aFrom) const
+UpstreamChanges::Since(StorePosition aFrom) const
 {
-  if (aFrom < removalsKnownFrom_) {
+  if (!KnowsChangesSince(aFrom)) {
     return std::nullopt;
   }
   std::vector<UpstreamChange> changes;
   for (const auto& [id, known] : entries_) {
-    if (known.changeOffset_ > aFrom) {
+    if (known.changeOffset_ > aFrom.next_) {
       changes.push_back({ id, known.entry_ });
     }
   }
-  for (const auto& [id, offset] : removed_) {
-    if (offset > aFrom) {
-      changes.push_back({ id, std::nullopt });
+  for (const auto& [id, removal] : removed_) {
+    if (removal.offset_ > aFrom.next_) {
+      changes.push_back({ id, std::nullopt, removal.lastStamp_ });
     }
   }
   return changes;
 }
 
 std::optional<UpstreamChangePage>
-UpstreamChanges::PageSince(LogOffset aFrom,
+UpstreamChanges::PageSince(StorePosition aFrom,
                            std::size_t aMaxSize,
                            const std::function<std::size_t(const UpstreamChange&)>& aSizeOf) const
 {
-  if (aFrom < removalsKnownFrom_) {
+  if (!KnowsChangesSince(aFrom)) {
     return std::nullopt;
   }
   std::multimap<LogOffset, UpstreamChange> changes;
   for (const auto& [id, known] : entries_) {
-    if (known.changeOffset_ > aFrom) {
+    if (known.changeOffset_ > aFrom.next_) {
       changes.emplace(known.changeOffset_, UpstreamChange{ id, known.entry_ });
     }
   }
-  for (const auto& [id, offset] : removed_) {
-    if (offset > aFrom) {
-      changes.emplace(offset, UpstreamChange{ id, std::nullopt });
+  for (const auto& [id, removal] : removed_) {
+    if (removal.offset_ > aFrom.next_) {
+      changes.emplace(removal.offset_, UpstreamChange{ id, std::nullopt, removal.lastStamp_ });
     }
   }
   UpstreamChangePage page;
--- a/src/gateway/gossip_message.cpp
+++ b/src/gateway/gossip_message.cpp
@@ -18,7 +18,8 @@
 // c has a load report, d demand by workspace, r running requests by upstream, g generation,
 // o partitions, e engines with their adapters, u uses that started, k uses that still run,
 // w load requests, q query, s answer, x changed upstreams, m live hosts, f crash suspects,
-// b contents that have begun, y quarantines, j permit requests, i permit answers.
+// b contents that have begun, y quarantines, j permit requests, i permit answers, v configuration
+// in force.
 
 /** @return text of a cell; empty if the cell is missing or of another type. */
 std::string
@@ -130,7 +131,7 @@
   return host;
 }
 
-/** @return row of the upstream; with the identifier alone if the upstream was removed. */
+/** @return row of the upstream; without an endpoint if the upstream was removed. */
 json::array
 EncodeUpstream(const UpstreamChange& aChange)
 {
@@ -148,6 +149,9 @@
     if (entry->listsModels_) {
       row.emplace_back(EncodeModels(entry->models_));
     }
+  } else {
+    row.emplace_back(aChange.lastStamp_.startedAt_);
+    row.emplace_back(aChange.lastStamp_.heartbeat_);
   }
   return row;
 }
@@ -173,34 +177,41 @@
       entry.models_ = DecodeModels(aRow[kModelsColumn]);
     }
     change.entry_ = std::move(entry);
+  } else {
+    change.lastStamp_ = { NumberAt<std::int64_t>(aRow, 1), NumberAt<std::uint64_t>(aRow, 2) };
   }
   return change;
 }
 
 json::value
-EncodeOffset(const std::optional<LogOffset>& aOffset)
+EncodeOffset(const std::optional<StorePosition>& aPosition)
 {
-  return aOffset ? json::value(*aOffset) : json::value(nullptr);
+  return aPosition ? json::value(aPosition->next_) : json::value(nullptr);
 }
 
-std::optional<LogOffset>
-DecodeOffset(const json::array& aRow, std::size_t aIndex)
+/** @return position whose offset and era are in these cells; none if there is no offset. Hosts that
+ * know no eras send none. */
+std::optional<StorePosition>
+DecodePosition(const json::array& aRow, std::size_t aOffsetIndex, std::size_t aEraIndex)
 {
-  if (aIndex >= aRow.size() || !aRow[aIndex].is_number()) {
+  if (aOffsetIndex >= aRow.size() || !aRow[aOffsetIndex].is_number()) {
     return std::nullopt;
   }
-  return NumberAt<LogOffset>(aRow, aIndex);
+  return StorePosition{ NumberAt<StoreEra>(aRow, aEraIndex),
+                        NumberAt<LogOffset>(aRow, aOffsetIndex) };
 }
 
 void
 EncodeReply(const RelayReply& aAnswer, json::object& aObject)
 {
   aObject["s"] = json::array{ aAnswer.query_,
-                              EncodeOffset(aAnswer.operatorsOffset_),
+                              EncodeOffset(aAnswer.operators_),
                               aAnswer.configAge_.count(),
-                              EncodeOffset(aAnswer.upstreamsOffset_),
+                              EncodeOffset(aAnswer.upstreams_),
                               aAnswer.upstreamAge_.count(),
-                              aAnswer.hostsDigest_ };
+                              aAnswer.hostsDigest_,
+                              aAnswer.operators_.value_or(StorePosition()).era_,
+                              aAnswer.upstreams_.value_or(StorePosition()).era_ };
   if (aAnswer.changes_) {
     json::array changes;
     for (const auto& change : *aAnswer.changes_) {
@@ -215,9 +226,9 @@
 {
   RelayReply answer;
   answer.query_ = NumberAt<std::uint64_t>(aRow, 0);
-  answer.operatorsOffset_ = DecodeOffset(aRow, 1);
+  answer.operators_ = DecodePosition(aRow, 1, 6);
   answer.configAge_ = std::chrono::milliseconds(NumberAt<std::int64_t>(aRow, 2));
-  answer.upstreamsOffset_ = DecodeOffset(aRow, 3);
+  answer.upstreams_ = DecodePosition(aRow, 3, 7);
   answer.upstreamAge_ = std::chrono::milliseconds(NumberAt<std::int64_t>(aRow, 4));
   answer.hostsDigest_ = NumberAt<std::uint64_t>(aRow, 5);
   if (aObject.contains("x")) {
@@ -251,6 +262,10 @@
   }
   aObject["d"] = std::move(demand);
   aObject["r"] = std::move(running);
+  if (aLoad.config_.version_ > 0) {
+    const auto& [version, next] = aLoad.config_;
+    aObject["v"] = json::array{ version, next.next_, next.era_ };
+  }
 }
 
 HostLoad
@@ -270,6 +285,11 @@
     }
     counts.load_.push_back(std::move(load));
   });
+  if (const auto* value = aObject.if_contains("v"); value != nullptr && value->is_array()) {
+    const auto& row = value->get_array();
+    counts.config_ = { NumberAt<std::int64_t>(row, 0),
+                       { NumberAt<StoreEra>(row, 2), NumberAt<LogOffset>(row, 1) } };
+  }
   return counts;
 }
 
@@ -379,7 +399,8 @@
   }
   EncodeQuarantine(aMessage.quarantine_, object);
   if (const auto& query = aMessage.query_) {
-    object["q"] = json::array{ query->upstreamsOffset_, query->hostsDigest_ };
+    object["q"] =
+      json::array{ query->upstreams_.next_, query->hostsDigest_, query->upstreams_.era_ };
   }
   if (aMessage.reply_) {
     EncodeReply(*aMessage.reply_, object);
@@ -466,7 +487,8 @@
   ReadField(object, "g", message.generation_);
   if (const auto* value = object.if_contains("q"); value != nullptr && value->is_array()) {
     const auto& row = value->get_array();
-    message.query_ = RelayQuery{ NumberAt<LogOffset>(row, 0), NumberAt<std::uint64_t>(row, 1) };
+    message.query_ = RelayQuery{ { NumberAt<StoreEra>(row, 2), NumberAt<LogOffset>(row, 0) },
+                                 NumberAt<std::uint64_t>(row, 1) };
   }
   if (const auto* value = object.if_contains("s"); value != nullptr && value->is_array()) {
     message.reply_ = DecodeReply(value->get_array(), object);
--- a/src/gateway/gossip_service.cpp
+++ b/src/gateway/gossip_service.cpp
@@ -95,7 +95,9 @@
 HostLoad
 GossipService::OwnLoad() const
 {
-  return { context_.quota_.Demand(), context_.fleet_.Upstreams().OwnLoad() };
+  return { context_.quota_.Demand(),
+           context_.fleet_.Upstreams().OwnLoad(),
+           context_.fleet_.Config() };
 }
 
 HostPartitions
@@ -147,6 +149,7 @@
   const auto others = hostLoads_.TotalOfOthers();
   context_.quota_.OnPeerDemand(Others(), others.demand_);
   context_.fleet_.Upstreams().OnPeerLoad(Others(), others.load_);
+  context_.fleet_.SetPeerConfig(others.config_);
 }
 
 void
@@ -201,7 +204,8 @@
 GossipService::SendQuery(const HostRecord& aReader)
 {
   auto message = NewLoadMessage(OwnLoad());
-  message.query_ = RelayQuery{ watch_->Position().upstreamsOffset_.value_or(0), hostsDigest_ };
+  message.query_ =
+    RelayQuery{ watch_->Position().upstreams_.value_or(StorePosition()), hostsDigest_ };
   openQueries_[message.number_] = { aReader.id_, context_.clock_.Now() };
   if (openQueries_.size() > kMaxOpenQueries) {
     openQueries_.erase(openQueries_.begin());
@@ -218,16 +222,18 @@
   answer.query_ = aQuery.number_;
   const auto proofAge = context_.fleet_.ConfigAge();
   if (proofAge < Duration::max()) {
-    answer.operatorsOffset_ = position.operatorsOffset_;
+    answer.operators_ = position.operators_;
     answer.configAge_ = std::chrono::ceil<milliseconds>(proofAge);
   }
-  answer.upstreamsOffset_ = position.upstreamsOffset_;
+  answer.upstreams_ = position.upstreams_;
   answer.upstreamAge_ = std::chrono::ceil<milliseconds>(position.upstreamAge_);
-  if (auto page = context_.fleet_.Changes().PageSince(
-        aQuery.query_->upstreamsOffset_, kMaxRelayedBytes, EstimatedSize)) {
+  auto page = position.upstreams_ ? context_.fleet_.Changes().PageSince(
+                                      aQuery.query_->upstreams_, kMaxRelayedBytes, EstimatedSize)
+                                  : std::nullopt;
+  if (page) {
     answer.changes_ = std::move(page->changes_);
     if (page->next_) {
-      answer.upstreamsOffset_ = page->next_;
+      answer.upstreams_->next_ = *page->next_;
       answer.upstreamAge_ = kIncompletePageAge;
     }
   }
@@ -255,15 +261,16 @@
     readerAnsweredAt_ = context_.clock_.Now();
     hasAnswer_ = true;
   }
-  if (answer.operatorsOffset_) {
-    watch_->OnRelayedConfigAge(sentAt, *answer.operatorsOffset_, answer.configAge_);
+  if (answer.operators_) {
+    watch_->OnRelayedConfigAge(sentAt, *answer.operators_, answer.configAge_);
   }
-  if (answer.upstreamsOffset_ && answer.changes_) {
+  if (answer.upstreams_ && answer.changes_) {
     ChangeBatch batch;
-    batch.next_ = *answer.upstreamsOffset_;
+    batch.era_ = answer.upstreams_->era_;
+    batch.next_ = answer.upstreams_->next_;
     batch.changes_.assign(answer.changes_->begin(), answer.changes_->end());
     watch_->OnRelayedUpstreams(sentAt, batch, answer.upstreamAge_);
-  } else if (answer.upstreamsOffset_) {
+  } else if (answer.upstreams_) {
     watch_->OnRelayGap();
   }
   if (const auto reader = context_.peers_.AssignedReader();
@@ -287,13 +294,16 @@
   context_.peers_.OnPartitions(aMessage.host_.id_, aMessage.generation_, aMessage.partitions_);
   if (aMessage.reply_) {
     OnReply(aMessage);
-    return;
-  }
-  hostLoads_.OnPeerLoad(aMessage.host_.id_, *aMessage.hostLoad_, aMessage.query_.has_value());
-  if (aMessage.query_) {
-    SendAnswer(aMessage);
   } else {
-    SendLiveHosts(aMessage.host_);
+    hostLoads_.OnPeerLoad(aMessage.host_.id_, *aMessage.hostLoad_, aMessage.query_.has_value());
+    if (aMessage.query_) {
+      SendAnswer(aMessage);
+    } else {
+      SendLiveHosts(aMessage.host_);
+    }
+  }
+  if (aMessage.hostLoad_->config_.version_ > context_.fleet_.Config().version_) {
+    ApplyLoad(); // Not only with the next round, as this host may act on a lost configuration.
   }
 }
 
--- a/src/gateway/store_watch.cpp
+++ b/src/gateway/store_watch.cpp
@@ -18,6 +18,15 @@
 // covers two lost datagrams.
 constexpr Duration kMaxRelayDelay = 2 * kGossipInterval;
 
+/** @return whether an era is newer than the one known before, if there was one. */
+bool
+EnterEra(std::optional<StoreEra>& aKnown, StoreEra aEra)
+{
+  const bool isNewer = aKnown && *aKnown < aEra;
+  aKnown = std::max(aKnown.value_or(aEra), aEra);
+  return isNewer;
+}
+
 } // namespace
 
 StoreWatch::StoreWatch(FleetStore& aStore,
@@ -25,13 +34,15 @@
                        const Clock& aClock,
                        Scheduler& aScheduler,
                        WatchSettings aSettings,
-                       std::function<void()> aOnChange)
+                       std::function<void()> aOnChange,
+                       std::function<void()> aOnRestored)
   : store_(aStore)
   , state_(aState)
   , clock_(aClock)
   , scheduler_(aScheduler)
   , settings_(aSettings)
   , onChange_(std::move(aOnChange))
+  , onRestored_(std::move(aOnRestored))
 {
 }
 
@@ -60,7 +71,7 @@
   const auto sentAt = clock_.Now();
   const bool isReadDue =
     isOperatorReadDue_ && sentAt - operatorsReadAt_ >= settings_.relayedReadInterval_;
-  if (isRelayed_ && operatorsOffset_ && !isReadDue && state_.ConfigAge() <= kMaxRelayedConfigAge) {
+  if (isRelayed_ && operators_ && !isReadDue && state_.ConfigAge() <= kMaxRelayedConfigAge) {
     // The relayed configuration was confirmed recently enough: while a long poll of this host
     // waits, the configuration also stays unconfirmed for up to the whole wait.
     pollWait_ = std::chrono::milliseconds(0);
@@ -69,14 +80,14 @@
   }
   isOperatorReadDue_ = false;
   operatorsReadAt_ = sentAt;
-  auto callback = [weak = weak_from_this(), sentAt, knownNext = relayedOperatorsOffset_](
+  auto callback = [weak = weak_from_this(), sentAt, knownNext = relayedOperators_](
                     std::error_code aError, const ChangeBatch& aBatch) {
     if (const auto self = weak.lock()) {
       self->OnOperators(sentAt, knownNext, aError, aBatch);
     }
   };
-  if (operatorsOffset_) {
-    store_.ReadChanges(ChangeStream::Operators, *operatorsOffset_, pollWait_, callback);
+  if (operators_) {
+    store_.ReadChanges(ChangeStream::Operators, *operators_, pollWait_, callback);
   } else {
     store_.ReadAll(ChangeStream::Operators, callback);
   }
@@ -84,13 +95,13 @@
 
 void
 StoreWatch::OnOperators(TimePoint aSentAt,
-                        LogOffset aKnownNext,
+                        StorePosition aKnownNext,
                         std::error_code aError,
                         const ChangeBatch& aBatch)
 {
   if (aError == make_error_code(StoreError::HistoryLost)) {
     LogEvent(LogLevel::Info, "history_lost", { { "stream", "operators" } });
-    operatorsOffset_.reset();
+    operators_.reset();
     RunAfter(kMinPollInterval, &StoreWatch::PollOperators);
     return;
   }
@@ -103,43 +114,78 @@
         { "call_ms", std::to_string((clock_.Now() - aSentAt) / std::chrono::milliseconds(1)) } });
   }
   if (aError) {
+    // The store may come back in another era, where a long poll from an offset that was given out
+    // again would learn of that only at its end.
+    pollWait_ = std::chrono::milliseconds(0);
     RunAfter(RetryDelay(), &StoreWatch::PollOperators);
     return;
   }
-  if (aBatch.next_ < aKnownNext) {
+  if (aBatch.Next() < aKnownNext) {
     // Applying it could restore a withdrawn key or end an evacuation that is in force.
     LogEvent(LogLevel::Warn,
              "store_answer_stale",
              { { "stream", "operators" },
                { "offset", std::to_string(aBatch.next_) },
-               { "known_offset", std::to_string(aKnownNext) } });
+               { "era", std::to_string(aBatch.era_) },
+               { "known_offset", std::to_string(aKnownNext.next_) },
+               { "known_era", std::to_string(aKnownNext.era_) } });
     RunAfter(RetryDelay(), &StoreWatch::PollOperators);
     return;
   }
   // The store answers a long poll as soon as there is a record, so a poll that ends without one
   // confirms that there was no record during the whole wait.
-  const bool hasNoRecords = operatorsOffset_ == aBatch.next_ && clock_.Now() - aSentAt >= pollWait_;
-  operatorsOffset_ = aBatch.next_;
-  state_.ApplyOperators(aBatch);
+  const bool hasNoRecords = operators_ == aBatch.Next() && clock_.Now() - aSentAt >= pollWait_;
+  operators_ = aBatch.Next();
+  if (EnterEra(operatorsEra_, aBatch.era_)) {
+    endEvacuationsAt_ = clock_.Now() + settings_.removalHoldTime_;
+    RunAfter(settings_.removalHoldTime_, &StoreWatch::EndUnnamedEvacuations);
+  }
+  state_.ApplyOperators(aBatch, endEvacuationsAt_.has_value());
   state_.OnConfigConfirmed(hasNoRecords ? aSentAt + pollWait_ : aSentAt);
   // An answer with records confirms only the time at which the poll was sent, up to a whole wait
   // ago. The next poll does not wait, so that it confirms the current time.
   pollWait_ = hasNoRecords ? settings_.configWait_ : std::chrono::milliseconds(0);
+  OnEra(aBatch.era_);
   onChange_();
   // Without a configuration, everything is read again later: a long poll has nothing to wait for in
   // the topic, which may not exist yet.
   if (!state_.Routes()) {
-    operatorsOffset_.reset();
+    operators_.reset();
     RunAfter(settings_.noConfigDelay_, &StoreWatch::PollOperators);
     return;
   }
   RunAfter(kMinPollInterval, &StoreWatch::PollOperators);
 }
 
+void
+StoreWatch::OnEra(StoreEra aEra)
+{
+  const auto before = era_;
+  if (!EnterEra(era_, aEra)) {
+    return;
+  }
+  LogEvent(LogLevel::Warn,
+           "store_restored",
+           { { "era", std::to_string(aEra) }, { "era_before", std::to_string(*before) } });
+  if (onRestored_) {
+    onRestored_();
+  }
+}
+
+void
+StoreWatch::EndUnnamedEvacuations()
+{
+  if (endEvacuationsAt_ && clock_.Now() >= *endEvacuationsAt_) {
+    endEvacuationsAt_.reset();
+    state_.EndUnnamedEvacuations();
+    onChange_();
+  }
+}
+
 bool
 StoreWatch::AreUpstreamsRelayed() const
 {
-  return isRelayed_ && upstreamsOffset_ && !isUpstreamReadDue_ &&
+  return isRelayed_ && upstreams_ && !isUpstreamReadDue_ &&
          clock_.Now() - upstreamsRequestedAt_ <= settings_.upstreamInterval_ + kMaxRelayDelay;
 }
 
@@ -163,9 +209,9 @@
       self->OnUpstreams(sentAt, aError, aBatch);
     }
   };
-  if (upstreamsOffset_) {
+  if (upstreams_) {
     store_.ReadChanges(
-      ChangeStream::Upstreams, *upstreamsOffset_, std::chrono::milliseconds(0), callback);
+      ChangeStream::Upstreams, *upstreams_, std::chrono::milliseconds(0), callback);
   } else {
     store_.ReadAll(ChangeStream::Upstreams, callback);
   }
@@ -176,7 +222,7 @@
 {
   if (aError == make_error_code(StoreError::HistoryLost)) {
     LogEvent(LogLevel::Info, "history_lost", { { "stream", "upstreams" } });
-    upstreamsOffset_.reset();
+    upstreams_.reset();
     RunAfter(kMinPollInterval, &StoreWatch::PollUpstreams);
     return;
   }
@@ -200,20 +246,24 @@
       { { "gap_ms", std::to_string((now - upstreamsUpdatedAt_) / std::chrono::milliseconds(1)) } });
     flushRemovalsAt_ = now + settings_.removalHoldTime_;
   }
+  if (EnterEra(upstreamsEra_, aBatch.era_)) {
+    flushRemovalsAt_ = now + settings_.removalHoldTime_;
+  }
   upstreamsUpdatedAt_ = now;
   upstreamsRequestedAt_ = std::max(upstreamsRequestedAt_, aSentAt);
-  upstreamsOffset_ = aBatch.next_;
+  upstreams_ = aBatch.Next();
   state_.ApplyUpstreams(aBatch, flushRemovalsAt_.has_value());
+  OnEra(aBatch.era_);
   onChange_();
 }
 
 void
-StoreWatch::OnRelayedConfigAge(TimePoint aSentAt, LogOffset aNext, Duration aConfigAge)
+StoreWatch::OnRelayedConfigAge(TimePoint aSentAt, StorePosition aNext, Duration aConfigAge)
 {
-  relayedOperatorsOffset_ = std::max(relayedOperatorsOffset_, aNext);
-  if (operatorsOffset_ == aNext) {
+  relayedOperators_ = std::max(relayedOperators_, aNext);
+  if (operators_ == aNext) {
     state_.OnConfigConfirmed(aSentAt - aConfigAge);
-  } else if (operatorsOffset_ && *operatorsOffset_ < aNext) {
+  } else if (operators_ && *operators_ < aNext) {
     isOperatorReadDue_ = true;
   }
 }
@@ -221,8 +271,9 @@
 void
 StoreWatch::OnRelayedUpstreams(TimePoint aSentAt, const ChangeBatch& aBatch, Duration aAge)
 {
-  // An answer to an earlier query may arrive after this host has read the store itself.
-  if (upstreamsOffset_ && aBatch.next_ >= *upstreamsOffset_) {
+  // An answer to an earlier query may arrive after this host has read the store itself, perhaps in
+  // another era.
+  if (upstreams_ && aBatch.era_ == upstreams_->era_ && aBatch.next_ >= upstreams_->next_) {
     ApplyUpstreams(aSentAt - aAge, aBatch);
   }
 }
@@ -230,7 +281,7 @@
 WatchPosition
 StoreWatch::Position() const
 {
-  return { operatorsOffset_, upstreamsOffset_, clock_.Now() - upstreamsRequestedAt_ };
+  return { operators_, upstreams_, clock_.Now() - upstreamsRequestedAt_ };
 }
 
 } // namespace laburnumweir
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -12,13 +12,11 @@
 
 namespace laburnumweir {
 
-/** Offsets up to which a host has read the store's streams; sent to the hosts that query it. */
+/** Positions up to which a host has read the store's streams; sent to the hosts that query it. */
 struct WatchPosition
 {
-  std::optional<LogOffset>
-    operatorsOffset_; ///< Next offset of the operators' stream; none if unknown.
-  std::optional<LogOffset>
-    upstreamsOffset_;      ///< Next offset of the upstreams' stream; none if unknown.
+  std::optional<StorePosition> operators_; ///< In the operators' stream; none if unknown.
+  std::optional<StorePosition> upstreams_; ///< In the upstreams' stream; none if unknown.
   Duration upstreamAge_{}; ///< Time since the newest state of the entries was requested.
 };
 
@@ -40,8 +38,8 @@
    * With the short delay, the number of failing calls in an outage would grow with the number of
    * hosts. */
   std::chrono::milliseconds relayedRetryDelay_{ 1000 };
-  /** Time after an outage within which live upstreams have written their expired entries again;
-   * removals are deferred until then. */
+  /** Time after an outage, or after a loss of records, within which live upstreams have written
+   * their entries again and operators their evacuations; removals are deferred until then. */
   std::chrono::milliseconds removalHoldTime_{ 2300 };
   /** Interval of the checks whether a store reader still relays. */
   std::chrono::milliseconds relayCheckInterval_{ 100 };
@@ -59,24 +57,27 @@
   /**
    * All references must outlive this object.
    * @param aOnChange called after each batch that was applied to the state.
+   * @param aOnRestored called once for each newer era, after the first snapshot of it was applied;
+   * not for the first snapshot after the start. What this host wrote to the store may be lost.
    */
   StoreWatch(FleetStore& aStore,
              FleetState& aState,
              const Clock& aClock,
              Scheduler& aScheduler,
              WatchSettings aSettings,
-             std::function<void()> aOnChange);
+             std::function<void()> aOnChange,
+             std::function<void()> aOnRestored = {});
 
   /** Starts to read both streams. */
   void Start();
   /**
    * Processes the position of a store reader in the operators' stream.
    * @param aSentAt when the query was sent.
-   * @param aNext next offset of the store reader; if equal to the offset of this host, both have
-   * the same configuration.
+   * @param aNext position of the store reader; if equal to that of this host, both have the same
+   * configuration.
    * @param aConfigAge age of the configuration at the store reader when it answered.
    */
-  void OnRelayedConfigAge(TimePoint aSentAt, LogOffset aNext, Duration aConfigAge);
+  void OnRelayedConfigAge(TimePoint aSentAt, StorePosition aNext, Duration aConfigAge);
   /**
    * Applies changes of the upstreams' stream that a store reader relayed.
    * @param aSentAt when the query was sent.
@@ -96,13 +97,16 @@
   void PollOperators();
   /** @param aKnownNext end of the operators' stream that was known when the read was sent. */
   void OnOperators(TimePoint aSentAt,
-                   LogOffset aKnownNext,
+                   StorePosition aKnownNext,
                    std::error_code aError,
                    const ChangeBatch& aBatch);
+  void EndUnnamedEvacuations();
   void PollUpstreams();
   void OnUpstreams(TimePoint aSentAt, std::error_code aError, const ChangeBatch& aBatch);
   void ApplyUpstreams(TimePoint aSentAt, const ChangeBatch& aBatch);
   bool AreUpstreamsRelayed() const;
+  /** Reports a newer era, whichever stream was read first in it. */
+  void OnEra(StoreEra aEra);
   void RunAfter(Duration aDelay, void (StoreWatch::*aFunction)());
   Duration RetryDelay() const
   {
@@ -114,17 +118,23 @@
   const Clock& clock_;
   Scheduler& scheduler_;
   const WatchSettings settings_;
-  std::function<void()> onChange_;           ///< Called after each batch that was applied.
-  std::chrono::milliseconds pollWait_{ 0 };  ///< Wait of the current or next long poll.
-  std::optional<LogOffset> operatorsOffset_; ///< Next offset; if none, a snapshot is read.
-  LogOffset relayedOperatorsOffset_ = 0;     ///< Highest next offset that a store reader had.
-  std::optional<LogOffset> upstreamsOffset_; ///< Next offset; if none, a snapshot is read.
-  TimePoint operatorsReadAt_;                ///< When the operators' stream was last read.
-  TimePoint upstreamsUpdatedAt_;             ///< When entries were last read or relayed.
-  TimePoint upstreamsRequestedAt_; ///< When the newest state of the entries was requested.
-  bool isRelayed_ = false;         ///< A store reader relays the content of the store.
-  bool isOperatorReadDue_ = false; ///< A store reader has a newer configuration.
-  bool isUpstreamReadDue_ = false; ///< A store reader lacks the changes.
+  std::function<void()> onChange_;          ///< Called after each batch that was applied.
+  std::function<void()> onRestored_;        ///< Called after the first snapshot of a newer era.
+  std::optional<StoreEra> era_;             ///< Newest era that a stream was read in.
+  std::chrono::milliseconds pollWait_{ 0 }; ///< Wait of the current or next long poll.
+  std::optional<StorePosition> operators_;  ///< Next position; if none, a snapshot is read.
+  StorePosition relayedOperators_;          ///< Newest position that a store reader had.
+  std::optional<StoreEra> operatorsEra_;    ///< Newest era that the operators' stream was read in.
+  /** When evacuations end that the last snapshot does not name. */
+  std::optional<TimePoint> endEvacuationsAt_;
+  std::optional<StorePosition> upstreams_; ///< Next position; if none, a snapshot is read.
+  std::optional<StoreEra> upstreamsEra_;   ///< Newest era that the upstreams' stream was read in.
+  TimePoint operatorsReadAt_;              ///< When the operators' stream was last read.
+  TimePoint upstreamsUpdatedAt_;           ///< When entries were last read or relayed.
+  TimePoint upstreamsRequestedAt_;         ///< When the newest state of the entries was requested.
+  bool isRelayed_ = false;                 ///< A store reader relays the content of the store.
+  bool isOperatorReadDue_ = false;         ///< A store reader has a newer configuration.
+  bool isUpstreamReadDue_ = false;         ///< A store reader lacks the changes.
   std::optional<TimePoint> flushRemovalsAt_; ///< When deferred removals take effect.
   bool isConnected_ = false;                 ///< The last read of the operators' stream succeeded.
 };
--- a/tests/gateway/store_watch_test.cpp
+++ b/tests/gateway/store_watch_test.cpp
@@ -26,26 +26,36 @@
         ++snapshots_;
         ChangeBatch batch;
         batch.isSnapshot_ = true;
+        batch.era_ = era_;
         batch.next_ = snapshotEnd_;
         batch.changes_ = aStream == ChangeStream::Operators ? operators_ : upstreams_;
         aCallback(error_, std::move(batch));
       });
     ON_CALL(store_, ReadChanges)
       .WillByDefault([this](ChangeStream aStream,
-                            LogOffset aFrom,
+                            StorePosition aFrom,
                             std::chrono::milliseconds aWait,
                             const FleetStore::ChangesCallback& aCallback) {
         const auto respond = [this, aStream, aFrom, aWait, aCallback] {
           ChangeBatch batch;
-          batch.next_ = aFrom;
+          if (aFrom.era_ != era_) {
+            aCallback(StoreError::HistoryLost, std::move(batch));
+            return;
+          }
+          batch.era_ = era_;
+          batch.next_ = aFrom.next_;
           if (aStream == ChangeStream::Operators) {
             ++operatorReads_;
-            batch.next_ = std::max(aFrom, operatorsEnd_);
+            batch.next_ = std::max(aFrom.next_, operatorsEnd_);
           }
           if (aStream == ChangeStream::Operators && aWait > 0ms && recordAfter_) {
             recordAfter_.reset();
             ++batch.next_;
           }
+          if (aStream == ChangeStream::Operators && !error_ && !nextOperators_.empty()) {
+            batch.changes_ = std::exchange(nextOperators_, {});
+            batch.next_ = ++operatorsEnd_;
+          }
           if (aStream == ChangeStream::Upstreams && !error_) {
             batch.changes_ = std::exchange(nextChanges_, {});
           }
@@ -60,19 +70,39 @@
     upstreams_ = { UpstreamChange{ UpstreamId("e1"), MakeEngine("e1") } };
   }
 
+  /** Replaces the store by an older copy of it that ends at an offset. */
+  void Restore(LogOffset aEnd)
+  {
+    ++era_;
+    snapshotEnd_ = aEnd;
+    operatorsEnd_ = aEnd;
+  }
   bool HasEngine() { return state_.Upstreams().Find(UpstreamId("e1")) != nullptr; }
 
   FakeClock clock_;
   testing_support::FakeScheduler scheduler_{ clock_ };
   testing::NiceMock<testing_support::MockStore> store_;
   FleetState state_{ clock_, HostId("h1"), DataCentreId("dc1") };
-  std::shared_ptr<StoreWatch> watch_ =
-    std::make_shared<StoreWatch>(store_, state_, clock_, scheduler_, WatchSettings(), [] {});
+  std::shared_ptr<StoreWatch> watch_ = std::make_shared<StoreWatch>(
+    store_,
+    state_,
+    clock_,
+    scheduler_,
+    WatchSettings(),
+    [] {},
+    [this] {
+      ++restored_;
+      positionsAtRestore_ = watch_->Position();
+    });
   std::vector<FleetChange> operators_;
   std::vector<FleetChange> upstreams_;
-  std::vector<FleetChange> nextChanges_;
+  std::vector<FleetChange> nextOperators_; ///< With the next read of the operators' changes.
+  std::vector<FleetChange> nextChanges_;   ///< With the next read of the upstreams' changes.
   std::error_code error_;
   int snapshots_ = 0;
+  StoreEra era_ = 1;
+  int restored_ = 0; ///< Reports that the store came back from an older copy.
+  WatchPosition positionsAtRestore_;
   LogOffset snapshotEnd_ = 10;
   LogOffset operatorsEnd_ = 0; ///< End of the operators' stream for reads of changes.
   int operatorReads_ = 0;      ///< Reads of changes of the operators' stream.
@@ -105,12 +135,13 @@
 {
   ON_CALL(store_, ReadChanges(ChangeStream::Operators, _, _, _))
     .WillByDefault([this](ChangeStream,
-                          LogOffset aFrom,
+                          StorePosition aFrom,
                           std::chrono::milliseconds,
                           const FleetStore::ChangesCallback& aCallback) {
       scheduler_.After(1s, [aFrom, aCallback] {
         ChangeBatch batch;
-        batch.next_ = aFrom + 1;
+        batch.era_ = aFrom.era_;
+        batch.next_ = aFrom.next_ + 1;
         aCallback({}, std::move(batch));
       });
     });
@@ -201,12 +232,12 @@
   const int before = operatorReads_;
   for (int i = 0; i < 25; ++i) {
     ++operatorsEnd_;
-    watch_->OnRelayedConfigAge(clock_.Now(), operatorsEnd_, 0ms);
+    watch_->OnRelayedConfigAge(clock_.Now(), { era_, operatorsEnd_ }, 0ms);
     scheduler_.Run(60ms);
   }
   EXPECT_LE(operatorReads_ - before, 5);
   scheduler_.Run(600ms);
-  watch_->OnRelayedConfigAge(clock_.Now(), operatorsEnd_, 0ms);
+  watch_->OnRelayedConfigAge(clock_.Now(), { era_, operatorsEnd_ }, 0ms);
   EXPECT_LE(state_.ConfigAge(), 0ms) << "it has the newest configuration";
 }
 
@@ -223,7 +254,7 @@
 // restart: a store reader knows a newer offset than the state that the store answers with.
 TEST_F(StoreWatchTest, AnAnswerOlderThanARelayedOffsetIsNotUsed)
 {
-  watch_->OnRelayedConfigAge(clock_.Now(), 12, 0ms);
+  watch_->OnRelayedConfigAge(clock_.Now(), { era_, 12 }, 0ms);
   watch_->Start();
   scheduler_.Run(500ms);
   EXPECT_FALSE(state_.Routes());
@@ -234,6 +265,254 @@
   EXPECT_LE(state_.ConfigAge(), 500ms);
 }
 
+// Guards against a host that takes no configuration for long after the store came back from an
+// older copy: the offsets are below those that the store reader had before, so each answer looked
+// older than what the host knew of.
+TEST_F(StoreWatchTest, ReadsAStoreThatCameBackWithLowerOffsets)
+{
+  watch_->Start();
+  watch_->OnRelayedConfigAge(clock_.Now(), { era_, 12 }, 0ms);
+  scheduler_.Run(500ms);
+  Restore(7);
+  FleetConfig config;
+  config.version_ = 4;
+  operators_ = { config };
+  scheduler_.Run(2s);
+  EXPECT_EQ(state_.Routes()->Config().version_, 4);
+  EXPECT_LE(state_.ConfigAge(), 2s);
+}
+
+// Guards against a configuration that comes into force too late after the store came back from an
+// older copy: the next long poll starts at an offset that the copy has too, so that it learns of
+// the new era only when it ends.
+TEST_F(StoreWatchTest, NoticesANewEraWithoutWaitingForALongPoll)
+{
+  watch_->Start();
+  scheduler_.Run(5s);
+  error_ = StoreError::Unreachable;
+  scheduler_.Run(2s);
+  error_ = {};
+  Restore(snapshotEnd_);
+  FleetConfig config;
+  config.version_ = 4;
+  operators_ = { config };
+  scheduler_.Run(WatchSettings().retryDelay_ + 100ms);
+  EXPECT_EQ(state_.Routes()->Config().version_, 4);
+}
+
+// Guards against a state of before the loss that is taken as newer than one of after it, because
+// its offsets are higher.
+TEST_F(StoreWatchTest, AnAnswerOfAnEarlierEraThanARelayedPositionIsNotUsed)
+{
+  watch_->OnRelayedConfigAge(clock_.Now(), { era_ + 1, 5 }, 0ms);
+  watch_->Start();
+  scheduler_.Run(500ms);
+  EXPECT_FALSE(state_.Routes());
+  Restore(5);
+  scheduler_.Run(500ms);
+  EXPECT_TRUE(state_.Routes());
+}
+
+// Guards against a configuration that counts as confirmed by a store reader of another era that
+// has the same offset.
+TEST_F(StoreWatchTest, OnlyTheSameEraConfirmsTheConfiguration)
+{
+  watch_->Start();
+  error_ = StoreError::Unreachable;
+  scheduler_.Run(5s);
+  watch_->OnRelayedConfigAge(clock_.Now(), { era_ - 1, snapshotEnd_ }, 0ms);
+  watch_->OnRelayedConfigAge(clock_.Now(), { era_ + 1, snapshotEnd_ }, 0ms);
+  EXPECT_GE(state_.ConfigAge(), 3s);
+  watch_->OnRelayedConfigAge(clock_.Now(), { era_, snapshotEnd_ }, 0ms);
+  EXPECT_LE(state_.ConfigAge(), 0ms);
+}
+
+// Guards against changes of two eras that are mixed: a late answer of a store reader to a query of
+// the old era has a higher offset than the snapshot of the new one.
+TEST_F(StoreWatchTest, RelayedChangesOfAnotherEraAreNotApplied)
+{
+  watch_->Start();
+  scheduler_.Run(1s);
+  ChangeBatch batch;
+  batch.era_ = era_;
+  batch.next_ = snapshotEnd_ + 1;
+  batch.changes_ = { UpstreamChange{ UpstreamId("e2"), MakeEngine("e2") } };
+  Restore(5);
+  scheduler_.Run(1s);
+  watch_->OnRelayedUpstreams(clock_.Now(), batch, 0ms);
+  EXPECT_EQ(state_.Upstreams().Find(UpstreamId("e2")), nullptr);
+  EXPECT_EQ(watch_->Position().upstreams_, (StorePosition{ era_, 5 }));
+}
+
+class StoreWatchRestoreTest : public StoreWatchTest
+{
+protected:
+  /** Starts with the evacuation of dc1, which the store then loses. */
+  void LoseEvacuation()
+  {
+    const auto config = operators_;
+    operators_.emplace_back(EvacuationChange{ DataCentreId("dc1"), true });
+    watch_->Start();
+    scheduler_.Run(2s);
+    EXPECT_FALSE(IsUsable());
+    Restore(5);
+    operators_ = config;
+    scheduler_.Run(2s);
+  }
+  UpstreamChange EntryWithHeartbeat(std::uint64_t aHeartbeat)
+  {
+    auto entry = MakeEngine("e1");
+    entry.heartbeat_ = aHeartbeat;
+    return { entry.id_, entry };
+  }
+  bool IsUsable()
+  {
+    return state_.Upstreams().IsUsable(*state_.Upstreams().Find(UpstreamId("e1")));
+  }
+};
+
+// Guards against requests to an evacuated data centre after the store came back from an older copy
+// that lacks the evacuation: operators need a moment to write it again.
+TEST_F(StoreWatchRestoreTest, KeepsAnEvacuationThatTheCopyLacks)
+{
+  LoseEvacuation();
+  EXPECT_FALSE(IsUsable());
+  nextOperators_ = { EvacuationChange{ DataCentreId("dc1"), true } };
+  scheduler_.Run(6s);
+  EXPECT_FALSE(IsUsable()) << "it was written again";
+}
+
+TEST_F(StoreWatchRestoreTest, EndsAnEvacuationThatIsNotWrittenAgain)
+{
+  LoseEvacuation();
+  EXPECT_FALSE(IsUsable());
+  scheduler_.Run(2s);
+  EXPECT_TRUE(IsUsable());
+}
+
+TEST_F(StoreWatchRestoreTest, AnEndThatIsWrittenAfterTheRestoreAppliesAtOnce)
+{
+  const auto config = operators_;
+  operators_.emplace_back(EvacuationChange{ DataCentreId("dc1"), true });
+  watch_->Start();
+  scheduler_.Run(2s);
+  Restore(5);
+  operators_ = config;
+  nextOperators_ = { EvacuationChange{ DataCentreId("dc1"), false } };
+  scheduler_.Run(1600ms);
+  EXPECT_TRUE(nextOperators_.empty());
+  EXPECT_TRUE(IsUsable());
+}
+
+// Guards against the removal of live upstreams after the store came back from an older copy that
+// lacks their entries, after an outage that is too short for entries to expire.
+TEST_F(StoreWatchRestoreTest, KeepsUpstreamsThatTheCopyLacks)
+{
+  upstreams_.emplace_back(UpstreamChange{ UpstreamId("e2"), MakeEngine("e2") });
+  watch_->Start();
+  scheduler_.Run(1s);
+  Restore(5);
+  upstreams_.clear();
+  scheduler_.Run(1s);
+  EXPECT_EQ(watch_->Position().upstreams_, (StorePosition{ era_, 5 }));
+  EXPECT_TRUE(HasEngine());
+  nextChanges_ = { EntryWithHeartbeat(2) };
+  scheduler_.Run(3s);
+  EXPECT_TRUE(HasEngine());
+  EXPECT_EQ(state_.Upstreams().Find(UpstreamId("e2")), nullptr)
+    << "its entry was not written again";
+}
+
+// Guards against requests to an upstream that is gone after the store came back from an older copy
+// that still has one of its entries.
+TEST_F(StoreWatchRestoreTest, ARemovedUpstreamDoesNotComeBackWithAnOldEntry)
+{
+  upstreams_ = { EntryWithHeartbeat(8) };
+  watch_->Start();
+  scheduler_.Run(1s);
+  nextChanges_ = { UpstreamChange{ UpstreamId("e1"), std::nullopt } };
+  scheduler_.Run(1s);
+  ASSERT_FALSE(HasEngine());
+  Restore(5);
+  scheduler_.Run(1s);
+  EXPECT_EQ(watch_->Position().upstreams_, (StorePosition{ era_, 5 }));
+  EXPECT_FALSE(HasEngine());
+  nextChanges_ = { EntryWithHeartbeat(9) };
+  scheduler_.Run(1s);
+  EXPECT_TRUE(HasEngine()) << "it is running";
+}
+
+// Guards against the same at a host that learns of changes from a store reader, which does not
+// relay mere heartbeats.
+TEST_F(StoreWatchRestoreTest, ARelayedRemovalTellsTheLastEntry)
+{
+  upstreams_ = { EntryWithHeartbeat(8) };
+  watch_->Start();
+  scheduler_.Run(1s);
+  ChangeBatch removal;
+  removal.era_ = era_;
+  removal.next_ = snapshotEnd_ + 20;
+  removal.changes_ = { UpstreamChange{ UpstreamId("e1"), std::nullopt, { 1, 20 } } };
+  watch_->OnRelayedUpstreams(clock_.Now(), removal, 0ms);
+  ASSERT_FALSE(HasEngine());
+  Restore(5);
+  upstreams_ = { EntryWithHeartbeat(19) };
+  scheduler_.Run(1s);
+  EXPECT_EQ(watch_->Position().upstreams_, (StorePosition{ era_, 5 }));
+  EXPECT_FALSE(HasEngine());
+  nextChanges_ = { EntryWithHeartbeat(21) };
+  scheduler_.Run(1s);
+  EXPECT_TRUE(HasEngine()) << "it is running";
+}
+
+// Guards against records of this host that stay lost after the store came back from an older copy:
+// the host must learn of it once, although it reads two streams.
+TEST_F(StoreWatchRestoreTest, ReportsEachNewerEraOnce)
+{
+  watch_->Start();
+  scheduler_.Run(3s);
+  EXPECT_EQ(restored_, 0) << "this host has lost nothing";
+  for (int i = 1; i <= 2; ++i) {
+    Restore(5);
+    scheduler_.Run(3s);
+    EXPECT_EQ(restored_, i);
+    const StorePosition end{ era_, 5 };
+    EXPECT_TRUE(positionsAtRestore_.operators_ == end || positionsAtRestore_.upstreams_ == end);
+  }
+}
+
+// Guards against a withdrawn key that is accepted by a host that starts after the store came back
+// from an older copy: the host reads an older configuration than its peers have.
+TEST_F(StoreWatchRestoreTest, AConfigurationThatAPeerHasNewerIsNotConfirmed)
+{
+  Restore(7);
+  watch_->Start();
+  scheduler_.Run(1s);
+  EXPECT_LE(state_.ConfigAge(), 1s);
+  state_.SetPeerConfig({ 4, { era_ - 1, 10 } });
+  EXPECT_TRUE(state_.IsConfigOutdated());
+  EXPECT_EQ(state_.ConfigAge(), Duration::max());
+  FleetConfig config;
+  config.version_ = 4;
+  nextOperators_ = { config };
+  scheduler_.Run(2s);
+  EXPECT_FALSE(state_.IsConfigOutdated()) << "operators wrote it again";
+  EXPECT_LE(state_.ConfigAge(), 2s);
+}
+
+// Guards against requests that are refused at each change of the configuration until it has reached
+// all hosts.
+TEST_F(StoreWatchRestoreTest, AConfigurationIsConfirmedWhileTheNextOneSpreads)
+{
+  watch_->Start();
+  scheduler_.Run(1s);
+  state_.SetPeerConfig({ 4, { era_, snapshotEnd_ + 1 } });
+  EXPECT_FALSE(state_.IsConfigOutdated());
+  state_.SetPeerConfig({ 4, { era_ + 1, 2 } });
+  EXPECT_FALSE(state_.IsConfigOutdated()) << "the peer has read the store after it came back";
+  EXPECT_LE(state_.ConfigAge(), 1s);
+}
+
 TEST_F(StoreWatchTest, ASnapshotEndsEvacuationsThatItDoesNotName)
 {
   watch_->Start();
