Fence a holder only by the refusal of the token that it has

What callers saw: nothing known; found while reading what happens to a token over a restore of the store. Cause: the answer to an order was judged by the token that the partition had when the answer arrived, not by the one in the order. If the host lost the partition and got it anew in between, the refusal of the old token counted for the new one, and the host sent no orders to the engine until the generation rose again, which may take as long as nobody joins or leaves. Change: the refusal is recorded for the token of the order, and ignored if the partition has another one by then. The log line of an order names that token too. Evidence: HolderServiceTest.ARefusalOfAnEarlierTokenDoesNotStopOrders fails on the code before (no order within 6 s after the refusal) and passes. TokenStaysWhileAPartitionIsHeld names the refused token in its call of OnFenced(); its checks are the same.

--- a/src/fleet/holder_lease.cpp
+++ b/src/fleet/holder_lease.cpp
@@ -79,9 +79,10 @@
 }
 
 void
-HolderLease::OnFenced(std::uint32_t aPartition)
+HolderLease::OnFenced(std::uint32_t aPartition, std::uint64_t aToken)
 {
-  if (const auto found = held_.find(aPartition); found != held_.end()) {
+  const auto found = held_.find(aPartition);
+  if (found != held_.end() && found->second.token_ == aToken) {
     found->second.fencedIn_ = generation_;
   }
 }
--- a/src/fleet/holder_lease.h
+++ b/src/fleet/holder_lease.h
@@ -57,9 +57,12 @@
    * it, so that orders that overtake each other bear the same token; none if it is not held.
    */
   std::optional<std::uint64_t> TokenOf(std::uint32_t aPartition) const;
-  /** Records that an engine of a partition has seen a higher token. The partition gets a new token
-   * with the next generation. */
-  void OnFenced(std::uint32_t aPartition);
+  /**
+   * Records that an engine of a partition has seen a higher token. The partition gets a new token
+   * with the next generation.
+   * @param aToken token of the refused order; ignored unless it is still the partition's.
+   */
+  void OnFenced(std::uint32_t aPartition, std::uint64_t aToken);
   /** @return partitions held, including those whose settle time has not ended; empty if the
    * membership may have expired. */
   std::vector<std::uint32_t> Partitions() const;
--- a/src/gateway/holder_service.cpp
+++ b/src/gateway/holder_service.cpp
@@ -333,16 +333,21 @@
 HolderService::SendOrder(const UpstreamId& aId, const EngineOrder& aOrder)
 {
   engines_.at(aId).isCallPending_ = true;
-  engineControl_.Send(AddFencing(*state_.Upstreams().Find(aId), aOrder),
-                      [weak = weak_from_this(), aId, aOrder](OrderAnswer aAnswer) {
-                        if (const auto self = weak.lock()) {
-                          self->OnOrderAnswer(aId, aOrder, aAnswer);
-                        }
-                      });
+  const auto order = AddFencing(*state_.Upstreams().Find(aId), aOrder);
+  engineControl_.Send(
+    order,
+    [weak = weak_from_this(), aId, aOrder, token = order.fencingToken_](OrderAnswer aAnswer) {
+      if (const auto self = weak.lock()) {
+        self->OnOrderAnswer(aId, aOrder, token, aAnswer);
+      }
+    });
 }
 
 void
-HolderService::OnOrderAnswer(const UpstreamId& aId, const EngineOrder& aOrder, OrderAnswer aAnswer)
+HolderService::OnOrderAnswer(const UpstreamId& aId,
+                             const EngineOrder& aOrder,
+                             std::uint64_t aToken,
+                             OrderAnswer aAnswer)
 {
   const auto found = engines_.find(aId);
   auto* upstream = state_.Upstreams().Find(aId);
@@ -357,7 +362,7 @@
              { "order", aOrder.kind_ == OrderKind::Load ? "load" : "unload" },
              { "adapter", aOrder.model_ + "/" + aOrder.adapter_ },
              { "version", std::to_string(aOrder.version_) },
-             { "token", std::to_string(TokenOf(aId)) },
+             { "token", std::to_string(aToken) },
              { "orders", std::to_string(upstream->orderCount_) },
              { "resident", std::to_string(ResidentCount(upstream->entry_)) },
              { "loading", std::to_string(engine.orders_.Pending().size()) },
@@ -392,8 +397,8 @@
       }
       break;
     case OrderAnswer::Fenced:
-      engine.fencedToken_ = TokenOf(aId);
-      lease_.OnFenced(PartitionOfEngine(aId));
+      engine.fencedToken_ = aToken;
+      lease_.OnFenced(PartitionOfEngine(aId), aToken);
       break;
     case OrderAnswer::OtherEngine:
       state_.Upstreams().OnMisdirected(aId);
--- a/src/gateway/holder_service.h
+++ b/src/gateway/holder_service.h
@@ -93,7 +93,11 @@
   void TickEngine(const UpstreamId& aId, Engine& aEngine);
   bool MayLoadWeights(const EngineSpec& aSpec);
   void SendOrder(const UpstreamId& aId, const EngineOrder& aOrder);
-  void OnOrderAnswer(const UpstreamId& aId, const EngineOrder& aOrder, OrderAnswer aAnswer);
+  /** @param aToken fencing token of the order. */
+  void OnOrderAnswer(const UpstreamId& aId,
+                     const EngineOrder& aOrder,
+                     std::uint64_t aToken,
+                     OrderAnswer aAnswer);
   void ScheduleConfirmation(const UpstreamId& aId, const EngineOrder& aOrder, Duration aDelay);
   void SendConfirmation(const UpstreamId& aId, const EngineOrder& aOrder);
   void OnConfirmed(const UpstreamId& aId, const EngineOrder& aOrder, OrderAnswer aAnswer);
--- a/tests/fleet/small_modules_test.cpp
+++ b/tests/fleet/small_modules_test.cpp
@@ -187,7 +187,7 @@
   lease_.OnMembership(clock_.Now(), { 6, { 4, 7 } });
   EXPECT_EQ(lease_.TokenOf(4), 5U);
   EXPECT_EQ(lease_.TokenOf(7), 6U);
-  lease_.OnFenced(4);
+  lease_.OnFenced(4, 5);
   lease_.OnMembership(clock_.Now(), { 6, { 4, 7 } });
   EXPECT_EQ(lease_.TokenOf(4), 5U) << "the store has not dealt anew";
   lease_.OnMembership(clock_.Now(), { 8, { 4, 7 } });
--- a/tests/gateway/holder_service_test.cpp
+++ b/tests/gateway/holder_service_test.cpp
@@ -224,6 +224,34 @@
   EXPECT_EQ(sent_[1].fencingToken_, 8U);
 }
 
+// Guards against a host that gives up a good token: an engine refuses an order, and before its
+// answer arrives the host gets the partition anew, with a token that no engine has refused.
+TEST_F(HolderServiceTest, ARefusalOfAnEarlierTokenDoesNotStopOrders)
+{
+  WaitForLease();
+  EngineControl::OrderCallback refuse;
+  EXPECT_CALL(engines_, Send)
+    .WillOnce([&](const FencedOrder&, const EngineControl::OrderCallback& aCallback) {
+      refuse = aCallback;
+    })
+    .WillRepeatedly(testing::DoDefault());
+  RequestLoad("a1");
+  service_->Tick();
+  ASSERT_TRUE(refuse);
+  membership_ = { 8, {} };
+  scheduler_.Run(1100ms);
+  membership_ = { 9, { 0 } };
+  scheduler_.Run(1100ms);
+  refuse(OrderAnswer::Fenced);
+  for (int i = 0; i < 30; ++i) {
+    scheduler_.Run(200ms);
+    RequestLoad("a1");
+    service_->Tick();
+  }
+  ASSERT_FALSE(sent_.empty());
+  EXPECT_EQ(sent_[0].fencingToken_, 9U);
+}
+
 // Guards against an order that arrives after a later one with a higher token: the generation rises
 // between an order and its confirmation, which travel on different connections.
 TEST_F(HolderServiceTest, OrdersBearOneTokenWhileThePartitionIsHeld)
