Let fencing tokens rise when the store is restored from a copy

What callers would see: adapters that are not loaded. After a restore the generation of the group goes back, and engines refuse every token that is lower than the highest one that they saw, until the generations have caught up. Two hosts could also order at one engine: the copy may assign a partition to a member that has not yet noticed that it lost it, while the lease of its new holder is valid. Cause: the token was the generation, and nothing told eras apart. Change: the answer to a join carries the era of the store. Tokens are ordered by era, then by generation; in era 0 they are as before. A newer era ends the membership that a host had, so that it holds nothing by an older one, and its first order waits for the settle time and for the member time limit: leases of the era before were granted before the restore. That pauses the orders to all engines once for each restore. Weighed: to let a host go on with what it held and the copy still gives it. Its partition may have moved in the generations that the copy lacks, and then both hosts order. Answers of an older era are ignored. The next join names no generation of an older era, also if a refusal of the store tells of the new one. The first join after a restore can't know of it and still names the old generation. The generation in gossip is the ordered one, since hosts ignore relayed claims of lower generations than they know.

--- a/src/fleet/fleet_store_base.h
+++ b/src/fleet/fleet_store_base.h
@@ -102,6 +102,8 @@
 {
   std::uint64_t generation_ = 0;          ///< Rises with each change of the group.
   std::vector<std::uint32_t> partitions_; ///< Partitions of this member.
+  /** Rises each time that the store is restored from a copy; generations count within an era. */
+  std::uint64_t era_ = 0;
 };
 
 /** Asynchronous calls to the store; callbacks run on the control thread. */
@@ -129,9 +131,10 @@
   /**
    * Joins the group of hosts that hold engines, or renews the membership.
    * @param aMember name of this host and its process instance.
-   * @param aGeneration last received generation; 0 at first.
+   * @param aGeneration last received generation of the current era; 0 if none.
    * @param aTimeout time after which the group removes a member that did not renew.
-   * @param aCallback receives the partitions of this member.
+   * @param aCallback receives the partitions of this member; with an error only the era, which is
+   * 0 without an answer.
    */
   virtual void JoinGroup(const HostId& aMember,
                          std::uint64_t aGeneration,
--- a/src/fleet/holder_lease.cpp
+++ b/src/fleet/holder_lease.cpp
@@ -3,6 +3,8 @@
 
 #include "core/hash_func.h"
 
+#include <algorithm>
+
 namespace laburnumweir {
 
 namespace {
@@ -10,6 +12,9 @@
 // Orders are no longer sent this long before the lease ends, as an order arrives some milliseconds
 // after the lease was checked.
 constexpr Duration kOrderMargin = std::chrono::milliseconds(500);
+// An era outweighs all generations. A sum stays ordered even if generations exceed these bits,
+// since a restore sets them back by few.
+constexpr int kEraShift = 32;
 
 } // namespace
 
@@ -28,17 +33,26 @@
 bool
 HolderLease::OnMembership(TimePoint aSentAt, const GroupMembership& aMembership)
 {
+  if (aMembership.era_ < era_) {
+    return false;
+  }
+  OnEra(aMembership.era_);
   const auto now = clock_.Now();
+  // The copy may assign a partition again that its holder gave up, or before its holder knows that
+  // it lost it. Leases of the era before were granted before the restore.
+  const auto settledAt =
+    std::max(now + settleTime_, restoredAt_ ? *restoredAt_ + timeout_ : TimePoint::min());
+  const auto token = OrderedGeneration(era_, aMembership.generation_);
   // After a gap in the lease another member may have held the partitions in between.
   const auto before = IsValid() ? std::move(held_) : std::map<std::uint32_t, HeldPartition>();
   held_.clear();
   for (const auto partition : aMembership.partitions_) {
     const auto known = before.find(partition);
     auto& held = held_[partition];
-    held = known == before.end() ? HeldPartition{ now, aMembership.generation_, std::nullopt }
-                                 : known->second;
+    held =
+      known == before.end() ? HeldPartition{ now, settledAt, token, std::nullopt } : known->second;
     if (held.fencedIn_ && aMembership.generation_ > *held.fencedIn_) {
-      held.token_ = aMembership.generation_;
+      held.token_ = token;
       held.fencedIn_.reset();
     }
   }
@@ -61,7 +75,7 @@
 HolderLease::MayOrder(std::uint32_t aPartition) const
 {
   const auto found = held_.find(aPartition);
-  return IsValid() && found != held_.end() && clock_.Now() - found->second.since_ >= settleTime_;
+  return IsValid() && found != held_.end() && clock_.Now() >= found->second.settledAt_;
 }
 
 std::optional<TimePoint>
@@ -78,6 +92,25 @@
   return found == held_.end() ? std::nullopt : std::optional(found->second.token_);
 }
 
+void
+HolderLease::OnEra(std::uint64_t aEra)
+{
+  if (aEra <= era_) {
+    return;
+  }
+  era_ = aEra;
+  generation_ = 0;
+  restoredAt_ = clock_.Now();
+  // In the generations that the copy lacks, partitions of this host may have got another holder.
+  OnMembershipLost();
+}
+
+std::uint64_t
+HolderLease::OrderedGeneration(std::uint64_t aEra, std::uint64_t aGeneration)
+{
+  return (aEra << kEraShift) + aGeneration;
+}
+
 void
 HolderLease::OnFenced(std::uint32_t aPartition, std::uint64_t aToken)
 {
--- a/src/fleet/holder_lease.h
+++ b/src/fleet/holder_lease.h
@@ -41,20 +41,28 @@
   /**
    * Records an answer of the group.
    * @param aSentAt when the call was sent, from which the lease counts.
-   * @return whether the partitions or the generation changed.
+   * @return whether the partitions or the generation changed; false if the answer is of an older
+   * era, and ignored.
    */
   bool OnMembership(TimePoint aSentAt, const GroupMembership& aMembership);
   /** Records that this host is not a member of the group. */
   void OnMembershipLost();
+  /** Records the era of an answer of the store. A newer one ends the membership of this host. */
+  void OnEra(std::uint64_t aEra);
+  /** @return the newest era that was recorded. */
+  std::uint64_t Era() const { return era_; }
   /** @return whether this host may send orders to the engines of a partition now. */
   bool MayOrder(std::uint32_t aPartition) const;
   /** @return since when this host holds a partition; none if it does not. */
   std::optional<TimePoint> HeldSince(std::uint32_t aPartition) const;
-  /** @return the generation of the group in the last answer. */
-  std::uint64_t Generation() const { return generation_; }
+  /** @return the generation of the group in the last answer, which also rises with each era. */
+  std::uint64_t Generation() const { return OrderedGeneration(era_, generation_); }
+  /** @return the generation in the last answer of this era, as the store counts it; 0 if none. */
+  std::uint64_t GroupGeneration() const { return generation_; }
   /**
-   * @return the fencing token for the engines of a partition: the generation in which this host got
-   * it, so that orders that overtake each other bear the same token; none if it is not held.
+   * @return the fencing token for the engines of a partition: the ordered generation in which this
+   * host got it, so that orders that overtake each other bear the same token; none if it is not
+   * held.
    */
   std::optional<std::uint64_t> TokenOf(std::uint32_t aPartition) const;
   /**
@@ -71,19 +79,25 @@
   struct HeldPartition
   {
     TimePoint since_;         ///< When this host got it.
+    TimePoint settledAt_;     ///< When the first order may be sent.
     std::uint64_t token_ = 0; ///< Fencing token of its orders.
     /** Generation in which an engine refused the token; none if none did. */
     std::optional<std::uint64_t> fencedIn_;
   };
 
   bool IsValid() const;
+  /** @return a number that orders generations by era first; in era 0 it is the generation. */
+  static std::uint64_t OrderedGeneration(std::uint64_t aEra, std::uint64_t aGeneration);
 
   const Clock& clock_;
   const Duration timeout_;       ///< Time after which a silent member is removed.
   const Duration settleTime_;    ///< Time from getting a partition to the first order.
-  std::uint64_t generation_ = 0; ///< Generation of the last answer.
-  TimePoint sentAt_;             ///< When the call of the last answer was sent.
-  bool isMember_ = false;        ///< Whether this host is a member according to the last answer.
+  std::uint64_t era_ = 0;        ///< Newest era.
+  std::uint64_t generation_ = 0; ///< Generation of the last answer of this era; 0 if none.
+  /** When this host learned of the era; none in era 0. */
+  std::optional<TimePoint> restoredAt_;
+  TimePoint sentAt_;      ///< When the call of the last answer was sent.
+  bool isMember_ = false; ///< Whether this host is a member according to the last answer.
   std::map<std::uint32_t, HeldPartition> held_; ///< Partitions of the last answer.
 };
 
--- a/src/gateway/holder_service.cpp
+++ b/src/gateway/holder_service.cpp
@@ -134,7 +134,7 @@
   const auto sentAt = clock_.Now();
   store_.JoinGroup(
     settings_.memberId_,
-    lease_.Generation(),
+    lease_.GroupGeneration(),
     settings_.memberTimeout_,
     [weak = weak_from_this(), sentAt](std::error_code aError, const GroupMembership& aMembership) {
       if (const auto self = weak.lock()) {
@@ -157,7 +157,8 @@
              isJoined_ ? "group_joined" : "group_lost",
              { { "error", aError ? aError.message() : "" } });
   }
-  if (aError == make_error_code(StoreError::NotMember)) {
+  lease_.OnEra(aMembership.era_);
+  if (aError == make_error_code(StoreError::NotMember) && aMembership.era_ == lease_.Era()) {
     lease_.OnMembershipLost();
   }
   if (!aError && lease_.OnMembership(aSentAt, aMembership)) {
@@ -165,10 +166,11 @@
     for (const auto partition : aMembership.partitions_) {
       partitions += (partitions.empty() ? "" : ",") + std::to_string(partition);
     }
-    LogEvent(
-      LogLevel::Info,
-      "partitions_held",
-      { { "generation", std::to_string(aMembership.generation_) }, { "partitions", partitions } });
+    LogEvent(LogLevel::Info,
+             "partitions_held",
+             { { "era", std::to_string(aMembership.era_) },
+               { "generation", std::to_string(aMembership.generation_) },
+               { "partitions", partitions } });
   }
   scheduler_.After(settings_.joinInterval_, [weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
--- a/tests/fleet/small_modules_test.cpp
+++ b/tests/fleet/small_modules_test.cpp
@@ -199,6 +199,74 @@
   EXPECT_EQ(lease_.TokenOf(4), 10U) << "another host may have held it";
 }
 
+// Guards against engines that refuse all orders after the store was restored: the generations go
+// back, and engines keep the highest token that they saw.
+TEST_F(HolderLeaseTest, TokensRiseOverARestore)
+{
+  lease_.OnMembership(clock_.Now(), { 50, { 4 } });
+  lease_.OnFenced(4, 50);
+  const auto generation = lease_.Generation();
+  clock_.Advance(1s);
+  EXPECT_TRUE(lease_.OnMembership(clock_.Now(), { 48, { 4, 5 }, 1 }));
+  for (const auto partition : { 4U, 5U }) {
+    ASSERT_TRUE(lease_.TokenOf(partition));
+    EXPECT_EQ(*lease_.TokenOf(partition), (std::uint64_t{ 1 } << 32) + 48);
+  }
+  EXPECT_GT(lease_.Generation(), generation) << "peers ignore claims of older generations";
+  EXPECT_EQ(lease_.GroupGeneration(), 48U);
+  const auto token = *lease_.TokenOf(4);
+  lease_.OnFenced(4, token);
+  lease_.OnMembership(clock_.Now(), { 49, { 4, 5 }, 1 });
+  EXPECT_GT(*lease_.TokenOf(4), token);
+  lease_.OnMembership(clock_.Now(), { 3, { 4 }, 2 });
+  EXPECT_EQ(*lease_.TokenOf(4), (std::uint64_t{ 2 } << 32) + 3);
+}
+
+// Guards against two hosts that order at the same engine: the copy may assign a partition to a
+// member that has not yet noticed that it lost it, while the lease of its new holder is valid.
+TEST_F(HolderLeaseTest, RestoredAssignmentsWaitForTheLeasesBeforeThem)
+{
+  HolderLease other(clock_, 3s, 2s);
+  lease_.OnMembership(clock_.Now(), { 48, { 4 } });
+  clock_.Advance(2s);
+  lease_.OnMembership(clock_.Now(), { 48, { 4 } });
+  other.OnMembership(clock_.Now(), { 49, { 4 } });
+  clock_.Advance(500ms);
+  other.OnMembership(clock_.Now(), { 49, { 4 } });
+  clock_.Advance(100ms);
+  lease_.OnMembership(clock_.Now(), { 48, { 4 }, 1 });
+  std::uint64_t highest = 0;
+  for (int i = 0; i < 40; ++i) {
+    EXPECT_FALSE(lease_.MayOrder(4) && other.MayOrder(4)) << 100 * i << " ms after the restore";
+    for (const auto* lease : { &lease_, &other }) {
+      if (lease->MayOrder(4)) {
+        EXPECT_GE(*lease->TokenOf(4), highest);
+        highest = *lease->TokenOf(4);
+      }
+    }
+    clock_.Advance(100ms);
+    lease_.OnMembership(clock_.Now(), { 48, { 4 }, 1 });
+  }
+  EXPECT_TRUE(lease_.MayOrder(4));
+  EXPECT_EQ(highest, *lease_.TokenOf(4));
+}
+
+// Guards against a membership of before the restore that renews the lease: an answer that was
+// delayed arrives after one of the new era.
+TEST_F(HolderLeaseTest, IgnoresAnswersOfAnOlderEra)
+{
+  lease_.OnMembership(clock_.Now(), { 8, { 4 }, 2 });
+  EXPECT_FALSE(lease_.OnMembership(clock_.Now(), { 60, { 5 }, 1 }));
+  EXPECT_EQ(lease_.Partitions(), std::vector<std::uint32_t>{ 4 });
+  EXPECT_EQ(lease_.GroupGeneration(), 8U);
+  lease_.OnEra(1);
+  EXPECT_EQ(lease_.Era(), 2U);
+  EXPECT_FALSE(lease_.Partitions().empty());
+  lease_.OnEra(3);
+  EXPECT_TRUE(lease_.Partitions().empty());
+  EXPECT_EQ(lease_.GroupGeneration(), 0U) << "it belongs to another era";
+}
+
 TEST_F(HolderLeaseTest, CountsTheLifeFromTheQuestion)
 {
   const auto sentAt = clock_.Now();
--- a/tests/gateway/holder_service_test.cpp
+++ b/tests/gateway/holder_service_test.cpp
@@ -21,9 +21,10 @@
   {
     ON_CALL(store_, JoinGroup)
       .WillByDefault([this](const HostId&,
-                            std::uint64_t,
+                            std::uint64_t aGeneration,
                             std::chrono::milliseconds,
                             const FleetStore::MembershipCallback& aCallback) {
+        joinGeneration_ = aGeneration;
         aCallback(joinError_, membership_);
       });
     ON_CALL(engines_, RequestReport)
@@ -95,6 +96,7 @@
   std::function<void()> afterSend_; ///< Runs before the engine answers an order.
   std::vector<FencedOrder> sent_;
   std::vector<EngineResidency> published_;
+  std::uint64_t joinGeneration_ = 0; ///< Generation in the last join.
   int reports_ = 0;
   const UpstreamId engine_{ "e1" };
   std::shared_ptr<HolderService> service_;
@@ -252,6 +254,44 @@
   EXPECT_EQ(sent_[0].fencingToken_, 9U);
 }
 
+// Guards against a host that stays fenced after a restore, since the generations of the copy do not
+// reach the one in which an engine refused its token.
+TEST_F(HolderServiceTest, OrdersAgainAfterARestoreThoughItWasFenced)
+{
+  WaitForLease();
+  answers_ = { OrderAnswer::Fenced };
+  RequestLoad("a1");
+  service_->Tick();
+  ASSERT_EQ(sent_.size(), 1U);
+  membership_ = { 5, { 0 }, 1 };
+  for (int i = 0; i < 30 && sent_.size() < 2; ++i) {
+    scheduler_.Run(200ms);
+    RequestLoad("a1");
+    service_->Tick();
+  }
+  ASSERT_EQ(sent_.size(), 2U);
+  EXPECT_EQ(sent_[1].fencingToken_, (std::uint64_t{ 1 } << 32) + 5);
+}
+
+// Guards against a join that names a generation of before the restore, which the copy may not have
+// reached or may give to another state of the group.
+TEST_F(HolderServiceTest, NamesNoGenerationOfAnotherEra)
+{
+  scheduler_.Run(1100ms);
+  EXPECT_EQ(joinGeneration_, 7U);
+  joinError_ = StoreError::NotMember;
+  membership_ = { 0, {}, 1 };
+  scheduler_.Run(2s);
+  EXPECT_EQ(joinGeneration_, 0U);
+  joinError_ = {};
+  membership_ = { 5, { 0 }, 1 };
+  scheduler_.Run(2s);
+  EXPECT_EQ(joinGeneration_, 5U);
+  membership_ = { 7, { 0 }, 0 };
+  scheduler_.Run(2s);
+  EXPECT_EQ(joinGeneration_, 5U) << "the answer is of before the restore";
+}
+
 // Guards against an order that arrives after a later one with a higher token: the generation rises
 // between an order and its confirmation, which travel on different connections.
 TEST_F(HolderServiceTest, OrdersBearOneTokenWhileThePartitionIsHeld)
--- a/tests/wire/client_test.cpp
+++ b/tests/wire/client_test.cpp
@@ -192,6 +192,31 @@
   EXPECT_EQ(Join().first, make_error_code(StoreError::Unreachable));
 }
 
+// Guards against fencing tokens that go back when the store is restored from a copy.
+TEST_F(ClientTest, ReadsTheEraOfAJoin)
+{
+  const auto ofEra = [](int aStatus, const std::string& aEra) {
+    auto answer = Answer(aStatus, R"({"generation":7})");
+    return answer.insert(answer.find("\r\n") + 2, "Store-Era: " + aEra + "\r\n");
+  };
+  Serve({ Answer(200, R"({"generation":7})"),
+          ofEra(200, "3"),
+          ofEra(409, "4"),
+          ofEra(200, "2097151"),
+          ofEra(200, "2097152"),
+          ofEra(200, "x"),
+          "" });
+  EXPECT_EQ(Join().second.era_, 0U);
+  EXPECT_EQ(Join().second.era_, 3U);
+  const auto [error, membership] = Join();
+  EXPECT_EQ(error, make_error_code(StoreError::NotMember));
+  EXPECT_EQ(membership.era_, 4U);
+  EXPECT_EQ(Join().second.era_, 2097151U);
+  EXPECT_EQ(Join().first, make_error_code(StoreError::Unreadable)) << "tokens are below 2^53";
+  EXPECT_EQ(Join().first, make_error_code(StoreError::Unreadable));
+  EXPECT_EQ(Join().first, make_error_code(StoreError::Unreachable));
+}
+
 // Guards against hosts that forget, when all are killed at once, what has crashed upstreams.
 TEST_F(ClientTest, WritesReadsAndRemovesQuarantines)
 {
