Publish the record of each host again when the store was restored

What callers would see: after a restore, hosts that start read records from which those of the hosts that started last are missing. If two store readers lack each other's records, neither learns of the other, and sums of quotas and load leave out its hosts. Cause: a host published its record once, at its start. Change: HolderService reports each rise of the era in the answers to its joins, which each host sees within a join interval, and the host then publishes and reads again as at its start, for the same reason: of two hosts that publish at the same time, one reads the other. A host whose first join was lost can't know whether the store was restored since its first record, so it publishes again too if the era is not 0. The hosts of a fleet spread this over 10 ms for each host, since the store accepts some hundred writes a second. Records of gone hosts stay in the store, and a host that is new to the peer table counts as live until its first message is due. A second read therefore passes on only hosts that the first one did not: else gone hosts would be store readers for three seconds, and that on all hosts at once. The wiring in gateway.cpp is compiled, and not covered by a test.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -11,6 +11,7 @@
 #include "gateway/store_watch.h"
 #include "http/strand_scheduler.h"
 #include "logging/logging_func.h"
+#include "table/fleet_const.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -145,7 +146,8 @@
       clock_,
       scheduler_,
       holder,
-      [this](const EngineResidency& aResidency) { gossip_->SendResidency(aResidency); });
+      [this](const EngineResidency& aResidency) { gossip_->SendResidency(aResidency); },
+      [this] { ScheduleRepublish(); });
     WatchSettings watch;
     watch.upstreamInterval_ = settings_.bounds_.maxDrainDelay_ * 2 / 5;
     watch_ = std::make_shared<StoreWatch>(
@@ -374,6 +376,18 @@
     });
   }
 
+  /** Writes the records of this host to the store again some time later, so that the hosts of the
+   * fleet, which learn of a restore at about the same time, do not all write at once. */
+  void ScheduleRepublish()
+  {
+    const Duration spread = kRestoreWriteInterval * peers_.Hosts().size();
+    scheduler_.After(milliseconds(random_.Below(1 + spread / milliseconds(1))), [this] {
+      if (!isDraining_) {
+        registration_->Publish();
+      }
+    });
+  }
+
   std::shared_ptr<RequestFlow> FindWaiting(WaitTicket aTicket)
   {
     const auto found = waiting_.find(aTicket);
--- a/src/gateway/holder_service.cpp
+++ b/src/gateway/holder_service.cpp
@@ -96,7 +96,8 @@
                              const Clock& aClock,
                              Scheduler& aScheduler,
                              HolderSettings aSettings,
-                             ResidencyCallback aOnResidency)
+                             ResidencyCallback aOnResidency,
+                             std::function<void()> aOnStoreRestored)
   : store_(aStore)
   , engineControl_(aEngines)
   , state_(aState)
@@ -104,6 +105,7 @@
   , scheduler_(aScheduler)
   , settings_(std::move(aSettings))
   , onResidency_(std::move(aOnResidency))
+  , onStoreRestored_(std::move(aOnStoreRestored))
   , lease_(aClock, settings_.memberTimeout_, settings_.lease_)
   , weightLoadTokensAt_(aClock.Now())
 {
@@ -157,7 +159,10 @@
              isJoined_ ? "group_joined" : "group_lost",
              { { "error", aError ? aError.message() : "" } });
   }
-  lease_.OnEra(aMembership.era_);
+  if (aError != make_error_code(StoreError::Unreachable)) {
+    OnEra(aMembership.era_);
+  }
+  hasTriedJoin_ = true;
   if (aError == make_error_code(StoreError::NotMember) && aMembership.era_ == lease_.Era()) {
     lease_.OnMembershipLost();
   }
@@ -179,6 +184,18 @@
   });
 }
 
+void
+HolderService::OnEra(std::uint64_t aEra)
+{
+  // After a lost join the records that this host wrote at its start may be of an older era.
+  const bool isRestored = hasTriedJoin_ && aEra > lease_.Era();
+  lease_.OnEra(aEra);
+  if (isRestored) {
+    LogEvent(LogLevel::Warn, "store_restored", { { "era", std::to_string(aEra) } });
+    onStoreRestored_();
+  }
+}
+
 std::uint32_t
 HolderService::PartitionOfEngine(const UpstreamId& aEngine) const
 {
--- a/src/gateway/holder_service.h
+++ b/src/gateway/holder_service.h
@@ -38,14 +38,20 @@
    * an adapter that is already resident. */
   using ResidencyCallback = std::function<void(const EngineResidency&)>;
 
-  /** All references must outlive this object. */
-  HolderService(FleetStore& aStore,
-                EngineControl& aEngines,
-                FleetState& aState,
-                const Clock& aClock,
-                Scheduler& aScheduler,
-                HolderSettings aSettings,
-                ResidencyCallback aOnResidency);
+  /**
+   * All references must outlive this object.
+   * @param aOnStoreRestored called each time that the store may have been restored from a copy
+   * since the previous join.
+   */
+  HolderService(
+    FleetStore& aStore,
+    EngineControl& aEngines,
+    FleetState& aState,
+    const Clock& aClock,
+    Scheduler& aScheduler,
+    HolderSettings aSettings,
+    ResidencyCallback aOnResidency,
+    std::function<void()> aOnStoreRestored = [] {});
 
   /** Joins the group now, and renews the membership at each join interval. */
   void Start();
@@ -90,6 +96,7 @@
   std::size_t LoadingCount() const;
   void Join();
   void OnJoined(TimePoint aSentAt, std::error_code aError, const GroupMembership& aMembership);
+  void OnEra(std::uint64_t aEra);
   void TickEngine(const UpstreamId& aId, Engine& aEngine);
   bool MayLoadWeights(const EngineSpec& aSpec);
   void SendOrder(const UpstreamId& aId, const EngineOrder& aOrder);
@@ -116,6 +123,7 @@
   Scheduler& scheduler_;
   const HolderSettings settings_;
   ResidencyCallback onResidency_;
+  std::function<void()> onStoreRestored_;
   HolderLease lease_;
   std::map<UpstreamId, Engine> engines_; ///< Engines with load requests, uses or orders.
   std::size_t hostCount_ = 1;            ///< Live hosts; at least 1.
@@ -124,6 +132,7 @@
   TimePoint weightLoadTokensAt_; ///< When weightLoadTokens_ was updated.
   bool isLeaving_ = false;       ///< Leave() was called.
   bool isJoined_ = false;        ///< The last join succeeded.
+  bool hasTriedJoin_ = false;    ///< A join was answered or lost.
 };
 
 } // namespace laburnumweir
--- a/src/gateway/host_registration.cpp
+++ b/src/gateway/host_registration.cpp
@@ -56,7 +56,7 @@
 HostRegistration::Read()
 {
   store_.ReadHostTopic(
-    [weak = weak_from_this()](std::error_code aError, const HostTopicRecords& aRecords) {
+    [weak = weak_from_this()](std::error_code aError, HostTopicRecords aRecords) {
       const auto self = weak.lock();
       if (!self) {
         return;
@@ -66,6 +66,10 @@
         self->Repeat(&HostRegistration::Read);
         return;
       }
+      // Records of gone hosts stay in the store.
+      std::erase_if(aRecords.hosts_, [&](const HostRecord& aHost) {
+        return !self->readHosts_.insert(aHost.id_).second;
+      });
       self->onRecords_(aRecords);
     });
 }
--- a/src/gateway/host_registration.h
+++ b/src/gateway/host_registration.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 
 namespace laburnumweir {
 
@@ -24,7 +25,7 @@
   /**
    * The store and the scheduler must outlive this.
    * @param aSelf record of this host.
-   * @param aOnRecords called with the records of all hosts.
+   * @param aOnRecords called with the records of all hosts that it was not called with before.
    */
   HostRegistration(FleetStore& aStore,
                    Scheduler& aScheduler,
@@ -33,9 +34,11 @@
 
   /** Publishes and reads; failed calls are repeated until they succeed. */
   void Start() { Publish(); }
+  /** Publishes and reads again. To be called when the store was restored from a copy, which may
+   * lack the records of hosts that started last. */
+  void Publish();
 
 private:
-  void Publish();
   void Read();
   /** Calls a function again after a delay. */
   void Repeat(void (HostRegistration::*aFunction)());
@@ -44,6 +47,7 @@
   Scheduler& scheduler_;
   const HostRecord self_;
   RecordsFunction onRecords_;
+  std::set<HostId> readHosts_; ///< Hosts whose records were read.
 };
 
 } // namespace laburnumweir
--- a/src/table/fleet_const.h
+++ b/src/table/fleet_const.h
@@ -40,6 +40,11 @@
  * at once. A datagram holds at most 64 KB, with the sums and the live hosts.
  */
 constexpr std::size_t kMaxRelayedBytes = std::size_t{ 24 } << 10;
+/**
+ * Average time between the hosts of the fleet that write their records again after the store was
+ * restored from a copy. The store accepts some hundred writes a second.
+ */
+constexpr Duration kRestoreWriteInterval = std::chrono::milliseconds(10);
 /**
  * Timeout of the load report of a peer; twelve gossip intervals, so that single lost datagrams do
  * no harm.
--- a/tests/gateway/holder_service_test.cpp
+++ b/tests/gateway/holder_service_test.cpp
@@ -60,17 +60,22 @@
     report_.startedAt_ = 1;
     report_.orderCount_ = 40;
     report_.models_ = { { "m", {} } };
-    service_ = std::make_shared<HolderService>(
+    service_ = MakeService();
+    service_->Start();
+  }
+
+  std::shared_ptr<HolderService> MakeService()
+  {
+    return std::make_shared<HolderService>(
       store_,
       engines_,
       state_,
       clock_,
       scheduler_,
       settings_,
-      [this](const EngineResidency& aResidency) { published_.push_back(aResidency); });
-    service_->Start();
+      [this](const EngineResidency& aResidency) { published_.push_back(aResidency); },
+      [this] { ++restores_; });
   }
-
   /** Runs until the lease of a previous holder has expired, so that orders may be sent. */
   void WaitForLease() { scheduler_.Run(3500ms); }
   void RequestLoad(const std::string& aAdapter)
@@ -97,6 +102,7 @@
   std::vector<FencedOrder> sent_;
   std::vector<EngineResidency> published_;
   std::uint64_t joinGeneration_ = 0; ///< Generation in the last join.
+  int restores_ = 0;                 ///< Restores of the store that were reported.
   int reports_ = 0;
   const UpstreamId engine_{ "e1" };
   std::shared_ptr<HolderService> service_;
@@ -283,6 +289,7 @@
   membership_ = { 0, {}, 1 };
   scheduler_.Run(2s);
   EXPECT_EQ(joinGeneration_, 0U);
+  EXPECT_EQ(restores_, 1);
   joinError_ = {};
   membership_ = { 5, { 0 }, 1 };
   scheduler_.Run(2s);
@@ -292,6 +299,36 @@
   EXPECT_EQ(joinGeneration_, 5U) << "the answer is of before the restore";
 }
 
+// Guards against records that stay lost after a restore: each host has to write its own again.
+TEST_F(HolderServiceTest, ReportsEachRestoreOnce)
+{
+  scheduler_.Run(3s);
+  EXPECT_EQ(restores_, 0);
+  membership_.era_ = 1;
+  scheduler_.Run(3s);
+  EXPECT_EQ(restores_, 1);
+  joinError_ = StoreError::Unreachable;
+  membership_ = {};
+  scheduler_.Run(3s);
+  joinError_ = {};
+  membership_ = { 6, { 0 }, 3 };
+  scheduler_.Run(3s);
+  EXPECT_EQ(restores_, 2);
+  const auto late = MakeService();
+  late->Start();
+  scheduler_.Run(3s);
+  EXPECT_EQ(restores_, 2) << "the first answer of the store tells of no restore";
+  joinError_ = StoreError::Unreachable;
+  membership_ = {};
+  const auto lost = MakeService();
+  lost->Start();
+  scheduler_.Run(3s);
+  joinError_ = {};
+  membership_ = { 6, { 0 }, 3 };
+  scheduler_.Run(3s);
+  EXPECT_EQ(restores_, 3) << "records that were written before the lost join may be lost";
+}
+
 // Guards against an order that arrives after a later one with a higher token: the generation rises
 // between an order and its confirmation, which travel on different connections.
 TEST_F(HolderServiceTest, OrdersBearOneTokenWhileThePartitionIsHeld)
--- a/tests/gateway/host_registration_test.cpp
+++ b/tests/gateway/host_registration_test.cpp
@@ -79,6 +79,22 @@
   EXPECT_TRUE(Knows("h2", "h3") || Knows("h3", "h2"));
 }
 
+// Guards against gone hosts that all others take for live store readers at once: their records stay
+// in the store, and after a restore every host reads them again.
+TEST_F(HostRegistrationTest, ReadsEachHostOnlyOnceOverARestore)
+{
+  records_.hosts_ = { { HostId("gone"), { "10.0.0.9", 7600 }, DataCentreId("dc1") } };
+  const auto host = Make("h1");
+  host->Start();
+  scheduler_.Run(1s);
+  records_.hosts_ = { { HostId("gone"), { "10.0.0.9", 7600 }, DataCentreId("dc1") },
+                      { HostId("h2"), { "10.0.0.2", 7600 }, DataCentreId("dc1") } };
+  host->Publish();
+  scheduler_.Run(1s);
+  EXPECT_EQ(records_.hosts_.back().id_, HostId("h1"));
+  EXPECT_EQ(read_["h1"], (std::vector<std::string>{ "gone", "h1", "h2" }));
+}
+
 TEST_F(HostRegistrationTest, RepeatsFailedCalls)
 {
   isDown_ = true;
