Write the quarantines in force to a restored store

What callers would see: hosts that start after a restore and have no gossip yet run requests that crash upstreams; and a quarantine that was lifted as wrong refuses requests again, on all hosts. Cause: the records of the seconds that the copy lacks are lost, those of quarantines that began and those of removals. A host that reads its records again after a restore also took the quarantines of the copy for new ones. Change: after a restore the store readers, which also update the records otherwise, write the quarantines in force and remove the records of those that ended within the time of a quarantine. A host takes quarantines from the store only at its start. What remains: a host that starts between the restore and the removal learns the lifted quarantine from the copy and tells the others. Evidence: QuarantineServiceTest.StoreReadersWriteTheirStateToARestoredStore and AppliesRecordsOnlyAtTheStart fail on the code before, with the new function added but empty.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -384,6 +384,7 @@
     scheduler_.After(milliseconds(random_.Below(1 + spread / milliseconds(1))), [this] {
       if (!isDraining_) {
         registration_->Publish();
+        quarantineService_->WriteAll();
       }
     });
   }
--- a/src/gateway/quarantine_service.cpp
+++ b/src/gateway/quarantine_service.cpp
@@ -5,6 +5,8 @@
 #include "table/fleet_const.h"
 #include "table/quarantine_const.h"
 
+#include <utility>
+
 namespace laburnumweir {
 
 using std::chrono::milliseconds;
@@ -34,6 +36,9 @@
 void
 QuarantineService::OnStored(std::span<const QuarantineRecord> aRecords)
 {
+  if (std::exchange(hasReadRecords_, true)) {
+    return;
+  }
   QuarantineReport report;
   for (const auto& record : aRecords) {
     const auto left = std::chrono::duration_cast<milliseconds>(record.until_ - clock_.WallNow());
@@ -45,11 +50,38 @@
   quarantine_.Merge(report);
 }
 
+WallTime
+QuarantineService::ToWallTime(TimePoint aTime) const
+{
+  return clock_.WallNow() + std::chrono::duration_cast<WallTime::duration>(aTime - clock_.Now());
+}
+
+void
+QuarantineService::WriteAll()
+{
+  QueueChanges();
+  if (!updatesRecords_()) {
+    return;
+  }
+  for (const auto& [contents, since] : ended_) {
+    unwritten_[contents] = std::nullopt;
+  }
+  for (const auto& entry : quarantine_.Report().entries_) {
+    unwritten_[entry.contents_] = ToWallTime(clock_.Now() + entry.left_);
+  }
+}
+
 void
 QuarantineService::QueueChanges()
 {
+  const auto now = clock_.Now();
+  std::erase_if(ended_, [&](const auto& aItem) { return now - aItem.second >= kQuarantineTime; });
   for (const auto& change : quarantine_.TakeChanges()) {
     const bool isStart = change.before_.empty();
+    if (!isStart) {
+      ended_[change.before_] = now;
+    }
+    ended_.erase(change.after_);
     if (!isStart && !updatesRecords_()) {
       continue;
     }
@@ -57,8 +89,7 @@
       unwritten_[change.before_] = std::nullopt;
     }
     if (!change.after_.empty()) {
-      unwritten_[change.after_] = clock_.WallNow() + std::chrono::duration_cast<WallTime::duration>(
-                                                       change.until_ - clock_.Now());
+      unwritten_[change.after_] = ToWallTime(change.until_);
     }
   }
 }
--- a/src/gateway/quarantine_service.h
+++ b/src/gateway/quarantine_service.h
@@ -36,11 +36,16 @@
 
   /** Starts to write changes. */
   void Start();
-  /** Applies the records that the store holds at the start of this host. */
+  /** Stores the quarantines in force, if this host updates records, and removes the records of
+   * those that ended. To be called when the store was restored from a copy. */
+  void WriteAll();
+  /** Applies the records that the store holds at the start of this host. Later calls have no
+   * effect: this host then knows more than the store. */
   void OnStored(std::span<const QuarantineRecord> aRecords);
 
 private:
   void QueueChanges();
+  WallTime ToWallTime(TimePoint aTime) const;
   void WriteNext();
   void OnWritten(const std::vector<ContentId>& aContents,
                  std::optional<WallTime> aUntil,
@@ -53,7 +58,10 @@
   std::function<bool()> updatesRecords_;
   /** Ends of the quarantines to be written, by contents; none to remove the record. */
   std::map<std::vector<ContentId>, std::optional<WallTime>> unwritten_;
-  bool isWriting_ = false; ///< A call is running, or waits to be repeated.
+  /** Contents that are no longer quarantined as they were, and since when. */
+  std::map<std::vector<ContentId>, TimePoint> ended_;
+  bool hasReadRecords_ = false; ///< OnStored() was called.
+  bool isWriting_ = false;      ///< A call is running, or waits to be repeated.
 };
 
 } // namespace laburnumweir
--- a/tests/gateway/quarantine_service_test.cpp
+++ b/tests/gateway/quarantine_service_test.cpp
@@ -106,6 +106,45 @@
   EXPECT_TRUE(stored_.empty());
 }
 
+// Guards against hosts that start after the store was restored and run what crashes upstreams: the
+// copy is older than the quarantine. And against a quarantine that comes back: the copy is older
+// than its end.
+TEST_F(QuarantineServiceTest, StoreReadersWriteTheirStateToARestoredStore)
+{
+  const Contents lifted{ ContentId("lifted") };
+  CrashThree(lifted);
+  scheduler_.Run(300ms);
+  const auto copy = stored_;
+  CrashThree(kBad);
+  const auto end = clock_.Now() + kQuarantineTime;
+  quarantine_.OnBegun({ UpstreamId("sound"), 1 }, clock_.Now(), { lifted, {} });
+  scheduler_.Run(300ms);
+  ASSERT_EQ(stored_.size(), 1U);
+  stored_ = copy;
+  isReader_ = false;
+  service_->WriteAll();
+  scheduler_.Run(2s);
+  EXPECT_TRUE(stored_.contains(lifted)) << "of all hosts only a few write";
+  isReader_ = true;
+  service_->WriteAll();
+  const auto until = clock_.WallNow() + (end - clock_.Now());
+  scheduler_.Run(2s);
+  ASSERT_EQ(stored_.size(), 1U);
+  ASSERT_TRUE(stored_.contains(kBad));
+  EXPECT_LE(stored_.at(kBad).until_, until);
+  EXPECT_GE(stored_.at(kBad).until_, until - 10ms);
+}
+
+// Guards against a quarantine that comes back on all hosts, which read the records of the hosts
+// again after the store was restored from a copy that is older than the end of the quarantine.
+TEST_F(QuarantineServiceTest, AppliesRecordsOnlyAtTheStart)
+{
+  service_->OnStored({});
+  const std::vector<QuarantineRecord> records{ { kBad, clock_.WallNow() + 100s } };
+  service_->OnStored(records);
+  EXPECT_FALSE(quarantine_.TimeLeft({ kBad, {} }));
+}
+
 TEST_F(QuarantineServiceTest, IgnoresRecordsThatHaveEndedAndLimitsTheOthers)
 {
   const Contents ended{ ContentId("ended") };
