--- a/src/gateway/holder_service.cpp
+++ b/src/gateway/holder_service.cpp
@@ -96,7 +96,8 @@
                              const Clock& aClock,
                              Scheduler& aScheduler,
                              HolderSettings aSettings,
-                             ResidencyCallback aOnResidency)
+                             ResidencyCallback aOnResidency,
+                             std::function<void()> aOnStoreRestored)
   : store_(aStore)
   , engineControl_(aEngines)
   , state_(aState)
@@ -104,6 +105,7 @@
   , scheduler_(aScheduler)
   , settings_(std::move(aSettings))
   , onResidency_(std::move(aOnResidency))
+  , onStoreRestored_(std::move(aOnStoreRestored))
   , lease_(aClock, settings_.memberTimeout_, settings_.lease_)
   , weightLoadTokensAt_(aClock.Now())
 {
@@ -134,7 +136,7 @@
   const auto sentAt = clock_.Now();
   store_.JoinGroup(
     settings_.memberId_,
-    lease_.Generation(),
+    lease_.GroupGeneration(),
     settings_.memberTimeout_,
     [weak = weak_from_this(), sentAt](std::error_code aError, const GroupMembership& aMembership) {
       if (const auto self = weak.lock()) {
@@ -157,7 +159,11 @@
              isJoined_ ? "group_joined" : "group_lost",
              { { "error", aError ? aError.message() : "" } });
   }
-  if (aError == make_error_code(StoreError::NotMember)) {
+  if (aError != make_error_code(StoreError::Unreachable)) {
+    OnEra(aMembership.era_);
+  }
+  hasTriedJoin_ = true;
+  if (aError == make_error_code(StoreError::NotMember) && aMembership.era_ == lease_.Era()) {
     lease_.OnMembershipLost();
   }
   if (!aError && lease_.OnMembership(aSentAt, aMembership)) {
@@ -165,10 +171,11 @@
     for (const auto partition : aMembership.partitions_) {
       partitions += (partitions.empty() ? "" : ",") + std::to_string(partition);
     }
-    LogEvent(
-      LogLevel::Info,
-      "partitions_held",
-      { { "generation", std::to_string(aMembership.generation_) }, { "partitions", partitions } });
+    LogEvent(LogLevel::Info,
+             "partitions_held",
+             { { "era", std::to_string(aMembership.era_) },
+               { "generation", std::to_string(aMembership.generation_) },
+               { "partitions", partitions } });
   }
   scheduler_.After(settings_.joinInterval_, [weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
@@ -177,6 +184,18 @@
   });
 }
 
+void
+HolderService::OnEra(std::uint64_t aEra)
+{
+  // After a lost join the records that this host wrote at its start may be of an older era.
+  const bool isRestored = hasTriedJoin_ && aEra > lease_.Era();
+  lease_.OnEra(aEra);
+  if (isRestored) {
+    LogEvent(LogLevel::Warn, "store_restored", { { "era", std::to_string(aEra) } });
+    onStoreRestored_();
+  }
+}
+
 std::uint32_t
 HolderService::PartitionOfEngine(const UpstreamId& aEngine) const
 {
@@ -333,16 +352,21 @@
 HolderService::SendOrder(const UpstreamId& aId, const EngineOrder& aOrder)
 {
   engines_.at(aId).isCallPending_ = true;
-  engineControl_.Send(AddFencing(*state_.Upstreams().Find(aId), aOrder),
-                      [weak = weak_from_this(), aId, aOrder](OrderAnswer aAnswer) {
-                        if (const auto self = weak.lock()) {
-                          self->OnOrderAnswer(aId, aOrder, aAnswer);
-                        }
-                      });
+  const auto order = AddFencing(*state_.Upstreams().Find(aId), aOrder);
+  engineControl_.Send(
+    order,
+    [weak = weak_from_this(), aId, aOrder, token = order.fencingToken_](OrderAnswer aAnswer) {
+      if (const auto self = weak.lock()) {
+        self->OnOrderAnswer(aId, aOrder, token, aAnswer);
+      }
+    });
 }
 
 void
-HolderService::OnOrderAnswer(const UpstreamId& aId, const EngineOrder& aOrder, OrderAnswer aAnswer)
+HolderService::OnOrderAnswer(const UpstreamId& aId,
+                             const EngineOrder& aOrder,
+                             std::uint64_t aToken,
+                             OrderAnswer aAnswer)
 {
   const auto found = engines_.find(aId);
   auto* upstream = state_.Upstreams().Find(aId);
@@ -357,7 +381,7 @@
              { "order", aOrder.kind_ == OrderKind::Load ? "load" : "unload" },
              { "adapter", aOrder.model_ + "/" + aOrder.adapter_ },
              { "version", std::to_string(aOrder.version_) },
-             { "token", std::to_string(TokenOf(aId)) },
+             { "token", std::to_string(aToken) },
              { "orders", std::to_string(upstream->orderCount_) },
              { "resident", std::to_string(ResidentCount(upstream->entry_)) },
              { "loading", std::to_string(engine.orders_.Pending().size()) },
@@ -392,8 +416,8 @@
       }
       break;
     case OrderAnswer::Fenced:
-      engine.fencedToken_ = TokenOf(aId);
-      lease_.OnFenced(PartitionOfEngine(aId));
+      engine.fencedToken_ = aToken;
+      lease_.OnFenced(PartitionOfEngine(aId), aToken);
       break;
     case OrderAnswer::OtherEngine:
       state_.Upstreams().OnMisdirected(aId);
--- a/tests/gateway/holder_service_test.cpp
+++ b/tests/gateway/holder_service_test.cpp
@@ -21,9 +21,10 @@
   {
     ON_CALL(store_, JoinGroup)
       .WillByDefault([this](const HostId&,
-                            std::uint64_t,
+                            std::uint64_t aGeneration,
                             std::chrono::milliseconds,
                             const FleetStore::MembershipCallback& aCallback) {
+        joinGeneration_ = aGeneration;
         aCallback(joinError_, membership_);
       });
     ON_CALL(engines_, RequestReport)
@@ -59,17 +60,22 @@
     report_.startedAt_ = 1;
     report_.orderCount_ = 40;
     report_.models_ = { { "m", {} } };
-    service_ = std::make_shared<HolderService>(
+    service_ = MakeService();
+    service_->Start();
+  }
+
+  std::shared_ptr<HolderService> MakeService()
+  {
+    return std::make_shared<HolderService>(
       store_,
       engines_,
       state_,
       clock_,
       scheduler_,
       settings_,
-      [this](const EngineResidency& aResidency) { published_.push_back(aResidency); });
-    service_->Start();
+      [this](const EngineResidency& aResidency) { published_.push_back(aResidency); },
+      [this] { ++restores_; });
   }
-
   /** Runs until the lease of a previous holder has expired, so that orders may be sent. */
   void WaitForLease() { scheduler_.Run(3500ms); }
   void RequestLoad(const std::string& aAdapter)
@@ -95,6 +101,8 @@
   std::function<void()> afterSend_; ///< Runs before the engine answers an order.
   std::vector<FencedOrder> sent_;
   std::vector<EngineResidency> published_;
+  std::uint64_t joinGeneration_ = 0; ///< Generation in the last join.
+  int restores_ = 0;                 ///< Restores of the store that were reported.
   int reports_ = 0;
   const UpstreamId engine_{ "e1" };
   std::shared_ptr<HolderService> service_;
@@ -224,6 +232,103 @@
   EXPECT_EQ(sent_[1].fencingToken_, 8U);
 }
 
+// Guards against a host that gives up a good token: an engine refuses an order, and before its
+// answer arrives the host gets the partition anew, with a token that no engine has refused.
+TEST_F(HolderServiceTest, ARefusalOfAnEarlierTokenDoesNotStopOrders)
+{
+  WaitForLease();
+  EngineControl::OrderCallback refuse;
+  EXPECT_CALL(engines_, Send)
+    .WillOnce([&](const FencedOrder&, const EngineControl::OrderCallback& aCallback) {
+      refuse = aCallback;
+    })
+    .WillRepeatedly(testing::DoDefault());
+  RequestLoad("a1");
+  service_->Tick();
+  ASSERT_TRUE(refuse);
+  membership_ = { 8, {} };
+  scheduler_.Run(1100ms);
+  membership_ = { 9, { 0 } };
+  scheduler_.Run(1100ms);
+  refuse(OrderAnswer::Fenced);
+  for (int i = 0; i < 30; ++i) {
+    scheduler_.Run(200ms);
+    RequestLoad("a1");
+    service_->Tick();
+  }
+  ASSERT_FALSE(sent_.empty());
+  EXPECT_EQ(sent_[0].fencingToken_, 9U);
+}
+
+// Guards against a host that stays fenced after a restore, since the generations of the copy do not
+// reach the one in which an engine refused its token.
+TEST_F(HolderServiceTest, OrdersAgainAfterARestoreThoughItWasFenced)
+{
+  WaitForLease();
+  answers_ = { OrderAnswer::Fenced };
+  RequestLoad("a1");
+  service_->Tick();
+  ASSERT_EQ(sent_.size(), 1U);
+  membership_ = { 5, { 0 }, 1 };
+  for (int i = 0; i < 30 && sent_.size() < 2; ++i) {
+    scheduler_.Run(200ms);
+    RequestLoad("a1");
+    service_->Tick();
+  }
+  ASSERT_EQ(sent_.size(), 2U);
+  EXPECT_EQ(sent_[1].fencingToken_, (std::uint64_t{ 1 } << 32) + 5);
+}
+
+// Guards against a join that names a generation of before the restore, which the copy may not have
+// reached or may give to another state of the group.
+TEST_F(HolderServiceTest, NamesNoGenerationOfAnotherEra)
+{
+  scheduler_.Run(1100ms);
+  EXPECT_EQ(joinGeneration_, 7U);
+  joinError_ = StoreError::NotMember;
+  membership_ = { 0, {}, 1 };
+  scheduler_.Run(2s);
+  EXPECT_EQ(joinGeneration_, 0U);
+  EXPECT_EQ(restores_, 1);
+  joinError_ = {};
+  membership_ = { 5, { 0 }, 1 };
+  scheduler_.Run(2s);
+  EXPECT_EQ(joinGeneration_, 5U);
+  membership_ = { 7, { 0 }, 0 };
+  scheduler_.Run(2s);
+  EXPECT_EQ(joinGeneration_, 5U) << "the answer is of before the restore";
+}
+
+// Guards against records that stay lost after a restore: each host has to write its own again.
+TEST_F(HolderServiceTest, ReportsEachRestoreOnce)
+{
+  scheduler_.Run(3s);
+  EXPECT_EQ(restores_, 0);
+  membership_.era_ = 1;
+  scheduler_.Run(3s);
+  EXPECT_EQ(restores_, 1);
+  joinError_ = StoreError::Unreachable;
+  membership_ = {};
+  scheduler_.Run(3s);
+  joinError_ = {};
+  membership_ = { 6, { 0 }, 3 };
+  scheduler_.Run(3s);
+  EXPECT_EQ(restores_, 2);
+  const auto late = MakeService();
+  late->Start();
+  scheduler_.Run(3s);
+  EXPECT_EQ(restores_, 2) << "the first answer of the store tells of no restore";
+  joinError_ = StoreError::Unreachable;
+  membership_ = {};
+  const auto lost = MakeService();
+  lost->Start();
+  scheduler_.Run(3s);
+  joinError_ = {};
+  membership_ = { 6, { 0 }, 3 };
+  scheduler_.Run(3s);
+  EXPECT_EQ(restores_, 3) << "records that were written before the lost join may be lost";
+}
+
 // Guards against an order that arrives after a later one with a higher token: the generation rises
 // between an order and its confirmation, which travel on different connections.
 TEST_F(HolderServiceTest, OrdersBearOneTokenWhileThePartitionIsHeld)
