Withdraw requests of callers that left, and count from the first release that matters

A request that must not be cancelled stays at its engine when its caller leaves, and was not checked any more: it could begin on a replaced version until its deadline. And a request that demands no version counted its latest begin from the release after the version that its host believed the engine to hold; a wrong belief gave an older version the period of a newer release. It now counts from the version that it demands: if that is none, from the first release whose period has not ended.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -124,7 +124,8 @@
 RequestFlow::IsVersionTooOld() const
 {
   const auto* releases = Releases();
-  const auto replaced = releases == nullptr ? std::nullopt : releases->ReplacedAfter(version_);
+  const auto replaced =
+    releases == nullptr ? std::nullopt : releases->ReplacedAfter(demandedVersion_);
   const auto period = std::chrono::duration_cast<Duration>(kOldVersionBeginFraction *
                                                            context_.bounds_.maxVersionDelay_);
   return replaced && *replaced + period <= context_.clock_.Now();
@@ -339,7 +340,7 @@
   upstream_ = upstream.entry_.id_;
   endpoint_ = upstream.entry_.endpoint_;
   startedAt_ = upstream.entry_.startedAt_;
-  version_ = aChoice.adapterVersion_;
+  demandedVersion_ = aChoice.demandedVersion_;
   eventsBefore_ = events_.Events();
   sent_ = context_.clock_.Now();
   firstByte_.reset();
@@ -357,7 +358,7 @@
              { "upstream", upstream_.Value() },
              { "attempt", std::to_string(attempts_) },
              { "prompt", boost::algorithm::join(admitted_.facts_.sharedParts_, ",") },
-             { "version", std::to_string(version_) },
+             { "version", std::to_string(aChoice.adapterVersion_) },
              { "demanded", std::to_string(aChoice.demandedVersion_) },
              { "released", releases == nullptr ? "none" : std::to_string(releases->Newest()) },
              { "waited_ms", std::to_string(Milliseconds(sent_ - admitted_.arrived_)) },
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -132,8 +132,8 @@
   Duration OldVersionPeriod() const;
   /** @return the released versions of the adapter; nullptr if there are none. */
   const ReleaseHistory* Releases() const;
-  /** @return whether the version for which the last attempt was sent was replaced so long ago that
-   * it must not begin any more. */
+  /** @return whether a version with which the last attempt may run was replaced so long ago that
+   * the attempt must not begin any more. */
   bool IsVersionTooOld() const;
   std::uint32_t Rank() const;
   /** @return whether the last confirmation of the configuration is too old to trust the key. */
@@ -193,7 +193,7 @@
   std::set<UpstreamId> excluded_;     ///< failed_ and the refusing upstreams still in backoff.
   std::set<UpstreamId> loadTimedOut_; ///< Engines that did not load the adapter in time.
   std::optional<WaitTicket> ticket_;  ///< Ticket in the queue; empty if not queued.
-  std::int64_t version_ = 0;          ///< Version of the adapter at the engine of the last attempt.
+  std::int64_t demandedVersion_ = 0;  ///< Adapter version that the last attempt demands; 0 = any.
   std::optional<UpstreamId> loadingEngine_; ///< Engine that has been requested to load the adapter.
   TimePoint loadRequestedAt_;               ///< When the load was first requested there.
   TimePoint loadLastRequestedAt_;           ///< When the load was last requested there.
--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -380,13 +380,13 @@
   if (call_) {
     next += kDeadlineGrace;
   }
+  if (call_ && !firstByte_ && !admitted_.facts_.adapter_.empty()) {
+    // A release may come at any time.
+    next = std::min(next,
+                    now + std::chrono::duration_cast<Duration>(kOldVersionCheckFraction *
+                                                               context_.bounds_.maxVersionDelay_));
+  }
   if (call_ && answer_) {
-    if (!firstByte_ && !admitted_.facts_.adapter_.empty()) {
-      // A release may come at any time.
-      next = std::min(next,
-                      now + std::chrono::duration_cast<Duration>(
-                              kOldVersionCheckFraction * context_.bounds_.maxVersionDelay_));
-    }
     if (!hasSent_) {
       next = std::min(next, sent_ + kConnectTimeout);
     } else if (!firstByte_ && !isSilenceHandled_) {
@@ -414,11 +414,12 @@
 RequestFlow::OnTimer()
 {
   const auto now = context_.clock_.Now();
+  const bool isTooOld = call_ && hasSent_ && !firstByte_ && IsVersionTooOld();
   if (!answer_) {
-    if (call_ && now >= deadline_ + kDeadlineGrace) {
+    if (call_ && (isTooOld || now >= deadline_ + kDeadlineGrace)) {
       call_->Cancel();
       call_.reset();
-      EndAttempt(AttemptHealth::Unreachable);
+      EndAttempt(isTooOld ? AttemptHealth::Good : AttemptHealth::Unreachable);
       Finish(0, "caller_gone");
     } else if (call_) {
       ArmTimer();
@@ -444,7 +445,7 @@
     OnNotRun("connect_timeout");
     return;
   }
-  if (call_ && hasSent_ && !firstByte_ && IsVersionTooOld()) {
+  if (isTooOld) {
     call_->Cancel();
     call_.reset();
     EndAttempt(AttemptHealth::Good);
--- a/tests/gateway/request_flow_version_test.cpp
+++ b/tests/gateway/request_flow_version_test.cpp
@@ -81,9 +81,22 @@
   EXPECT_EQ(Request(), 503U) << "the release may have been made long before the start";
 }
 
+/** Whether the caller of a request stays until its answer. */
+enum class Caller
+{
+  Stays,
+  Leaves
+};
+
+class WaitingRequestTest
+  : public ReleaseTest
+  , public testing::WithParamInterface<Caller>
+{};
+
 // Guards against work on an old version by a request that was sent before the release was known and
-// then waited in the queue of its engine.
-TEST_F(ReleaseTest, RequestThatWaitsAtItsEngineIsWithdrawn)
+// then waited in the queue of its engine. One that must not be cancelled stays there although its
+// caller has left.
+TEST_P(WaitingRequestTest, IsWithdrawnFromItsEngine)
 {
   std::atomic<bool> isClosed = false;
   ScriptedServer busy([&](Peer& aPeer, int) {
@@ -91,13 +104,15 @@
     aPeer.ReadRequest(); // returns when the connection is closed
     isClosed = true;
   });
-  repeat_ = RepeatRule::Stream;
   timeout_ = 5s;
   SetUpstreams({ busy.Address() });
   Start();
   context_.run_for(50ms);
   context_.restart();
   Release(2);
+  if (GetParam() == Caller::Leaves) {
+    answer_->onDisconnect_();
+  }
   const auto end = clock_.Now() + kVersionDelay;
   while (!isClosed && clock_.Now() < end) {
     context_.run_for(5ms);
@@ -106,5 +121,33 @@
   EXPECT_TRUE(isClosed);
 }
 
+INSTANTIATE_TEST_SUITE_P(All, WaitingRequestTest, testing::Values(Caller::Stays, Caller::Leaves));
+
+// Guards against a latest begin that counts from the release after the one that matters: where any
+// version may still be used, the engine may hold another one than its host believes.
+TEST_F(ReleaseTest, RequestThatDemandsNoVersionCountsFromTheFirstRelease)
+{
+  std::atomic<bool> isClosed = false;
+  ScriptedServer busy([&](Peer& aPeer, int) {
+    aPeer.ReadRequest();
+    aPeer.ReadRequest(); // returns when the connection is closed
+    isClosed = true;
+  });
+  engineModels_ = { { "m", { { "a1", 2 } } } };
+  timeout_ = 5s;
+  SetUpstreams({ busy.Address() });
+  Release(2);
+  std::this_thread::sleep_for(kVersionDelay / 2);
+  fleet_.OnConfigConfirmed(clock_.Now());
+  Release(3);
+  const auto end = clock_.Now() + kVersionDelay / 2;
+  Start();
+  while (!isClosed && clock_.Now() < end) {
+    context_.run_for(5ms);
+    context_.restart();
+  }
+  EXPECT_TRUE(isClosed) << "version 1 may be what the engine holds";
+}
+
 } // namespace
 } // namespace laburnumweir
