Send nothing to an upstream after an answer that says it leaves

An upstream that leaves says so in all its answers (Server-Leaving: 1), so a host that is out of touch with the store can know it from the answers it passes on.

What callers saw: requests went on to such an upstream until the host read its new entry, however long that took. Change: the field of a genuine answer or a proven refusal excludes that process from requests and load orders for good, whatever its entry says, also after its entry expired and came back. A new process under the same id is a new upstream.

OrdersNothingFromAnEngineThatLeaves fails with the old condition in TickEngine().

Weighed: spreading it by gossip, left out: the entry in the store says the same, and a host that has passed on no such answer breaks nothing. Answers to orders and reports are not read for it either, for the same reason.

--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -65,6 +65,10 @@
     upstream.peersRunning_ = peers;
     upstream.coldTokensAt_ = now;
     upstream.entry_ = aEntry;
+    if (const auto removed = removed_.extract(aEntry.id_);
+        removed && removed.mapped().startedAt_ == aEntry.startedAt_) {
+      upstream.isLeaving_ = removed.mapped().isLeaving_;
+    }
   } else {
     // The residency that the holder sent after an order is newer than an entry written before it.
     const bool keepsModels =
@@ -88,7 +92,20 @@
 bool
 UpstreamTable::OnRemoved(const UpstreamId& aId)
 {
-  return upstreams_.erase(aId) > 0;
+  const auto found = upstreams_.find(aId);
+  if (found == upstreams_.end()) {
+    return false;
+  }
+  const auto now = clock_.Now();
+  std::erase_if(removed_, [now](const auto& aEntry) {
+    return now - aEntry.second.removedAt_ > kRemovedUpstreamTtl;
+  });
+  const auto& upstream = found->second;
+  if (upstream.isLeaving_) {
+    removed_[aId] = { upstream.entry_.startedAt_, now, upstream.isLeaving_ };
+  }
+  upstreams_.erase(found);
+  return true;
 }
 
 void
@@ -163,7 +180,7 @@
 bool
 UpstreamTable::IsUsableAt(const Upstream& aUpstream, TimePoint aNow) const
 {
-  return !aUpstream.entry_.isDraining_ && !aUpstream.isMisdirected_ &&
+  return !IsLeaving(aUpstream) && !aUpstream.isMisdirected_ &&
          !evacuated_.contains(aUpstream.entry_.dataCentre_) && aUpstream.backoffUntil_ <= aNow;
 }
 
@@ -442,6 +459,19 @@
   upstream->limitHeardAt_ = clock_.Now();
 }
 
+void
+UpstreamTable::OnLeaving(const UpstreamId& aId, std::int64_t aStartedAt)
+{
+  auto* upstream = Find(aId);
+  if (upstream == nullptr || upstream->entry_.startedAt_ != aStartedAt || upstream->isLeaving_) {
+    return;
+  }
+  upstream->isLeaving_ = true;
+  LogEvent(LogLevel::Info,
+           "upstream_leaving",
+           { { "upstream", aId.Value() }, { "life", std::to_string(aStartedAt) } });
+}
+
 std::optional<double>
 UpstreamTable::LimitOf(const Upstream& aUpstream, TimePoint aNow)
 {
--- a/src/fleet/upstream_table.h
+++ b/src/fleet/upstream_table.h
@@ -69,6 +69,7 @@
   TimePoint permitsUntil_;           ///< When these permits expire.
   TimePoint permitDeniedUntil_;      ///< No permit is requested before this time.
   bool isMisdirected_ = false;       ///< Another upstream answers at its endpoint.
+  bool isLeaving_ = false;           ///< An answer of its process said that it leaves the fleet.
 };
 
 /** Requirements of a request on an upstream. */
@@ -158,6 +159,11 @@
    * @param aStartedAt start time of its process. @param aLimit requests/s; none if it names none.
    */
   void OnRequestLimit(const UpstreamId& aId, std::int64_t aStartedAt, std::optional<double> aLimit);
+  /**
+   * Excludes the process of an upstream for good, as an answer said that it leaves the fleet.
+   * @param aStartedAt start time of the process; a later one under the same id may get requests.
+   */
+  void OnLeaving(const UpstreamId& aId, std::int64_t aStartedAt);
   /** @return requests/s that an upstream takes from all hosts; none if it has no limit. */
   std::optional<double> RequestLimit(const UpstreamId& aId) const;
   /** Applies the answer to a request for a permit. A permit is valid for kPermitTtl. */
@@ -168,6 +174,11 @@
   const std::map<UpstreamId, Upstream>& All() const { return upstreams_; }
   /** @return the load report of this host: upstreams with running requests. */
   std::vector<UpstreamLoad> OwnLoad() const;
+  /** @return whether an upstream leaves the fleet, by its entry or by one of its answers. */
+  static bool IsLeaving(const Upstream& aUpstream)
+  {
+    return aUpstream.entry_.isDraining_ || aUpstream.isLeaving_;
+  }
   /** @return whether an upstream may get requests as far as its load permits. */
   bool IsUsable(const Upstream& aUpstream) const { return IsUsableAt(aUpstream, clock_.Now()); }
   /**
@@ -179,6 +190,13 @@
                                                      std::string_view aAdapter);
 
 private:
+  /** What an upstream without an entry has asked for, in case its entry comes back. */
+  struct RemovedUpstream
+  {
+    std::int64_t startedAt_ = 0; ///< Start time of its process, Unix ms.
+    TimePoint removedAt_;
+    bool isLeaving_ = false; ///< See Upstream.
+  };
   struct LoadReport
   {
     TimePoint receivedAt_;
@@ -204,6 +222,7 @@
   const HostId host_;
   const DataCentreId dataCentre_; ///< Data centre of this host.
   std::map<UpstreamId, Upstream> upstreams_;
+  std::map<UpstreamId, RemovedUpstream> removed_; ///< Those removed within kRemovedUpstreamTtl.
   std::map<ServiceName, ServiceSpec> services_;
   std::set<DataCentreId> evacuated_; ///< Data centres whose upstreams get no requests.
   std::vector<HostId> hosts_;        ///< Live hosts, this one included.
--- a/src/gateway/holder_service.cpp
+++ b/src/gateway/holder_service.cpp
@@ -274,7 +274,7 @@
 {
   auto* upstream = state_.Upstreams().Find(aId);
   if (upstream == nullptr || !state_.Routes() || isLeaving_ ||
-      !lease_.MayOrder(PartitionOfEngine(aId)) || upstream->entry_.isDraining_ ||
+      !lease_.MayOrder(PartitionOfEngine(aId)) || UpstreamTable::IsLeaving(*upstream) ||
       upstream->isMisdirected_) {
     return;
   }
--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -81,6 +81,9 @@
   }
   if (isGenuine || isProvenRefusal) {
     context_.fleet_.Upstreams().OnRequestLimit(upstream_, startedAt_, answerFacts_.requestLimit_);
+    if (answerFacts_.isLeaving_) {
+      context_.fleet_.Upstreams().OnLeaving(upstream_, startedAt_);
+    }
   }
   isStreaming_ = IsStream() && answerClass_ == AnswerClass::Valid;
   status_ = aStatus;
--- a/src/table/fleet_const.h
+++ b/src/table/fleet_const.h
@@ -100,6 +100,11 @@
  * heartbeats.
  */
 constexpr Duration kUpstreamBackoffMax = std::chrono::seconds(3);
+/**
+ * Time for which it is remembered what an upstream without an entry has asked for. Its entry may
+ * come back after an outage of the store.
+ */
+constexpr Duration kRemovedUpstreamTtl = std::chrono::minutes(10);
 /** Weight of the newest answer in the moving average of failures of an upstream. */
 constexpr double kFailureAverageWeight = 0.1;
 
--- a/tests/fleet/upstream_table_test.cpp
+++ b/tests/fleet/upstream_table_test.cpp
@@ -124,6 +124,27 @@
   EXPECT_EQ(table_.Choose(NeedOf("")).upstream_, nullptr);
 }
 
+// Guards against an answer of a process that has ended and excludes the next one, and against an
+// engine that leaves and is asked to load adapters.
+TEST_F(UpstreamTableTest, OnlyTheProcessThatLeavesIsExcluded)
+{
+  const auto id = Add("e1");
+  table_.OnLeaving(id, 0);
+  EXPECT_NE(table_.Choose(NeedOf("")).upstream_, nullptr) << "an earlier process";
+  table_.OnLeaving(id, 1);
+  EXPECT_EQ(table_.Choose(NeedOf("")).upstream_, nullptr);
+  EXPECT_FALSE(table_.Choose(NeedOf("a1")).loadTarget_);
+  const auto entry = table_.Find(id)->entry_;
+  table_.OnRemoved(id);
+  table_.OnEntry(entry);
+  EXPECT_EQ(table_.Choose(NeedOf("")).upstream_, nullptr) << "its entry came back";
+  auto next = entry;
+  next.startedAt_ = 2;
+  table_.OnRemoved(id);
+  table_.OnEntry(next);
+  EXPECT_NE(table_.Choose(NeedOf("")).upstream_, nullptr);
+}
+
 // Guards against more requests than slots at an upstream that several hosts use, and against load
 // of a silent peer that blocks its slots for good.
 TEST_F(UpstreamTableTest, CountsTheRequestsOfPeers)
--- a/tests/gateway/holder_service_test.cpp
+++ b/tests/gateway/holder_service_test.cpp
@@ -120,6 +120,17 @@
     << "two resident adapters and one that loads use all 3 slots";
 }
 
+// Guards against loads at an engine that leaves while its entry still says that it is ready.
+TEST_F(HolderServiceTest, OrdersNothingFromAnEngineThatLeaves)
+{
+  WaitForLease();
+  state_.Upstreams().OnLeaving(engine_, 1);
+  RequestLoad("a1");
+  scheduler_.Run(10ms);
+  service_->Tick();
+  EXPECT_TRUE(sent_.empty());
+}
+
 TEST_F(HolderServiceTest, ConfirmsALoadByRepeatingItsOrder)
 {
   WaitForLease();
--- /dev/null
+++ b/tests/gateway/request_flow_leaving_test.cpp
@@ -0,0 +1,99 @@
+/** @file request_flow_leaving_test.cpp Tests of RequestFlow with upstreams that leave the fleet. */
+#include "gateway/request_flow_support.h"
+
+namespace laburnumweir {
+namespace {
+
+using namespace std::chrono_literals;
+using testing_support::Answer;
+using testing_support::FakeAnswer;
+using testing_support::kGoodHead;
+using testing_support::Peer;
+using testing_support::RequestFlowTest;
+using testing_support::ScriptedServer;
+
+class LeavingUpstreamTest : public RequestFlowTest
+{
+protected:
+  /** Sends one request. @return the body of its answer. */
+  std::string Ask()
+  {
+    answer_ = std::make_shared<FakeAnswer>();
+    Start();
+    Finish();
+    return answer_->body_;
+  }
+
+  /** Applies an entry that says that the upstream `u64` is ready. */
+  void ReadReadyEntry(std::int64_t aStartedAt)
+  {
+    auto entry = fleet_.Upstreams().Find(UpstreamId("u64"))->entry_;
+    entry.startedAt_ = aStartedAt;
+    ++entry.heartbeat_;
+    fleet_.Upstreams().OnEntry(entry);
+  }
+
+  std::string answerText_ = Answer("leaving", kGoodHead + std::string("Server-Leaving: 1\r\n"));
+  /** Preferred upstream `u64`; sends answerText_. */
+  ScriptedServer leaving_{ [this](Peer& aPeer, int) {
+    while (aPeer.ReadRequest()) {
+      aPeer.Send(answerText_);
+    }
+  } };
+  ScriptedServer other_{ [](Peer& aPeer, int) {
+    while (aPeer.ReadRequest()) {
+      aPeer.Send(Answer("other"));
+    }
+  } };
+};
+
+// Guards against requests to an upstream that leaves, from a host that has not read its new entry
+// because it is out of touch with the store: the answers of the upstream say so too.
+TEST_F(LeavingUpstreamTest, GetsNoRequestsAfterAnAnswerThatSaysSo)
+{
+  SetUpstreams({ leaving_.Address(), other_.Address() });
+  EXPECT_EQ(Ask(), "leaving") << "it still answers what it has received";
+  EXPECT_EQ(Ask(), "other");
+  ReadReadyEntry(startedAt_);
+  EXPECT_EQ(Ask(), "other") << "the entry was written before the process began to leave";
+  ReadReadyEntry(startedAt_ + 1);
+  EXPECT_EQ(Ask(), "leaving") << "a new process under the same id";
+}
+
+// Guards against requests to an upstream that leaves after its entry expired and was written again
+// by the same process, as after an outage of the store.
+TEST_F(LeavingUpstreamTest, GetsNoRequestsWhenItsEntryComesBack)
+{
+  SetUpstreams({ leaving_.Address(), other_.Address() });
+  EXPECT_EQ(Ask(), "leaving");
+  const auto entry = fleet_.Upstreams().Find(UpstreamId("u64"))->entry_;
+  fleet_.Upstreams().OnRemoved(entry.id_);
+  fleet_.Upstreams().OnEntry(entry);
+  EXPECT_EQ(Ask(), "other");
+}
+
+// Guards against an upstream that is taken for leaving because of an answer that another process
+// made: it is not signed and does not prove that the request was refused.
+TEST_F(LeavingUpstreamTest, IsBelievedOnlyInItsOwnAnswers)
+{
+  answerText_ = Answer("forged", "HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nServer-Leaving: 1\r\n");
+  SetUpstreams({ leaving_.Address(), other_.Address() });
+  Ask();
+  EXPECT_EQ(answer_->status_, 502U);
+  EXPECT_TRUE(fleet_.Upstreams().IsUsable(*fleet_.Upstreams().Find(UpstreamId("u64"))));
+}
+
+// Guards against a refusal of an upstream that leaves whose field is not read, since the body of
+// the refusal is not passed on.
+TEST_F(LeavingUpstreamTest, IsBelievedInARefusal)
+{
+  answerText_ = "HTTP/1.1 503 Leaving\r\nX-Attempt-Id: r1\r\nX-Not-Executed: 1\r\n"
+                "Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n";
+  SetUpstreams({ leaving_.Address(), other_.Address() });
+  EXPECT_EQ(Ask(), "other");
+  answerText_ = Answer("leaving");
+  EXPECT_EQ(Ask(), "other");
+}
+
+} // namespace
+} // namespace laburnumweir
--- a/tests/wire/message_codec_test.cpp
+++ b/tests/wire/message_codec_test.cpp
@@ -76,6 +76,17 @@
   EXPECT_FALSE(PlatformMessageCodec().ReadAnswer(200, {}).requestLimit_);
 }
 
+TEST(MessageCodec, ReadsWhetherAnUpstreamLeaves)
+{
+  EXPECT_FALSE(PlatformMessageCodec().ReadAnswer(200, {}).isLeaving_);
+  for (const auto& [text, isLeaving] : std::map<std::string, bool>{
+         { "1", true }, { "0", false }, { "", false }, { "11", false }, { "yes", false } }) {
+    Fields fields;
+    fields.set("server-leaving", text);
+    EXPECT_EQ(PlatformMessageCodec().ReadAnswer(503, fields).isLeaving_, isLeaving) << text;
+  }
+}
+
 TEST(MessageCodec, RemovesWhatCallersMayNotSet)
 {
   Fields fields;
