Send nothing to an upstream for the time that its refusal asks for

An upstream that turns a request away with 503 may add Retry-After: it wants nothing from this host for so long.

A signed 503 without the mark of a request that was not run lowered its health. Change: a pause is a state of the upstream that all requests of the host keep, also those whose connection is being established. A later, shorter one does not shorten it. It lasts 5 minutes at most and ends with the process that asked for it. Health is not lowered.

Orders and reports go on: they are no requests, and other hosts may still need loads there. This host requests no loads at a paused engine and has the adapter loaded elsewhere, as after a denied permit.

Tests: GetsNoRequestsOfTheHostUntilTheEndOfThePause and IsNotLessHealthy fail on the code before; IsPausedOnlyByItsOwnAnswers passes on both. The rest is new in the codec and the table.

--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -68,6 +68,7 @@
     if (const auto removed = removed_.extract(aEntry.id_);
         removed && removed.mapped().startedAt_ == aEntry.startedAt_) {
       upstream.isLeaving_ = removed.mapped().isLeaving_;
+      upstream.pausedUntil_ = removed.mapped().pausedUntil_;
     }
   } else {
     // The residency that the holder sent after an order is newer than an entry written before it.
@@ -101,8 +102,8 @@
     return now - aEntry.second.removedAt_ > kRemovedUpstreamTtl;
   });
   const auto& upstream = found->second;
-  if (upstream.isLeaving_) {
-    removed_[aId] = { upstream.entry_.startedAt_, now, upstream.isLeaving_ };
+  if (upstream.isLeaving_ || upstream.pausedUntil_ > now) {
+    removed_[aId] = { upstream.entry_.startedAt_, now, upstream.isLeaving_, upstream.pausedUntil_ };
   }
   upstreams_.erase(found);
   return true;
@@ -181,7 +182,8 @@
 UpstreamTable::IsUsableAt(const Upstream& aUpstream, TimePoint aNow) const
 {
   return !IsLeaving(aUpstream) && !aUpstream.isMisdirected_ &&
-         !evacuated_.contains(aUpstream.entry_.dataCentre_) && aUpstream.backoffUntil_ <= aNow;
+         !evacuated_.contains(aUpstream.entry_.dataCentre_) && aUpstream.backoffUntil_ <= aNow &&
+         aUpstream.pausedUntil_ <= aNow;
 }
 
 bool
@@ -472,6 +474,22 @@
            { { "upstream", aId.Value() }, { "life", std::to_string(aStartedAt) } });
 }
 
+void
+UpstreamTable::OnPause(const UpstreamId& aId, std::int64_t aStartedAt, Duration aFor)
+{
+  auto* upstream = Find(aId);
+  const auto until = clock_.Now() + aFor;
+  if (upstream == nullptr || upstream->entry_.startedAt_ != aStartedAt ||
+      aFor <= Duration::zero() || until <= upstream->pausedUntil_) {
+    return;
+  }
+  upstream->pausedUntil_ = until;
+  LogEvent(LogLevel::Info,
+           "upstream_paused",
+           { { "upstream", aId.Value() },
+             { "pause_ms", std::to_string(aFor / std::chrono::milliseconds(1)) } });
+}
+
 std::optional<double>
 UpstreamTable::LimitOf(const Upstream& aUpstream, TimePoint aNow)
 {
--- a/src/fleet/upstream_table.h
+++ b/src/fleet/upstream_table.h
@@ -55,7 +55,8 @@
   std::uint32_t failures_ = 0;     ///< Consecutive unreachable attempts.
   double failureAverage_ = 0;      ///< Moving average of the fraction of failures, 0 to 1.
   double latencyAverage_ = 0;      ///< Moving average of the time to the first byte, s.
-  TimePoint backoffUntil_;         ///< It gets no requests before this time.
+  TimePoint backoffUntil_;         ///< It gets no requests before this time, after failures.
+  TimePoint pausedUntil_;          ///< It asked this host for no requests before this time.
   TimePoint coldUntil_;            ///< End of its cold phase.
   TimePoint coldTokensAt_;         ///< When coldTokens_ was last refilled.
   double coldTokens_ = 0;          ///< Requests this host may send now while it is cold.
@@ -164,6 +165,12 @@
    * @param aStartedAt start time of the process; a later one under the same id may get requests.
    */
   void OnLeaving(const UpstreamId& aId, std::int64_t aStartedAt);
+  /**
+   * Excludes an upstream for a while, as it asked this host in a refusal. Its health is not
+   * changed.
+   * @param aStartedAt start time of its process. @param aFor at most kMaxUpstreamPause.
+   */
+  void OnPause(const UpstreamId& aId, std::int64_t aStartedAt, Duration aFor);
   /** @return requests/s that an upstream takes from all hosts; none if it has no limit. */
   std::optional<double> RequestLimit(const UpstreamId& aId) const;
   /** Applies the answer to a request for a permit. A permit is valid for kPermitTtl. */
@@ -196,6 +203,7 @@
     std::int64_t startedAt_ = 0; ///< Start time of its process, Unix ms.
     TimePoint removedAt_;
     bool isLeaving_ = false; ///< See Upstream.
+    TimePoint pausedUntil_;  ///< See Upstream.
   };
   struct LoadReport
   {
--- a/src/gateway/message_codec_base.h
+++ b/src/gateway/message_codec_base.h
@@ -50,6 +50,7 @@
   std::optional<std::chrono::milliseconds>
     coldTimeLeft_;                     ///< Remaining cold start; none if not given.
   std::optional<double> requestLimit_; ///< Requests/s it takes from all hosts; none if no limit.
+  std::optional<Duration> pause_;      ///< It asks this host for none for so long; none if not.
   bool isLeaving_ = false;             ///< The upstream leaves the fleet; no new requests.
 };
 
--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -32,7 +32,8 @@
   }
   const auto* upstream = context_.fleet_.Upstreams().Find(upstream_);
   if (upstream == nullptr || !context_.fleet_.Upstreams().IsUsable(*upstream)) {
-    // It left, or its data centre was evacuated, while the connection was established.
+    // It left, asked for a pause, or its data centre was evacuated, while the connection was
+    // established.
     call_->Cancel();
     call_.reset();
     EndAttempt(AttemptHealth::Good);
@@ -84,6 +85,9 @@
     if (answerFacts_.isLeaving_) {
       context_.fleet_.Upstreams().OnLeaving(upstream_, startedAt_);
     }
+    if (answerFacts_.pause_) {
+      context_.fleet_.Upstreams().OnPause(upstream_, startedAt_, *answerFacts_.pause_);
+    }
   }
   isStreaming_ = IsStream() && answerClass_ == AnswerClass::Valid;
   status_ = aStatus;
@@ -253,7 +257,9 @@
     ForwardAnswer();
   } else if (isComplete && answerClass_ == AnswerClass::Error) {
     const bool isFailure = status_ / 100 == 5;
-    EndAttempt(isFailure ? AttemptHealth::Failed : AttemptHealth::Good);
+    EndAttempt(answerFacts_.pause_ ? AttemptHealth::Busy
+               : isFailure         ? AttemptHealth::Failed
+                                   : AttemptHealth::Good);
     if (isBegun_ || (isFailure && MayRepeat())) {
       OnFailed("upstream_error", true);
     } else {
--- a/src/table/fleet_const.h
+++ b/src/table/fleet_const.h
@@ -100,6 +100,11 @@
  * heartbeats.
  */
 constexpr Duration kUpstreamBackoffMax = std::chrono::seconds(3);
+/**
+ * Longest pause that an upstream may ask for. A wrong value, such as one in milliseconds, must not
+ * take it out of service until its next start.
+ */
+constexpr Duration kMaxUpstreamPause = std::chrono::minutes(5);
 /**
  * Time for which it is remembered what an upstream without an entry has asked for. Its entry may
  * come back after an outage of the store.
--- a/tests/fleet/upstream_table_test.cpp
+++ b/tests/fleet/upstream_table_test.cpp
@@ -145,6 +145,30 @@
   EXPECT_NE(table_.Choose(NeedOf("")).upstream_, nullptr);
 }
 
+// Guards against a later answer with a shorter time that ends a pause early, and against an adapter
+// that nobody loads elsewhere while its only engine is paused.
+TEST_F(UpstreamTableTest, APauseIsExtendedButNotShortened)
+{
+  const auto id = Add("e1", { { "a1", 1 } });
+  const auto other = Add("e2");
+  table_.OnPause(id, 0, 9s);
+  EXPECT_NE(table_.Choose(NeedOf("a1")).upstream_, nullptr) << "an earlier process";
+  table_.OnPause(id, 1, 2s);
+  table_.OnPause(id, 1, 1s);
+  clock_.Advance(1900ms);
+  EXPECT_EQ(table_.Choose(NeedOf("a1")).upstream_, nullptr);
+  EXPECT_EQ(table_.Choose(NeedOf("a1")).loadTarget_, other);
+  table_.OnPause(id, 1, 1s);
+  clock_.Advance(900ms);
+  EXPECT_EQ(table_.Choose(NeedOf("a1")).upstream_, nullptr);
+  const auto entry = table_.Find(id)->entry_;
+  table_.OnRemoved(id);
+  table_.OnEntry(entry);
+  EXPECT_EQ(table_.Choose(NeedOf("a1")).upstream_, nullptr) << "its entry came back";
+  clock_.Advance(100ms);
+  EXPECT_NE(table_.Choose(NeedOf("a1")).upstream_, nullptr);
+}
+
 // Guards against more requests than slots at an upstream that several hosts use, and against load
 // of a silent peer that blocks its slots for good.
 TEST_F(UpstreamTableTest, CountsTheRequestsOfPeers)
--- /dev/null
+++ b/tests/gateway/request_flow_pause_test.cpp
@@ -0,0 +1,100 @@
+/** @file request_flow_pause_test.cpp Tests of RequestFlow with upstreams that ask for a pause. */
+#include "gateway/request_flow_support.h"
+
+#include <thread>
+
+namespace laburnumweir {
+namespace {
+
+using namespace std::chrono_literals;
+using testing_support::Answer;
+using testing_support::FakeAnswer;
+using testing_support::Peer;
+using testing_support::RequestFlowTest;
+using testing_support::ScriptedServer;
+using SteadyClock = std::chrono::steady_clock;
+
+/** @return a refusal that asks for a pause of some seconds. */
+std::string
+PauseRefusal(const std::string& aSeconds)
+{
+  return "HTTP/1.1 503 Busy\r\nX-Attempt-Id: r1\r\nX-Server-Stamp: s\r\nX-Not-Executed: 1\r\n"
+         "Retry-After: " +
+         aSeconds + "\r\nContent-Length: 0\r\n\r\n";
+}
+
+class PausedUpstreamTest : public RequestFlowTest
+{
+protected:
+  /** Sends one request. @return the body of its answer. */
+  std::string Ask()
+  {
+    answer_ = std::make_shared<FakeAnswer>();
+    Start();
+    Finish();
+    return answer_->body_;
+  }
+
+  std::atomic<int> received_ = 0; ///< Requests that pausing_ has received.
+  std::string refusal_;           ///< Answer of pausing_ to its first requests.
+  std::atomic<int> refusals_ = 1; ///< Requests that it still refuses.
+  /** Preferred upstream `u64`. */
+  ScriptedServer pausing_{ [this](Peer& aPeer, int) {
+    while (aPeer.ReadRequest()) {
+      ++received_;
+      aPeer.Send(refusals_-- > 0 ? refusal_ : Answer("pausing"));
+    }
+  } };
+  ScriptedServer other_{ [](Peer& aPeer, int) {
+    while (aPeer.ReadRequest()) {
+      aPeer.Send(Answer("other"));
+    }
+  } };
+};
+
+// Guards against requests that an upstream asked not to get: the backoff after a refusal is of one
+// request, and the following requests of the host are sent to the same upstream.
+TEST_F(PausedUpstreamTest, GetsNoRequestsOfTheHostUntilTheEndOfThePause)
+{
+  constexpr auto kPause = 600ms;
+  refusal_ = PauseRefusal("0.6");
+  SetUpstreams({ pausing_.Address(), other_.Address() });
+  const auto start = SteadyClock::now();
+  while (SteadyClock::now() - start < kPause - 100ms) {
+    EXPECT_EQ(Ask(), "other");
+    std::this_thread::sleep_for(20ms);
+  }
+  EXPECT_EQ(received_, 1);
+  std::this_thread::sleep_until(start + kPause + 100ms);
+  EXPECT_EQ(Ask(), "pausing");
+}
+
+// Guards against an upstream that gets fewer requests after a pause than before it, since its
+// answer was counted as a failure: a signed 503 that does not say that the request was not run.
+TEST_F(PausedUpstreamTest, IsNotLessHealthy)
+{
+  refusal_ = "HTTP/1.1 503 Busy\r\nX-Attempt-Id: r1\r\nX-Server-Stamp: s\r\nRetry-After: 0.2\r\n"
+             "Content-Length: 0\r\n\r\n";
+  repeat_ = RepeatRule::Repeatable;
+  SetUpstreams({ pausing_.Address(), other_.Address() });
+  EXPECT_EQ(Ask(), "other");
+  EXPECT_EQ(Ask(), "other");
+  EXPECT_EQ(received_, 1);
+  EXPECT_EQ(fleet_.Upstreams().Find(UpstreamId("u64"))->failureAverage_, 0);
+  std::this_thread::sleep_for(250ms);
+  EXPECT_EQ(Ask(), "pausing");
+}
+
+// Guards against a pause that another process asks for in the name of the upstream.
+TEST_F(PausedUpstreamTest, IsPausedOnlyByItsOwnAnswers)
+{
+  refusal_ =
+    "HTTP/1.1 503 Busy\r\nX-Attempt-Id: r1\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n";
+  SetUpstreams({ pausing_.Address(), other_.Address() });
+  Ask();
+  EXPECT_EQ(answer_->status_, 502U);
+  EXPECT_TRUE(fleet_.Upstreams().IsUsable(*fleet_.Upstreams().Find(UpstreamId("u64"))));
+}
+
+} // namespace
+} // namespace laburnumweir
--- a/tests/wire/message_codec_test.cpp
+++ b/tests/wire/message_codec_test.cpp
@@ -1,6 +1,8 @@
 /** @file message_codec_test.cpp Tests of the header fields of forwarded requests and of answers. */
 #include "platform/message_codec.h"
 
+#include "table/fleet_const.h"
+
 #include <gtest/gtest.h>
 
 namespace laburnumweir::platform {
@@ -87,6 +89,30 @@
   }
 }
 
+// Guards against an upstream that gets no requests until its next start because of a wrong value,
+// and against one that gets them at once because the value has a fraction.
+TEST(MessageCodec, ReadsThePauseThatAnUpstreamAsksFor)
+{
+  using namespace std::chrono_literals;
+  using Pause = std::optional<Duration>;
+  for (const auto& [text, pause] :
+       std::map<std::string, Pause>{ { "2", 2s },
+                                     { "0.25", 250ms },
+                                     { "0", 0s },
+                                     { "1e12", kMaxUpstreamPause },
+                                     { "-1", {} },
+                                     { "nan", {} },
+                                     { "inf", {} },
+                                     { "soon", {} },
+                                     { "Wed, 21 Oct 2026 07:28:00 GMT", {} },
+                                     { "", {} } }) {
+    Fields fields;
+    fields.set("Retry-After", text);
+    EXPECT_EQ(PlatformMessageCodec().ReadAnswer(503, fields).pause_, pause) << text;
+    EXPECT_FALSE(PlatformMessageCodec().ReadAnswer(429, fields).pause_) << text;
+  }
+}
+
 TEST(MessageCodec, RemovesWhatCallersMayNotSet)
 {
   Fields fields;
