Ignore leaving and pauses of another upstream at the same address

A refusal 421 names the upstream that answers. If that is another one, its fields say nothing about the upstream that the request was for, and what they exclude for good may be a process that is only known by an old address until its next entry.

IsNotAnotherOneThatAnswersAtItsAddress fails without the condition.

--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -82,6 +82,10 @@
   }
   if (isGenuine || isProvenRefusal) {
     context_.fleet_.Upstreams().OnRequestLimit(upstream_, startedAt_, answerFacts_.requestLimit_);
+  }
+  // After a restart, another upstream may refuse the request at the same address.
+  const bool isOfUpstream = answerFacts_.upstream_.IsEmpty() || answerFacts_.upstream_ == upstream_;
+  if ((isGenuine || isProvenRefusal) && isOfUpstream) {
     if (answerFacts_.isLeaving_) {
       context_.fleet_.Upstreams().OnLeaving(upstream_, startedAt_);
     }
--- a/tests/gateway/request_flow_leaving_test.cpp
+++ b/tests/gateway/request_flow_leaving_test.cpp
@@ -95,5 +95,18 @@
   EXPECT_EQ(Ask(), "other");
 }
 
+// Guards against an upstream that is excluded for good because another one, which leaves, answers
+// at its address.
+TEST_F(LeavingUpstreamTest, IsNotAnotherOneThatAnswersAtItsAddress)
+{
+  answerText_ = "HTTP/1.1 421 Misdirected\r\nX-Attempt-Id: r1\r\nX-Instance-Id: u99\r\n"
+                "Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n";
+  SetUpstreams({ leaving_.Address(), other_.Address() });
+  EXPECT_EQ(Ask(), "other");
+  answerText_ = Answer("ready");
+  ReadReadyEntry(startedAt_);
+  EXPECT_EQ(Ask(), "ready");
+}
+
 } // namespace
 } // namespace laburnumweir
