Refuse at once what cannot start before the end of all pauses

What callers saw: a request whose upstreams had all asked for a pause of 30 s waited until its own deadline (1.46 s of 1.5 s in the test) and was then told to come back after a second and a half. Others were refused although the pause ended in time: nothing starts during a pause, and the queue took that for the rate at which slots become free. One that had failed elsewhere was refused although its last upstream was paused only for a moment. Change: if each upstream of the service is paused, leaves, is evacuated or has failed with the request, and none is available before its latest start, it is refused with 503 and the time until the first pause ends. If one is available before, it waits, and the queue does not estimate its wait from starts (WaitingRequest::isBlocked_, before waitsForLoad_). A usable engine without the adapter, an upstream in back-off and one that another answers for count as available. Without a pause nothing changes, also for a service without upstreams. Retry-After counts upstreams that failed with this request only, since the next request of the caller may use them.

Tests: RequestThatCannotStartInTimeIsRefusedAtOnce, RequestsThatCan- StartAfterThePauseWaitForIt and RequestThatFailedElsewhereWaitsForThe- EndOfThePause fail on the code before; RequestWaitsForALoadAtAnother- Engine passes on both. WaitingForALoadIsNotWaitingInLine changes by the new name of a function only.

--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -490,6 +490,27 @@
              { "pause_ms", std::to_string(aFor / std::chrono::milliseconds(1)) } });
 }
 
+std::optional<TimePoint>
+UpstreamTable::PauseEnd(const ServiceName& aService, const std::set<UpstreamId>& aFailed) const
+{
+  const auto now = clock_.Now();
+  std::optional<TimePoint> earliest;
+  bool isAnyPaused = false;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.entry_.service_ != aService || IsLeaving(upstream) ||
+        evacuated_.contains(upstream.entry_.dataCentre_) || aFailed.contains(id)) {
+      continue;
+    }
+    if (upstream.isMisdirected_) {
+      return std::nullopt; // its next entry may make it usable
+    }
+    isAnyPaused = isAnyPaused || upstream.pausedUntil_ > now;
+    const auto start = std::max({ now, upstream.backoffUntil_, upstream.pausedUntil_ });
+    earliest = std::min(earliest.value_or(start), start);
+  }
+  return isAnyPaused ? earliest : std::nullopt;
+}
+
 std::optional<double>
 UpstreamTable::LimitOf(const Upstream& aUpstream, TimePoint aNow)
 {
--- a/src/fleet/upstream_table.h
+++ b/src/fleet/upstream_table.h
@@ -171,6 +171,13 @@
    * @param aStartedAt start time of its process. @param aFor at most kMaxUpstreamPause.
    */
   void OnPause(const UpstreamId& aId, std::int64_t aStartedAt, Duration aFor);
+  /**
+   * @param aFailed upstreams that are not used again.
+   * @return the first moment at which another upstream of a service may get requests; none if none
+   * of them is paused, since new entries may come at any time.
+   */
+  std::optional<TimePoint> PauseEnd(const ServiceName& aService,
+                                    const std::set<UpstreamId>& aFailed) const;
   /** @return requests/s that an upstream takes from all hosts; none if it has no limit. */
   std::optional<double> RequestLimit(const UpstreamId& aId) const;
   /** Applies the answer to a request for a permit. A permit is valid for kPermitTtl. */
--- a/src/fleet/wait_queue.cpp
+++ b/src/fleet/wait_queue.cpp
@@ -57,10 +57,10 @@
 }
 
 void
-WaitQueue::SetWaitsForLoad(WaitTicket aTicket, bool aWaitsForLoad)
+WaitQueue::SetBlocked(WaitTicket aTicket, bool aIsBlocked)
 {
   if (const auto found = positions_.find(aTicket); found != positions_.end()) {
-    queues_[found->second.first].requests_[found->second.second].waitsForLoad_ = aWaitsForLoad;
+    queues_[found->second.first].requests_[found->second.second].isBlocked_ = aIsBlocked;
   }
 }
 
@@ -113,15 +113,15 @@
     double ahead = 0;
     for (const auto& [position, request] : queue.requests_) {
       const bool isLate = request.latestStart_ <= now;
-      // A request that waits for an adapter starts when the load is complete, regardless of the
+      // A blocked request starts when the load is complete or the pause ends, regardless of the
       // requests before it.
       const bool isBehind =
-        !request.waitsForLoad_ && rate &&
+        !request.isBlocked_ && rate &&
         now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(ahead / *rate)) >=
           request.latestStart_;
       if (isLate || isBehind) {
         result.push_back(position.second);
-      } else if (!request.waitsForLoad_) {
+      } else if (!request.isBlocked_) {
         ++ahead;
       }
     }
@@ -142,7 +142,7 @@
   }
   double ahead = 0;
   for (const auto& [position, request] : found->second.requests_) {
-    ahead += position.first <= aRank && !request.waitsForLoad_ ? 1 : 0;
+    ahead += position.first <= aRank && !request.isBlocked_ ? 1 : 0;
   }
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(ahead / *rate));
 }
--- a/src/fleet/wait_queue.h
+++ b/src/fleet/wait_queue.h
@@ -19,9 +19,9 @@
 struct WaitingRequest
 {
   ServiceName service_;
-  std::uint32_t rank_ = 0;    ///< Priority; lower values are served first.
-  TimePoint latestStart_;     ///< Deadline for the start; a later start is of no use to the caller.
-  bool waitsForLoad_ = false; ///< Whether it waits for the load of an adapter, not for a slot.
+  std::uint32_t rank_ = 0; ///< Priority; lower values are served first.
+  TimePoint latestStart_;  ///< Deadline for the start; a later start is of no use to the caller.
+  bool isBlocked_ = false; ///< Whether it waits for a load or the end of a pause, not for a slot.
 };
 
 /**
@@ -43,8 +43,8 @@
   WaitTicket Push(const WaitingRequest& aRequest);
   /** Removes a request. @param aHasStarted whether it is removed because it started. */
   void Remove(WaitTicket aTicket, bool aHasStarted);
-  /** Sets whether a request waits for the load of an adapter rather than for a free slot. */
-  void SetWaitsForLoad(WaitTicket aTicket, bool aWaitsForLoad);
+  /** Sets whether a request waits for a load or the end of a pause rather than for a free slot. */
+  void SetBlocked(WaitTicket aTicket, bool aIsBlocked);
   /** @return tickets of the waiting requests of a service, in the order of service. */
   std::vector<WaitTicket> TicketsInOrder(const ServiceName& aService) const;
   /** @return services with waiting requests. */
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -215,12 +215,18 @@
   }
   const auto choice = ChooseUpstream();
   if (choice.upstream_ == nullptr) {
-    if (!choice.hasUntried_ && !failed_.empty()) {
+    const auto pauseEnd = choice.hasUntried_ ? std::nullopt : PauseEnd();
+    if (pauseEnd && *pauseEnd >= LatestStart()) {
+      Reply(runs_ > 0 ? 502 : 503, "upstreams_paused", RetryDelay());
+      return true;
+    }
+    if (!choice.hasUntried_ && !pauseEnd && !failed_.empty()) {
       RefuseWaiting();
       return true;
     }
+    isBlocked_ = loadingEngine_ || pauseEnd;
     if (ticket_) {
-      context_.queue_.SetWaitsForLoad(*ticket_, loadingEngine_.has_value());
+      context_.queue_.SetBlocked(*ticket_, isBlocked_);
     }
     return false;
   }
@@ -247,6 +253,12 @@
   return std::min(latest, admitted_.arrived_ + timeout - kRefusalLeadTime);
 }
 
+std::optional<TimePoint>
+RequestFlow::PauseEnd() const
+{
+  return context_.fleet_.Upstreams().PauseEnd(admitted_.service_, failed_);
+}
+
 void
 RequestFlow::Enqueue()
 {
@@ -256,12 +268,11 @@
   const auto latest = LatestStart();
   const auto now = context_.clock_.Now();
   const auto estimate = context_.queue_.EstimateWait(admitted_.service_, Rank());
-  if (latest <= now || (estimate && now + *estimate >= latest && !loadingEngine_)) {
+  if (latest <= now || (estimate && now + *estimate >= latest && !isBlocked_)) {
     RefuseWaiting();
     return;
   }
-  ticket_ =
-    context_.queue_.Push({ admitted_.service_, Rank(), latest, loadingEngine_.has_value() });
+  ticket_ = context_.queue_.Push({ admitted_.service_, Rank(), latest, isBlocked_ });
   context_.onQueued_(*ticket_, shared_from_this());
 }
 
@@ -287,6 +298,12 @@
 Duration
 RequestFlow::RetryDelay() const
 {
+  // The caller's next request may use an upstream that this one may not use again.
+  const auto pauseEnd = context_.fleet_.Upstreams().PauseEnd(admitted_.service_, {});
+  const auto now = context_.clock_.Now();
+  if (pauseEnd && *pauseEnd > now) {
+    return *pauseEnd - now;
+  }
   return context_.queue_.EstimateWait(admitted_.service_, Rank()).value_or(kDefaultRetryAfter);
 }
 
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -128,6 +128,8 @@
   Duration TimeLeft() const { return deadline_ - context_.clock_.Now(); }
   /** @return the last moment at which an attempt may start, so that its answer is still in time. */
   TimePoint LatestStart() const;
+  /** @return see UpstreamTable::PauseEnd(). */
+  std::optional<TimePoint> PauseEnd() const;
   /** @return time after an adapter release in which its old version may still be used. */
   Duration OldVersionGrace() const;
   std::uint32_t Rank() const;
@@ -188,6 +190,7 @@
   std::set<UpstreamId> excluded_;     ///< failed_ and the refusing upstreams still in backoff.
   std::set<UpstreamId> loadTimedOut_; ///< Engines that did not load the adapter in time.
   std::optional<WaitTicket> ticket_;  ///< Ticket in the queue; empty if not queued.
+  bool isBlocked_ = false; ///< It waits for a load or the end of a pause, not for a slot.
   /** Latest begin of a run with an old version of the adapter; none if no older one may be used. */
   std::optional<TimePoint> mustBeginBy_;
   std::optional<UpstreamId> loadingEngine_; ///< Engine that has been requested to load the adapter.
--- a/tests/fleet/small_modules_test.cpp
+++ b/tests/fleet/small_modules_test.cpp
@@ -103,7 +103,7 @@
   const auto last = Push(1, 1500ms, true);
   clock_.Advance(1s);
   EXPECT_TRUE(queue_.CannotStartInTime().empty());
-  queue_.SetWaitsForLoad(last, false);
+  queue_.SetBlocked(last, false);
   EXPECT_TRUE(queue_.CannotStartInTime().empty())
     << "requests that wait for a load do not delay those behind them";
   clock_.Advance(500ms);
--- a/tests/gateway/request_flow_pause_test.cpp
+++ b/tests/gateway/request_flow_pause_test.cpp
@@ -96,5 +96,88 @@
   EXPECT_TRUE(fleet_.Upstreams().IsUsable(*fleet_.Upstreams().Find(UpstreamId("u64"))));
 }
 
+/** @return seconds in the field Retry-After of an answer; 0 if it has none. */
+double
+RetryAfter(const FakeAnswer& aAnswer)
+{
+  const std::string text(aAnswer.fields_[boost::beast::http::field::retry_after]);
+  return text.empty() ? 0 : std::stod(text);
+}
+
+// Guards against callers that wait until their deadline for an upstream that wants no requests
+// until later, and that then come back too early.
+TEST_F(PausedUpstreamTest, RequestThatCannotStartInTimeIsRefusedAtOnce)
+{
+  refusal_ = PauseRefusal("30");
+  SetUpstreams({ pausing_.Address() });
+  timeout_ = 2s;
+  for (int i = 0; i < 3; ++i) {
+    const auto start = SteadyClock::now();
+    Ask();
+    EXPECT_LT(SteadyClock::now() - start, 1s);
+    EXPECT_EQ(answer_->status_, 503U);
+    EXPECT_NEAR(RetryAfter(*answer_), 30, 2);
+  }
+  EXPECT_EQ(received_, 1);
+}
+
+// Guards against refusing requests that can start after a pause: no request starts during it, which
+// the queue took for the rate at which slots become free.
+TEST_F(PausedUpstreamTest, RequestsThatCanStartAfterThePauseWaitForIt)
+{
+  refusal_ = PauseRefusal("1.2");
+  SetUpstreams({ pausing_.Address() });
+  timeout_ = 5s;
+  std::vector<std::shared_ptr<FakeAnswer>> answers;
+  const auto begin = [&] {
+    answer_ = std::make_shared<FakeAnswer>();
+    answers.push_back(answer_);
+    Start();
+  };
+  begin();
+  context_.run_for(100ms);
+  context_.restart();
+  for (int i = 0; i < 12; ++i) {
+    begin();
+  }
+  for (const auto& answer : answers) {
+    answer_ = answer;
+    Finish(5s);
+    EXPECT_EQ(answer->body_, "pausing");
+  }
+}
+
+// Guards against a failed request whose last upstream is paused for a moment only.
+TEST_F(PausedUpstreamTest, RequestThatFailedElsewhereWaitsForTheEndOfThePause)
+{
+  refusal_ = PauseRefusal("0.5");
+  repeat_ = RepeatRule::Repeatable;
+  ScriptedServer failing([](Peer& aPeer, int) {
+    while (aPeer.ReadRequest()) {
+      aPeer.Send(Answer("error", "HTTP/1.1 500 X\r\nX-Attempt-Id: r1\r\nX-Server-Stamp: s\r\n"));
+    }
+  });
+  SetUpstreams({ pausing_.Address(), failing.Address() });
+  EXPECT_EQ(Ask(), "pausing");
+}
+
+// Guards against refusing a request that an engine can still serve in time once it has loaded the
+// adapter, because the engine that holds it is paused.
+TEST_F(PausedUpstreamTest, RequestWaitsForALoadAtAnotherEngine)
+{
+  refusal_ = PauseRefusal("30");
+  engineModels_ = { { "m", { { "a1", 1 } } } };
+  SetUpstreams({ pausing_.Address(), other_.Address() });
+  const UpstreamId other("u32");
+  fleet_.Upstreams().OnAdapterMissing(other, "m", "a1");
+  Start();
+  context_.run_for(300ms);
+  context_.restart();
+  EXPECT_FALSE(answer_->IsDone());
+  fleet_.Upstreams().OnResidency({ other, startedAt_, 1, engineModels_ });
+  Finish();
+  EXPECT_EQ(answer_->body_, "other");
+}
+
 } // namespace
 } // namespace laburnumweir
