--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -65,6 +65,11 @@
     upstream.peersRunning_ = peers;
     upstream.coldTokensAt_ = now;
     upstream.entry_ = aEntry;
+    if (const auto removed = removed_.extract(aEntry.id_);
+        removed && removed.mapped().startedAt_ == aEntry.startedAt_) {
+      upstream.isLeaving_ = removed.mapped().isLeaving_;
+      upstream.pausedUntil_ = removed.mapped().pausedUntil_;
+    }
   } else {
     // The residency that the holder sent after an order is newer than an entry written before it.
     const bool keepsModels =
@@ -88,7 +93,20 @@
 bool
 UpstreamTable::OnRemoved(const UpstreamId& aId)
 {
-  return upstreams_.erase(aId) > 0;
+  const auto found = upstreams_.find(aId);
+  if (found == upstreams_.end()) {
+    return false;
+  }
+  const auto now = clock_.Now();
+  std::erase_if(removed_, [now](const auto& aEntry) {
+    return now - aEntry.second.removedAt_ > kRemovedUpstreamTtl;
+  });
+  const auto& upstream = found->second;
+  if (upstream.isLeaving_ || upstream.pausedUntil_ > now) {
+    removed_[aId] = { upstream.entry_.startedAt_, now, upstream.isLeaving_, upstream.pausedUntil_ };
+  }
+  upstreams_.erase(found);
+  return true;
 }
 
 void
@@ -163,8 +181,9 @@
 bool
 UpstreamTable::IsUsableAt(const Upstream& aUpstream, TimePoint aNow) const
 {
-  return !aUpstream.entry_.isDraining_ && !aUpstream.isMisdirected_ &&
-         !evacuated_.contains(aUpstream.entry_.dataCentre_) && aUpstream.backoffUntil_ <= aNow;
+  return !IsLeaving(aUpstream) && !aUpstream.isMisdirected_ &&
+         !evacuated_.contains(aUpstream.entry_.dataCentre_) && aUpstream.backoffUntil_ <= aNow &&
+         aUpstream.pausedUntil_ <= aNow;
 }
 
 bool
@@ -442,6 +461,56 @@
   upstream->limitHeardAt_ = clock_.Now();
 }
 
+void
+UpstreamTable::OnLeaving(const UpstreamId& aId, std::int64_t aStartedAt)
+{
+  auto* upstream = Find(aId);
+  if (upstream == nullptr || upstream->entry_.startedAt_ != aStartedAt || upstream->isLeaving_) {
+    return;
+  }
+  upstream->isLeaving_ = true;
+  LogEvent(LogLevel::Info,
+           "upstream_leaving",
+           { { "upstream", aId.Value() }, { "life", std::to_string(aStartedAt) } });
+}
+
+void
+UpstreamTable::OnPause(const UpstreamId& aId, std::int64_t aStartedAt, Duration aFor)
+{
+  auto* upstream = Find(aId);
+  const auto until = clock_.Now() + aFor;
+  if (upstream == nullptr || upstream->entry_.startedAt_ != aStartedAt ||
+      aFor <= Duration::zero() || until <= upstream->pausedUntil_) {
+    return;
+  }
+  upstream->pausedUntil_ = until;
+  LogEvent(LogLevel::Info,
+           "upstream_paused",
+           { { "upstream", aId.Value() },
+             { "pause_ms", std::to_string(aFor / std::chrono::milliseconds(1)) } });
+}
+
+std::optional<TimePoint>
+UpstreamTable::PauseEnd(const ServiceName& aService, const std::set<UpstreamId>& aFailed) const
+{
+  const auto now = clock_.Now();
+  std::optional<TimePoint> earliest;
+  bool isAnyPaused = false;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.entry_.service_ != aService || IsLeaving(upstream) ||
+        evacuated_.contains(upstream.entry_.dataCentre_) || aFailed.contains(id)) {
+      continue;
+    }
+    if (upstream.isMisdirected_) {
+      return std::nullopt; // its next entry may make it usable
+    }
+    isAnyPaused = isAnyPaused || upstream.pausedUntil_ > now;
+    const auto start = std::max({ now, upstream.backoffUntil_, upstream.pausedUntil_ });
+    earliest = std::min(earliest.value_or(start), start);
+  }
+  return isAnyPaused ? earliest : std::nullopt;
+}
+
 std::optional<double>
 UpstreamTable::LimitOf(const Upstream& aUpstream, TimePoint aNow)
 {
--- a/src/fleet/upstream_table.h
+++ b/src/fleet/upstream_table.h
@@ -55,7 +55,8 @@
   std::uint32_t failures_ = 0;     ///< Consecutive unreachable attempts.
   double failureAverage_ = 0;      ///< Moving average of the fraction of failures, 0 to 1.
   double latencyAverage_ = 0;      ///< Moving average of the time to the first byte, s.
-  TimePoint backoffUntil_;         ///< It gets no requests before this time.
+  TimePoint backoffUntil_;         ///< It gets no requests before this time, after failures.
+  TimePoint pausedUntil_;          ///< It asked this host for no requests before this time.
   TimePoint coldUntil_;            ///< End of its cold phase.
   TimePoint coldTokensAt_;         ///< When coldTokens_ was last refilled.
   double coldTokens_ = 0;          ///< Requests this host may send now while it is cold.
@@ -69,6 +70,7 @@
   TimePoint permitsUntil_;           ///< When these permits expire.
   TimePoint permitDeniedUntil_;      ///< No permit is requested before this time.
   bool isMisdirected_ = false;       ///< Another upstream answers at its endpoint.
+  bool isLeaving_ = false;           ///< An answer of its process said that it leaves the fleet.
 };
 
 /** Requirements of a request on an upstream. */
@@ -159,6 +161,24 @@
    * @param aStartedAt start time of its process. @param aLimit requests/s; none if it names none.
    */
   void OnRequestLimit(const UpstreamId& aId, std::int64_t aStartedAt, std::optional<double> aLimit);
+  /**
+   * Excludes the process of an upstream for good, as an answer said that it leaves the fleet.
+   * @param aStartedAt start time of the process; a later one under the same id may get requests.
+   */
+  void OnLeaving(const UpstreamId& aId, std::int64_t aStartedAt);
+  /**
+   * Excludes an upstream for a while, as it asked this host in a refusal. Its health is not
+   * changed.
+   * @param aStartedAt start time of its process. @param aFor at most kMaxUpstreamPause.
+   */
+  void OnPause(const UpstreamId& aId, std::int64_t aStartedAt, Duration aFor);
+  /**
+   * @param aFailed upstreams that are not used again.
+   * @return the first moment at which another upstream of a service may get requests; none if none
+   * of them is paused, since new entries may come at any time.
+   */
+  std::optional<TimePoint> PauseEnd(const ServiceName& aService,
+                                    const std::set<UpstreamId>& aFailed) const;
   /** @return requests/s that an upstream takes from all hosts; none if it has no limit. */
   std::optional<double> RequestLimit(const UpstreamId& aId) const;
   /** Applies the answer to a request for a permit. A permit is valid for kPermitTtl. */
@@ -169,6 +189,11 @@
   const std::map<UpstreamId, Upstream>& All() const { return upstreams_; }
   /** @return the load report of this host: upstreams with running requests. */
   std::vector<UpstreamLoad> OwnLoad() const;
+  /** @return whether an upstream leaves the fleet, by its entry or by one of its answers. */
+  static bool IsLeaving(const Upstream& aUpstream)
+  {
+    return aUpstream.entry_.isDraining_ || aUpstream.isLeaving_;
+  }
   /** @return whether an upstream may get requests as far as its load permits. */
   bool IsUsable(const Upstream& aUpstream) const { return IsUsableAt(aUpstream, clock_.Now()); }
   /**
@@ -180,6 +205,14 @@
                                                      std::string_view aAdapter);
 
 private:
+  /** What an upstream without an entry has asked for, in case its entry comes back. */
+  struct RemovedUpstream
+  {
+    std::int64_t startedAt_ = 0; ///< Start time of its process, Unix ms.
+    TimePoint removedAt_;
+    bool isLeaving_ = false; ///< See Upstream.
+    TimePoint pausedUntil_;  ///< See Upstream.
+  };
   struct LoadReport
   {
     TimePoint receivedAt_;
@@ -205,6 +238,7 @@
   const HostId host_;
   const DataCentreId dataCentre_; ///< Data centre of this host.
   std::map<UpstreamId, Upstream> upstreams_;
+  std::map<UpstreamId, RemovedUpstream> removed_; ///< Those removed within kRemovedUpstreamTtl.
   std::map<ServiceName, ServiceSpec> services_;
   std::set<DataCentreId> evacuated_; ///< Data centres whose upstreams get no requests.
   std::vector<HostId> hosts_;        ///< Live hosts, this one included.
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -135,6 +135,8 @@
   /** @return whether a version with which the last attempt may run was replaced so long ago that
    * the attempt must not begin any more. */
   bool IsVersionTooOld() const;
+  /** @return see UpstreamTable::PauseEnd(). */
+  std::optional<TimePoint> PauseEnd() const;
   std::uint32_t Rank() const;
   /** @return whether the last confirmation of the configuration is too old to trust the key. */
   bool IsConfigTooOld() const;
@@ -194,6 +196,7 @@
   std::set<UpstreamId> loadTimedOut_; ///< Engines that did not load the adapter in time.
   std::optional<WaitTicket> ticket_;  ///< Ticket in the queue; empty if not queued.
   std::int64_t demandedVersion_ = 0;  ///< Adapter version that the last attempt demands; 0 = any.
+  bool isBlocked_ = false; ///< It waits for a load or the end of a pause, not for a slot.
   std::optional<UpstreamId> loadingEngine_; ///< Engine that has been requested to load the adapter.
   TimePoint loadRequestedAt_;               ///< When the load was first requested there.
   TimePoint loadLastRequestedAt_;           ///< When the load was last requested there.
--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -31,8 +31,8 @@
     return;
   }
   const auto* upstream = context_.fleet_.Upstreams().Find(upstream_);
-  // It may have left, or its data centre may have been evacuated, while the connection was
-  // established.
+  // It may have left or asked for a pause, or its data centre may have been evacuated, while the
+  // connection was established.
   const bool hasLeft = upstream == nullptr || !context_.fleet_.Upstreams().IsUsable(*upstream);
   if (hasLeft || IsVersionTooOld()) {
     call_->Cancel();
@@ -84,6 +84,16 @@
   if (isGenuine || isProvenRefusal) {
     context_.fleet_.Upstreams().OnRequestLimit(upstream_, startedAt_, answerFacts_.requestLimit_);
   }
+  // After a restart, another upstream may refuse the request at the same address.
+  const bool isOfUpstream = answerFacts_.upstream_.IsEmpty() || answerFacts_.upstream_ == upstream_;
+  if ((isGenuine || isProvenRefusal) && isOfUpstream) {
+    if (answerFacts_.isLeaving_) {
+      context_.fleet_.Upstreams().OnLeaving(upstream_, startedAt_);
+    }
+    if (answerFacts_.pause_) {
+      context_.fleet_.Upstreams().OnPause(upstream_, startedAt_, *answerFacts_.pause_);
+    }
+  }
   isStreaming_ = IsStream() && answerClass_ == AnswerClass::Valid;
   status_ = aStatus;
   if (!isBegun_) {
@@ -252,7 +262,9 @@
     ForwardAnswer();
   } else if (isComplete && answerClass_ == AnswerClass::Error) {
     const bool isFailure = status_ / 100 == 5;
-    EndAttempt(isFailure ? AttemptHealth::Failed : AttemptHealth::Good);
+    EndAttempt(answerFacts_.pause_ ? AttemptHealth::Busy
+               : isFailure         ? AttemptHealth::Failed
+                                   : AttemptHealth::Good);
     if (isBegun_ || (isFailure && MayRepeat())) {
       OnFailed("upstream_error", true);
     } else {
--- a/tests/fleet/upstream_table_test.cpp
+++ b/tests/fleet/upstream_table_test.cpp
@@ -124,6 +124,77 @@
   EXPECT_EQ(table_.Choose(NeedOf("")).upstream_, nullptr);
 }
 
+// Guards against an answer of a process that has ended and excludes the next one, and against an
+// engine that leaves and is asked to load adapters.
+TEST_F(UpstreamTableTest, OnlyTheProcessThatLeavesIsExcluded)
+{
+  const auto id = Add("e1");
+  table_.OnLeaving(id, 0);
+  EXPECT_NE(table_.Choose(NeedOf("")).upstream_, nullptr) << "an earlier process";
+  table_.OnLeaving(id, 1);
+  EXPECT_EQ(table_.Choose(NeedOf("")).upstream_, nullptr);
+  EXPECT_FALSE(table_.Choose(NeedOf("a1")).loadTarget_);
+  const auto entry = table_.Find(id)->entry_;
+  table_.OnRemoved(id);
+  table_.OnEntry(entry);
+  EXPECT_EQ(table_.Choose(NeedOf("")).upstream_, nullptr) << "its entry came back";
+  auto next = entry;
+  next.startedAt_ = 2;
+  table_.OnRemoved(id);
+  table_.OnEntry(next);
+  EXPECT_NE(table_.Choose(NeedOf("")).upstream_, nullptr);
+}
+
+// Guards against a later answer with a shorter time that ends a pause early, and against an adapter
+// that nobody loads elsewhere while its only engine is paused.
+TEST_F(UpstreamTableTest, APauseIsExtendedButNotShortened)
+{
+  const auto id = Add("e1", { { "a1", 1 } });
+  const auto other = Add("e2");
+  table_.OnPause(id, 0, 9s);
+  EXPECT_NE(table_.Choose(NeedOf("a1")).upstream_, nullptr) << "an earlier process";
+  table_.OnPause(id, 1, 2s);
+  table_.OnPause(id, 1, 1s);
+  clock_.Advance(1900ms);
+  EXPECT_EQ(table_.Choose(NeedOf("a1")).upstream_, nullptr);
+  EXPECT_EQ(table_.Choose(NeedOf("a1")).loadTarget_, other);
+  table_.OnPause(id, 1, 1s);
+  clock_.Advance(900ms);
+  EXPECT_EQ(table_.Choose(NeedOf("a1")).upstream_, nullptr);
+  const auto entry = table_.Find(id)->entry_;
+  table_.OnRemoved(id);
+  table_.OnEntry(entry);
+  EXPECT_EQ(table_.Choose(NeedOf("a1")).upstream_, nullptr) << "its entry came back";
+  clock_.Advance(100ms);
+  EXPECT_NE(table_.Choose(NeedOf("a1")).upstream_, nullptr);
+}
+
+// Guards against refusing requests that another upstream of the service could still serve, such as
+// an engine that has not loaded their adapter yet or one in a short back-off.
+TEST_F(UpstreamTableTest, APauseEndsWithTheFirstUpstreamThatMayServe)
+{
+  const ServiceName service("llm");
+  EXPECT_FALSE(table_.PauseEnd(service, {})) << "no upstream at all";
+  const auto first = Add("e1", { { "a1", 1 } });
+  const auto second = Add("e2");
+  EXPECT_FALSE(table_.PauseEnd(service, {}));
+  table_.OnPause(first, 1, 20s);
+  EXPECT_EQ(table_.PauseEnd(service, {}), clock_.Now()) << "e2 may load the adapter";
+  EXPECT_EQ(table_.PauseEnd(service, { second }), clock_.Now() + 20s);
+  EXPECT_FALSE(table_.PauseEnd(service, { first, second }));
+  table_.OnPause(second, 1, 9s);
+  EXPECT_EQ(table_.PauseEnd(service, {}), clock_.Now() + 9s);
+  table_.OnLeaving(second, 1);
+  EXPECT_EQ(table_.PauseEnd(service, {}), clock_.Now() + 20s);
+  const auto third = Add("e3");
+  for (std::uint32_t i = 0; i < kFailuresBeforePause; ++i) {
+    table_.OnAttemptEnded(third, AttemptHealth::Unreachable, {});
+  }
+  EXPECT_EQ(table_.PauseEnd(service, {}), clock_.Now() + kUpstreamBackoffInitial);
+  table_.OnMisdirected(third);
+  EXPECT_FALSE(table_.PauseEnd(service, {})) << "its next entry may make it usable";
+}
+
 // Guards against more requests than slots at an upstream that several hosts use, and against load
 // of a silent peer that blocks its slots for good.
 TEST_F(UpstreamTableTest, CountsTheRequestsOfPeers)
