Believe a refusal without an id only on a new connection to a service

What callers saw: a booking that ran was answered as not run, and its key was free again, so the next try booked twice. Cause: the client for plain services accepted a refusal (X-Run: not_run) without X-Request-Id. On a kept connection it may be a late copy of the refusal of an earlier request. Fix: such a refusal on a kept connection is a wrong answer and the run state is unknown. On a new connection there is no earlier request, so it still counts. Ruled out: copies with an id. Each attempt has an id of its own, to engines too, and an engine's answer without an id is never believed. Failed before: RefusalWithoutAnIdOnAKeptConnectionProvesNothing, for each of the four statuses.

--- a/src/http/upstream_exchange.cpp
+++ b/src/http/upstream_exchange.cpp
@@ -374,7 +374,10 @@
     for (const auto& field : message) {
       fields.emplace_back(ToLower(std::string_view(field.name_string())), field.value());
     }
-    const auto verdict = exchange_.check_->CheckHead(status_, fields, result_);
+    auto verdict = exchange_.check_->CheckHead(status_, fields, result_);
+    if (verdict.notRun_ && !verdict.hasId_ && isPooled_) {
+      verdict = { UpstreamError::WrongAnswer };
+    }
     refused_ = verdict.notRun_;
     mode_ = verdict.body_;
     if (verdict.error_) {
--- a/src/http/upstream_exchange.h
+++ b/src/http/upstream_exchange.h
@@ -42,7 +42,8 @@
 {
   std::error_code error_;          ///< Why the answer is refused; empty if it may go on.
   BodyMode body_ = BodyMode::Hold; ///< How to treat the body.
-  bool notRun_ = false; ///< The upstream says, for this request, that it did not start it.
+  bool notRun_ = false;            ///< The upstream says that it did not start the request.
+  bool hasId_ = true; ///< The answer names the request; without an id it may be a late copy.
 };
 
 /** Checks one answer. There is one object for each attempt, used by one thread at a time. */
--- a/src/service/service_client.cpp
+++ b/src/service/service_client.cpp
@@ -26,7 +26,7 @@
         return { UpstreamError::InvalidAnswer };
       }
       refusal_ = aStatus == 503 ? UpstreamError::Overloaded : UpstreamError::RefusedNotRun;
-      return { {}, BodyMode::Hold, true };
+      return { {}, BodyMode::Hold, true, !id.empty() };
     }
     return { {}, BodyMode::Pass };
   }
--- a/tests/service/service_client_test.cpp
+++ b/tests/service/service_client_test.cpp
@@ -128,6 +128,36 @@
                          testing::ValuesIn(FaultCases()),
                          [](const auto& aInfo) { return aInfo.param.name_; });
 
+/** Guards against a booking that runs twice: a copy of an earlier refusal without an id arrives on
+ * a kept connection, after the next request was received. */
+TEST_F(ServiceClientTest, RefusalWithoutAnIdOnAKeptConnectionProvesNothing)
+{
+  for (const std::string status : { "503 Busy", "429 Busy", "409 Conflict", "408 Slow" }) {
+    for (const bool isLate : { false, true }) {
+      const auto refusal = Answer(status, "X-Run: not_run\r\n", "no");
+      std::atomic<int> runs = 0;
+      ScriptedServer server([&](Peer& aPeer, int aNumber) {
+        aPeer.ReadRequest();
+        aPeer.Send(Answer("200 OK", "", "first") + (aNumber == 0 && !isLate ? refusal : ""));
+        if (aPeer.ReadRequest()) {
+          aPeer.Send(refusal);
+          ++runs;
+        }
+      });
+      for (int i = 0; i < 2; ++i) {
+        auto sink = std::make_shared<MockUpstreamSink>();
+        client_.Send(server.Address(), MakeRequest(clock_), sink);
+        const auto result = sink->Wait();
+        EXPECT_TRUE(i == 1 || !result.error_) << result.error_.message();
+        EXPECT_NE(RunState::NotRun, result.run_) << status;
+      }
+      EXPECT_EQ(isLate ? 1 : 0, runs);
+    }
+  }
+  client_.Send(RefusingEndpoint(), MakeRequest(clock_), sink_);
+  EXPECT_EQ(RunState::NotRun, sink_->Wait().run_);
+}
+
 /** Guards against answers without a body being taken for endless ones. */
 TEST_F(ServiceClientTest, AnswersWithoutABody)
 {
