Use a new connection for a second attempt at the same address

What callers saw: a booking that ran twice, or 503 for one that ran. Cause: after a refusal, kept connections were avoided for the upstream that refused, by its id. If another upstream has taken over its address (421 names it), the second attempt went over the connection of the refusal, and a late copy of the refusal ended it as not run. Fix: the request remembers the addresses it was sent to; a further attempt at one of them uses a new connection. This covers upstreams that refused, so their own rule goes. Failed before: CopyDoesNotEndAnAttemptAtANewUpstreamOfTheAddress, two runs instead of one.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -351,9 +351,9 @@
   if (!admitted_.facts_.adapter_.empty()) {
     context_.onUseStarted_({ upstream_, admitted_.facts_.model_, admitted_.facts_.adapter_ });
   }
-  // The upstream may send its earlier refusal of this request again, with the same id.
+  // A late copy of an earlier answer to this request has the same id.
   const auto reuse =
-    refusedUntil_.contains(upstream_) ? ConnectionReuse::Forbidden : ConnectionReuse::Allowed;
+    sentTo_.contains(endpoint_) ? ConnectionReuse::Forbidden : ConnectionReuse::Allowed;
   call_ = context_.link_.Send(endpoint_, std::move(request), shared_from_this(), reuse);
   ArmTimer();
 }
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -183,6 +183,7 @@
   TimePoint lastByte_;                   ///< When bytes of the answer were last received.
   TimePoint lastEvent_; ///< When the head or the last complete event of the answer was received.
   Duration longestPause_{};     ///< Longest time between two reads of the body.
+  std::set<Endpoint> sentTo_;   ///< Addresses to which the request was sent.
   std::set<UpstreamId> failed_; ///< Upstreams at which an attempt failed; not used again.
   std::map<UpstreamId, TimePoint> refusedUntil_; ///< End of the backoff after a refusal.
   std::set<UpstreamId> excluded_;     ///< failed_ and the refusing upstreams still in backoff.
--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -40,6 +40,7 @@
     return;
   }
   hasSent_ = true;
+  sentTo_.insert(endpoint_);
   ArmTimer();
 }
 
