Send requests without an id over new connections

What callers saw: 503 or a second run for a request without an id that was running. Cause: an answer without an id counts as the answer to a request without one. On a kept connection it may be a late copy, and nothing tells them apart. Fix: such requests use a new connection, on which no earlier request was sent. Ruled out: copies that arrive while the connection is idle; it is not used again (IdleNoId passed before). Failed before: LeftoverTest RunningNoId and RunningInHalvesNoId, with status 503 or two runs.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -351,9 +351,10 @@
   if (!admitted_.facts_.adapter_.empty()) {
     context_.onUseStarted_({ upstream_, admitted_.facts_.model_, admitted_.facts_.adapter_ });
   }
-  // A late copy of an earlier answer to this request has the same id.
-  const auto reuse =
-    sentTo_.contains(endpoint_) ? ConnectionReuse::Forbidden : ConnectionReuse::Allowed;
+  // A late copy of an earlier answer cannot be recognized if it has the id of this request or if
+  // the request has no id.
+  const bool mayMistakeCopy = admitted_.facts_.id_.IsEmpty() || sentTo_.contains(endpoint_);
+  const auto reuse = mayMistakeCopy ? ConnectionReuse::Forbidden : ConnectionReuse::Allowed;
   call_ = context_.link_.Send(endpoint_, std::move(request), shared_from_this(), reuse);
   ArmTimer();
 }
--- a/tests/gateway/request_flow_leftover_test.cpp
+++ b/tests/gateway/request_flow_leftover_test.cpp
@@ -8,10 +8,126 @@
 
 using namespace std::chrono_literals;
 using testing_support::Answer;
+using testing_support::FakeAnswer;
 using testing_support::Peer;
 using testing_support::RequestFlowTest;
 using testing_support::ScriptedServer;
 
+constexpr const char* kSignature = "X-Server-Stamp: s\r\n";
+constexpr const char* kNotRun = "X-Not-Executed: 1\r\n";
+
+/** When an upstream sends a late copy on a kept connection. */
+enum class Moment : std::uint8_t
+{
+  WithTheAnswerBefore, ///< In one write with the answer to the request before.
+  Idle,                ///< While no request is on the connection.
+  HalfIdle,            ///< One half while idle, the other one after the next request.
+  Running,             ///< After it received the next request.
+  RunningInHalves,     ///< After it received the next request, in two writes.
+};
+
+struct LeftoverCase
+{
+  const char* name_;
+  Moment moment_;
+  std::string id_; ///< Id of the second request; may be empty.
+};
+
+void
+PrintTo(const LeftoverCase& aCase, std::ostream* aStream)
+{
+  *aStream << aCase.name_;
+}
+
+class LeftoverTest
+  : public RequestFlowTest
+  , public testing::WithParamInterface<LeftoverCase>
+{
+protected:
+  /** Runs a request that is answered and then one with a late copy of a refusal on its way. */
+  void RunTwo(const std::string& aLeftover)
+  {
+    const auto moment = GetParam().moment_;
+    const auto first = aLeftover.substr(0, aLeftover.size() / 2);
+    const auto answerTo = [](const std::string& aId, const std::string& aBody) {
+      return Answer(aBody, "HTTP/1.1 200 OK\r\n" + IdField(aId) + kSignature);
+    };
+    std::atomic<int> runs = 0;
+    ScriptedServer server([&](Peer& aPeer, int aNumber) {
+      if (!aPeer.ReadRequest()) {
+        return;
+      }
+      if (aNumber == 0) {
+        const bool isTogether = moment == Moment::WithTheAnswerBefore;
+        aPeer.Send(answerTo("r0", "first") + (isTogether ? aLeftover : ""));
+        if (moment == Moment::Idle || moment == Moment::HalfIdle) {
+          std::this_thread::sleep_for(5ms);
+          aPeer.Send(moment == Moment::Idle ? aLeftover : first);
+        }
+        if (!aPeer.ReadRequest()) {
+          return;
+        }
+        if (moment == Moment::Running) {
+          aPeer.Send(aLeftover);
+        } else if (moment == Moment::RunningInHalves) {
+          aPeer.Send(first);
+          std::this_thread::sleep_for(5ms);
+          aPeer.Send(aLeftover.substr(first.size()));
+        }
+      }
+      ++runs;
+      aPeer.Send(answerTo(GetParam().id_, "booked"));
+      aPeer.WaitClosed(300ms);
+    });
+    SetUpstreams({ server.Address() });
+    answer_ = std::make_shared<FakeAnswer>();
+    id_ = "r0";
+    Start();
+    Finish();
+    ASSERT_EQ(answer_->body_, "first") << aLeftover;
+    std::this_thread::sleep_for(10ms);
+    answer_ = std::make_shared<FakeAnswer>();
+    id_ = GetParam().id_;
+    Start();
+    Finish();
+    EXPECT_TRUE(answer_->body_ == "booked" || answer_->status_ == 502)
+      << answer_->status_ << " after\n"
+      << aLeftover;
+    EXPECT_TRUE(testing_support::WaitUntil([&] { return runs == 1; }, 200ms)) << runs;
+  }
+
+  static std::string IdField(const std::string& aId)
+  {
+    return aId.empty() ? "" : "X-Attempt-Id: " + aId + "\r\n";
+  }
+};
+
+// Guards against a request that is reported as not run, or runs twice, because a late copy of an
+// earlier refusal arrives on its kept connection.
+TEST_P(LeftoverTest, NeverAnswersTheNextRequest)
+{
+  for (const std::string status :
+       { "503 Busy", "429 Busy", "421 Wrong", "408 Slow", "103 Early" }) {
+    for (const auto& fields : { std::string(kNotRun),
+                                std::string(kNotRun) + kSignature,
+                                std::string(kNotRun) + IdField("r0"),
+                                std::string(kSignature),
+                                kSignature + IdField("r0") }) {
+      const bool isInterim = status.starts_with('1');
+      RunTwo("HTTP/1.1 " + status + "\r\n" + fields +
+             (isInterim ? "\r\n" : "Content-Length: 2\r\n\r\nno"));
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Moments,
+  LeftoverTest,
+  testing::Values(LeftoverCase{ "IdleNoId", Moment::Idle, "" },
+                  LeftoverCase{ "RunningNoId", Moment::Running, "" },
+                  LeftoverCase{ "RunningInHalvesNoId", Moment::RunningInHalves, "" }),
+  [](const auto& aInfo) { return aInfo.param.name_; });
+
 using RepeatedRefusalTest = RequestFlowTest;
 
 // Guards against running a booking twice: an upstream that another one replaced at its address
