Continue a begun stream only with an event stream

What callers saw: the text of an error in the middle of their stream, or a stream that ended as complete after a part of its events. Cause: when a stream breaks off, the next upstream's answer was passed on by its status alone. The body of a signed error went to the caller as it came. A 204, or a 200 of another content type, counted as the rest of the stream. After an unsigned error, no further upstream was tried, since the request no longer counted as a stream. Fix: once a stream has begun, only a 200 of the same content type continues it. Anything else fails the attempt at its head; the stream is resumed elsewhere or aborted. A large error that was passed on whole is no longer aborted at its end. Ruled out: refusals (NotRun503, Wrong421), cut heads and lost connections of the next upstream; these passed before. Failed before: 27 cases of ResumeTest; the error answers, PlainText and NoContent after each start that had begun, and Unsigned500 where a third upstream could continue.

--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -1,6 +1,7 @@
 /** @file request_flow_answer.cpp Answers of upstreams, time limits, and the end of a request. */
 #include "gateway/request_flow.h"
 
+#include "http/header_func.h"
 #include "logging/logging_func.h"
 #include "table/flow_const.h"
 #include "table/quarantine_const.h"
@@ -15,6 +16,20 @@
 using BoostError = boost::system::error_code;
 using std::chrono::milliseconds;
 
+namespace {
+
+/** @return the Content-Type without its parameters, in lower case; empty if there is none. */
+std::string
+MediaType(const http::fields& aFields)
+{
+  const auto value = aFields[http::field::content_type];
+  const std::string_view text(value.data(), value.size());
+  const auto type = text.substr(0, text.find(';'));
+  return ToLower(type.substr(0, type.find_last_not_of(" \t") + 1));
+}
+
+} // namespace
+
 void
 RequestFlow::OnSending()
 {
@@ -77,6 +92,11 @@
   } else {
     answerClass_ = aStatus / 100 == 2 ? AnswerClass::Valid : AnswerClass::Error;
   }
+  const bool isContinuation =
+    aStatus == unsigned(http::status::ok) && MediaType(aFields) == MediaType(fields_);
+  if (isBegun_ && answerClass_ == AnswerClass::Valid && !isContinuation) {
+    answerClass_ = AnswerClass::Invalid;
+  }
   if (answerFacts_.coldTimeLeft_) {
     context_.fleet_.Upstreams().OnColdTime(upstream_, *answerFacts_.coldTimeLeft_);
   }
@@ -98,6 +118,9 @@
       return HeadAction::Reject;
     case AnswerClass::NotRun:
       return HeadAction::Discard;
+    case AnswerClass::Error:
+      // The caller has received a part of another answer, which an error cannot continue.
+      return isBegun_ ? HeadAction::Reject : HeadAction::Accept;
     default:
       return HeadAction::Accept;
   }
@@ -252,7 +275,7 @@
   } else if (isComplete && answerClass_ == AnswerClass::Error) {
     const bool isFailure = status_ / 100 == 5;
     EndAttempt(isFailure ? AttemptHealth::Failed : AttemptHealth::Good);
-    if (isBegun_ || (isFailure && MayRepeat())) {
+    if (isFailure && MayRepeat()) {
       OnFailed("upstream_error", true);
     } else {
       ForwardAnswer();
@@ -262,9 +285,10 @@
     EndAttempt(answerClass_ == AnswerClass::None && end == CallEnd::Lost
                  ? AttemptHealth::Unreachable
                  : AttemptHealth::Failed);
-    OnFailed(answerClass_ == AnswerClass::Invalid ? "answer_not_genuine"
-             : end == CallEnd::Malformed          ? "answer_malformed"
-                                                  : "answer_cut",
+    OnFailed(answerClass_ == AnswerClass::Invalid             ? "answer_not_genuine"
+             : isBegun_ && answerClass_ == AnswerClass::Error ? "upstream_error"
+             : end == CallEnd::Malformed                      ? "answer_malformed"
+                                                              : "answer_cut",
              false);
   }
 }
@@ -324,7 +348,7 @@
              { "attempt", std::to_string(attempts_) },
              { "status", std::to_string(answerClass_ == AnswerClass::None ? 0 : status_) },
              { "events", std::to_string(events_.Events()) } });
-  const bool canResume = !isBegun_ || (isStreaming_ && !events_.LastEventId().empty());
+  const bool canResume = !isBegun_ || !events_.LastEventId().empty();
   const bool isUpstreamError = aIsAnswerComplete && answerClass_ == AnswerClass::Error && !isBegun_;
   if (MayRepeat() && canResume && AcquireRetry(true)) {
     events_.DropPart();
