Pass on no 503, 429 or 408 that lacks the upstream's word that nothing ran

What callers saw: a status that means "not run, try again" for a request that the upstream may have run. Cause: a signed answer with such a status but without X-Not-Executed was forwarded like any other error. Fix: it fails the attempt. Cost: a service's own text in such an answer does not reach the caller.

--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -28,6 +28,15 @@
   return ToLower(type.substr(0, type.find_last_not_of(" \t") + 1));
 }
 
+/** @return whether callers take the status as a statement that the request was not run. */
+bool
+IsRefusalStatus(unsigned aStatus)
+{
+  return aStatus == unsigned(http::status::service_unavailable) ||
+         aStatus == unsigned(http::status::too_many_requests) ||
+         aStatus == unsigned(http::status::request_timeout);
+}
+
 } // namespace
 
 void
@@ -120,7 +129,9 @@
       return HeadAction::Discard;
     case AnswerClass::Error:
       // The caller has received a part of another answer, which an error cannot continue.
-      return isBegun_ ? HeadAction::Reject : HeadAction::Accept;
+      return isBegun_                   ? HeadAction::Reject
+             : IsRefusalStatus(status_) ? HeadAction::Discard
+                                        : HeadAction::Accept;
     default:
       return HeadAction::Accept;
   }
@@ -275,7 +286,9 @@
   } else if (isComplete && answerClass_ == AnswerClass::Error) {
     const bool isFailure = status_ / 100 == 5;
     EndAttempt(isFailure ? AttemptHealth::Failed : AttemptHealth::Good);
-    if (isFailure && MayRepeat()) {
+    if (IsRefusalStatus(status_)) {
+      OnFailed("upstream_error", false);
+    } else if (isFailure && MayRepeat()) {
       OnFailed("upstream_error", true);
     } else {
       ForwardAnswer();
--- a/tests/gateway/request_flow_leftover_test.cpp
+++ b/tests/gateway/request_flow_leftover_test.cpp
@@ -128,6 +128,40 @@
                   LeftoverCase{ "RunningInHalvesNoId", Moment::RunningInHalves, "" }),
   [](const auto& aInfo) { return aInfo.param.name_; });
 
+class MissingMarkerTest
+  : public RequestFlowTest
+  , public testing::WithParamInterface<std::tuple<std::string, RepeatRule>>
+{};
+
+// Guards against a status that tells the caller to try again although the request has run: the
+// upstream answers with it and does not say that it did not run the request.
+TEST_P(MissingMarkerTest, StatusIsNotPassedOn)
+{
+  const auto& [status, repeat] = GetParam();
+  repeat_ = repeat;
+  const std::string body(std::size_t{ 300 } << 10, 'b');
+  ScriptedServer server([&](Peer& aPeer, int aNumber) {
+    aPeer.ReadRequest();
+    aPeer.Send(Answer(aNumber == 0 ? "no" : body,
+                      "HTTP/1.1 " + status + "\r\nX-Attempt-Id: r1\r\n" + kSignature));
+    aPeer.WaitClosed(100ms);
+  });
+  for (int i = 0; i < 2; ++i) {
+    SetUpstreams({ server.Address() });
+    answer_ = std::make_shared<FakeAnswer>();
+    Start();
+    Finish();
+    EXPECT_EQ(answer_->status_, 502U);
+    std::this_thread::sleep_for(120ms);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         MissingMarkerTest,
+                         testing::Combine(testing::Values("503 Busy", "429 Busy", "408 Slow"),
+                                          testing::Values(RepeatRule::Once,
+                                                          RepeatRule::Repeatable)));
+
 using RepeatedRefusalTest = RequestFlowTest;
 
 // Guards against running a booking twice: an upstream that another one replaced at its address
