Close the connection on which a request that may not repeat was refused

What callers saw: a booking that ran twice. The caller tried again with the id of the refused attempt, and a late copy of the refusal arrived on the kept connection while the second attempt ran. Cause: within one request the connection of a refusal was avoided, but not for the next request with the same id. Fix: the connection is closed once such a refusal was read. Connections on which repeatable requests were refused are kept, as refusals come in numbers under load. Failed before: CopyDoesNotEndTheNextRequestWithTheSameId, two runs instead of one.

--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -126,7 +126,9 @@
     case AnswerClass::Invalid:
       return HeadAction::Reject;
     case AnswerClass::NotRun:
-      return HeadAction::Discard;
+      // The caller may send the request again with the same id, and a copy of the refusal must not
+      // end it.
+      return MayRepeat() ? HeadAction::Discard : HeadAction::DiscardAndClose;
     case AnswerClass::Error:
       // The caller has received a part of another answer, which an error cannot continue.
       return isBegun_                   ? HeadAction::Reject
--- a/src/gateway/upstream_link.cpp
+++ b/src/gateway/upstream_link.cpp
@@ -268,7 +268,9 @@
       return false;
     }
     isSkipping_ = action == HeadAction::Skip;
-    isDiscarding_ = isSkipping_ || action == HeadAction::Discard;
+    isDiscarding_ =
+      isSkipping_ || action == HeadAction::Discard || action == HeadAction::DiscardAndClose;
+    mayReuse_ = action != HeadAction::DiscardAndClose;
     if (action == HeadAction::Reject || (isSkipping_ && ++skippedAnswers_ > kMaxSkippedAnswers)) {
       Finish(CallEnd::Malformed);
       return false;
@@ -322,7 +324,7 @@
   void Complete()
   {
     // A connection with an incompletely written request or with unexpected bytes is not reused.
-    if (!isClosedByUpstream_ && !isWriting_ && parser_->keep_alive() &&
+    if (mayReuse_ && !isClosedByUpstream_ && !isWriting_ && parser_->keep_alive() &&
         connection_->buffer_.size() == 0) {
       const auto field = parser_->get()[http::field::keep_alive];
       connection_->usableUntil_ =
@@ -360,6 +362,7 @@
   bool isHeadSeen_ = false;         ///< OnHead() was called for the answer being read.
   bool isSkipping_ = false;         ///< The answer being read belongs to another request.
   bool isDiscarding_ = false;       ///< The body being read is not passed to the handler.
+  bool mayReuse_ = true;            ///< The connection may be put back into the pool.
   bool isOnKeptConnection_ = false; ///< The connection has carried other requests.
   bool isPaused_ = false;           ///< OnBody() returned false; Resume() is awaited.
   bool isClosedByUpstream_ = false; ///< The end of the connection was the end of the body.
--- a/src/gateway/upstream_link.h
+++ b/src/gateway/upstream_link.h
@@ -34,7 +34,8 @@
   Accept, ///< Pass its body to the handler.
   Skip,   ///< It belongs to an earlier request on the connection; discard it and read the next one.
   Discard, ///< It is the answer, but its body is not needed: read to its end without OnBody().
-  Reject,  ///< It is no valid answer; end the call with CallEnd::Malformed.
+  DiscardAndClose, ///< As Discard; the connection is not used again.
+  Reject,          ///< It is no valid answer; end the call with CallEnd::Malformed.
 };
 
 /** Whether a request may be sent over a connection that has carried other requests. */
--- a/tests/gateway/request_flow_leftover_test.cpp
+++ b/tests/gateway/request_flow_leftover_test.cpp
@@ -196,5 +196,40 @@
   EXPECT_EQ(runs, 1);
 }
 
+// Guards against running a booking twice: the caller tries again with the same id, and a copy of
+// the first refusal arrives on the kept connection.
+TEST_F(RepeatedRefusalTest, CopyDoesNotEndTheNextRequestWithTheSameId)
+{
+  const std::string refusal = "HTTP/1.1 503 Busy\r\nX-Attempt-Id: r1\r\nX-Not-Executed: 1\r\n"
+                              "Content-Length: 0\r\n\r\n";
+  std::atomic<int> runs = 0;
+  std::atomic<bool> mayRun = false;
+  ScriptedServer server([&](Peer& aPeer, int) {
+    bool hasRefused = false;
+    while (aPeer.ReadRequest()) {
+      if (!mayRun || hasRefused) {
+        hasRefused = true;
+        aPeer.Send(refusal);
+      }
+      if (mayRun) {
+        ++runs;
+        aPeer.Send(Answer("booked"));
+      }
+    }
+  });
+  SetUpstreams({ server.Address() });
+  timeout_ = 150ms;
+  Start();
+  Finish();
+  ASSERT_EQ(answer_->status_, 503U);
+  mayRun = true;
+  timeout_ = 1500ms;
+  answer_ = std::make_shared<FakeAnswer>();
+  Start();
+  Finish();
+  EXPECT_EQ(answer_->body_, "booked") << answer_->status_;
+  EXPECT_EQ(runs, 1);
+}
+
 } // namespace
 } // namespace laburnumweir
