Reject a continuation that repeats events of the stream

What callers saw: events twice and a stream that ended as complete. Cause: an upstream that ignored the id after which to resume began the stream anew, and its events were passed on. Fix: after a resumption, the first id must be larger than the last one received if both are numbers, and different otherwise. If not, the attempt fails before the event is passed on. Whole events that came in the same read before it are passed on first, since the next resumption begins after them. DropPart() of EventSplitter becomes Resume(); its test only changes the name. Failed before: ResumeTest FromTheStart, after each of the five starts that had begun.

--- a/src/fleet/event_cutter.h
+++ b/src/fleet/event_cutter.h
@@ -21,11 +21,15 @@
   /**
    * Appends received bytes of the stream.
    * @param aComplete is set to the events that these bytes complete, perhaps none.
-   * @return false if the incomplete event exceeds kMaxEventBytes.
+   * @return false if the incomplete event exceeds kMaxEventBytes, or if the bytes after those in
+   * aComplete do not continue the stream.
    */
   bool Add(std::string_view aBytes, std::string& aComplete);
-  /** Discards the incomplete event, because the stream was cut. */
-  void DropPart() { incomplete_.clear(); }
+  /**
+   * Discards the incomplete event, because the stream was cut. The next bytes come from an upstream
+   * that was asked to continue after LastEventId(), so its first id must come after that one.
+   */
+  void Resume();
   /** @return whether an incomplete event is buffered. */
   bool HasPart() const { return !incomplete_.empty(); }
   /** @return the id set by the last event that has one; empty if none has. */
@@ -35,11 +39,13 @@
   std::size_t Events() const { return events_; }
 
 private:
-  void OnCompleteEvent(std::string_view aEvent);
+  /** @return false if the event does not continue the stream. */
+  bool OnCompleteEvent(std::string_view aEvent);
 
   std::string incomplete_; ///< Start of an incomplete event.
   std::string lastId_;
   std::size_t events_ = 0;
+  bool isResumed_ = false; ///< No id was received since Resume().
 };
 
 } // namespace laburnumweir
--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -151,12 +151,10 @@
   }
   lastByte_ = now;
   std::string output;
+  bool isValid = true;
   if (isStreaming_) {
     const auto eventsBefore = events_.Events();
-    if (!events_.Add(aBytes, output)) {
-      EndCall(AnswerClass::Invalid);
-      return true;
-    }
+    isValid = events_.Add(aBytes, output);
     if (events_.Events() > eventsBefore) {
       lastEvent_ = now;
       const auto begunAt = eventsBefore_ + kBegunEvents;
@@ -177,15 +175,18 @@
       body_.clear();
     }
   }
-  if (output.empty()) {
-    return true;
+  if (!output.empty()) {
+    if (!isBegun_) {
+      isBegun_ = true;
+      answer_->Begin(
+        status_, reason_, fields_, isStreaming_ ? std::optional<std::uint64_t>() : length_);
+    }
+    answer_->Data(output);
   }
-  if (!isBegun_) {
-    isBegun_ = true;
-    answer_->Begin(
-      status_, reason_, fields_, isStreaming_ ? std::optional<std::uint64_t>() : length_);
+  if (!isValid && call_) {
+    EndCall(AnswerClass::Invalid);
+    return true;
   }
-  answer_->Data(output);
   if (answer_ && answer_->UnsentBytes() > kMaxUnsentBytes) {
     answer_->NotifyWhenSent([weak = weak_from_this()] {
       const auto self = weak.lock();
@@ -366,7 +367,7 @@
   const bool canResume = !isBegun_ || !events_.LastEventId().empty();
   const bool isUpstreamError = aIsAnswerComplete && answerClass_ == AnswerClass::Error && !isBegun_;
   if (MayRepeat() && canResume && AcquireRetry(true)) {
-    events_.DropPart();
+    events_.Resume();
     if (!TryStart() && answer_) {
       Enqueue();
     }
--- a/tests/fleet/small_modules_test.cpp
+++ b/tests/fleet/small_modules_test.cpp
@@ -136,7 +136,7 @@
   std::string whole;
   ASSERT_TRUE(cutter.Add("id: 1\ndata: a\n\nid: 2\ndata: b", whole));
   EXPECT_EQ(cutter.LastEventId(), "1");
-  cutter.DropPart();
+  cutter.Resume();
   EXPECT_FALSE(cutter.HasPart());
   EXPECT_FALSE(cutter.Add(std::string(EventSplitter::kMaxEventBytes + 1, 'x'), whole));
 }
--- a/tests/gateway/request_flow_resume_test.cpp
+++ b/tests/gateway/request_flow_resume_test.cpp
@@ -119,7 +119,8 @@
       NoContinuation{
         "PlainText",
         Answer("data: failed\n\n", "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + kSigned) },
-      NoContinuation{ "NoContent", "HTTP/1.1 204 None\r\n" + kSigned + "\r\n" })),
+      NoContinuation{ "NoContent", "HTTP/1.1 204 None\r\n" + kSigned + "\r\n" },
+      NoContinuation{ "FromTheStart", kChunkedHead + Chunk(kEvent1) + "0\r\n\r\n" })),
   [](const auto& aInfo) {
     return std::string(std::get<0>(aInfo.param).name_) + std::get<1>(aInfo.param).name_;
   });
