Pass on no text in a stream that is not an event

What callers saw: an error's text, or a whole HTTP head, in the middle of their stream. Where the body has no chunks, an upstream that fails can write the head of an error into it. Fix: a line without a colon must be one of the four field names of event streams. A status line, or a line of plain text, makes the stream invalid. Unknown fields with a colon stay allowed. Ruled out: chunked bodies, in which a head is a framing error. Failed before: ResumeTest TextWithoutFields and HeadInTheBody after each of the six starts.

--- a/src/fleet/event_cutter.cpp
+++ b/src/fleet/event_cutter.cpp
@@ -1,6 +1,8 @@
 /** @file event_cutter.cpp Splits a server-sent event stream into complete events. */
 #include "fleet/event_cutter.h"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 #include <cstdint>
 #include <optional>
@@ -27,6 +29,15 @@
   return id && earlier ? *id > *earlier : aId != aEarlier;
 }
 
+/** @return whether a line has a colon, as a field with a value or a comment, or is a known name. */
+bool
+IsEventLine(std::string_view aLine)
+{
+  constexpr std::array<std::string_view, 4> kNames{ "data", "event", "id", "retry" };
+  return aLine.empty() || aLine.find(':') != std::string_view::npos ||
+         std::find(kNames.begin(), kNames.end(), aLine) != kNames.end();
+}
+
 } // namespace
 
 bool
@@ -78,6 +89,9 @@
     if (text.ends_with('\r')) {
       text.remove_suffix(1);
     }
+    if (!IsEventLine(text)) {
+      return false;
+    }
     hasContent = hasContent || text.starts_with(kIdField) || text.starts_with(kDataField);
     if (text.starts_with(kIdField)) {
       text.remove_prefix(kIdField.size());
--- a/src/fleet/event_cutter.h
+++ b/src/fleet/event_cutter.h
@@ -22,7 +22,7 @@
    * Appends received bytes of the stream.
    * @param aComplete is set to the events that these bytes complete, perhaps none.
    * @return false if the incomplete event exceeds kMaxEventBytes, or if the bytes after those in
-   * aComplete do not continue the stream.
+   * aComplete are no event or do not continue the stream.
    */
   bool Add(std::string_view aBytes, std::string& aComplete);
   /**
@@ -39,7 +39,7 @@
   std::size_t Events() const { return events_; }
 
 private:
-  /** @return false if the event does not continue the stream. */
+  /** @return false if the text is no event or does not continue the stream. */
   bool OnCompleteEvent(std::string_view aEvent);
 
   std::string incomplete_; ///< Start of an incomplete event.
--- a/tests/gateway/request_flow_resume_test.cpp
+++ b/tests/gateway/request_flow_resume_test.cpp
@@ -120,7 +120,11 @@
         "PlainText",
         Answer("data: failed\n\n", "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + kSigned) },
       NoContinuation{ "NoContent", "HTTP/1.1 204 None\r\n" + kSigned + "\r\n" },
-      NoContinuation{ "FromTheStart", kChunkedHead + Chunk(kEvent1) + "0\r\n\r\n" })),
+      NoContinuation{ "FromTheStart", kChunkedHead + Chunk(kEvent1) + "0\r\n\r\n" },
+      NoContinuation{ "TextWithoutFields",
+                      kChunkedHead + Chunk("failed\nserver error\n\n") + "0\r\n\r\n" },
+      NoContinuation{ "HeadInTheBody",
+                      kStreamHead + kUnframed + Answer("failed", "HTTP/1.1 500 Error\r\n") })),
   [](const auto& aInfo) {
     return std::string(std::get<0>(aInfo.param).name_) + std::get<1>(aInfo.param).name_;
   });
