Take an answer without framing and without a body as broken off

What callers saw: a 200 with an empty body, framed as whole. Cause: without a length or chunks, the close of the connection ends the body, so an upstream that stopped after its head looked like one with an empty answer. Streams were already treated as broken off. Fix: the same for other answers with a 2xx status. An upstream that means an empty body can send a length of 0. Not solved: a body without framing that breaks off after some bytes by an orderly close cannot be told from a whole one. Failed before: BrokenHeadTest NoFraming.

--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -249,10 +249,12 @@
   if (aEnd != CallEnd::Complete && aEnd != CallEnd::Closed) {
     return aEnd;
   }
-  // A stream that was broken off before its first event also ends between two events.
-  const bool isEmptyStream =
-    aEnd == CallEnd::Closed && isStreaming_ && events_.Events() == eventsBefore_;
-  return events_.HasPart() || isEmptyStream ? CallEnd::Lost : CallEnd::Complete;
+  // An upstream that stops after its head leaves a body without framing empty. For a stream, that
+  // is also an end between two events.
+  const bool hasBody = isStreaming_ ? events_.Events() > eventsBefore_ : isBegun_ || !body_.empty();
+  const bool isEmpty =
+    aEnd == CallEnd::Closed && answer_ && answerClass_ == AnswerClass::Valid && !hasBody;
+  return events_.HasPart() || isEmpty ? CallEnd::Lost : CallEnd::Complete;
 }
 
 void
--- a/tests/gateway/request_flow_leftover_test.cpp
+++ b/tests/gateway/request_flow_leftover_test.cpp
@@ -9,6 +9,7 @@
 using namespace std::chrono_literals;
 using testing_support::Answer;
 using testing_support::FakeAnswer;
+using testing_support::kGoodHead;
 using testing_support::Peer;
 using testing_support::RequestFlowTest;
 using testing_support::ScriptedServer;
@@ -231,5 +232,75 @@
   EXPECT_EQ(runs, 1);
 }
 
+struct BrokenHead
+{
+  const char* name_;
+  std::string text_; ///< What the upstream sends before it closes the connection.
+};
+
+void
+PrintTo(const BrokenHead& aHead, std::ostream* aStream)
+{
+  *aStream << aHead.name_;
+}
+
+class BrokenHeadTest
+  : public RequestFlowTest
+  , public testing::WithParamInterface<BrokenHead>
+{
+protected:
+  /** Sends a text in answer to a request, after some bytes on a kept connection if any are given.
+   */
+  void Run(const std::string& aText, bool aIsReset, const std::optional<std::string>& aBefore)
+  {
+    ScriptedServer server([&](Peer& aPeer, int) {
+      aPeer.ReadRequest();
+      if (aBefore) {
+        aPeer.Send(Answer("data: first\n\n",
+                          std::string("HTTP/1.1 200 OK\r\nX-Attempt-Id: r0\r\n") + kSignature));
+        aPeer.ReadRequest();
+      }
+      aPeer.Send(aBefore.value_or("") + aText);
+      std::this_thread::sleep_for(aIsReset ? 10ms : 1ms);
+      aIsReset ? aPeer.Reset() : aPeer.Close();
+    });
+    SetUpstreams({ server.Address() });
+    if (aBefore) {
+      answer_ = std::make_shared<FakeAnswer>();
+      id_ = "r0";
+      Start();
+      Finish();
+      ASSERT_EQ(answer_->body_, "data: first\n\n");
+    }
+    answer_ = std::make_shared<FakeAnswer>();
+    id_ = "r1";
+    Start();
+    Finish();
+    EXPECT_TRUE(answer_->status_ == 502 || (answer_->isAborted_ && !answer_->isComplete_))
+      << answer_->status_ << " " << answer_->body_ << " after\n"
+      << aText;
+    startedAt_ += 1;
+  }
+};
+
+// Guards against an answer with an empty or short body that looks complete: its head is cut or
+// broken.
+TEST_P(BrokenHeadTest, IsNoAnswer)
+{
+  for (const auto repeat : { RepeatRule::Once, RepeatRule::Stream }) {
+    repeat_ = repeat;
+    Run(GetParam().text_, false, std::nullopt);
+    Run(GetParam().text_, true, std::nullopt);
+    Run(GetParam().text_, false, "");
+    Run(GetParam().text_, false, "rest of a body");
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Heads,
+                         BrokenHeadTest,
+                         testing::Values(BrokenHead{ "NoFraming",
+                                                     std::string(kGoodHead) + "\r\n" }),
+                         [](const auto& aInfo) { return aInfo.param.name_; });
+
 } // namespace
 } // namespace laburnumweir
