Reject a head that contains the status line of another answer

What callers saw: a 200 with an empty body, framed as whole, or 503 for a request that ran. Cause: an upstream stops within a field of a head, and an error of its framework, or the next answer, follows on the connection. The two heads parse as one: the status of the first one with the length or the id of the second one. Fix: a status line in the reason phrase or in the value of a field makes the answer malformed, in both clients. Ruled out: a head that stops within a name or between two fields; the rest is no valid field (ErrorAfterAField passed before).

--- a/src/http/header_func.h
+++ b/src/http/header_func.h
@@ -29,6 +29,13 @@
 bool
 IsHopByHop(std::string_view aName, std::string_view aConnection);
 
+/**
+ * @return whether a text contains a status line, as the value of a field does if its head was cut
+ * and another answer follows on the connection.
+ */
+bool
+ContainsStatusLine(std::string_view aText);
+
 /**
  * @return whether a field holds a secret between the caller and this host: credentials of any form,
  * and cookies, in which browsers may keep a key.
--- a/tests/gateway/request_flow_leftover_test.cpp
+++ b/tests/gateway/request_flow_leftover_test.cpp
@@ -296,11 +296,32 @@
   }
 }
 
-INSTANTIATE_TEST_SUITE_P(Heads,
-                         BrokenHeadTest,
-                         testing::Values(BrokenHead{ "NoFraming",
-                                                     std::string(kGoodHead) + "\r\n" }),
-                         [](const auto& aInfo) { return aInfo.param.name_; });
+INSTANTIATE_TEST_SUITE_P(
+  Heads,
+  BrokenHeadTest,
+  testing::Values(BrokenHead{ "NoFraming", std::string(kGoodHead) + "\r\n" },
+                  BrokenHead{ "ErrorInTheReason",
+                              "HTTP/1.1 200 HTTP/1.1 500 Error\r\nX-Attempt-Id: r1\r\n" +
+                                std::string(kSignature) + "Content-Length: 0\r\n\r\n" },
+                  BrokenHead{ "ErrorInAField",
+                              "HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nX-Server-Stamp: "
+                              "sHTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n" }),
+  [](const auto& aInfo) { return aInfo.param.name_; });
+
+// Guards against a refusal that is put together from the start of one head and the rest of another
+// one: a copy of a refusal is cut and the answer to a request that ran follows it.
+TEST_F(RepeatedRefusalTest, CutHeadBeforeAnAnswerIsNoRefusal)
+{
+  ScriptedServer server([](Peer& aPeer, int) {
+    aPeer.ReadRequest();
+    aPeer.Send("HTTP/1.1 503 Busy\r\nX-Not-Executed: 1" + Answer("booked"));
+    aPeer.WaitClosed(500ms);
+  });
+  SetUpstreams({ server.Address() });
+  Start();
+  Finish();
+  EXPECT_EQ(answer_->status_, 502U);
+}
 
 } // namespace
 } // namespace laburnumweir
