Abort answers to HTTP/1.0 callers without an orderly close before

What callers saw: a stream that broke off and looked complete to an HTTP/1.0 caller, to whom the close is the end of the body. Cause: Abort() asked for a reset, but Close() first shut the connection down for sending, which is an orderly close. Fix: no shutdown before a reset. Failed before: AbortResetsTheConnectionOfAnHttp10Caller.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -107,7 +107,9 @@
     const bool isAnswering = phase_ == Phase::Answering;
     phase_ = Phase::Closed;
     BoostError ignored;
-    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    if (!mustReset_) {
+      socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    }
     socket_.close(ignored);
     onSent_ = nullptr;
     auto onDisconnect = std::exchange(onDisconnect_, nullptr);
@@ -204,6 +206,7 @@
       if (!isChunked_ && !remaining_) {
         // Without chunked encoding or a length, only a reset shows the caller that bytes are
         // missing.
+        mustReset_ = true;
         BoostError ignored;
         socket_.set_option(asio::socket_base::linger(true, 0), ignored);
       }
@@ -404,6 +407,7 @@
   bool isChunked_ = false;     ///< The body of the answer is sent chunked.
   bool isBodiless_ = false;    ///< The answer has no body: HEAD, 204 or 304.
   bool mustClose_ = false;     ///< The connection is closed after this answer.
+  bool mustReset_ = false;     ///< The connection is closed by a reset.
 };
 
 HttpListener::HttpListener(asio::io_context& aContext, HttpHandler& aHandler, SessionLimits aLimits)
--- a/tests/gateway/caller_session_test.cpp
+++ b/tests/gateway/caller_session_test.cpp
@@ -86,6 +86,40 @@
   EXPECT_EQ(handler_.requests_, 1);
 }
 
+/** Breaks each answer off after some bytes. */
+class AbortingHandler : public HttpHandler
+{
+public:
+  void OnRequest(HttpRequest, std::shared_ptr<AnswerStream> aAnswer) override
+  {
+    aAnswer->Begin(200, {}, {}, std::nullopt);
+    aAnswer->Data("part");
+    answer_ = std::move(aAnswer);
+  }
+  std::shared_ptr<AnswerStream> answer_; ///< Of the last request.
+};
+
+// Guards against an answer that looks complete to an HTTP/1.0 caller although it was broken off: a
+// close in order is the end of its body, so only a reset shows that the rest is missing.
+TEST_F(CallerSessionTest, AbortResetsTheConnectionOfAnHttp10Caller)
+{
+  AbortingHandler handler;
+  HttpListener listener(context_, handler, SessionLimits());
+  const auto endpoint = testing_support::RefusingEndpoint();
+  ASSERT_FALSE(listener.Listen(endpoint));
+  Peer caller = ConnectTo(endpoint);
+  caller.Send("GET / HTTP/1.0\r\nHost: a\r\n\r\n");
+  for (int i = 0; i < 1000 && caller.Input().find("part") == std::string::npos; ++i) {
+    Run(1ms);
+    caller.ReadSome(1ms);
+  }
+  ASSERT_TRUE(handler.answer_);
+  handler.answer_->Abort();
+  while (caller.ReadSome(1s)) {
+  }
+  EXPECT_TRUE(caller.WasReset());
+}
+
 class EndlessRequestTest
   : public CallerSessionTest
   , public testing::WithParamInterface<std::pair<std::string, std::string>>
