End a cut answer to an HTTP/1.0 caller of serve by a reset

What callers saw: an answer of a plain service that broke off and looked complete to an HTTP/1.0 caller. Cause: a cut answer ended in an orderly close, which ends a body without a length or chunks. Fix: such an answer ends in a reset. Event streams keep their error event and an orderly close, as a reset could discard the event. Failed before: CutAnswerToHttp10EndsInAReset.

--- a/src/caller/caller_connection.cpp
+++ b/src/caller/caller_connection.cpp
@@ -480,6 +480,12 @@
   {
     isAnswered_ = false;
     EndRequest();
+    BoostError ignored;
+    if (mustReset_) {
+      socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+      Close();
+      return;
+    }
     if (!mustClose_) {
       BeginIdle();
       return;
@@ -489,7 +495,6 @@
     phase_ = Phase::Lingering;
     parser_.reset();
     buffer_.consume(buffer_.size());
-    BoostError ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     SetLimit(shared_->settings_.lingerTime_);
     StartRead();
@@ -500,6 +505,8 @@
   {
     if (lifecycle_.Apply(RequestEvent::Fail)) {
       mustClose_ = true;
+      // Without chunks, a length or an error event, only a reset shows that bytes are missing.
+      mustReset_ = !isChunked_ && !remaining_ && !isBodiless_ && !isEventStream_;
       if (running_) {
         running_->Cancel();
       }
@@ -610,6 +617,7 @@
   bool isReading_ = false;     ///< A read is under way.
   bool isAnswered_ = false;    ///< The whole answer is queued.
   bool mustClose_ = false;     ///< The connection ends after the answer.
+  bool mustReset_ = false;     ///< It ends by a reset.
   bool isHead_ = false;        ///< The method is HEAD.
   bool isHttp11_ = false;      ///< The caller understands chunks.
   bool isChunked_ = false;     ///< The answer is sent in chunks.
--- a/tests/caller/caller_server_test.cpp
+++ b/tests/caller/caller_server_test.cpp
@@ -104,6 +104,25 @@
   EXPECT_EQ("data: a\n\n", answer->body());
 }
 
+/** Guards against an answer that looks complete to an HTTP/1.0 caller although it was broken off: a
+ * close in order is the end of its body, so only a reset shows that the rest is missing. */
+TEST_F(CallerServerTest, CutAnswerToHttp10EndsInAReset)
+{
+  Listen();
+  EXPECT_CALL(handler_, Start).WillOnce([](const CallerRequest&, const SinkPtr& aSink) {
+    aSink->Begin(200, {});
+    aSink->Chunk("part", [aSink] {
+      aSink->Fail({ 502, "upstream_failed", "cut", RunState::Unknown, {} });
+    });
+    return nullptr;
+  });
+  auto caller = Connect();
+  caller.Send("GET /x HTTP/1.0\r\n\r\n");
+  while (caller.ReadSome(1s)) {
+  }
+  EXPECT_TRUE(caller.WasReset());
+}
+
 /** Guards against a service's answer with a known length being sent in another frame, and against
  * an answer to HEAD that has a body. */
 TEST_F(CallerServerTest, KeepsAnAnnouncedLength)
