--- a/tests/gateway/request_flow_leftover_test.cpp
+++ b/tests/gateway/request_flow_leftover_test.cpp
@@ -124,7 +124,12 @@
 INSTANTIATE_TEST_SUITE_P(
   Moments,
   LeftoverTest,
-  testing::Values(LeftoverCase{ "IdleNoId", Moment::Idle, "" },
+  testing::Values(LeftoverCase{ "WithTheAnswerBefore", Moment::WithTheAnswerBefore, "r1" },
+                  LeftoverCase{ "Idle", Moment::Idle, "r1" },
+                  LeftoverCase{ "HalfIdle", Moment::HalfIdle, "r1" },
+                  LeftoverCase{ "Running", Moment::Running, "r1" },
+                  LeftoverCase{ "RunningInHalves", Moment::RunningInHalves, "r1" },
+                  LeftoverCase{ "IdleNoId", Moment::Idle, "" },
                   LeftoverCase{ "RunningNoId", Moment::Running, "" },
                   LeftoverCase{ "RunningInHalvesNoId", Moment::RunningInHalves, "" }),
   [](const auto& aInfo) { return aInfo.param.name_; });
@@ -299,13 +304,40 @@
 INSTANTIATE_TEST_SUITE_P(
   Heads,
   BrokenHeadTest,
-  testing::Values(BrokenHead{ "NoFraming", std::string(kGoodHead) + "\r\n" },
-                  BrokenHead{ "ErrorInTheReason",
-                              "HTTP/1.1 200 HTTP/1.1 500 Error\r\nX-Attempt-Id: r1\r\n" +
-                                std::string(kSignature) + "Content-Length: 0\r\n\r\n" },
-                  BrokenHead{ "ErrorInAField",
-                              "HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nX-Server-Stamp: "
-                              "sHTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n" }),
+  testing::Values(
+    BrokenHead{ "StatusLine", "HTTP/1.1 200 OK\r\n" },
+    BrokenHead{ "FieldName", std::string(kGoodHead) + "Content-Le" },
+    BrokenHead{ "FieldValue", std::string(kGoodHead) + "Content-Length: 1" },
+    BrokenHead{ "Field", std::string(kGoodHead) + "Content-Length: 6\r\n" },
+    BrokenHead{ "LastLine", std::string(kGoodHead) + "Content-Length: 6\r\n\r" },
+    BrokenHead{ "NoFraming", std::string(kGoodHead) + "\r\n" },
+    BrokenHead{ "NoBody", std::string(kGoodHead) + "Content-Length: 6\r\n\r\n" },
+    BrokenHead{ "LoneLf",
+                "HTTP/1.1 200 OK\nX-Attempt-Id: r1\nX-Server-Stamp: s\nContent-Length: 1\n\nb" },
+    BrokenHead{ "LoneLfAtTheEnd", std::string(kGoodHead) + "Content-Length: 1\r\n\nb" },
+    BrokenHead{ "LoneCr", std::string(kGoodHead) + "X-A: b\rContent-Length: 0\r\n\r\n" },
+    BrokenHead{ "Nul",
+                std::string(kGoodHead) + std::string("X-A: \0\r\n", 8) +
+                  "Content-Length: 0\r\n\r\n" },
+    BrokenHead{ "NulInTheReason",
+                std::string("HTTP/1.1 200 O\0\r\n", 17) + "X-Attempt-Id: r1\r\n" + kSignature +
+                  "Content-Length: 0\r\n\r\n" },
+    BrokenHead{ "TooLarge",
+                std::string(kGoodHead) + "X-A: " + std::string(40000, 'a') +
+                  "\r\nContent-Length: 0\r\n\r\n" },
+    BrokenHead{ "ErrorInTheReason",
+                "HTTP/1.1 200 HTTP/1.1 500 Error\r\nX-Attempt-Id: r1\r\n" +
+                  std::string(kSignature) + "Content-Length: 0\r\n\r\n" },
+    BrokenHead{ "ErrorInAField",
+                "HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nX-Server-Stamp: "
+                "sHTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n" },
+    BrokenHead{ "ErrorAfterAField",
+                std::string(kGoodHead) + "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n" },
+    BrokenHead{ "TwoLengths",
+                std::string(kGoodHead) + "Content-Length: 0\r\nContent-Length: 6\r\n\r\n" },
+    BrokenHead{ "LengthAndChunks",
+                std::string(kGoodHead) +
+                  "Content-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" }),
   [](const auto& aInfo) { return aInfo.param.name_; });
 
 // Guards against a refusal that is put together from the start of one head and the rest of another
--- a/tests/gateway/request_flow_resume_test.cpp
+++ b/tests/gateway/request_flow_resume_test.cpp
@@ -116,6 +116,9 @@
       NoContinuation{ "Unsigned500", Answer("failed\n\n", "HTTP/1.1 500 Error\r\n") },
       NoContinuation{ "Error404", Answer("unknown\n\n", "HTTP/1.1 404 None\r\n" + kSigned) },
       NoContinuation{ "Busy503", Answer("busy\n\n", "HTTP/1.1 503 Busy\r\n" + kSigned) },
+      NoContinuation{ "NotRun503",
+                      Answer("busy\n\n", "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n" + kSigned) },
+      NoContinuation{ "Wrong421", Answer("no\n\n", "HTTP/1.1 421 Wrong\r\n" + kSigned) },
       NoContinuation{
         "PlainText",
         Answer("data: failed\n\n", "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + kSigned) },
@@ -124,7 +127,9 @@
       NoContinuation{ "TextWithoutFields",
                       kChunkedHead + Chunk("failed\nserver error\n\n") + "0\r\n\r\n" },
       NoContinuation{ "HeadInTheBody",
-                      kStreamHead + kUnframed + Answer("failed", "HTTP/1.1 500 Error\r\n") })),
+                      kStreamHead + kUnframed + Answer("failed", "HTTP/1.1 500 Error\r\n") },
+      NoContinuation{ "CutHead", kStreamHead },
+      NoContinuation{ "Nothing", "" })),
   [](const auto& aInfo) {
     return std::string(std::get<0>(aInfo.param).name_) + std::get<1>(aInfo.param).name_;
   });
