--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -389,9 +389,10 @@
   if (!admitted_.facts_.adapter_.empty()) {
     context_.onUseStarted_({ upstream_, admitted_.facts_.model_, admitted_.facts_.adapter_ });
   }
-  // The upstream may send its earlier refusal of this request again, with the same id.
-  const auto reuse =
-    refusedUntil_.contains(upstream_) ? ConnectionReuse::Forbidden : ConnectionReuse::Allowed;
+  // A late copy of an earlier answer cannot be recognized if it has the id of this request or if
+  // the request has no id.
+  const bool mayMistakeCopy = admitted_.facts_.id_.IsEmpty() || sentTo_.contains(endpoint_);
+  const auto reuse = mayMistakeCopy ? ConnectionReuse::Forbidden : ConnectionReuse::Allowed;
   call_ = context_.link_.Send(endpoint_, std::move(request), shared_from_this(), reuse);
   ArmTimer();
 }
--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -1,6 +1,7 @@
 /** @file request_flow_answer.cpp Answers of upstreams, time limits, and the end of a request. */
 #include "gateway/request_flow.h"
 
+#include "http/header_func.h"
 #include "logging/logging_func.h"
 #include "table/flow_const.h"
 #include "table/quarantine_const.h"
@@ -15,6 +16,29 @@
 using BoostError = boost::system::error_code;
 using std::chrono::milliseconds;
 
+namespace {
+
+/** @return the Content-Type without its parameters, in lower case; empty if there is none. */
+std::string
+MediaType(const http::fields& aFields)
+{
+  const auto value = aFields[http::field::content_type];
+  const std::string_view text(value.data(), value.size());
+  const auto type = text.substr(0, text.find(';'));
+  return ToLower(type.substr(0, type.find_last_not_of(" \t") + 1));
+}
+
+/** @return whether callers take the status as a statement that the request was not run. */
+bool
+IsRefusalStatus(unsigned aStatus)
+{
+  return aStatus == unsigned(http::status::service_unavailable) ||
+         aStatus == unsigned(http::status::too_many_requests) ||
+         aStatus == unsigned(http::status::request_timeout);
+}
+
+} // namespace
+
 void
 RequestFlow::OnSending()
 {
@@ -42,6 +66,7 @@
     return;
   }
   hasSent_ = true;
+  sentTo_.insert(endpoint_);
   ArmTimer();
 }
 
@@ -78,6 +103,11 @@
   } else {
     answerClass_ = aStatus / 100 == 2 ? AnswerClass::Valid : AnswerClass::Error;
   }
+  const bool isContinuation =
+    aStatus == unsigned(http::status::ok) && MediaType(aFields) == MediaType(fields_);
+  if (isBegun_ && answerClass_ == AnswerClass::Valid && !isContinuation) {
+    answerClass_ = AnswerClass::Invalid;
+  }
   if (answerFacts_.coldTimeLeft_) {
     context_.fleet_.Upstreams().OnColdTime(upstream_, *answerFacts_.coldTimeLeft_);
   }
@@ -108,7 +138,14 @@
     case AnswerClass::Invalid:
       return HeadAction::Reject;
     case AnswerClass::NotRun:
-      return HeadAction::Discard;
+      // The caller may send the request again with the same id, and a copy of the refusal must not
+      // end it.
+      return MayRepeat() ? HeadAction::Discard : HeadAction::DiscardAndClose;
+    case AnswerClass::Error:
+      // The caller has received a part of another answer, which an error cannot continue.
+      return isBegun_                   ? HeadAction::Reject
+             : IsRefusalStatus(status_) ? HeadAction::Discard
+                                        : HeadAction::Accept;
     default:
       return HeadAction::Accept;
   }
@@ -126,12 +163,10 @@
   }
   lastByte_ = now;
   std::string output;
+  bool isValid = true;
   if (isStreaming_) {
     const auto eventsBefore = events_.Events();
-    if (!events_.Add(aBytes, output)) {
-      EndCall(AnswerClass::Invalid);
-      return true;
-    }
+    isValid = events_.Add(aBytes, output);
     if (events_.Events() > eventsBefore) {
       lastEvent_ = now;
       const auto begunAt = eventsBefore_ + kBegunEvents;
@@ -152,15 +187,18 @@
       body_.clear();
     }
   }
-  if (output.empty()) {
-    return true;
+  if (!output.empty()) {
+    if (!isBegun_) {
+      isBegun_ = true;
+      answer_->Begin(
+        status_, reason_, fields_, isStreaming_ ? std::optional<std::uint64_t>() : length_);
+    }
+    answer_->Data(output);
   }
-  if (!isBegun_) {
-    isBegun_ = true;
-    answer_->Begin(
-      status_, reason_, fields_, isStreaming_ ? std::optional<std::uint64_t>() : length_);
+  if (!isValid && call_) {
+    EndCall(AnswerClass::Invalid);
+    return true;
   }
-  answer_->Data(output);
   if (answer_ && answer_->UnsentBytes() > kMaxUnsentBytes) {
     answer_->NotifyWhenSent([weak = weak_from_this()] {
       const auto self = weak.lock();
@@ -223,10 +261,12 @@
   if (aEnd != CallEnd::Complete && aEnd != CallEnd::Closed) {
     return aEnd;
   }
-  // A stream that was broken off before its first event also ends between two events.
-  const bool isEmptyStream =
-    aEnd == CallEnd::Closed && isStreaming_ && events_.Events() == eventsBefore_;
-  return events_.HasPart() || isEmptyStream ? CallEnd::Lost : CallEnd::Complete;
+  // An upstream that stops after its head leaves a body without framing empty. For a stream, that
+  // is also an end between two events.
+  const bool hasBody = isStreaming_ ? events_.Events() > eventsBefore_ : isBegun_ || !body_.empty();
+  const bool isEmpty =
+    aEnd == CallEnd::Closed && answer_ && answerClass_ == AnswerClass::Valid && !hasBody;
+  return events_.HasPart() || isEmpty ? CallEnd::Lost : CallEnd::Complete;
 }
 
 void
@@ -265,7 +305,9 @@
     EndAttempt(answerFacts_.pause_ ? AttemptHealth::Busy
                : isFailure         ? AttemptHealth::Failed
                                    : AttemptHealth::Good);
-    if (isBegun_ || (isFailure && MayRepeat())) {
+    if (IsRefusalStatus(status_)) {
+      OnFailed("upstream_error", false);
+    } else if (isFailure && MayRepeat()) {
       OnFailed("upstream_error", true);
     } else {
       ForwardAnswer();
@@ -275,9 +317,10 @@
     EndAttempt(answerClass_ == AnswerClass::None && end == CallEnd::Lost
                  ? AttemptHealth::Unreachable
                  : AttemptHealth::Failed);
-    OnFailed(answerClass_ == AnswerClass::Invalid ? "answer_not_genuine"
-             : end == CallEnd::Malformed          ? "answer_malformed"
-                                                  : "answer_cut",
+    OnFailed(answerClass_ == AnswerClass::Invalid             ? "answer_not_genuine"
+             : isBegun_ && answerClass_ == AnswerClass::Error ? "upstream_error"
+             : end == CallEnd::Malformed                      ? "answer_malformed"
+                                                              : "answer_cut",
              false);
   }
 }
@@ -337,10 +380,10 @@
              { "attempt", std::to_string(attempts_) },
              { "status", std::to_string(answerClass_ == AnswerClass::None ? 0 : status_) },
              { "events", std::to_string(events_.Events()) } });
-  const bool canResume = !isBegun_ || (isStreaming_ && !events_.LastEventId().empty());
+  const bool canResume = !isBegun_ || !events_.LastEventId().empty();
   const bool isUpstreamError = aIsAnswerComplete && answerClass_ == AnswerClass::Error && !isBegun_;
   if (MayRepeat() && canResume && AcquireRetry(true)) {
-    events_.DropPart();
+    events_.Resume();
     if (!TryStart() && answer_) {
       Enqueue();
     }
