--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -99,7 +99,7 @@
   }
   const auto now = clock_.Now();
   std::erase_if(removed_, [now](const auto& aEntry) {
-    return now - aEntry.second.removedAt_ > kRemovedUpstreamTtl;
+    return now - aEntry.second.removedAt_ > kUpstreamNoticeTtl;
   });
   const auto& upstream = found->second;
   if (upstream.isLeaving_ || upstream.pausedUntil_ > now) {
--- a/src/fleet/upstream_table.h
+++ b/src/fleet/upstream_table.h
@@ -238,7 +238,7 @@
   const HostId host_;
   const DataCentreId dataCentre_; ///< Data centre of this host.
   std::map<UpstreamId, Upstream> upstreams_;
-  std::map<UpstreamId, RemovedUpstream> removed_; ///< Those removed within kRemovedUpstreamTtl.
+  std::map<UpstreamId, RemovedUpstream> removed_; ///< Those removed within kUpstreamNoticeTtl.
   std::map<ServiceName, ServiceSpec> services_;
   std::set<DataCentreId> evacuated_; ///< Data centres whose upstreams get no requests.
   std::vector<HostId> hosts_;        ///< Live hosts, this one included.
--- a/src/table/fleet_const.h
+++ b/src/table/fleet_const.h
@@ -114,7 +114,7 @@
  * Time for which it is remembered what an upstream without an entry has asked for. Its entry may
  * come back after an outage of the store.
  */
-constexpr Duration kRemovedUpstreamTtl = std::chrono::minutes(10);
+constexpr Duration kUpstreamNoticeTtl = std::chrono::minutes(10);
 /** Weight of the newest answer in the moving average of failures of an upstream. */
 constexpr double kFailureAverageWeight = 0.1;
 
