Release the memory of a connection's reads after a large body

Callers saw nothing; a host kept up to 128 KB for each connection that had once sent a body of 64 KB or more: while it was idle, while its request was answered, and while a refused caller was read out.

Cause: reads of a body take 64 KB at a time. BeginIdle() assigned {} to the vector that receives them, which picks the assignment from an initializer list and keeps the capacity; resize() to a smaller read keeps it too. The parse buffer was released only by an idle connection. Now a read of another size gets a vector of that size, and the parse buffer is shrunk once a request is read or refused. A read under way is not touched, because the vector changes only before a read starts.

--- a/src/caller/caller_connection.cpp
+++ b/src/caller/caller_connection.cpp
@@ -219,9 +219,6 @@
     parser_.reset();
     if (buffer_.size() == 0) {
       buffer_.shrink_to_fit();
-      if (!isReading_) {
-        input_ = {};
-      }
       SetLimit(shared_->settings_.idleTime_);
       StartRead();
     } else {
@@ -241,7 +238,9 @@
       return;
     }
     isReading_ = true;
-    input_.resize(room);
+    if (input_.size() != room) {
+      input_ = std::vector<char>(room); // resize() would keep the memory of a larger read.
+    }
     socket_.async_read_some(
       asio::buffer(input_), [self = shared_from_this()](BoostError aError, std::size_t aBytes) {
         self->isReading_ = false;
@@ -382,6 +381,7 @@
     phase_ = Phase::Answering;
     readLimit_ = SteadyClock::time_point::max();
     ReleaseBody();
+    buffer_.shrink_to_fit();
     auto message = parser_->release();
     isHttp11_ = message.version() >= 11;
     isHead_ = message.method() == http::verb::head;
@@ -489,6 +489,7 @@
     phase_ = Phase::Lingering;
     parser_.reset();
     buffer_.consume(buffer_.size());
+    buffer_.shrink_to_fit();
     BoostError ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     SetLimit(shared_->settings_.lingerTime_);
--- a/tests/caller/caller_limit_test.cpp
+++ b/tests/caller/caller_limit_test.cpp
@@ -4,6 +4,8 @@
 
 #include "support/upstream_support.h"
 
+#include <array>
+
 namespace laburnumweir {
 namespace {
 
@@ -385,6 +387,81 @@
   EXPECT_LT(after, before + 32 * kMegabyte);
 }
 
+/** What a caller does after it sent a large body. */
+enum class AfterBody : std::uint8_t
+{
+  Idle,   ///< Has its answer and keeps its connection.
+  Waits,  ///< Waits for its answer.
+  Refused ///< Was refused and keeps its connection.
+};
+
+/** @return the name of a case. */
+std::string
+NameOf(AfterBody aCase)
+{
+  constexpr std::array kNames{ "Idle", "Waits", "Refused" };
+  return kNames.at(static_cast<std::size_t>(aCase));
+}
+
+struct AfterBodyTest
+  : CallerServerTest
+  , testing::WithParamInterface<AfterBody>
+{};
+
+/** Guards against connections that keep the buffers of a large body after it was read: assigning an
+ * empty list to a vector, and shrinking it with resize(), keeps its memory. */
+TEST_P(AfterBodyTest, ReadBuffersAreReleased)
+{
+  constexpr std::size_t kCallers = 200;
+  constexpr std::size_t kFirst = 40; // The heap has its working size after these.
+  CallerSettings settings;
+  settings.maxBodyBytes_ = std::size_t{ 128 } << 10;
+  settings.lingerTime_ = 60s;
+  Listen(settings);
+  EXPECT_CALL(handler_, Start)
+    .WillRepeatedly([this](const CallerRequest&, const SinkPtr& aSink) -> RunningPtr {
+      if (GetParam() == AfterBody::Idle) {
+        aSink->Complete(200, kJsonFields, "{}");
+      }
+      const std::lock_guard lock(mutex_);
+      sinks_.push_back(aSink);
+      return nullptr;
+    });
+  const auto body =
+    R"({"model":"a@b","prompt":")" + std::string(settings.maxBodyBytes_ - 100, 'x') + "\"}";
+  const auto request = GetParam() == AfterBody::Refused
+                         ? "POST /v1/completions HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                             ChunkOf(body) + ChunkOf(body)
+                         : Post(body);
+  std::vector<Peer> callers;
+  std::size_t before = 0;
+  for (std::size_t i = 0; i < kCallers; ++i) {
+    if (i == kFirst) {
+      before = ResidentBytes();
+    }
+    callers.push_back(Connect());
+    callers.back().Send(request);
+    if (GetParam() == AfterBody::Waits) {
+      ASSERT_TRUE(WaitUntil([&] { return Started() > i; }));
+    } else {
+      const auto answer = callers.back().ReadAnswer();
+      ASSERT_TRUE(answer);
+      EXPECT_EQ(GetParam() == AfterBody::Idle ? 200U : 413U, answer->result_int());
+    }
+  }
+  const auto after = ResidentBytes();
+  EXPECT_EQ(kCallers, server_->Connections());
+  // A connection may read as much as a head ahead; the rest is its state.
+  EXPECT_LT(after, before + (kCallers - kFirst) * 2 * settings.maxHeadBytes_);
+  const std::lock_guard lock(mutex_);
+  sinks_.clear();
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases,
+                         AfterBodyTest,
+                         testing::Values(AfterBody::Idle, AfterBody::Waits, AfterBody::Refused),
+                         [](const auto& aInfo) { return NameOf(aInfo.param); });
+
 /** Guards against the announcement of a large body costing its memory. */
 TEST_F(CallerServerTest, AnnouncedBodiesCostNoMemory)
 {
