Tell waits for a processor from latency that a host adds

PathTest.AddedLatencyIsWithinTheTarget failed beside other tests and load (medians of 0.2 ms, 99th percentiles of 3.1 to 4.6 ms, target 3).

Cause: it also measures the time in which the machine has no processor for the test's threads. Evidence: the kernel's count of that time for each thread, read around each pair of requests. A thread that only copies bytes as a control was tried and left out: its delays did not match those of the host.

The bounds and the three rounds stay. A round with waits in 1% of its pairs passes only if the whole time through the host meets the bounds, with nothing subtracted for the engine, and is not one of the three if it misses the 99th percentile alone; there are at most 12 rounds, and without a pass the test fails. Without the kernel's count every round is one of the three, as before.

The first request of each connection is no longer measured, as all threads must exist before their waits are read.

--- a/tests/caller/path_test.cpp
+++ b/tests/caller/path_test.cpp
@@ -5,6 +5,7 @@
 #include "support/upstream_support.h"
 
 #include <algorithm>
+#include <filesystem>
 
 namespace laburnumweir {
 namespace {
@@ -189,14 +190,86 @@
     .count();
 }
 
+/** Time in which threads of this process could run but had no processor. */
+class ProcessorWaits
+{
+public:
+  ProcessorWaits()
+  {
+    for (const auto& thread : std::filesystem::directory_iterator("/proc/self/task")) {
+      files_.emplace_back(thread.path() / "schedstat");
+    }
+  }
+
+  /** @return the time of all threads together in ms; 0 if the kernel does not tell. */
+  double Total()
+  {
+    double total = 0;
+    for (auto& file : files_) {
+      double run = 0;
+      double wait = 0;
+      file.clear();
+      file.seekg(0);
+      if (file >> run >> wait) {
+        total += wait / 1e6;
+      }
+    }
+    return total;
+  }
+
+private:
+  std::vector<std::ifstream> files_; ///< Statistics of each thread.
+};
+
+/** What one round of requests measured. */
+struct Round
+{
+  double median_ = 0; ///< Time that the host adds to a request, in ms.
+  double tail_ = 0;   ///< The same, 99th percentile.
+  int waits_ = 0;     ///< Pairs of requests in which a thread waited over 1 ms for a processor.
+  bool isDisturbed_ = false; ///< The waits decide the 99th percentile.
+};
+
+constexpr int kRoundRequests = 400;
+
+/** Sends 200 requests/s to an engine and as many through a host. */
+Round
+MeasureRound(Peer& aDirect, Peer& aThrough)
+{
+  Round round;
+  std::vector<double> direct;
+  std::vector<double> through;
+  ProcessorWaits waits;
+  const auto start = std::chrono::steady_clock::now();
+  for (int i = 0; i < kRoundRequests; ++i) {
+    std::this_thread::sleep_until(start + i * 5ms);
+    const auto before = waits.Total();
+    direct.push_back(Time(aDirect, i));
+    through.push_back(Time(aThrough, i));
+    round.waits_ += waits.Total() - before > 1.0 ? 1 : 0;
+  }
+  std::sort(direct.begin(), direct.end());
+  std::sort(through.begin(), through.end());
+  constexpr std::size_t kMiddle = kRoundRequests / 2;
+  constexpr std::size_t kTail = kRoundRequests * 99 / 100;
+  round.isDisturbed_ = round.waits_ * 100 >= kRoundRequests;
+  // A wait in a request to the engine itself would hide a slow host.
+  round.median_ = through[kMiddle] - (round.isDisturbed_ ? 0 : direct[kMiddle]);
+  round.tail_ = through[kTail] - (round.isDisturbed_ ? 0 : direct[kTail]);
+  return round;
+}
+
 /**
  * Guards against a host that adds more than 1 ms (median) or 3 ms (99th percentile) to a request at
  * 200 requests/s. Requests to the engine itself alternate with them, so that other load on the
  * machine meets both. A busy machine can still delay one side by more than the bound; it must be
- * met in one of three rounds, which a host that is too slow never does.
+ * met in one of three rounds, which a host that is too slow never does. If threads waited for a
+ * processor in 1% of a round's requests, the whole time of the requests must meet it, and a round
+ * that misses only the 99th percentile is not one of the three.
  */
 TEST_F(PathTest, AddedLatencyIsWithinTheTarget)
 {
+  constexpr int kMaxRounds = 12;
   ScriptedServer engine([](Peer& aPeer, int) {
     while (const auto request = aPeer.ReadRequest()) {
       aPeer.Send(
@@ -208,25 +281,19 @@
   Start(engine);
   auto directCaller = ConnectTo(engine.Address());
   auto caller = ConnectTo(server_->LocalEndpoint());
+  Time(directCaller, 0);
+  Time(caller, 0);
   bool isMet = false;
-  for (int round = 0; round < 3 && !isMet; ++round) {
-    constexpr int kRequests = 400;
-    std::vector<double> direct;
-    std::vector<double> through;
-    const auto start = std::chrono::steady_clock::now();
-    for (int i = 0; i < kRequests; ++i) {
-      std::this_thread::sleep_until(start + i * 5ms);
-      direct.push_back(Time(directCaller, i));
-      through.push_back(Time(caller, i));
-    }
-    std::sort(direct.begin(), direct.end());
-    std::sort(through.begin(), through.end());
-    const double median = through[kRequests / 2] - direct[kRequests / 2];
-    const double tail = through[kRequests * 99 / 100] - direct[kRequests * 99 / 100];
-    std::cout << "added ms: median " << median << ", 99th percentile " << tail << "\n";
-    isMet = median <= 1.0 && tail <= 3.0;
+  int counted = 0;
+  for (int i = 0; i < kMaxRounds && counted < 3 && !isMet; ++i) {
+    const auto round = MeasureRound(directCaller, caller);
+    std::cout << "added ms: median " << round.median_ << ", 99th percentile " << round.tail_
+              << "; waits for a processor in " << round.waits_ << " of " << kRoundRequests
+              << " pairs\n";
+    isMet = round.median_ <= 1.0 && round.tail_ <= 3.0;
+    counted += round.isDisturbed_ && round.median_ <= 1.0 ? 0 : 1;
   }
-  EXPECT_TRUE(isMet);
+  EXPECT_TRUE(isMet) << counted << " rounds count";
 }
 
 } // namespace
