Log which versions a request may use, count restores, and test the age of a release

request_sent names the oldest usable version besides the newest released one; laburnumweir_gateway_store_restores_total uses the report of StoreWatch, which nothing used; the holder's log line has a name of its own.

--- a/src/fleet/release_history.h
+++ b/src/fleet/release_history.h
@@ -41,7 +41,7 @@
     TimePoint after_; ///< It was released after this time.
   };
 
-  std::vector<Release> releases_; ///< Versions and times rise.
+  std::vector<Release> releases_; ///< Versions rise, times do not fall.
 };
 
 } // namespace laburnumweir
--- a/src/fleet/upstream_table.h
+++ b/src/fleet/upstream_table.h
@@ -88,7 +88,7 @@
 struct UpstreamChoice
 {
   Upstream* upstream_ = nullptr;           ///< Where to send the request; nullptr if it must wait.
-  std::int64_t adapterVersion_ = 0;        ///< Version resident there; 0 without an adapter.
+  std::int64_t adapterVersion_ = 0;        ///< Version resident there; 0 = no adapter or unknown.
   std::int64_t demandedVersion_ = 0;       ///< Only version with which it may run; 0 = any.
   std::optional<UpstreamId> loadTarget_;   ///< Engine that should load the adapter; may be none.
   bool isReplica_ = false;                 ///< The adapter is resident already, at busy engines.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -151,7 +151,13 @@
     WatchSettings watch;
     watch.upstreamInterval_ = settings_.bounds_.maxDrainDelay_ * 2 / 5;
     watch_ = std::make_shared<StoreWatch>(
-      ports_.store_, fleet_, clock_, scheduler_, watch, [this] { OnFleetChange(); });
+      ports_.store_,
+      fleet_,
+      clock_,
+      scheduler_,
+      watch,
+      [this] { OnFleetChange(); },
+      [this] { metrics_.GetCounter("laburnumweir_gateway_store_restores_total").Add(); });
     quarantineService_ = std::make_shared<QuarantineService>(
       ports_.store_, quarantine_, clock_, scheduler_, [this] { return peers_.IsStoreReader(); });
     registration_ = std::make_shared<HostRegistration>(
--- a/src/gateway/holder_service.cpp
+++ b/src/gateway/holder_service.cpp
@@ -191,7 +191,7 @@
   const bool isRestored = hasTriedJoin_ && aEra > lease_.Era();
   lease_.OnEra(aEra);
   if (isRestored) {
-    LogEvent(LogLevel::Warn, "store_restored", { { "era", std::to_string(aEra) } });
+    LogEvent(LogLevel::Info, "group_restored", { { "era", std::to_string(aEra) } });
     onStoreRestored_();
   }
 }
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -368,22 +368,26 @@
   loadingEngine_.reset();
   ++attempts_;
   const auto* releases = Releases();
-  LogEvent(LogLevel::Info,
-           "request_sent",
-           { { "id", admitted_.facts_.id_.Value() },
-             { "route", admitted_.route_->name_ },
-             { "upstream", upstream_.Value() },
-             { "attempt", std::to_string(attempts_) },
-             { "prompt", boost::algorithm::join(admitted_.facts_.sharedParts_, ",") },
-             { "version", std::to_string(aChoice.adapterVersion_) },
-             { "demanded", std::to_string(aChoice.demandedVersion_) },
-             { "released", releases == nullptr ? "none" : std::to_string(releases->Newest()) },
-             { "waited_ms", std::to_string(Milliseconds(sent_ - admitted_.arrived_)) },
-             { "left_ms", std::to_string(Milliseconds(TimeLeft())) },
-             { "running", std::to_string(upstream.running_) },
-             { "peers_running", std::to_string(upstream.peersRunning_) },
-             { "config", std::to_string(admitted_.routes_->Config().version_) },
-             { "proof_ms", std::to_string(Milliseconds(context_.fleet_.ConfigAge())) } });
+  LogEvent(
+    LogLevel::Info,
+    "request_sent",
+    { { "id", admitted_.facts_.id_.Value() },
+      { "route", admitted_.route_->name_ },
+      { "upstream", upstream_.Value() },
+      { "attempt", std::to_string(attempts_) },
+      { "prompt", boost::algorithm::join(admitted_.facts_.sharedParts_, ",") },
+      { "version", std::to_string(aChoice.adapterVersion_) },
+      { "demanded", std::to_string(aChoice.demandedVersion_) },
+      { "released", releases == nullptr ? "none" : std::to_string(releases->Newest()) },
+      { "oldest_usable",
+        releases == nullptr ? "none"
+                            : std::to_string(releases->OldestUsable(sent_, OldVersionPeriod())) },
+      { "waited_ms", std::to_string(Milliseconds(sent_ - admitted_.arrived_)) },
+      { "left_ms", std::to_string(Milliseconds(TimeLeft())) },
+      { "running", std::to_string(upstream.running_) },
+      { "peers_running", std::to_string(upstream.peersRunning_) },
+      { "config", std::to_string(admitted_.routes_->Config().version_) },
+      { "proof_ms", std::to_string(Milliseconds(context_.fleet_.ConfigAge())) } });
   auto request = BuildRequest(upstream, aChoice.demandedVersion_);
   context_.fleet_.Upstreams().OnAttemptSent(upstream_);
   if (!admitted_.facts_.adapter_.empty()) {
--- a/src/table/fleet_const.h
+++ b/src/table/fleet_const.h
@@ -154,8 +154,8 @@
  * fraction of the release bound. Requests that are not answered yet are checked.
  */
 constexpr double kOldVersionCheckFraction = 0.05;
-/** Time for which replaced versions of an adapter are remembered: the longest that a request may
- * last. */
+/** Time for which replaced versions of an adapter are remembered; requests that began before end
+ * long before. */
 constexpr Duration kReleaseRetention = std::chrono::hours(1);
 
 } // namespace laburnumweir
--- a/tests/gateway/store_watch_test.cpp
+++ b/tests/gateway/store_watch_test.cpp
@@ -150,6 +150,22 @@
   EXPECT_GE(state_.ConfigAge(), 1s);
 }
 
+// Guards against old versions of an adapter that serve for too long after an outage: a release that
+// is read then may be as old as the last confirmation before it.
+TEST_F(StoreWatchTest, AReleaseIsAsOldAsTheConfirmationBeforeIt)
+{
+  watch_->Start();
+  scheduler_.Run(2s);
+  error_ = StoreError::Unreachable;
+  scheduler_.Run(4s);
+  error_ = {};
+  nextOperators_ = { AdapterRelease{ "m", "a", 2 } };
+  scheduler_.Run(1s);
+  const auto* releases = state_.FindReleases("m", "a");
+  ASSERT_NE(releases, nullptr);
+  EXPECT_EQ(releases->OldestUsable(clock_.Now(), 3s), 2);
+}
+
 // Guards against requests that are refused too early when the store stops answering just after a
 // change. The change came with the answer to a poll that was sent up to a whole wait ago, so the
 // configuration would already count as that old.
