End the wait for a configuration that the store has lost after a while

After kLostConfigTtl the older one counts as the store confirms it. The new test was not run on the code before, which has no end of the wait.

--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -205,6 +205,22 @@
   deferredRemovals_.clear();
 }
 
+void
+FleetState::SetPeerConfig(const ConfigInForce& aConfig)
+{
+  if (aConfig.version_ != peerConfig_.version_) {
+    peerConfigSince_ = clock_.Now();
+  }
+  peerConfig_ = aConfig;
+}
+
+bool
+FleetState::IsConfigOutdated() const
+{
+  return config_.version_ < peerConfig_.version_ && operatorsNext_ >= peerConfig_.next_ &&
+         clock_.Now() - peerConfigSince_ < kLostConfigTtl;
+}
+
 Duration
 FleetState::ConfigAge() const
 {
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -48,7 +48,7 @@
   }
 
   /** Sets the newest configuration that is in force at a live peer. */
-  void SetPeerConfig(const ConfigInForce& aConfig) { peerConfig_ = aConfig; }
+  void SetPeerConfig(const ConfigInForce& aConfig);
 
   /**
    * @return time since the store last confirmed that the configuration is the newest;
@@ -56,11 +56,9 @@
    */
   Duration ConfigAge() const;
   /** @return whether a live peer has a newer configuration, which the store has lost: it is not in
-   * the store up to the position where this peer got it. */
-  bool IsConfigOutdated() const
-  {
-    return config_.version_ < peerConfig_.version_ && operatorsNext_ >= peerConfig_.next_;
-  }
+   * the store up to the position where this peer got it. Ends after kLostConfigTtl, as operators
+   * may never have got the store's answer and never write it again. */
+  bool IsConfigOutdated() const;
   /** @return the configuration in force at this host. */
   const ConfigInForce& Config() const { return config_; }
   /** @return the routes in force, or nullptr before the first configuration. */
@@ -98,6 +96,7 @@
   std::shared_ptr<const RouteTable> routes_; ///< Configuration in force.
   ConfigInForce config_;                     ///< Its version, and where it was read.
   ConfigInForce peerConfig_;                 ///< Newest configuration of the live peers.
+  TimePoint peerConfigSince_;                ///< When a peer was first known to have it.
   StorePosition operatorsNext_; ///< Position up to which the operators' stream was applied.
   UpstreamTable upstreams_;
   UpstreamChanges changes_;          ///< Entries as the store holds them.
--- a/src/table/fleet_const.h
+++ b/src/table/fleet_const.h
@@ -154,6 +154,11 @@
  * fraction of the release bound. Requests that are not answered yet are checked.
  */
 constexpr double kOldVersionCheckFraction = 0.05;
+/**
+ * Time for which a configuration that the store has lost and a peer still has keeps this host from
+ * confirming an older one. Operators write what the store has lost again within seconds.
+ */
+constexpr Duration kLostConfigTtl = std::chrono::seconds(10);
 /** Time for which replaced versions of an adapter are remembered; requests that began before end
  * long before. */
 constexpr Duration kReleaseRetention = std::chrono::hours(1);
--- a/tests/gateway/store_watch_test.cpp
+++ b/tests/gateway/store_watch_test.cpp
@@ -516,6 +516,22 @@
   EXPECT_LE(state_.ConfigAge(), 2s);
 }
 
+// Guards against a host that stays unready for as long as a peer runs: operators whose write the
+// store lost before its answer arrived may never write that configuration again.
+TEST_F(StoreWatchRestoreTest, ALostConfigurationOfAPeerDoesNotBlockForever)
+{
+  watch_->Start();
+  scheduler_.Run(1s);
+  state_.SetPeerConfig({ 4, { era_ - 1, 10 } });
+  EXPECT_TRUE(state_.IsConfigOutdated());
+  for (int i = 0; i < 60; ++i) {
+    scheduler_.Run(250ms);
+    state_.SetPeerConfig({ 4, { era_ - 1, 10 } });
+  }
+  EXPECT_FALSE(state_.IsConfigOutdated());
+  EXPECT_LT(state_.ConfigAge(), 2s);
+}
+
 // Guards against requests that are refused at each change of the configuration until it has reached
 // all hosts.
 TEST_F(StoreWatchRestoreTest, AConfigurationIsConfirmedWhileTheNextOneSpreads)
