Read the store in time when the store reader of a host has lost it

Cause: the store turned away two hosts from 2.50 s on, one of them the store reader of edge-nsa-2. A reader in this state answers its followers, with a confirmation that grows older; a follower read the store itself only when that was 2.2 s old (proof_ms=2279 in request_sent), longer than the 2 s in which a configuration must be in force. Not a matter of eras: no restore was involved, and the constant is older.

The limit is now one long poll, one gossip interval and a margin, so that a change is in force within 2 s of the confirmation before it. The test fails with the old limit. The cost is a read by a follower when a datagram is lost while its reader waits for the end of a long poll.

--- a/src/table/fleet_const.h
+++ b/src/table/fleet_const.h
@@ -32,9 +32,10 @@
 constexpr Duration kReaderRetryDelay = std::chrono::seconds(6);
 /**
  * A host that has only a relayed confirmation of the configuration older than this reads the store
- * itself. The confirmation that a store reader sends is up to one long poll old.
+ * itself. The confirmation that a store reader sends is up to one long poll old. If the reader has
+ * lost the store, a change must still be in force here within 2 s.
  */
-constexpr Duration kMaxRelayedConfigAge = std::chrono::milliseconds(2200);
+constexpr Duration kMaxRelayedConfigAge = std::chrono::milliseconds(1750);
 /**
  * Maximum size of the changes in an answer of a store reader; a host that needs more queries again
  * at once. A datagram holds at most 64 KB, with the sums and the live hosts.
--- a/tests/gateway/store_watch_test.cpp
+++ b/tests/gateway/store_watch_test.cpp
@@ -238,6 +238,26 @@
   EXPECT_EQ(state_.Routes()->Config().version_, 3);
 }
 
+// Guards against a configuration that is in force too late at a host whose store reader is turned
+// away by the store: the reader answers, but its confirmation grows older.
+TEST_F(StoreWatchTest, ReadsInTimeWhenTheStoreReaderHasLostTheStore)
+{
+  constexpr Duration kMaxConfigDelay = 2s;
+  watch_->Start();
+  watch_->SetRelayed(true);
+  scheduler_.Run(1s);
+  const auto confirmedAt = clock_.Now();
+  operatorsEnd_ = snapshotEnd_;
+  FleetConfig config;
+  config.version_ = 4;
+  nextOperators_ = { config };
+  while (clock_.Now() < confirmedAt + kMaxConfigDelay) {
+    watch_->OnRelayedConfigAge(clock_.Now(), { era_, snapshotEnd_ }, clock_.Now() - confirmedAt);
+    scheduler_.Run(50ms);
+  }
+  EXPECT_EQ(state_.Routes()->Config().version_, 4);
+}
+
 // Guards against one read for each host and each of a quick series of configurations.
 TEST_F(StoreWatchTest, ASeriesOfRelayedChangesTakesFewReads)
 {
