Name the notices of upstreams and the kept evacuations for what they are

Read again as a newcomer: two types were called RemovedUpstream, one for the last entry of an upstream and one for what it had asked for; unnamed_ did not say what has no name; eras were plain integers in the lease; tests said grace where the code says period; four field comments restated their names.

--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -20,10 +20,10 @@
   operatorsNext_ = aBatch.Next();
   auto evacuated = evacuated_;
   if (aBatch.isSnapshot_ && aKeepEvacuations) {
-    unnamed_ = evacuated_;
+    unnamedEvacuations_ = evacuated_;
   } else if (aBatch.isSnapshot_) {
     evacuated.clear();
-    unnamed_.clear();
+    unnamedEvacuations_.clear();
   }
   for (const auto& change : aBatch.changes_) {
     if (const auto* config = std::get_if<FleetConfig>(&change)) {
@@ -31,7 +31,7 @@
     } else if (const auto* release = std::get_if<AdapterRelease>(&change)) {
       OnRelease(*release);
     } else if (const auto* evacuation = std::get_if<EvacuationChange>(&change)) {
-      unnamed_.erase(evacuation->dataCentre_);
+      unnamedEvacuations_.erase(evacuation->dataCentre_);
       if (evacuation->isEvacuated_) {
         evacuated.insert(evacuation->dataCentre_);
       } else {
@@ -97,10 +97,10 @@
 FleetState::EndUnnamedEvacuations()
 {
   auto evacuated = evacuated_;
-  for (const auto& dataCentre : unnamed_) {
+  for (const auto& dataCentre : unnamedEvacuations_) {
     evacuated.erase(dataCentre);
   }
-  unnamed_.clear();
+  unnamedEvacuations_.clear();
   SetEvacuated(std::move(evacuated));
 }
 
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -102,9 +102,10 @@
   UpstreamChanges changes_;          ///< Entries as the store holds them.
   LogOffset next_ = 0;               ///< Offset up to which the upstreams' stream was applied.
   std::set<DataCentreId> evacuated_; ///< Data centres whose upstreams get no requests.
-  std::set<DataCentreId> unnamed_;   ///< Evacuated, but not named by the last snapshot.
-  std::map<UpstreamId, RemovedUpstream> removed_; ///< Removed within kRemovedUpstreamTtl.
-  std::set<UpstreamId> deferredRemovals_;         ///< Upstreams whose removal is deferred.
+  std::set<DataCentreId> unnamedEvacuations_; ///< Evacuated, but not named by the last snapshot.
+  std::map<UpstreamId, RemovedUpstream>
+    removed_;                             ///< Kept for kRemovedUpstreamTtl after the removal.
+  std::set<UpstreamId> deferredRemovals_; ///< Upstreams whose removal is deferred.
   /** Released versions by model and adapter. */
   std::map<std::pair<std::string, std::string>, ReleaseHistory> releases_;
   std::optional<TimePoint> confirmedAt_; ///< Time up to which all changes are known.
--- a/src/fleet/fleet_store_base.h
+++ b/src/fleet/fleet_store_base.h
@@ -48,7 +48,7 @@
 /** A configuration that is in force at a host. */
 struct ConfigInForce
 {
-  std::int64_t version_ = 0; ///< 0 = none.
+  std::int64_t version_ = 0; ///< 0 before the first configuration.
   StorePosition next_;       ///< Position in the operators' stream after the read that brought it.
 };
 
--- a/src/fleet/holder_lease.cpp
+++ b/src/fleet/holder_lease.cpp
@@ -93,7 +93,7 @@
 }
 
 void
-HolderLease::OnEra(std::uint64_t aEra)
+HolderLease::OnEra(StoreEra aEra)
 {
   if (aEra <= era_) {
     return;
@@ -106,7 +106,7 @@
 }
 
 std::uint64_t
-HolderLease::OrderedGeneration(std::uint64_t aEra, std::uint64_t aGeneration)
+HolderLease::OrderedGeneration(StoreEra aEra, std::uint64_t aGeneration)
 {
   return (aEra << kEraShift) + aGeneration;
 }
--- a/src/fleet/holder_lease.h
+++ b/src/fleet/holder_lease.h
@@ -48,9 +48,9 @@
   /** Records that this host is not a member of the group. */
   void OnMembershipLost();
   /** Records the era of an answer of the store. A newer one ends the membership of this host. */
-  void OnEra(std::uint64_t aEra);
+  void OnEra(StoreEra aEra);
   /** @return the newest era that was recorded. */
-  std::uint64_t Era() const { return era_; }
+  StoreEra Era() const { return era_; }
   /** @return whether this host may send orders to the engines of a partition now. */
   bool MayOrder(std::uint32_t aPartition) const;
   /** @return since when this host holds a partition; none if it does not. */
@@ -87,12 +87,12 @@
 
   bool IsValid() const;
   /** @return a number that orders generations by era first; in era 0 it is the generation. */
-  static std::uint64_t OrderedGeneration(std::uint64_t aEra, std::uint64_t aGeneration);
+  static std::uint64_t OrderedGeneration(StoreEra aEra, std::uint64_t aGeneration);
 
   const Clock& clock_;
   const Duration timeout_;       ///< Time after which a silent member is removed.
   const Duration settleTime_;    ///< Time from getting a partition to the first order.
-  std::uint64_t era_ = 0;        ///< Newest era.
+  StoreEra era_ = 0;             ///< Newest era that an answer of the store named.
   std::uint64_t generation_ = 0; ///< Generation of the last answer of this era; 0 if none.
   /** When this host learned of the era; none in era 0. */
   std::optional<TimePoint> restoredAt_;
--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -65,10 +65,10 @@
     upstream.peersRunning_ = peers;
     upstream.coldTokensAt_ = now;
     upstream.entry_ = aEntry;
-    if (const auto removed = removed_.extract(aEntry.id_);
-        removed && removed.mapped().startedAt_ == aEntry.startedAt_) {
-      upstream.isLeaving_ = removed.mapped().isLeaving_;
-      upstream.pausedUntil_ = removed.mapped().pausedUntil_;
+    if (const auto notice = notices_.extract(aEntry.id_);
+        notice && notice.mapped().startedAt_ == aEntry.startedAt_) {
+      upstream.isLeaving_ = notice.mapped().isLeaving_;
+      upstream.pausedUntil_ = notice.mapped().pausedUntil_;
     }
   } else {
     // The residency that the holder sent after an order is newer than an entry written before it.
@@ -98,12 +98,12 @@
     return false;
   }
   const auto now = clock_.Now();
-  std::erase_if(removed_, [now](const auto& aEntry) {
+  std::erase_if(notices_, [now](const auto& aEntry) {
     return now - aEntry.second.removedAt_ > kUpstreamNoticeTtl;
   });
   const auto& upstream = found->second;
   if (upstream.isLeaving_ || upstream.pausedUntil_ > now) {
-    removed_[aId] = { upstream.entry_.startedAt_, now, upstream.isLeaving_, upstream.pausedUntil_ };
+    notices_[aId] = { upstream.entry_.startedAt_, now, upstream.isLeaving_, upstream.pausedUntil_ };
   }
   upstreams_.erase(found);
   return true;
--- a/src/fleet/upstream_table.h
+++ b/src/fleet/upstream_table.h
@@ -205,13 +205,14 @@
                                                      std::string_view aAdapter);
 
 private:
-  /** What an upstream without an entry has asked for, in case its entry comes back. */
-  struct RemovedUpstream
+  /** What an upstream without an entry has asked for, in case its entry comes back; as the fields
+   * of the same names in Upstream. */
+  struct Notice
   {
     std::int64_t startedAt_ = 0; ///< Start time of its process, Unix ms.
     TimePoint removedAt_;
-    bool isLeaving_ = false; ///< See Upstream.
-    TimePoint pausedUntil_;  ///< See Upstream.
+    bool isLeaving_ = false;
+    TimePoint pausedUntil_;
   };
   struct LoadReport
   {
@@ -238,7 +239,7 @@
   const HostId host_;
   const DataCentreId dataCentre_; ///< Data centre of this host.
   std::map<UpstreamId, Upstream> upstreams_;
-  std::map<UpstreamId, RemovedUpstream> removed_; ///< Those removed within kUpstreamNoticeTtl.
+  std::map<UpstreamId, Notice> notices_; ///< Of upstreams removed within kUpstreamNoticeTtl.
   std::map<ServiceName, ServiceSpec> services_;
   std::set<DataCentreId> evacuated_; ///< Data centres whose upstreams get no requests.
   std::vector<HostId> hosts_;        ///< Live hosts, this one included.
--- a/src/gateway/holder_service.cpp
+++ b/src/gateway/holder_service.cpp
@@ -185,7 +185,7 @@
 }
 
 void
-HolderService::OnEra(std::uint64_t aEra)
+HolderService::OnEra(StoreEra aEra)
 {
   // After a lost join the records that this host wrote at its start may be of an older era.
   const bool isRestored = hasTriedJoin_ && aEra > lease_.Era();
--- a/src/gateway/holder_service.h
+++ b/src/gateway/holder_service.h
@@ -96,7 +96,7 @@
   std::size_t LoadingCount() const;
   void Join();
   void OnJoined(TimePoint aSentAt, std::error_code aError, const GroupMembership& aMembership);
-  void OnEra(std::uint64_t aEra);
+  void OnEra(StoreEra aEra);
   void TickEngine(const UpstreamId& aId, Engine& aEngine);
   bool MayLoadWeights(const EngineSpec& aSpec);
   void SendOrder(const UpstreamId& aId, const EngineOrder& aOrder);
--- a/src/gateway/quarantine_service.h
+++ b/src/gateway/quarantine_service.h
@@ -60,7 +60,7 @@
   std::map<std::vector<ContentId>, std::optional<WallTime>> unwritten_;
   /** Contents that are no longer quarantined as they were, and since when. */
   std::map<std::vector<ContentId>, TimePoint> ended_;
-  bool hasReadRecords_ = false; ///< OnStored() was called.
+  bool hasReadRecords_ = false; ///< The store's quarantines were applied, once.
   bool isWriting_ = false;      ///< A call is running, or waits to be repeated.
 };
 
--- a/tests/gateway/request_flow_version_test.cpp
+++ b/tests/gateway/request_flow_version_test.cpp
@@ -62,7 +62,7 @@
 
 // Guards against work on a version that was replaced long ago: a second release, made soon after
 // the first, allowed every older version again.
-TEST_F(ReleaseTest, SecondReleaseDoesNotExtendTheGraceOfTheFirst)
+TEST_F(ReleaseTest, SecondReleaseDoesNotExtendThePeriodOfTheFirst)
 {
   SetUpstreams({ server_.Address() });
   Release(2);
@@ -74,7 +74,7 @@
 
 // Guards against work on an old version at a host that has just started: it took the time at which
 // it read the release for the time at which the release was made.
-TEST_F(ReleaseTest, HostThatStartsDoesNotExtendTheGrace)
+TEST_F(ReleaseTest, HostThatStartsGrantsNoPeriod)
 {
   Release(2);
   SetUpstreams({ server_.Address() });
