Relay a removal at once, and defer only its effect on the host's own table

Cause: a store reader that was turned away by the store deferred the removals after its return and recorded them for its hosts only then, under an offset after its own position. Until then it relayed a position beyond them, and hosts that were ahead of it never asked for them. Hosts behind it did not see the outage at all, since each answer counted as an update, also one with an old state; they would have applied at once what the reader now relays.

A removal is now recorded in UpstreamChanges at its own offset, with the stamp of the last entry, and only its effect on upstreams_ and removed_ is deferred. StoreWatch measures the gap between the times at which successive states were requested from the store, so relayed answers with an old state neither hide an outage nor set the hold time anew. Removals of an incomplete answer, whose age is not known, are deferred at a host with old data until the rest has come. Deferred removals take effect with the first state that was requested after the hold time: before, the hold time could end in a second outage, in which upstreams cannot write their entries. An entry that comes back after a recorded removal counts as a change also if only its heartbeat differs, since the removal has erased the entry that it was compared with.

On the old code: DeferredRemovalTest.IsRelayedAtOnceUnderItsOffset: changes since 10: 1, not 2 DeferredRemovalTest.IsRelayedWithTheStampOfTheLastEntry: ChangeSince(10) is none DeferredRemovalTest.AnEntryThatComesBackIsRelayed: ChangeSince(20) is none RelayedOutageTest.DefersRemovals, .DefersRemovalsOfAnIncompletePage, .DeferredRemovalsWaitForAStateAfterTheHoldTime: HasEngine() is false TurnedAwayReaderTest.RemovalsReachAllHosts: h2 and h6, which read the store themselves, still know e4 700 ms after its removal TurnedAwayReaderTest.KeepsRunningUpstreamsWhoseEntriesExpired: h2 has lost a running upstream after 100 ms The other tests of RelayedOutageTest guard the new code and passed before. The copies that hosts kept for good are not reproduced by a test of the fleet; IsRelayedAtOnceUnderItsOffset covers their cause.

--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -104,19 +104,23 @@
   SetEvacuated(std::move(evacuated));
 }
 
-void
-FleetState::Remove(const UpstreamId& aId,
-                   LogOffset aNext,
-                   EntryStamp aLastStamp,
-                   std::string_view aReason)
+EntryStamp
+FleetState::LastStamp(const UpstreamId& aId) const
 {
-  if (const auto* known = upstreams_.Find(aId)) {
-    aLastStamp = std::max(aLastStamp, known->entry_.Stamp());
+  EntryStamp stamp;
+  if (const auto known = upstreams_.All().find(aId); known != upstreams_.All().end()) {
+    stamp = known->second.entry_.Stamp();
+  }
+  if (const auto removed = removed_.find(aId); removed != removed_.end()) {
+    stamp = std::max(stamp, removed->second.stamp_);
   }
-  auto& removed = removed_[aId];
-  removed.stamp_ = std::max(removed.stamp_, aLastStamp);
-  removed.removedAt_ = clock_.Now();
-  changes_.OnRemoved(aId, aNext, removed.stamp_);
+  return stamp;
+}
+
+void
+FleetState::Remove(const UpstreamId& aId, EntryStamp aLastStamp, std::string_view aReason)
+{
+  removed_[aId] = { std::max(aLastStamp, LastStamp(aId)), clock_.Now() };
   if (upstreams_.OnRemoved(aId)) {
     LogEvent(LogLevel::Info,
              "upstream_gone",
@@ -128,10 +132,13 @@
 FleetState::ApplyUpstream(const UpstreamChange& aChange, LogOffset aNext, bool aDeferRemovals)
 {
   if (!aChange.entry_) {
+    const auto stamp = std::max(aChange.lastStamp_, LastStamp(aChange.id_));
+    changes_.OnRemoved(aChange.id_, aNext, stamp);
     if (aDeferRemovals && upstreams_.Find(aChange.id_) != nullptr) {
       deferredRemovals_.insert(aChange.id_);
     } else {
-      Remove(aChange.id_, aNext, aChange.lastStamp_, "entry removed");
+      deferredRemovals_.erase(aChange.id_);
+      Remove(aChange.id_, stamp, "entry removed");
     }
     return;
   }
@@ -191,7 +198,6 @@
   std::erase_if(removed_, [oldest = clock_.Now() - kRemovedUpstreamTtl](const auto& aRemoved) {
     return aRemoved.second.removedAt_ < oldest;
   });
-  next_ = aBatch.next_;
   hasUpstreams_ = true;
 }
 
@@ -199,8 +205,7 @@
 FleetState::ApplyDeferredRemovals()
 {
   for (const auto& id : deferredRemovals_) {
-    // Hosts that have the state at the offset next_ have not received this removal.
-    Remove(id, next_ + 1, {}, "entry missing after the store returned");
+    Remove(id, {}, "entry missing after the store returned");
   }
   deferredRemovals_.clear();
 }
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -35,8 +35,10 @@
   void EndUnnamedEvacuations();
   /**
    * Applies a batch of the upstreams' stream.
-   * @param aDeferRemovals defer removals until ApplyDeferredRemovals(). Set after an outage of the
-   * store, when entries of running upstreams may have expired, or after it has lost records.
+   * @param aDeferRemovals defer the effect of removals on the upstreams of this host until
+   * ApplyDeferredRemovals(). Set after an outage of the store, when entries of running upstreams
+   * may have expired, or after it has lost records. Changes() tells them at once: each host decides
+   * for itself.
    */
   void ApplyUpstreams(const ChangeBatch& aBatch, bool aDeferRemovals);
   /** Applies the deferred removals. */
@@ -82,14 +84,10 @@
 
   void OnRelease(const AdapterRelease& aRelease);
   void SetEvacuated(std::set<DataCentreId> aEvacuated);
-  /**
-   * @param aNext hosts at a lower offset do not know of the removal yet.
-   * @param aLastStamp of the last entry before, as far as known.
-   */
-  void Remove(const UpstreamId& aId,
-              LogOffset aNext,
-              EntryStamp aLastStamp,
-              std::string_view aReason);
+  /** @return the newest known stamp of the entries of an upstream. */
+  EntryStamp LastStamp(const UpstreamId& aId) const;
+  /** @param aLastStamp of the last entry before, as far as known. */
+  void Remove(const UpstreamId& aId, EntryStamp aLastStamp, std::string_view aReason);
   void ApplyUpstream(const UpstreamChange& aChange, LogOffset aNext, bool aDeferRemovals);
 
   const Clock& clock_;
@@ -99,9 +97,8 @@
   TimePoint peerConfigSince_;                ///< When a peer was first known to have it.
   StorePosition operatorsNext_; ///< Position up to which the operators' stream was applied.
   UpstreamTable upstreams_;
-  UpstreamChanges changes_;          ///< Entries as the store holds them.
-  LogOffset next_ = 0;               ///< Offset up to which the upstreams' stream was applied.
-  std::set<DataCentreId> evacuated_; ///< Data centres whose upstreams get no requests.
+  UpstreamChanges changes_;                   ///< Entries as the store holds them.
+  std::set<DataCentreId> evacuated_;          ///< Data centres whose upstreams get no requests.
   std::set<DataCentreId> unnamedEvacuations_; ///< Evacuated, but not named by the last snapshot.
   std::map<UpstreamId, RemovedUpstream>
     removed_;                             ///< Kept for kRemovedUpstreamTtl after the removal.
--- a/src/gateway/store_watch.cpp
+++ b/src/gateway/store_watch.cpp
@@ -1,6 +1,7 @@
 /** @file store_watch.cpp Updates the state of the fleet from the store. */
 #include "gateway/store_watch.h"
 
+#include "gateway/gossip_message.h"
 #include "logging/logging_func.h"
 #include "table/fleet_const.h"
 
@@ -49,8 +50,7 @@
 void
 StoreWatch::Start()
 {
-  upstreamsUpdatedAt_ = clock_.Now();
-  upstreamsRequestedAt_ = upstreamsUpdatedAt_;
+  upstreamsRequestedAt_ = clock_.Now();
   PollOperators();
   PollUpstreams();
 }
@@ -192,11 +192,6 @@
 void
 StoreWatch::PollUpstreams()
 {
-  if (flushRemovalsAt_ && clock_.Now() >= *flushRemovalsAt_) {
-    flushRemovalsAt_.reset();
-    state_.ApplyDeferredRemovals();
-    onChange_();
-  }
   if (AreUpstreamsRelayed()) {
     RunAfter(settings_.relayCheckInterval_, &StoreWatch::PollUpstreams);
     return;
@@ -236,23 +231,38 @@
 }
 
 void
-StoreWatch::ApplyUpstreams(TimePoint aSentAt, const ChangeBatch& aBatch)
+StoreWatch::HoldRemovals(TimePoint aRequestedAt, StoreEra aEra)
 {
-  const auto now = clock_.Now();
-  if (now - upstreamsUpdatedAt_ > settings_.upstreamInterval_ * kOutageIntervals) {
-    LogEvent(
-      LogLevel::Info,
-      "upstreams_read_again",
-      { { "gap_ms", std::to_string((now - upstreamsUpdatedAt_) / std::chrono::milliseconds(1)) } });
-    flushRemovalsAt_ = now + settings_.removalHoldTime_;
+  const auto gap = aRequestedAt - upstreamsRequestedAt_;
+  const bool wasAway = gap > settings_.upstreamInterval_ * kOutageIntervals;
+  if (wasAway) {
+    LogEvent(LogLevel::Info,
+             "upstreams_read_again",
+             { { "gap_ms", std::to_string(gap / std::chrono::milliseconds(1)) } });
+  }
+  if (EnterEra(upstreamsEra_, aEra) || wasAway) {
+    removalHoldEnd_ = clock_.Now() + settings_.removalHoldTime_;
   }
-  if (EnterEra(upstreamsEra_, aBatch.era_)) {
-    flushRemovalsAt_ = now + settings_.removalHoldTime_;
+}
+
+void
+StoreWatch::ApplyUpstreams(std::optional<TimePoint> aRequestedAt, const ChangeBatch& aBatch)
+{
+  bool mayFollowOutage = false;
+  if (aRequestedAt) {
+    HoldRemovals(*aRequestedAt, aBatch.era_);
+    upstreamsRequestedAt_ = std::max(upstreamsRequestedAt_, *aRequestedAt);
+  } else {
+    mayFollowOutage =
+      clock_.Now() - upstreamsRequestedAt_ > settings_.upstreamInterval_ * kOutageIntervals;
   }
-  upstreamsUpdatedAt_ = now;
-  upstreamsRequestedAt_ = std::max(upstreamsRequestedAt_, aSentAt);
   upstreams_ = aBatch.Next();
-  state_.ApplyUpstreams(aBatch, flushRemovalsAt_.has_value());
+  state_.ApplyUpstreams(aBatch, removalHoldEnd_ || mayFollowOutage);
+  if (aRequestedAt && (!removalHoldEnd_ || *aRequestedAt >= *removalHoldEnd_)) {
+    // Without a hold time, what an incomplete state deferred was removed before any outage.
+    removalHoldEnd_.reset();
+    state_.ApplyDeferredRemovals();
+  }
   OnEra(aBatch.era_);
   onChange_();
 }
@@ -274,7 +284,8 @@
   // An answer to an earlier query may arrive after this host has read the store itself, perhaps in
   // another era.
   if (upstreams_ && aBatch.era_ == upstreams_->era_ && aBatch.next_ >= upstreams_->next_) {
-    ApplyUpstreams(aSentAt - aAge, aBatch);
+    const bool isComplete = aAge < kIncompletePageAge;
+    ApplyUpstreams(isComplete ? std::optional(aSentAt - aAge) : std::nullopt, aBatch);
   }
 }
 
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -82,7 +82,8 @@
    * Applies changes of the upstreams' stream that a store reader relayed.
    * @param aSentAt when the query was sent.
    * @param aBatch changes since the offset in the query.
-   * @param aAge time since the store reader requested them from the store, when it answered.
+   * @param aAge time since the store reader requested them from the store, when it answered;
+   * kIncompletePageAge if they are only the first ones of its state.
    */
   void OnRelayedUpstreams(TimePoint aSentAt, const ChangeBatch& aBatch, Duration aAge);
   /** Reads the upstreams' stream at the next check because a store reader lacks the changes. */
@@ -103,7 +104,12 @@
   void EndUnnamedEvacuations();
   void PollUpstreams();
   void OnUpstreams(TimePoint aSentAt, std::error_code aError, const ChangeBatch& aBatch);
-  void ApplyUpstreams(TimePoint aSentAt, const ChangeBatch& aBatch);
+  /** @param aRequestedAt when the state was requested from the store; none if it is incomplete, so
+   * that the age of its changes is not known. */
+  void ApplyUpstreams(std::optional<TimePoint> aRequestedAt, const ChangeBatch& aBatch);
+  /** Sets the end of the hold time if the store was away, or came back from an older copy, between
+   * the newest state and one that was requested at the given time. */
+  void HoldRemovals(TimePoint aRequestedAt, StoreEra aEra);
   bool AreUpstreamsRelayed() const;
   /** Reports a newer era, whichever stream was read first in it. */
   void OnEra(StoreEra aEra);
@@ -130,13 +136,13 @@
   std::optional<StorePosition> upstreams_; ///< Next position; if none, a snapshot is read.
   std::optional<StoreEra> upstreamsEra_;   ///< Newest era that the upstreams' stream was read in.
   TimePoint operatorsReadAt_;              ///< When the operators' stream was last read.
-  TimePoint upstreamsUpdatedAt_;           ///< When entries were last read or relayed.
   TimePoint upstreamsRequestedAt_;         ///< When the newest state of the entries was requested.
   bool isRelayed_ = false;                 ///< A store reader relays the content of the store.
   bool isOperatorReadDue_ = false;         ///< A store reader has a newer configuration.
   bool isUpstreamReadDue_ = false;         ///< A store reader lacks the changes.
-  std::optional<TimePoint> flushRemovalsAt_; ///< When deferred removals take effect.
-  bool isConnected_ = false;                 ///< The last read of the operators' stream succeeded.
+  /** End of the hold time; deferred removals take effect with a state requested after it. */
+  std::optional<TimePoint> removalHoldEnd_;
+  bool isConnected_ = false; ///< The last read of the operators' stream succeeded.
 };
 
 } // namespace laburnumweir
--- /dev/null
+++ b/tests/fleet/fleet_state_test.cpp
@@ -0,0 +1,100 @@
+/** @file fleet_state_test.cpp Tests which upstreams a host keeps, and what it relays of them. */
+#include "dispatch/fake_clock.h"
+#include "fleet/fleet_support.h"
+
+#include <gtest/gtest.h>
+
+namespace laburnumweir {
+namespace {
+
+using namespace std::chrono_literals;
+using testing_support::MakeEngine;
+
+class DeferredRemovalTest : public testing::Test
+{
+protected:
+  static UpstreamChange EntryWithHeartbeat(std::uint64_t aHeartbeat)
+  {
+    auto entry = MakeEngine("e1");
+    entry.heartbeat_ = aHeartbeat;
+    return { entry.id_, entry };
+  }
+  static UpstreamChange Removal(EntryStamp aLastStamp = {})
+  {
+    return { UpstreamId("e1"), std::nullopt, aLastStamp };
+  }
+  /** Applies records of consecutive offsets. @param aNext offset after the last one. */
+  void Apply(LogOffset aNext, std::vector<FleetChange> aChanges, bool aDeferRemovals)
+  {
+    ChangeBatch batch;
+    batch.era_ = era_;
+    batch.isGapless_ = true;
+    batch.next_ = aNext;
+    batch.changes_ = std::move(aChanges);
+    state_.ApplyUpstreams(batch, aDeferRemovals);
+  }
+  void ApplySnapshot(LogOffset aNext, std::vector<FleetChange> aChanges, bool aDeferRemovals)
+  {
+    ChangeBatch batch;
+    batch.era_ = era_;
+    batch.isSnapshot_ = true;
+    batch.next_ = aNext;
+    batch.changes_ = std::move(aChanges);
+    state_.ApplyUpstreams(batch, aDeferRemovals);
+  }
+  /** @return the only change of `e1` since an offset; none unless there is exactly one. */
+  std::optional<UpstreamChange> ChangeSince(LogOffset aFrom) const
+  {
+    const auto changes = state_.Changes().Since({ era_, aFrom });
+    return changes && changes->size() == 1 ? std::optional(changes->front()) : std::nullopt;
+  }
+  bool HasEngine() const { return state_.Upstreams().All().contains(UpstreamId("e1")); }
+
+  FakeClock clock_;
+  StoreEra era_ = 0;
+  FleetState state_{ clock_, HostId("h1"), DataCentreId("dc1") };
+};
+
+// Guards against a removal that hosts never receive: a store reader that defers it relays the
+// position after it.
+TEST_F(DeferredRemovalTest, IsRelayedAtOnceUnderItsOffset)
+{
+  Apply(10, { EntryWithHeartbeat(8) }, false);
+  Apply(20, { Removal(), UpstreamChange{ UpstreamId("e2"), MakeEngine("e2") } }, true);
+  EXPECT_TRUE(HasEngine());
+  auto change = ChangeSince(19);
+  ASSERT_TRUE(change);
+  EXPECT_EQ(change->id_, UpstreamId("e2")) << "hosts at 19 have the removal";
+  ASSERT_TRUE(state_.Changes().Since({ era_, 10 }));
+  EXPECT_EQ(state_.Changes().Since({ era_, 10 })->size(), 2U);
+  state_.ApplyDeferredRemovals();
+  EXPECT_FALSE(HasEngine());
+  EXPECT_TRUE(state_.Changes().Since({ era_, 20 })->empty()) << "nothing changed in the store";
+}
+
+// Guards against an old entry that a host takes after a relayed removal without the stamp of the
+// last entry: a store reader does not relay mere heartbeats.
+TEST_F(DeferredRemovalTest, IsRelayedWithTheStampOfTheLastEntry)
+{
+  Apply(10, { EntryWithHeartbeat(8) }, false);
+  Apply(20, { Removal() }, true);
+  ASSERT_TRUE(ChangeSince(10));
+  EXPECT_FALSE(ChangeSince(10)->entry_);
+  EXPECT_EQ(ChangeSince(10)->lastStamp_, (EntryStamp{ 1, 8 }));
+}
+
+// Guards against a running upstream that is missing at hosts that applied its removal at once while
+// their store reader deferred it: its next entry differs only in the heartbeat.
+TEST_F(DeferredRemovalTest, AnEntryThatComesBackIsRelayed)
+{
+  Apply(10, { EntryWithHeartbeat(8) }, false);
+  Apply(20, { Removal() }, true);
+  Apply(30, { EntryWithHeartbeat(9) }, true);
+  ASSERT_TRUE(ChangeSince(20));
+  EXPECT_TRUE(ChangeSince(20)->entry_);
+  state_.ApplyDeferredRemovals();
+  EXPECT_TRUE(HasEngine());
+}
+
+} // namespace
+} // namespace laburnumweir
--- a/tests/gateway/gossip_service_test.cpp
+++ b/tests/gateway/gossip_service_test.cpp
@@ -123,7 +123,8 @@
   std::shared_ptr<HolderService> holder_;
   std::shared_ptr<StoreWatch> watch_;
   std::shared_ptr<GossipService> gossip_;
-  bool isDead_ = false; ///< The host neither sends nor receives.
+  bool isDead_ = false;       ///< The host neither sends nor receives.
+  bool isTurnedAway_ = false; ///< The store refuses its calls.
 
 private:
   void ServeStore();
@@ -221,7 +222,7 @@
                              std::function<ChangeBatch()> aMake) {
     ++shared_.reads_;
     scheduler_.After(aDelay, [this, aCallback, make = std::move(aMake)] {
-      if (shared_.isDown_ || isDead_) {
+      if (shared_.isDown_ || isDead_ || isTurnedAway_) {
         aCallback(StoreError::Unreachable, {});
       } else {
         aCallback({}, make());
@@ -497,6 +498,121 @@
   }
 }
 
+/** Fleet of which the store turns away a store reader and half of the hosts that query it. */
+class TurnedAwayReaderTest : public GossipServiceTest
+{
+protected:
+  void TurnAway()
+  {
+    reader_ = network_.Readers().front();
+    reader_->isTurnedAway_ = true;
+    for (auto& host : network_.hosts_) {
+      const auto reader = host->peers_.AssignedReader();
+      if (reader && reader->id_ == reader_->self_.id_) {
+        clients_.push_back(host.get());
+        host->isTurnedAway_ = clients_.size() % 2 == 0;
+      }
+    }
+  }
+  void EndTurnAway()
+  {
+    reader_->isTurnedAway_ = false;
+    for (auto* client : clients_) {
+      client->isTurnedAway_ = false;
+    }
+  }
+  void Add(const std::string& aUpstream)
+  {
+    network_.store_.Write({ UpstreamId(aUpstream), MakeEngine(aUpstream) });
+  }
+  void Remove(const std::string& aUpstream)
+  {
+    network_.store_.Write({ UpstreamId(aUpstream), std::nullopt });
+  }
+  /** @return the hosts that have an upstream, with spaces between them. */
+  std::string HostsWith(const std::string& aUpstream)
+  {
+    std::string hosts;
+    for (const auto& host : network_.hosts_) {
+      hosts += host->Knows(aUpstream) ? host->self_.id_.Value() + " " : "";
+    }
+    return hosts;
+  }
+
+  Host* reader_ = nullptr;
+  std::vector<Host*> clients_; ///< Hosts that query the store reader; every second is turned away.
+};
+
+// Guards against removed upstreams that hosts keep behind a store reader that was turned away by
+// the store: it deferred the removals after its return, but relayed the position after them.
+TEST_F(TurnedAwayReaderTest, RemovalsReachAllHosts)
+{
+  network_.Start();
+  for (const auto* upstream : { "e2", "e3", "e4" }) {
+    Add(upstream);
+  }
+  network_.scheduler_.Run(2s);
+  TurnAway();
+  ASSERT_GE(clients_.size(), 2U);
+  network_.scheduler_.Run(3s);
+  Remove("e2");
+  // A host that can read the store does so when the relayed state is too old.
+  network_.scheduler_.Run(1500ms);
+  EXPECT_FALSE(clients_.front()->Knows("e2"));
+  Remove("e3");
+  network_.scheduler_.Run(4500ms);
+  EndTurnAway();
+  network_.scheduler_.Run(300ms);
+  Remove("e4");
+  network_.scheduler_.Run(WatchSettings().upstreamInterval_ + kGossipInterval + 50ms);
+  for (const auto& host : network_.hosts_) {
+    if (host.get() != reader_ && !host->isTurnedAway_ &&
+        std::find(clients_.begin(), clients_.end(), host.get()) == clients_.end()) {
+      EXPECT_FALSE(host->Knows("e4")) << host->self_.id_.Value();
+    }
+  }
+  for (std::size_t i = 0; i < clients_.size(); i += 2) {
+    EXPECT_FALSE(clients_[i]->Knows("e4")) << clients_[i]->self_.id_.Value();
+  }
+  network_.scheduler_.Run(WatchSettings().removalHoldTime_ + 1s);
+  for (const auto* upstream : { "e2", "e3", "e4" }) {
+    EXPECT_EQ(HostsWith(upstream), "") << upstream;
+  }
+}
+
+// Guards against running upstreams that are dropped because their entries expired while the store
+// was away: hosts behind a store reader must see the outage in the age of what it relays.
+TEST_F(TurnedAwayReaderTest, KeepsRunningUpstreamsWhoseEntriesExpired)
+{
+  network_.lossEvery_ = 10;
+  network_.Start();
+  Add("e2");
+  Add("e3");
+  network_.scheduler_.Run(2s);
+  network_.store_.isDown_ = true;
+  network_.scheduler_.Run(5s);
+  network_.store_.isDown_ = false;
+  // The store expires the entries when it is back.
+  for (const auto* upstream : { "e1", "e2", "e3" }) {
+    Remove(upstream);
+  }
+  for (Duration time{}; time < 8s; time += 50ms) {
+    if (time == 2s) {
+      for (const auto* upstream : { "e1", "e2" }) {
+        auto entry = MakeEngine(upstream);
+        entry.heartbeat_ = 2;
+        network_.store_.Write({ entry.id_, entry });
+      }
+    }
+    network_.scheduler_.Run(50ms);
+    for (const auto& host : network_.hosts_) {
+      ASSERT_TRUE(host->Knows("e1") && host->Knows("e2"))
+        << host->self_.id_.Value() << " after " << time / 1ms << " ms";
+    }
+  }
+  EXPECT_EQ(HostsWith("e3"), "");
+}
+
 // Guards against a withdrawn key that is accepted by a host that starts when the store came back
 // from a copy without the newest configuration, which the other hosts have.
 TEST_F(GossipServiceTest, AHostThatStartsOnAnOlderCopyLearnsOfTheNewerConfiguration)
--- a/tests/gateway/store_watch_test.cpp
+++ b/tests/gateway/store_watch_test.cpp
@@ -4,6 +4,7 @@
 
 #include "fleet/fleet_support.h"
 #include "gateway/gateway_support.h"
+#include "gateway/gossip_message.h"
 
 #include <gtest/gtest.h>
 
@@ -226,6 +227,112 @@
     << "its entry was not written again";
 }
 
+/** Store watch of a host whose store reader has lost the store for some time and then relays the
+ * state after it. */
+class RelayedOutageTest : public StoreWatchTest
+{
+protected:
+  void SetUp() override
+  {
+    watch_->Start();
+    scheduler_.Run(1s);
+    watch_->SetRelayed(true);
+    error_ = StoreError::Unreachable;
+    readAt_ = clock_.Now();
+    for (int i = 0; i < 20; ++i) {
+      Relay({}, clock_.Now() - readAt_);
+      scheduler_.Run(250ms);
+    }
+  }
+  /** Relays changes. @param aAge time since the store reader requested them. */
+  void Relay(std::vector<FleetChange> aChanges, Duration aAge)
+  {
+    ChangeBatch batch;
+    batch.era_ = era_;
+    batch.next_ = next_ += aChanges.size();
+    batch.changes_ = std::move(aChanges);
+    watch_->OnRelayedUpstreams(clock_.Now(), batch, aAge);
+  }
+  /** Relays the newest state at the interval of gossip. */
+  void RelayFor(Duration aTime)
+  {
+    for (Duration time{}; time < aTime; time += 250ms) {
+      scheduler_.Run(250ms);
+      Relay({}, 100ms);
+    }
+  }
+
+  const UpstreamChange removal_{ UpstreamId("e1"), std::nullopt };
+  TimePoint readAt_; ///< When the store reader last read the store before the outage.
+  LogOffset next_ = snapshotEnd_;
+};
+
+// Guards against an outage that a host does not notice because its store reader answers throughout,
+// with an old state: entries of running upstreams may have expired.
+TEST_F(RelayedOutageTest, DefersRemovals)
+{
+  Relay({ removal_ }, 100ms);
+  EXPECT_TRUE(HasEngine());
+  RelayFor(2s);
+  EXPECT_TRUE(HasEngine());
+  RelayFor(1s);
+  EXPECT_FALSE(HasEngine()) << "its entry was not written again";
+}
+
+// Guards against the same with a state that needs several answers: the age of the entries is not
+// known before the last one.
+TEST_F(RelayedOutageTest, DefersRemovalsOfAnIncompletePage)
+{
+  Relay({ removal_ }, kIncompletePageAge);
+  EXPECT_TRUE(HasEngine());
+  Relay({}, 100ms);
+  EXPECT_TRUE(HasEngine());
+  RelayFor(2s);
+  EXPECT_TRUE(HasEngine());
+  RelayFor(1s);
+  EXPECT_FALSE(HasEngine());
+}
+
+// Guards against a removal that takes effect too late: what a store reader relays from before its
+// outage was removed while the upstreams could write.
+TEST_F(RelayedOutageTest, AppliesRemovalsFromBeforeTheOutageAtOnce)
+{
+  Relay({ removal_ }, clock_.Now() - readAt_);
+  EXPECT_FALSE(HasEngine());
+}
+
+TEST_F(RelayedOutageTest, AppliesRemovalsOfAnIncompletePageFromBeforeTheOutage)
+{
+  Relay({ removal_ }, kIncompletePageAge);
+  Relay({}, clock_.Now() - readAt_);
+  EXPECT_FALSE(HasEngine());
+}
+
+// Guards against removals that are deferred at a host that has read the store itself while its
+// store reader was turned away.
+TEST_F(RelayedOutageTest, AHostThatReadTheStoreItselfAppliesRemovalsAtOnce)
+{
+  error_ = {};
+  scheduler_.Run(4s);
+  Relay({ removal_ }, 100ms);
+  EXPECT_FALSE(HasEngine());
+}
+
+// Guards against a running upstream that is dropped in a second outage, in which it cannot write
+// its entry again.
+TEST_F(RelayedOutageTest, DeferredRemovalsWaitForAStateAfterTheHoldTime)
+{
+  Relay({ removal_ }, 100ms);
+  const auto relayedAt = clock_.Now() - 100ms;
+  for (int i = 0; i < 20; ++i) {
+    scheduler_.Run(250ms);
+    Relay({}, clock_.Now() - relayedAt);
+  }
+  EXPECT_TRUE(HasEngine());
+  RelayFor(3s);
+  EXPECT_FALSE(HasEngine());
+}
+
 // Guards against a return to an older configuration from a snapshot or a late record.
 TEST_F(StoreWatchTest, NeverStepsBackToAnOlderConfiguration)
 {
