Read the operators' stream at once when a new era is seen elsewhere

Cause: the operators' stream learned of an era only from its own answers. Now a newer era in the upstreams' stream, in the position of a store reader or in any load report starts a read at once, once for each era; if it fails, the usual delay applies. Reads and timers carry the number of their poll, so the answer of the poll that was replaced is dropped and starts no second chain.

--- a/src/gateway/gossip_service.cpp
+++ b/src/gateway/gossip_service.cpp
@@ -26,6 +26,22 @@
   return kOthers;
 }
 
+/** @return newest era in which a host has read the store, as far as a message tells. */
+StoreEra
+NewestEra(const GossipMessage& aMessage)
+{
+  StoreEra era = aMessage.hostLoad_ ? aMessage.hostLoad_->config_.next_.era_ : 0;
+  if (aMessage.query_) {
+    era = std::max(era, aMessage.query_->upstreams_.era_);
+  }
+  if (aMessage.reply_) {
+    era = std::max({ era,
+                     aMessage.reply_->operators_.value_or(StorePosition()).era_,
+                     aMessage.reply_->upstreams_.value_or(StorePosition()).era_ });
+  }
+  return era;
+}
+
 /** @return estimated size of an upstream's entry in an answer, bytes. */
 std::size_t
 EstimatedSize(const UpstreamChange& aChange)
@@ -292,6 +308,7 @@
 GossipService::OnHostLoad(const GossipMessage& aMessage)
 {
   context_.peers_.OnPartitions(aMessage.host_.id_, aMessage.generation_, aMessage.partitions_);
+  watch_->OnPeerEra(NewestEra(aMessage));
   if (aMessage.reply_) {
     OnReply(aMessage);
   } else {
--- a/src/gateway/store_watch.cpp
+++ b/src/gateway/store_watch.cpp
@@ -65,27 +65,56 @@
   });
 }
 
+void
+StoreWatch::PollOperatorsAfter(Duration aDelay)
+{
+  scheduler_.After(aDelay, [weak = weak_from_this(), poll = operatorsPoll_] {
+    if (const auto self = weak.lock(); self && self->operatorsPoll_ == poll) {
+      self->PollOperators();
+    }
+  });
+}
+
+void
+StoreWatch::HurryOperators(StoreEra aEra)
+{
+  if (!operatorsEra_ || aEra <= *operatorsEra_ || aEra <= hurriedEra_) {
+    return;
+  }
+  hurriedEra_ = aEra;
+  ++operatorsPoll_;
+  pollWait_ = std::chrono::milliseconds(0);
+  ReadOperators();
+}
+
 void
 StoreWatch::PollOperators()
 {
-  const auto sentAt = clock_.Now();
   const bool isReadDue =
-    isOperatorReadDue_ && sentAt - operatorsReadAt_ >= settings_.relayedReadInterval_;
+    isOperatorReadDue_ && clock_.Now() - operatorsReadAt_ >= settings_.relayedReadInterval_;
   if (isRelayed_ && operators_ && !isReadDue && state_.ConfigAge() <= kMaxRelayedConfigAge) {
     // The relayed configuration was confirmed recently enough: while a long poll of this host
     // waits, the configuration also stays unconfirmed for up to the whole wait.
     pollWait_ = std::chrono::milliseconds(0);
-    RunAfter(settings_.relayCheckInterval_, &StoreWatch::PollOperators);
+    PollOperatorsAfter(settings_.relayCheckInterval_);
     return;
   }
+  ReadOperators();
+}
+
+void
+StoreWatch::ReadOperators()
+{
+  const auto sentAt = clock_.Now();
   isOperatorReadDue_ = false;
   operatorsReadAt_ = sentAt;
-  auto callback = [weak = weak_from_this(), sentAt, knownNext = relayedOperators_](
-                    std::error_code aError, const ChangeBatch& aBatch) {
-    if (const auto self = weak.lock()) {
-      self->OnOperators(sentAt, knownNext, aError, aBatch);
-    }
-  };
+  auto callback =
+    [weak = weak_from_this(), sentAt, poll = operatorsPoll_, knownNext = relayedOperators_](
+      std::error_code aError, const ChangeBatch& aBatch) {
+      if (const auto self = weak.lock(); self && self->operatorsPoll_ == poll) {
+        self->OnOperators(sentAt, knownNext, aError, aBatch);
+      }
+    };
   if (operators_) {
     store_.ReadChanges(ChangeStream::Operators, *operators_, pollWait_, callback);
   } else {
@@ -102,7 +131,7 @@
   if (aError == make_error_code(StoreError::HistoryLost)) {
     LogEvent(LogLevel::Info, "history_lost", { { "stream", "operators" } });
     operators_.reset();
-    RunAfter(kMinPollInterval, &StoreWatch::PollOperators);
+    PollOperatorsAfter(kMinPollInterval);
     return;
   }
   if (isConnected_ != !aError) {
@@ -117,7 +146,7 @@
     // The store may come back in another era, where a long poll from an offset that was given out
     // again would learn of that only at its end.
     pollWait_ = std::chrono::milliseconds(0);
-    RunAfter(RetryDelay(), &StoreWatch::PollOperators);
+    PollOperatorsAfter(RetryDelay());
     return;
   }
   if (aBatch.Next() < aKnownNext) {
@@ -129,7 +158,7 @@
                { "era", std::to_string(aBatch.era_) },
                { "known_offset", std::to_string(aKnownNext.next_) },
                { "known_era", std::to_string(aKnownNext.era_) } });
-    RunAfter(RetryDelay(), &StoreWatch::PollOperators);
+    PollOperatorsAfter(RetryDelay());
     return;
   }
   // The store answers a long poll as soon as there is a record, so a poll that ends without one
@@ -151,10 +180,10 @@
   // the topic, which may not exist yet.
   if (!state_.Routes()) {
     operators_.reset();
-    RunAfter(settings_.noConfigDelay_, &StoreWatch::PollOperators);
+    PollOperatorsAfter(settings_.noConfigDelay_);
     return;
   }
-  RunAfter(kMinPollInterval, &StoreWatch::PollOperators);
+  PollOperatorsAfter(kMinPollInterval);
 }
 
 void
@@ -264,6 +293,7 @@
     state_.ApplyDeferredRemovals();
   }
   OnEra(aBatch.era_);
+  HurryOperators(aBatch.era_);
   onChange_();
 }
 
@@ -271,6 +301,7 @@
 StoreWatch::OnRelayedConfigAge(TimePoint aSentAt, StorePosition aNext, Duration aConfigAge)
 {
   relayedOperators_ = std::max(relayedOperators_, aNext);
+  OnPeerEra(aNext.era_);
   if (operators_ == aNext) {
     state_.OnConfigConfirmed(aSentAt - aConfigAge);
   } else if (operators_ && *operators_ < aNext) {
@@ -289,6 +320,15 @@
   }
 }
 
+void
+StoreWatch::OnPeerEra(StoreEra aEra)
+{
+  if (upstreams_ && upstreams_->era_ < aEra) {
+    isUpstreamReadDue_ = true;
+  }
+  HurryOperators(aEra);
+}
+
 WatchPosition
 StoreWatch::Position() const
 {
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -86,6 +86,11 @@
    * kIncompletePageAge if they are only the first ones of its state.
    */
   void OnRelayedUpstreams(TimePoint aSentAt, const ChangeBatch& aBatch, Duration aAge);
+  /**
+   * Reads both streams soon if a peer has read the store in a newer era than this host.
+   * @param aEra newest era in a message of the peer.
+   */
+  void OnPeerEra(StoreEra aEra);
   /** Reads the upstreams' stream at the next check because a store reader lacks the changes. */
   void OnRelayGap() { isUpstreamReadDue_ = true; }
   /** Sets whether a store reader relays the content of the store to this host. */
@@ -95,7 +100,15 @@
   bool IsConnected() const { return isConnected_; }
 
 private:
+  /** Reads the operators' stream now, or later if the relayed configuration is recent enough. */
   void PollOperators();
+  /** Starts a read of the operators' stream. */
+  void ReadOperators();
+  /** Calls PollOperators() later, unless a read is started before. */
+  void PollOperatorsAfter(Duration aDelay);
+  /** Reads the operators' stream at once, in place of the running or next poll, unless it was read
+   * in that era or this was called for it before. */
+  void HurryOperators(StoreEra aEra);
   /** @param aKnownNext end of the operators' stream that was known when the read was sent. */
   void OnOperators(TimePoint aSentAt,
                    StorePosition aKnownNext,
@@ -131,6 +144,10 @@
   std::optional<StorePosition> operators_;  ///< Next position; if none, a snapshot is read.
   StorePosition relayedOperators_;          ///< Newest position that a store reader had.
   std::optional<StoreEra> operatorsEra_;    ///< Newest era that the operators' stream was read in.
+  StoreEra hurriedEra_ = 0; ///< Newest era for which the operators' stream was read at once.
+  /** Rises when a read of the operators' stream is started in place of the one before, whose answer
+   * is then not used. */
+  std::uint64_t operatorsPoll_ = 0;
   /** When evacuations end that the last snapshot does not name. */
   std::optional<TimePoint> endEvacuationsAt_;
   std::optional<StorePosition> upstreams_; ///< Next position; if none, a snapshot is read.
--- a/tests/gateway/store_watch_test.cpp
+++ b/tests/gateway/store_watch_test.cpp
@@ -39,14 +39,14 @@
                             const FleetStore::ChangesCallback& aCallback) {
         const auto respond = [this, aStream, aFrom, aWait, aCallback] {
           ChangeBatch batch;
-          if (aFrom.era_ != era_) {
+          operatorReads_ += aStream == ChangeStream::Operators ? 1 : 0;
+          if (!error_ && aFrom.era_ != era_) {
             aCallback(StoreError::HistoryLost, std::move(batch));
             return;
           }
           batch.era_ = era_;
           batch.next_ = aFrom.next_;
           if (aStream == ChangeStream::Operators) {
-            ++operatorReads_;
             batch.next_ = std::max(aFrom.next_, operatorsEnd_);
           }
           if (aStream == ChangeStream::Operators && aWait > 0ms && recordAfter_) {
@@ -62,6 +62,10 @@
           }
           aCallback(error_, std::move(batch));
         };
+        if (aStream == ChangeStream::Operators && aWait > 0ms && isHanging_) {
+          hanging_.emplace_back(respond);
+          return;
+        }
         const bool hasRecord = aStream == ChangeStream::Operators && aWait > 0ms && recordAfter_;
         scheduler_.After((hasRecord ? *recordAfter_ : aWait) + 5ms, respond);
       });
@@ -107,6 +111,8 @@
   LogOffset snapshotEnd_ = 10;
   LogOffset operatorsEnd_ = 0; ///< End of the operators' stream for reads of changes.
   int operatorReads_ = 0;      ///< Reads of changes of the operators' stream.
+  bool isHanging_ = false;     ///< Long polls get no answer.
+  std::vector<std::function<void()>> hanging_; ///< Answer the long polls that hang.
   std::optional<std::chrono::milliseconds>
     recordAfter_; ///< If set, a record ends the next long poll after this.
 };
@@ -443,6 +449,72 @@
   EXPECT_EQ(state_.Routes()->Config().version_, 4);
 }
 
+/** Store watch whose long poll hangs while the store comes back from a copy that ends at the same
+ * offset, with version 4 of the configuration. */
+class HangingPollTest : public StoreWatchTest
+{
+protected:
+  void HangAndRestore()
+  {
+    watch_->Start();
+    isHanging_ = true;
+    scheduler_.Run(1900ms);
+    ASSERT_EQ(hanging_.size(), 1U);
+    Restore(snapshotEnd_);
+    FleetConfig config;
+    config.version_ = 4;
+    operators_ = { config };
+  }
+};
+
+// Guards against a configuration that is not in force while a long poll of the era before hangs,
+// although the upstreams' stream was read in the new one.
+TEST_F(HangingPollTest, ANewEraOfTheUpstreamsIsEnough)
+{
+  HangAndRestore();
+  scheduler_.Run(WatchSettings().upstreamInterval_ + 100ms);
+  EXPECT_EQ(state_.Routes()->Config().version_, 4);
+}
+
+// Guards against the same at a host whose store reader has read the new era.
+TEST_F(HangingPollTest, ANewEraOfAStoreReaderIsEnough)
+{
+  HangAndRestore();
+  watch_->SetRelayed(true);
+  watch_->OnRelayedConfigAge(clock_.Now(), { era_, snapshotEnd_ }, 0ms);
+  scheduler_.Run(50ms);
+  EXPECT_EQ(state_.Routes()->Config().version_, 4);
+}
+
+// Guards against two polls at a time after the one that hung has ended.
+TEST_F(HangingPollTest, ItsAnswerStartsNoSecondPoll)
+{
+  HangAndRestore();
+  isHanging_ = false;
+  scheduler_.Run(1s);
+  hanging_.front()();
+  const int before = operatorReads_;
+  const int snapshots = snapshots_;
+  scheduler_.Run(10s);
+  EXPECT_LE(operatorReads_ - before, 8);
+  EXPECT_EQ(snapshots_, snapshots);
+}
+
+// Guards against calls at the interval of gossip while the store turns this host away and its store
+// reader announces the new era with each answer.
+TEST_F(HangingPollTest, AnAnnouncedEraIsReadOnceAtOnce)
+{
+  HangAndRestore();
+  watch_->SetRelayed(true);
+  error_ = StoreError::Unreachable;
+  const int before = operatorReads_;
+  for (int i = 0; i < 16; ++i) {
+    watch_->OnRelayedConfigAge(clock_.Now(), { era_, snapshotEnd_ }, 0ms);
+    scheduler_.Run(250ms);
+  }
+  EXPECT_LE(operatorReads_ - before, 5);
+}
+
 // Guards against a state of before the loss that is taken as newer than one of after it, because
 // its offsets are higher.
 TEST_F(StoreWatchTest, AnAnswerOfAnEarlierEraThanARelayedPositionIsNotUsed)
