Keep the stamp of a deferred removal through a second restore

Cause: a deferred removal had no stamp. An old entry of the copy ended the deferral, and the removal was lost for good; and a removal that had taken effect was remembered with the last entry that the host knew itself, which is older than the one that the store reader had told. The stamp is now kept with the deferred removal: an entry that is not newer does not end it, and it passes to the memory of removed upstreams. A running upstream writes a newer entry.

--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -114,6 +114,9 @@
   if (const auto removed = removed_.find(aId); removed != removed_.end()) {
     stamp = std::max(stamp, removed->second.stamp_);
   }
+  if (const auto deferred = deferredRemovals_.find(aId); deferred != deferredRemovals_.end()) {
+    stamp = std::max(stamp, deferred->second);
+  }
   return stamp;
 }
 
@@ -135,7 +138,7 @@
     const auto stamp = std::max(aChange.lastStamp_, LastStamp(aChange.id_));
     changes_.OnRemoved(aChange.id_, aNext, stamp);
     if (aDeferRemovals && upstreams_.Find(aChange.id_) != nullptr) {
-      deferredRemovals_.insert(aChange.id_);
+      deferredRemovals_[aChange.id_] = stamp;
     } else {
       deferredRemovals_.erase(aChange.id_);
       Remove(aChange.id_, stamp, "entry removed");
@@ -143,7 +146,13 @@
     return;
   }
   changes_.OnEntry(*aChange.entry_, aNext);
-  deferredRemovals_.erase(aChange.id_);
+  const auto deferred = deferredRemovals_.find(aChange.id_);
+  if (deferred != deferredRemovals_.end()) {
+    if (aChange.entry_->Stamp() <= deferred->second) {
+      return; // of a copy from before the removal; a running upstream writes a newer one
+    }
+    deferredRemovals_.erase(deferred);
+  }
   const auto removed = removed_.find(aChange.id_);
   if (removed != removed_.end() && aChange.entry_->Stamp() <= removed->second.stamp_) {
     return; // written before the removal, which the store has lost
@@ -204,8 +213,8 @@
 void
 FleetState::ApplyDeferredRemovals()
 {
-  for (const auto& id : deferredRemovals_) {
-    Remove(id, {}, "entry missing after the store returned");
+  for (const auto& [id, stamp] : deferredRemovals_) {
+    Remove(id, stamp, "entry missing after the store returned");
   }
   deferredRemovals_.clear();
 }
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -101,8 +101,9 @@
   std::set<DataCentreId> evacuated_;          ///< Data centres whose upstreams get no requests.
   std::set<DataCentreId> unnamedEvacuations_; ///< Evacuated, but not named by the last snapshot.
   std::map<UpstreamId, RemovedUpstream>
-    removed_;                             ///< Kept for kRemovedUpstreamTtl after the removal.
-  std::set<UpstreamId> deferredRemovals_; ///< Upstreams whose removal is deferred.
+    removed_; ///< Kept for kRemovedUpstreamTtl after the removal.
+  /** Upstreams whose removal is deferred, with the stamps of their last entries. */
+  std::map<UpstreamId, EntryStamp> deferredRemovals_;
   /** Released versions by model and adapter. */
   std::map<std::pair<std::string, std::string>, ReleaseHistory> releases_;
   std::optional<TimePoint> confirmedAt_; ///< Time up to which all changes are known.
--- a/tests/fleet/fleet_state_test.cpp
+++ b/tests/fleet/fleet_state_test.cpp
@@ -96,5 +96,35 @@
   EXPECT_TRUE(HasEngine());
 }
 
+// Guards against a removed upstream that comes back for good when the store is restored a second
+// time, from a copy that still has one of its entries, before its removal has taken effect.
+TEST_F(DeferredRemovalTest, AnEntryOfAnOlderCopyDoesNotEndIt)
+{
+  Apply(10, { EntryWithHeartbeat(8) }, false);
+  ++era_;
+  ApplySnapshot(5, {}, true);
+  ++era_;
+  ApplySnapshot(4, { EntryWithHeartbeat(7) }, true);
+  state_.ApplyDeferredRemovals();
+  EXPECT_FALSE(HasEngine());
+  Apply(6, { EntryWithHeartbeat(9) }, false);
+  EXPECT_TRUE(HasEngine()) << "it is running";
+}
+
+// Guards against the same after the removal has taken effect, at a host that knows the last
+// heartbeat only from its store reader.
+TEST_F(DeferredRemovalTest, KeepsTheRelayedStampOfTheLastEntry)
+{
+  Apply(10, { EntryWithHeartbeat(8) }, false);
+  Apply(20, { Removal({ 1, 20 }) }, true);
+  state_.ApplyDeferredRemovals();
+  EXPECT_FALSE(HasEngine());
+  ++era_;
+  ApplySnapshot(15, { EntryWithHeartbeat(19) }, true);
+  EXPECT_FALSE(HasEngine());
+  Apply(16, { EntryWithHeartbeat(21) }, true);
+  EXPECT_TRUE(HasEngine()) << "it is running";
+}
+
 } // namespace
 } // namespace laburnumweir
