Do not take a part of the changes for the newest state

The store answers a read of changes with at most a limited number of bytes. A host that was behind by more, after an outage on a large fleet or a series of large configurations, took the first part for the whole: it counted its configuration as confirmed and its entries as recent, relayed both to the hosts behind it, and read the rest of the entries only one interval later. Callers would see a withdrawn key accepted, or requests sent to an upstream that has left, for that time.

The answer names the end of the stream; StoreClient decoded it and nothing used it. A batch now says whether it reaches that end. If not, it confirms nothing, the age of the entries stays, and the rest is read at once.

StoreWatchTest.APartOfTheChangesConfirmsNothing failed before: the configuration counted as 50 ms old while parts were read for 3 s, the entries as 290 ms. ClientTest.TellsWhetherTheChangesAreComplete tests the client.

--- a/src/fleet/fleet_store_base.h
+++ b/src/fleet/fleet_store_base.h
@@ -81,6 +81,9 @@
   /** Whether each record up to next_ gave one change, so that the offset of each change follows
    * from its position. */
   bool isGapless_ = false;
+  /** Whether it reaches the end that the stream had when the store answered. A long stream is read
+   * in parts. */
+  bool isComplete_ = true;
 
   StorePosition Next() const { return { era_, next_ }; }
   /** @return offset after the record of a change; next_ if its record is not known. */
--- a/src/gateway/store_watch.cpp
+++ b/src/gateway/store_watch.cpp
@@ -170,7 +170,11 @@
     RunAfter(settings_.removalHoldTime_, &StoreWatch::EndUnnamedEvacuations);
   }
   state_.ApplyOperators(aBatch, endEvacuationsAt_.has_value());
-  state_.OnConfigConfirmed(hasNoRecords ? aSentAt + pollWait_ : aSentAt);
+  if (aBatch.isComplete_) {
+    state_.OnConfigConfirmed(hasNoRecords ? aSentAt + pollWait_ : aSentAt);
+  } else {
+    isOperatorReadDue_ = true;
+  }
   // An answer with records confirms only the time at which the poll was sent, up to a whole wait
   // ago. The next poll does not wait, so that it confirms the current time.
   pollWait_ = hasNoRecords ? settings_.configWait_ : std::chrono::milliseconds(0);
@@ -254,6 +258,11 @@
     RunAfter(RetryDelay(), &StoreWatch::PollUpstreams);
     return;
   }
+  if (!aBatch.isComplete_) {
+    ApplyUpstreams(std::nullopt, aBatch);
+    RunAfter(kMinPollInterval, &StoreWatch::PollUpstreams);
+    return;
+  }
   ApplyUpstreams(aSentAt, aBatch);
   RunAfter(isRelayed_ ? settings_.relayCheckInterval_ : settings_.upstreamInterval_,
            &StoreWatch::PollUpstreams);
--- a/tests/gateway/store_watch_test.cpp
+++ b/tests/gateway/store_watch_test.cpp
@@ -233,6 +233,40 @@
     << "its entry was not written again";
 }
 
+// Guards against a state that counts as the newest although the store sent only the first part of
+// the changes: a key may have been withdrawn, or an upstream may drain, in the rest.
+TEST_F(StoreWatchTest, APartOfTheChangesConfirmsNothing)
+{
+  watch_->Start();
+  scheduler_.Run(1s);
+  const auto sendParts = [this](ChangeStream aStream, int aParts) {
+    ON_CALL(store_, ReadChanges(aStream, _, _, _))
+      .WillByDefault(
+        [this, left = std::make_shared<int>(aParts)](ChangeStream,
+                                                     StorePosition aFrom,
+                                                     std::chrono::milliseconds aWait,
+                                                     const FleetStore::ChangesCallback& aCallback) {
+          ChangeBatch batch;
+          batch.era_ = aFrom.era_;
+          batch.next_ = aFrom.next_ + (*left > 0 ? 1 : 0);
+          batch.isComplete_ = *left <= 1;
+          *left -= *left > 0 ? 1 : 0;
+          scheduler_.After((batch.next_ > aFrom.next_ ? 0ms : aWait) + 50ms,
+                           [aCallback, batch] { aCallback({}, batch); });
+        });
+  };
+  sendParts(ChangeStream::Operators, 100);
+  sendParts(ChangeStream::Upstreams, 100);
+  scheduler_.Run(2s); // the polls that were sent before end
+  const auto before = clock_.Now();
+  scheduler_.Run(3s);
+  EXPECT_GE(state_.ConfigAge(), clock_.Now() - before);
+  EXPECT_GE(watch_->Position().upstreamAge_, clock_.Now() - before);
+  scheduler_.Run(4s);
+  EXPECT_LE(state_.ConfigAge(), WatchSettings().configWait_ + 200ms) << "the rest is read at once";
+  EXPECT_LE(watch_->Position().upstreamAge_, WatchSettings().upstreamInterval_ + 200ms);
+}
+
 /** Store watch of a host whose store reader has lost the store for some time and then relays the
  * state after it. */
 class RelayedOutageTest : public StoreWatchTest
--- a/tests/wire/client_test.cpp
+++ b/tests/wire/client_test.cpp
@@ -199,6 +199,17 @@
   EXPECT_NE(targets_.at(0).find("from=11"), std::string::npos);
 }
 
+// Guards against a part of the changes that counts as the newest state.
+TEST_F(ClientTest, TellsWhetherTheChangesAreComplete)
+{
+  std::string offsets(16, '\0');
+  offsets[7] = 14;
+  const auto record = EncodeKeyedRecord("evacuate/z1", "");
+  Serve({ Answer(200, offsets + record), Answer(200, offsets + record + record) });
+  EXPECT_FALSE(ReadChanges(11).second.isComplete_);
+  EXPECT_TRUE(ReadChanges(12).second.isComplete_);
+}
+
 // Guards against records that are skipped after the store came back from an older copy: an offset
 // that was read in the old era is given out again, so that a read from it succeeds although the
 // records of the new era before it were not read.
