Apply deferred removals at the end of the hold time

Removals that are deferred after an outage took effect with the first state of the entries that was requested after the hold time, and thus up to a whole read interval later; that interval grows with the drain bound. Callers' requests went to upstreams that were gone for that time. Found by a review of the trace.

A host now reads the entries itself when the hold time ends, whether they are relayed to it or not; that is one call for each host and outage.

HoldTimeTest.RemovalsApplyAtItsEnd failed before, with and without a store reader: the upstream was still known 200 ms after the hold time.

--- a/src/gateway/store_watch.cpp
+++ b/src/gateway/store_watch.cpp
@@ -218,8 +218,10 @@
 bool
 StoreWatch::AreUpstreamsRelayed() const
 {
-  return isRelayed_ && upstreams_ && !isUpstreamReadDue_ &&
-         clock_.Now() - upstreamsRequestedAt_ <= settings_.upstreamInterval_ + kMaxRelayDelay;
+  const auto now = clock_.Now();
+  const bool isHoldOver = removalHoldEnd_ && now >= *removalHoldEnd_;
+  return isRelayed_ && upstreams_ && !isUpstreamReadDue_ && !isHoldOver &&
+         now - upstreamsRequestedAt_ <= settings_.upstreamInterval_ + kMaxRelayDelay;
 }
 
 void
@@ -264,8 +266,11 @@
     return;
   }
   ApplyUpstreams(aSentAt, aBatch);
-  RunAfter(isRelayed_ ? settings_.relayCheckInterval_ : settings_.upstreamInterval_,
-           &StoreWatch::PollUpstreams);
+  Duration delay = isRelayed_ ? settings_.relayCheckInterval_ : settings_.upstreamInterval_;
+  if (removalHoldEnd_) {
+    delay = std::min(delay, std::max(*removalHoldEnd_ - clock_.Now(), kMinPollInterval));
+  }
+  RunAfter(delay, &StoreWatch::PollUpstreams);
 }
 
 void
--- a/tests/gateway/store_watch_test.cpp
+++ b/tests/gateway/store_watch_test.cpp
@@ -233,6 +233,39 @@
     << "its entry was not written again";
 }
 
+/** Store watch that reads entries at a long interval; the parameter tells whether a store reader
+ * relays to it after an outage. */
+class HoldTimeTest
+  : public StoreWatchTest
+  , public testing::WithParamInterface<bool>
+{};
+
+// Guards against upstreams that are kept for a whole read interval longer than they have time to
+// write their entries again after an outage.
+TEST_P(HoldTimeTest, RemovalsApplyAtItsEnd)
+{
+  WatchSettings settings;
+  settings.upstreamInterval_ = 1600ms;
+  const auto watch =
+    std::make_shared<StoreWatch>(store_, state_, clock_, scheduler_, settings, [] {});
+  watch->Start();
+  scheduler_.Run(100ms);
+  error_ = StoreError::Unreachable;
+  scheduler_.Run(6s);
+  error_ = {};
+  nextChanges_ = { UpstreamChange{ UpstreamId("e1"), std::nullopt } };
+  while (!nextChanges_.empty()) {
+    scheduler_.Run(10ms);
+  }
+  watch->SetRelayed(GetParam());
+  scheduler_.Run(settings.removalHoldTime_ - 100ms);
+  EXPECT_TRUE(HasEngine());
+  scheduler_.Run(300ms);
+  EXPECT_FALSE(HasEngine());
+}
+
+INSTANTIATE_TEST_SUITE_P(Relayed, HoldTimeTest, testing::Bool());
+
 // Guards against a state that counts as the newest although the store sent only the first part of
 // the changes: a key may have been withdrawn, or an upstream may drain, in the rest.
 TEST_F(StoreWatchTest, APartOfTheChangesConfirmsNothing)
