--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -104,19 +104,26 @@
   SetEvacuated(std::move(evacuated));
 }
 
-void
-FleetState::Remove(const UpstreamId& aId,
-                   LogOffset aNext,
-                   EntryStamp aLastStamp,
-                   std::string_view aReason)
+EntryStamp
+FleetState::LastStamp(const UpstreamId& aId) const
 {
-  if (const auto* known = upstreams_.Find(aId)) {
-    aLastStamp = std::max(aLastStamp, known->entry_.Stamp());
+  EntryStamp stamp;
+  if (const auto known = upstreams_.All().find(aId); known != upstreams_.All().end()) {
+    stamp = known->second.entry_.Stamp();
+  }
+  if (const auto removed = removed_.find(aId); removed != removed_.end()) {
+    stamp = std::max(stamp, removed->second.stamp_);
+  }
+  if (const auto deferred = deferredRemovals_.find(aId); deferred != deferredRemovals_.end()) {
+    stamp = std::max(stamp, deferred->second);
   }
-  auto& removed = removed_[aId];
-  removed.stamp_ = std::max(removed.stamp_, aLastStamp);
-  removed.removedAt_ = clock_.Now();
-  changes_.OnRemoved(aId, aNext, removed.stamp_);
+  return stamp;
+}
+
+void
+FleetState::Remove(const UpstreamId& aId, EntryStamp aLastStamp, std::string_view aReason)
+{
+  removed_[aId] = { std::max(aLastStamp, LastStamp(aId)), clock_.Now() };
   if (upstreams_.OnRemoved(aId)) {
     LogEvent(LogLevel::Info,
              "upstream_gone",
@@ -128,15 +135,24 @@
 FleetState::ApplyUpstream(const UpstreamChange& aChange, LogOffset aNext, bool aDeferRemovals)
 {
   if (!aChange.entry_) {
+    const auto stamp = std::max(aChange.lastStamp_, LastStamp(aChange.id_));
+    changes_.OnRemoved(aChange.id_, aNext, stamp);
     if (aDeferRemovals && upstreams_.Find(aChange.id_) != nullptr) {
-      deferredRemovals_.insert(aChange.id_);
+      deferredRemovals_[aChange.id_] = stamp;
     } else {
-      Remove(aChange.id_, aNext, aChange.lastStamp_, "entry removed");
+      deferredRemovals_.erase(aChange.id_);
+      Remove(aChange.id_, stamp, "entry removed");
     }
     return;
   }
   changes_.OnEntry(*aChange.entry_, aNext);
-  deferredRemovals_.erase(aChange.id_);
+  const auto deferred = deferredRemovals_.find(aChange.id_);
+  if (deferred != deferredRemovals_.end()) {
+    if (aChange.entry_->Stamp() <= deferred->second) {
+      return; // of a copy from before the removal; a running upstream writes a newer one
+    }
+    deferredRemovals_.erase(deferred);
+  }
   const auto removed = removed_.find(aChange.id_);
   if (removed != removed_.end() && aChange.entry_->Stamp() <= removed->second.stamp_) {
     return; // written before the removal, which the store has lost
@@ -191,16 +207,14 @@
   std::erase_if(removed_, [oldest = clock_.Now() - kRemovedUpstreamTtl](const auto& aRemoved) {
     return aRemoved.second.removedAt_ < oldest;
   });
-  next_ = aBatch.next_;
   hasUpstreams_ = true;
 }
 
 void
 FleetState::ApplyDeferredRemovals()
 {
-  for (const auto& id : deferredRemovals_) {
-    // Hosts that have the state at the offset next_ have not received this removal.
-    Remove(id, next_ + 1, {}, "entry missing after the store returned");
+  for (const auto& [id, stamp] : deferredRemovals_) {
+    Remove(id, stamp, "entry missing after the store returned");
   }
   deferredRemovals_.clear();
 }
--- a/src/gateway/store_watch.cpp
+++ b/src/gateway/store_watch.cpp
@@ -1,6 +1,7 @@
 /** @file store_watch.cpp Updates the state of the fleet from the store. */
 #include "gateway/store_watch.h"
 
+#include "gateway/gossip_message.h"
 #include "logging/logging_func.h"
 #include "table/fleet_const.h"
 
@@ -49,8 +50,7 @@
 void
 StoreWatch::Start()
 {
-  upstreamsUpdatedAt_ = clock_.Now();
-  upstreamsRequestedAt_ = upstreamsUpdatedAt_;
+  upstreamsRequestedAt_ = clock_.Now();
   PollOperators();
   PollUpstreams();
 }
@@ -65,27 +65,56 @@
   });
 }
 
+void
+StoreWatch::PollOperatorsAfter(Duration aDelay)
+{
+  scheduler_.After(aDelay, [weak = weak_from_this(), poll = operatorsPoll_] {
+    if (const auto self = weak.lock(); self && self->operatorsPoll_ == poll) {
+      self->PollOperators();
+    }
+  });
+}
+
+void
+StoreWatch::HurryOperators(StoreEra aEra)
+{
+  if (!operatorsEra_ || aEra <= *operatorsEra_ || aEra <= hurriedEra_) {
+    return;
+  }
+  hurriedEra_ = aEra;
+  ++operatorsPoll_;
+  pollWait_ = std::chrono::milliseconds(0);
+  ReadOperators();
+}
+
 void
 StoreWatch::PollOperators()
 {
-  const auto sentAt = clock_.Now();
   const bool isReadDue =
-    isOperatorReadDue_ && sentAt - operatorsReadAt_ >= settings_.relayedReadInterval_;
+    isOperatorReadDue_ && clock_.Now() - operatorsReadAt_ >= settings_.relayedReadInterval_;
   if (isRelayed_ && operators_ && !isReadDue && state_.ConfigAge() <= kMaxRelayedConfigAge) {
     // The relayed configuration was confirmed recently enough: while a long poll of this host
     // waits, the configuration also stays unconfirmed for up to the whole wait.
     pollWait_ = std::chrono::milliseconds(0);
-    RunAfter(settings_.relayCheckInterval_, &StoreWatch::PollOperators);
+    PollOperatorsAfter(settings_.relayCheckInterval_);
     return;
   }
+  ReadOperators();
+}
+
+void
+StoreWatch::ReadOperators()
+{
+  const auto sentAt = clock_.Now();
   isOperatorReadDue_ = false;
   operatorsReadAt_ = sentAt;
-  auto callback = [weak = weak_from_this(), sentAt, knownNext = relayedOperators_](
-                    std::error_code aError, const ChangeBatch& aBatch) {
-    if (const auto self = weak.lock()) {
-      self->OnOperators(sentAt, knownNext, aError, aBatch);
-    }
-  };
+  auto callback =
+    [weak = weak_from_this(), sentAt, poll = operatorsPoll_, knownNext = relayedOperators_](
+      std::error_code aError, const ChangeBatch& aBatch) {
+      if (const auto self = weak.lock(); self && self->operatorsPoll_ == poll) {
+        self->OnOperators(sentAt, knownNext, aError, aBatch);
+      }
+    };
   if (operators_) {
     store_.ReadChanges(ChangeStream::Operators, *operators_, pollWait_, callback);
   } else {
@@ -102,7 +131,7 @@
   if (aError == make_error_code(StoreError::HistoryLost)) {
     LogEvent(LogLevel::Info, "history_lost", { { "stream", "operators" } });
     operators_.reset();
-    RunAfter(kMinPollInterval, &StoreWatch::PollOperators);
+    PollOperatorsAfter(kMinPollInterval);
     return;
   }
   if (isConnected_ != !aError) {
@@ -117,7 +146,7 @@
     // The store may come back in another era, where a long poll from an offset that was given out
     // again would learn of that only at its end.
     pollWait_ = std::chrono::milliseconds(0);
-    RunAfter(RetryDelay(), &StoreWatch::PollOperators);
+    PollOperatorsAfter(RetryDelay());
     return;
   }
   if (aBatch.Next() < aKnownNext) {
@@ -129,7 +158,7 @@
                { "era", std::to_string(aBatch.era_) },
                { "known_offset", std::to_string(aKnownNext.next_) },
                { "known_era", std::to_string(aKnownNext.era_) } });
-    RunAfter(RetryDelay(), &StoreWatch::PollOperators);
+    PollOperatorsAfter(RetryDelay());
     return;
   }
   // The store answers a long poll as soon as there is a record, so a poll that ends without one
@@ -141,7 +170,11 @@
     RunAfter(settings_.removalHoldTime_, &StoreWatch::EndUnnamedEvacuations);
   }
   state_.ApplyOperators(aBatch, endEvacuationsAt_.has_value());
-  state_.OnConfigConfirmed(hasNoRecords ? aSentAt + pollWait_ : aSentAt);
+  if (aBatch.isComplete_) {
+    state_.OnConfigConfirmed(hasNoRecords ? aSentAt + pollWait_ : aSentAt);
+  } else {
+    isOperatorReadDue_ = true;
+  }
   // An answer with records confirms only the time at which the poll was sent, up to a whole wait
   // ago. The next poll does not wait, so that it confirms the current time.
   pollWait_ = hasNoRecords ? settings_.configWait_ : std::chrono::milliseconds(0);
@@ -151,10 +184,10 @@
   // the topic, which may not exist yet.
   if (!state_.Routes()) {
     operators_.reset();
-    RunAfter(settings_.noConfigDelay_, &StoreWatch::PollOperators);
+    PollOperatorsAfter(settings_.noConfigDelay_);
     return;
   }
-  RunAfter(kMinPollInterval, &StoreWatch::PollOperators);
+  PollOperatorsAfter(kMinPollInterval);
 }
 
 void
@@ -185,18 +218,15 @@
 bool
 StoreWatch::AreUpstreamsRelayed() const
 {
-  return isRelayed_ && upstreams_ && !isUpstreamReadDue_ &&
-         clock_.Now() - upstreamsRequestedAt_ <= settings_.upstreamInterval_ + kMaxRelayDelay;
+  const auto now = clock_.Now();
+  const bool isHoldOver = removalHoldEnd_ && now >= *removalHoldEnd_;
+  return isRelayed_ && upstreams_ && !isUpstreamReadDue_ && !isHoldOver &&
+         now - upstreamsRequestedAt_ <= settings_.upstreamInterval_ + kMaxRelayDelay;
 }
 
 void
 StoreWatch::PollUpstreams()
 {
-  if (flushRemovalsAt_ && clock_.Now() >= *flushRemovalsAt_) {
-    flushRemovalsAt_.reset();
-    state_.ApplyDeferredRemovals();
-    onChange_();
-  }
   if (AreUpstreamsRelayed()) {
     RunAfter(settings_.relayCheckInterval_, &StoreWatch::PollUpstreams);
     return;
@@ -230,30 +260,54 @@
     RunAfter(RetryDelay(), &StoreWatch::PollUpstreams);
     return;
   }
+  if (!aBatch.isComplete_) {
+    ApplyUpstreams(std::nullopt, aBatch);
+    RunAfter(kMinPollInterval, &StoreWatch::PollUpstreams);
+    return;
+  }
   ApplyUpstreams(aSentAt, aBatch);
-  RunAfter(isRelayed_ ? settings_.relayCheckInterval_ : settings_.upstreamInterval_,
-           &StoreWatch::PollUpstreams);
+  Duration delay = isRelayed_ ? settings_.relayCheckInterval_ : settings_.upstreamInterval_;
+  if (removalHoldEnd_) {
+    delay = std::min(delay, std::max(*removalHoldEnd_ - clock_.Now(), kMinPollInterval));
+  }
+  RunAfter(delay, &StoreWatch::PollUpstreams);
 }
 
 void
-StoreWatch::ApplyUpstreams(TimePoint aSentAt, const ChangeBatch& aBatch)
+StoreWatch::HoldRemovals(TimePoint aRequestedAt, StoreEra aEra)
 {
-  const auto now = clock_.Now();
-  if (now - upstreamsUpdatedAt_ > settings_.upstreamInterval_ * kOutageIntervals) {
-    LogEvent(
-      LogLevel::Info,
-      "upstreams_read_again",
-      { { "gap_ms", std::to_string((now - upstreamsUpdatedAt_) / std::chrono::milliseconds(1)) } });
-    flushRemovalsAt_ = now + settings_.removalHoldTime_;
+  const auto gap = aRequestedAt - upstreamsRequestedAt_;
+  const bool wasAway = gap > settings_.upstreamInterval_ * kOutageIntervals;
+  if (wasAway) {
+    LogEvent(LogLevel::Info,
+             "upstreams_read_again",
+             { { "gap_ms", std::to_string(gap / std::chrono::milliseconds(1)) } });
   }
-  if (EnterEra(upstreamsEra_, aBatch.era_)) {
-    flushRemovalsAt_ = now + settings_.removalHoldTime_;
+  if (EnterEra(upstreamsEra_, aEra) || wasAway) {
+    removalHoldEnd_ = clock_.Now() + settings_.removalHoldTime_;
+  }
+}
+
+void
+StoreWatch::ApplyUpstreams(std::optional<TimePoint> aRequestedAt, const ChangeBatch& aBatch)
+{
+  bool mayFollowOutage = false;
+  if (aRequestedAt) {
+    HoldRemovals(*aRequestedAt, aBatch.era_);
+    upstreamsRequestedAt_ = std::max(upstreamsRequestedAt_, *aRequestedAt);
+  } else {
+    mayFollowOutage =
+      clock_.Now() - upstreamsRequestedAt_ > settings_.upstreamInterval_ * kOutageIntervals;
   }
-  upstreamsUpdatedAt_ = now;
-  upstreamsRequestedAt_ = std::max(upstreamsRequestedAt_, aSentAt);
   upstreams_ = aBatch.Next();
-  state_.ApplyUpstreams(aBatch, flushRemovalsAt_.has_value());
+  state_.ApplyUpstreams(aBatch, removalHoldEnd_ || mayFollowOutage);
+  if (aRequestedAt && (!removalHoldEnd_ || *aRequestedAt >= *removalHoldEnd_)) {
+    // Without a hold time, what an incomplete state deferred was removed before any outage.
+    removalHoldEnd_.reset();
+    state_.ApplyDeferredRemovals();
+  }
   OnEra(aBatch.era_);
+  HurryOperators(aBatch.era_);
   onChange_();
 }
 
@@ -261,6 +315,7 @@
 StoreWatch::OnRelayedConfigAge(TimePoint aSentAt, StorePosition aNext, Duration aConfigAge)
 {
   relayedOperators_ = std::max(relayedOperators_, aNext);
+  OnPeerEra(aNext.era_);
   if (operators_ == aNext) {
     state_.OnConfigConfirmed(aSentAt - aConfigAge);
   } else if (operators_ && *operators_ < aNext) {
@@ -274,8 +329,18 @@
   // An answer to an earlier query may arrive after this host has read the store itself, perhaps in
   // another era.
   if (upstreams_ && aBatch.era_ == upstreams_->era_ && aBatch.next_ >= upstreams_->next_) {
-    ApplyUpstreams(aSentAt - aAge, aBatch);
+    const bool isComplete = aAge < kIncompletePageAge;
+    ApplyUpstreams(isComplete ? std::optional(aSentAt - aAge) : std::nullopt, aBatch);
+  }
+}
+
+void
+StoreWatch::OnPeerEra(StoreEra aEra)
+{
+  if (upstreams_ && upstreams_->era_ < aEra) {
+    isUpstreamReadDue_ = true;
   }
+  HurryOperators(aEra);
 }
 
 WatchPosition
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -82,9 +82,15 @@
    * Applies changes of the upstreams' stream that a store reader relayed.
    * @param aSentAt when the query was sent.
    * @param aBatch changes since the offset in the query.
-   * @param aAge time since the store reader requested them from the store, when it answered.
+   * @param aAge time since the store reader requested them from the store, when it answered;
+   * kIncompletePageAge if they are only the first ones of its state.
    */
   void OnRelayedUpstreams(TimePoint aSentAt, const ChangeBatch& aBatch, Duration aAge);
+  /**
+   * Reads both streams soon if a peer has read the store in a newer era than this host.
+   * @param aEra newest era in a message of the peer.
+   */
+  void OnPeerEra(StoreEra aEra);
   /** Reads the upstreams' stream at the next check because a store reader lacks the changes. */
   void OnRelayGap() { isUpstreamReadDue_ = true; }
   /** Sets whether a store reader relays the content of the store to this host. */
@@ -94,7 +100,15 @@
   bool IsConnected() const { return isConnected_; }
 
 private:
+  /** Reads the operators' stream now, or later if the relayed configuration is recent enough. */
   void PollOperators();
+  /** Starts a read of the operators' stream. */
+  void ReadOperators();
+  /** Calls PollOperators() later, unless a read is started before. */
+  void PollOperatorsAfter(Duration aDelay);
+  /** Reads the operators' stream at once, in place of the running or next poll, unless it was read
+   * in that era or this was called for it before. */
+  void HurryOperators(StoreEra aEra);
   /** @param aKnownNext end of the operators' stream that was known when the read was sent. */
   void OnOperators(TimePoint aSentAt,
                    StorePosition aKnownNext,
@@ -103,7 +117,12 @@
   void EndUnnamedEvacuations();
   void PollUpstreams();
   void OnUpstreams(TimePoint aSentAt, std::error_code aError, const ChangeBatch& aBatch);
-  void ApplyUpstreams(TimePoint aSentAt, const ChangeBatch& aBatch);
+  /** @param aRequestedAt when the state was requested from the store; none if it is incomplete, so
+   * that the age of its changes is not known. */
+  void ApplyUpstreams(std::optional<TimePoint> aRequestedAt, const ChangeBatch& aBatch);
+  /** Sets the end of the hold time if the store was away, or came back from an older copy, between
+   * the newest state and one that was requested at the given time. */
+  void HoldRemovals(TimePoint aRequestedAt, StoreEra aEra);
   bool AreUpstreamsRelayed() const;
   /** Reports a newer era, whichever stream was read first in it. */
   void OnEra(StoreEra aEra);
@@ -125,18 +144,22 @@
   std::optional<StorePosition> operators_;  ///< Next position; if none, a snapshot is read.
   StorePosition relayedOperators_;          ///< Newest position that a store reader had.
   std::optional<StoreEra> operatorsEra_;    ///< Newest era that the operators' stream was read in.
+  StoreEra hurriedEra_ = 0; ///< Newest era for which the operators' stream was read at once.
+  /** Rises when a read of the operators' stream is started in place of the one before, whose answer
+   * is then not used. */
+  std::uint64_t operatorsPoll_ = 0;
   /** When evacuations end that the last snapshot does not name. */
   std::optional<TimePoint> endEvacuationsAt_;
   std::optional<StorePosition> upstreams_; ///< Next position; if none, a snapshot is read.
   std::optional<StoreEra> upstreamsEra_;   ///< Newest era that the upstreams' stream was read in.
   TimePoint operatorsReadAt_;              ///< When the operators' stream was last read.
-  TimePoint upstreamsUpdatedAt_;           ///< When entries were last read or relayed.
   TimePoint upstreamsRequestedAt_;         ///< When the newest state of the entries was requested.
   bool isRelayed_ = false;                 ///< A store reader relays the content of the store.
   bool isOperatorReadDue_ = false;         ///< A store reader has a newer configuration.
   bool isUpstreamReadDue_ = false;         ///< A store reader lacks the changes.
-  std::optional<TimePoint> flushRemovalsAt_; ///< When deferred removals take effect.
-  bool isConnected_ = false;                 ///< The last read of the operators' stream succeeded.
+  /** End of the hold time; deferred removals take effect with a state requested after it. */
+  std::optional<TimePoint> removalHoldEnd_;
+  bool isConnected_ = false; ///< The last read of the operators' stream succeeded.
 };
 
 } // namespace laburnumweir
--- a/tests/gateway/store_watch_test.cpp
+++ b/tests/gateway/store_watch_test.cpp
@@ -4,6 +4,7 @@
 
 #include "fleet/fleet_support.h"
 #include "gateway/gateway_support.h"
+#include "gateway/gossip_message.h"
 
 #include <gtest/gtest.h>
 
@@ -38,14 +39,14 @@
                             const FleetStore::ChangesCallback& aCallback) {
         const auto respond = [this, aStream, aFrom, aWait, aCallback] {
           ChangeBatch batch;
-          if (aFrom.era_ != era_) {
+          operatorReads_ += aStream == ChangeStream::Operators ? 1 : 0;
+          if (!error_ && aFrom.era_ != era_) {
             aCallback(StoreError::HistoryLost, std::move(batch));
             return;
           }
           batch.era_ = era_;
           batch.next_ = aFrom.next_;
           if (aStream == ChangeStream::Operators) {
-            ++operatorReads_;
             batch.next_ = std::max(aFrom.next_, operatorsEnd_);
           }
           if (aStream == ChangeStream::Operators && aWait > 0ms && recordAfter_) {
@@ -61,6 +62,10 @@
           }
           aCallback(error_, std::move(batch));
         };
+        if (aStream == ChangeStream::Operators && aWait > 0ms && isHanging_) {
+          hanging_.emplace_back(respond);
+          return;
+        }
         const bool hasRecord = aStream == ChangeStream::Operators && aWait > 0ms && recordAfter_;
         scheduler_.After((hasRecord ? *recordAfter_ : aWait) + 5ms, respond);
       });
@@ -106,6 +111,8 @@
   LogOffset snapshotEnd_ = 10;
   LogOffset operatorsEnd_ = 0; ///< End of the operators' stream for reads of changes.
   int operatorReads_ = 0;      ///< Reads of changes of the operators' stream.
+  bool isHanging_ = false;     ///< Long polls get no answer.
+  std::vector<std::function<void()>> hanging_; ///< Answer the long polls that hang.
   std::optional<std::chrono::milliseconds>
     recordAfter_; ///< If set, a record ends the next long poll after this.
 };
@@ -226,6 +233,179 @@
     << "its entry was not written again";
 }
 
+/** Store watch that reads entries at a long interval; the parameter tells whether a store reader
+ * relays to it after an outage. */
+class HoldTimeTest
+  : public StoreWatchTest
+  , public testing::WithParamInterface<bool>
+{};
+
+// Guards against upstreams that are kept for a whole read interval longer than they have time to
+// write their entries again after an outage.
+TEST_P(HoldTimeTest, RemovalsApplyAtItsEnd)
+{
+  WatchSettings settings;
+  settings.upstreamInterval_ = 1600ms;
+  const auto watch =
+    std::make_shared<StoreWatch>(store_, state_, clock_, scheduler_, settings, [] {});
+  watch->Start();
+  scheduler_.Run(100ms);
+  error_ = StoreError::Unreachable;
+  scheduler_.Run(6s);
+  error_ = {};
+  nextChanges_ = { UpstreamChange{ UpstreamId("e1"), std::nullopt } };
+  while (!nextChanges_.empty()) {
+    scheduler_.Run(10ms);
+  }
+  watch->SetRelayed(GetParam());
+  scheduler_.Run(settings.removalHoldTime_ - 100ms);
+  EXPECT_TRUE(HasEngine());
+  scheduler_.Run(300ms);
+  EXPECT_FALSE(HasEngine());
+}
+
+INSTANTIATE_TEST_SUITE_P(Relayed, HoldTimeTest, testing::Bool());
+
+// Guards against a state that counts as the newest although the store sent only the first part of
+// the changes: a key may have been withdrawn, or an upstream may drain, in the rest.
+TEST_F(StoreWatchTest, APartOfTheChangesConfirmsNothing)
+{
+  watch_->Start();
+  scheduler_.Run(1s);
+  const auto sendParts = [this](ChangeStream aStream, int aParts) {
+    ON_CALL(store_, ReadChanges(aStream, _, _, _))
+      .WillByDefault(
+        [this, left = std::make_shared<int>(aParts)](ChangeStream,
+                                                     StorePosition aFrom,
+                                                     std::chrono::milliseconds aWait,
+                                                     const FleetStore::ChangesCallback& aCallback) {
+          ChangeBatch batch;
+          batch.era_ = aFrom.era_;
+          batch.next_ = aFrom.next_ + (*left > 0 ? 1 : 0);
+          batch.isComplete_ = *left <= 1;
+          *left -= *left > 0 ? 1 : 0;
+          scheduler_.After((batch.next_ > aFrom.next_ ? 0ms : aWait) + 50ms,
+                           [aCallback, batch] { aCallback({}, batch); });
+        });
+  };
+  sendParts(ChangeStream::Operators, 100);
+  sendParts(ChangeStream::Upstreams, 100);
+  scheduler_.Run(2s); // the polls that were sent before end
+  const auto before = clock_.Now();
+  scheduler_.Run(3s);
+  EXPECT_GE(state_.ConfigAge(), clock_.Now() - before);
+  EXPECT_GE(watch_->Position().upstreamAge_, clock_.Now() - before);
+  scheduler_.Run(4s);
+  EXPECT_LE(state_.ConfigAge(), WatchSettings().configWait_ + 200ms) << "the rest is read at once";
+  EXPECT_LE(watch_->Position().upstreamAge_, WatchSettings().upstreamInterval_ + 200ms);
+}
+
+/** Store watch of a host whose store reader has lost the store for some time and then relays the
+ * state after it. */
+class RelayedOutageTest : public StoreWatchTest
+{
+protected:
+  void SetUp() override
+  {
+    watch_->Start();
+    scheduler_.Run(1s);
+    watch_->SetRelayed(true);
+    error_ = StoreError::Unreachable;
+    readAt_ = clock_.Now();
+    for (int i = 0; i < 20; ++i) {
+      Relay({}, clock_.Now() - readAt_);
+      scheduler_.Run(250ms);
+    }
+  }
+  /** Relays changes. @param aAge time since the store reader requested them. */
+  void Relay(std::vector<FleetChange> aChanges, Duration aAge)
+  {
+    ChangeBatch batch;
+    batch.era_ = era_;
+    batch.next_ = next_ += aChanges.size();
+    batch.changes_ = std::move(aChanges);
+    watch_->OnRelayedUpstreams(clock_.Now(), batch, aAge);
+  }
+  /** Relays the newest state at the interval of gossip. */
+  void RelayFor(Duration aTime)
+  {
+    for (Duration time{}; time < aTime; time += 250ms) {
+      scheduler_.Run(250ms);
+      Relay({}, 100ms);
+    }
+  }
+
+  const UpstreamChange removal_{ UpstreamId("e1"), std::nullopt };
+  TimePoint readAt_; ///< When the store reader last read the store before the outage.
+  LogOffset next_ = snapshotEnd_;
+};
+
+// Guards against an outage that a host does not notice because its store reader answers throughout,
+// with an old state: entries of running upstreams may have expired.
+TEST_F(RelayedOutageTest, DefersRemovals)
+{
+  Relay({ removal_ }, 100ms);
+  EXPECT_TRUE(HasEngine());
+  RelayFor(2s);
+  EXPECT_TRUE(HasEngine());
+  RelayFor(1s);
+  EXPECT_FALSE(HasEngine()) << "its entry was not written again";
+}
+
+// Guards against the same with a state that needs several answers: the age of the entries is not
+// known before the last one.
+TEST_F(RelayedOutageTest, DefersRemovalsOfAnIncompletePage)
+{
+  Relay({ removal_ }, kIncompletePageAge);
+  EXPECT_TRUE(HasEngine());
+  Relay({}, 100ms);
+  EXPECT_TRUE(HasEngine());
+  RelayFor(2s);
+  EXPECT_TRUE(HasEngine());
+  RelayFor(1s);
+  EXPECT_FALSE(HasEngine());
+}
+
+// Guards against a removal that takes effect too late: what a store reader relays from before its
+// outage was removed while the upstreams could write.
+TEST_F(RelayedOutageTest, AppliesRemovalsFromBeforeTheOutageAtOnce)
+{
+  Relay({ removal_ }, clock_.Now() - readAt_);
+  EXPECT_FALSE(HasEngine());
+}
+
+TEST_F(RelayedOutageTest, AppliesRemovalsOfAnIncompletePageFromBeforeTheOutage)
+{
+  Relay({ removal_ }, kIncompletePageAge);
+  Relay({}, clock_.Now() - readAt_);
+  EXPECT_FALSE(HasEngine());
+}
+
+// Guards against removals that are deferred at a host that has read the store itself while its
+// store reader was turned away.
+TEST_F(RelayedOutageTest, AHostThatReadTheStoreItselfAppliesRemovalsAtOnce)
+{
+  error_ = {};
+  scheduler_.Run(4s);
+  Relay({ removal_ }, 100ms);
+  EXPECT_FALSE(HasEngine());
+}
+
+// Guards against a running upstream that is dropped in a second outage, in which it cannot write
+// its entry again.
+TEST_F(RelayedOutageTest, DeferredRemovalsWaitForAStateAfterTheHoldTime)
+{
+  Relay({ removal_ }, 100ms);
+  const auto relayedAt = clock_.Now() - 100ms;
+  for (int i = 0; i < 20; ++i) {
+    scheduler_.Run(250ms);
+    Relay({}, clock_.Now() - relayedAt);
+  }
+  EXPECT_TRUE(HasEngine());
+  RelayFor(3s);
+  EXPECT_FALSE(HasEngine());
+}
+
 // Guards against a return to an older configuration from a snapshot or a late record.
 TEST_F(StoreWatchTest, NeverStepsBackToAnOlderConfiguration)
 {
@@ -336,6 +516,72 @@
   EXPECT_EQ(state_.Routes()->Config().version_, 4);
 }
 
+/** Store watch whose long poll hangs while the store comes back from a copy that ends at the same
+ * offset, with version 4 of the configuration. */
+class HangingPollTest : public StoreWatchTest
+{
+protected:
+  void HangAndRestore()
+  {
+    watch_->Start();
+    isHanging_ = true;
+    scheduler_.Run(1900ms);
+    ASSERT_EQ(hanging_.size(), 1U);
+    Restore(snapshotEnd_);
+    FleetConfig config;
+    config.version_ = 4;
+    operators_ = { config };
+  }
+};
+
+// Guards against a configuration that is not in force while a long poll of the era before hangs,
+// although the upstreams' stream was read in the new one.
+TEST_F(HangingPollTest, ANewEraOfTheUpstreamsIsEnough)
+{
+  HangAndRestore();
+  scheduler_.Run(WatchSettings().upstreamInterval_ + 100ms);
+  EXPECT_EQ(state_.Routes()->Config().version_, 4);
+}
+
+// Guards against the same at a host whose store reader has read the new era.
+TEST_F(HangingPollTest, ANewEraOfAStoreReaderIsEnough)
+{
+  HangAndRestore();
+  watch_->SetRelayed(true);
+  watch_->OnRelayedConfigAge(clock_.Now(), { era_, snapshotEnd_ }, 0ms);
+  scheduler_.Run(50ms);
+  EXPECT_EQ(state_.Routes()->Config().version_, 4);
+}
+
+// Guards against two polls at a time after the one that hung has ended.
+TEST_F(HangingPollTest, ItsAnswerStartsNoSecondPoll)
+{
+  HangAndRestore();
+  isHanging_ = false;
+  scheduler_.Run(1s);
+  hanging_.front()();
+  const int before = operatorReads_;
+  const int snapshots = snapshots_;
+  scheduler_.Run(10s);
+  EXPECT_LE(operatorReads_ - before, 8);
+  EXPECT_EQ(snapshots_, snapshots);
+}
+
+// Guards against calls at the interval of gossip while the store turns this host away and its store
+// reader announces the new era with each answer.
+TEST_F(HangingPollTest, AnAnnouncedEraIsReadOnceAtOnce)
+{
+  HangAndRestore();
+  watch_->SetRelayed(true);
+  error_ = StoreError::Unreachable;
+  const int before = operatorReads_;
+  for (int i = 0; i < 16; ++i) {
+    watch_->OnRelayedConfigAge(clock_.Now(), { era_, snapshotEnd_ }, 0ms);
+    scheduler_.Run(250ms);
+  }
+  EXPECT_LE(operatorReads_ - before, 5);
+}
+
 // Guards against a state of before the loss that is taken as newer than one of after it, because
 // its offsets are higher.
 TEST_F(StoreWatchTest, AnAnswerOfAnEarlierEraThanARelayedPositionIsNotUsed)
