Let load orders name the newest release of their adapter

What callers would see: a second load of an adapter that its engine has just loaded, and requests that demand a version wait for it. Cause: a load request of a host that does not know a release names no version. Neither the answer to such an order nor that to its confirmation tells which version the engine loaded, so the holder kept version 0 until the next report. Change: the holder names the newer one of the requested version and the newest release that it knows, when it sends the order. An adapter without a known release is ordered without a version as before. A confirmation is the same order again, also if another version was released while the load ran: the earlier version counts as resident, and the next order names the later one. A holder that lags behind in the operators' stream may order the version before the newest one, which then counts as that version. Evidence: on the code before, HolderServiceTest.ALoadOrderNamesTheNewestRelease prints "sent_[0].order_.version_ Which is: 0", "KnownVersion() Which is: (0)" and "Value of: sent_.empty() Actual: false"; AVersionReleasedDuringALoadIsLoadedAfterIt prints "KnownVersion() Which is: (0)". ALoadBeforeTheFirstReleaseKeepsAnUnknownVersion and ALoadOrderNamesARequestedVersionThatIsNewerThanTheKnownRelease pass on both.

--- a/src/fleet/engine_orders.h
+++ b/src/fleet/engine_orders.h
@@ -26,7 +26,7 @@
   OrderKind kind_ = OrderKind::Load;
   std::string model_;
   std::string adapter_;      ///< Empty if the order is for the model itself.
-  std::int64_t version_ = 0; ///< Version to load; 0 is the newest.
+  std::int64_t version_ = 0; ///< Version to load; 0 is the newest, where no release is known.
 
   auto operator<=>(const EngineOrder&) const = default;
 };
--- a/src/gateway/holder_service.cpp
+++ b/src/gateway/holder_service.cpp
@@ -326,8 +326,7 @@
              UpstreamTable::ResidentVersion(aOther.second, aModel, aAdapter).has_value();
     });
   };
-  const auto order =
-    aEngine.orders_.NextOrder(*service->engine_, upstream->entry_, isResidentElsewhere);
+  auto order = aEngine.orders_.NextOrder(*service->engine_, upstream->entry_, isResidentElsewhere);
   if (!order) {
     return;
   }
@@ -345,6 +344,12 @@
     }
     weightLoadTokens_ -= 1.0;
   }
+  if (order->kind_ == OrderKind::Load && !order->adapter_.empty()) {
+    // An order without a version would load the newest one, but neither its answer nor that to a
+    // confirmation tells which one that is.
+    const auto* releases = state_.FindReleases(order->model_, order->adapter_);
+    order->version_ = std::max(order->version_, releases == nullptr ? 0 : releases->Newest());
+  }
   SendOrder(aId, *order);
 }
 
--- a/tests/gateway/holder_service_test.cpp
+++ b/tests/gateway/holder_service_test.cpp
@@ -82,6 +82,17 @@
   {
     service_->RequestLoad(engine_, { "m", aAdapter, 0, LoadPriority::InTime });
   }
+  void Release(std::int64_t aVersion)
+  {
+    ChangeBatch batch;
+    batch.changes_ = { AdapterRelease{ "m", "a1", aVersion } };
+    state_.ApplyOperators(batch);
+  }
+  /** @return the version of the adapter a1 that the holder believes to be resident. */
+  std::optional<std::int64_t> KnownVersion()
+  {
+    return UpstreamTable::ResidentVersion(*state_.Upstreams().Find(engine_), "m", "a1");
+  }
   bool IsResident(const std::string& aAdapter)
   {
     return UpstreamTable::ResidentVersion(*state_.Upstreams().Find(engine_), "m", aAdapter)
@@ -158,6 +169,73 @@
   EXPECT_EQ(published_.back().models_.at(0).adapters_.at(0).name_, "a1");
 }
 
+// Guards against a second load of the same version: a host that does not know a release yet names
+// no version, and the holder then did not know which one its engine had loaded.
+TEST_F(HolderServiceTest, ALoadOrderNamesTheNewestRelease)
+{
+  WaitForLease();
+  Release(2);
+  RequestLoad("a1");
+  service_->Tick();
+  ASSERT_EQ(sent_.size(), 1U);
+  EXPECT_EQ(sent_[0].order_.version_, 2);
+  answers_ = { OrderAnswer::AlreadyDone };
+  scheduler_.Run(210ms);
+  EXPECT_EQ(KnownVersion(), 2);
+  sent_.clear();
+  service_->RequestLoad(engine_, { "m", "a1", 2, LoadPriority::InTime });
+  service_->Tick();
+  EXPECT_TRUE(sent_.empty()) << "the engine holds the version";
+}
+
+// Guards against an older version that replaces the one that waiting requests need, at a holder
+// that learns of a release later than they do.
+TEST_F(HolderServiceTest, ALoadOrderNamesARequestedVersionThatIsNewerThanTheKnownRelease)
+{
+  WaitForLease();
+  Release(2);
+  service_->RequestLoad(engine_, { "m", "a1", 3, LoadPriority::InTime });
+  service_->Tick();
+  ASSERT_EQ(sent_.size(), 1U);
+  EXPECT_EQ(sent_[0].order_.version_, 3);
+}
+
+// Guards against a version that counts as resident although an earlier one was loaded: the next one
+// is released while the load runs, and a confirmation must be the same order again.
+TEST_F(HolderServiceTest, AVersionReleasedDuringALoadIsLoadedAfterIt)
+{
+  WaitForLease();
+  Release(2);
+  RequestLoad("a1");
+  service_->Tick();
+  ASSERT_EQ(sent_.size(), 1U);
+  Release(3);
+  service_->RequestLoad(engine_, { "m", "a1", 3, LoadPriority::InTime });
+  answers_ = { OrderAnswer::AlreadyDone };
+  scheduler_.Run(210ms);
+  ASSERT_EQ(sent_.size(), 3U);
+  EXPECT_EQ(sent_[1].order_, sent_[0].order_);
+  EXPECT_EQ(KnownVersion(), 2);
+  EXPECT_EQ(sent_[2].order_.version_, 3);
+}
+
+// Guards against a first release that counts as resident although its load was ordered before it
+// was made: the engine may have loaded what was the newest version at that time.
+TEST_F(HolderServiceTest, ALoadBeforeTheFirstReleaseKeepsAnUnknownVersion)
+{
+  WaitForLease();
+  RequestLoad("a1");
+  service_->Tick();
+  ASSERT_EQ(sent_.size(), 1U);
+  EXPECT_EQ(sent_[0].order_.version_, 0);
+  Release(2);
+  answers_ = { OrderAnswer::AlreadyDone };
+  scheduler_.Run(210ms);
+  ASSERT_GE(sent_.size(), 2U);
+  EXPECT_EQ(sent_[1].order_, sent_[0].order_);
+  EXPECT_EQ(KnownVersion(), 0);
+}
+
 // Guards against orders that are executed twice or too late: after a lost answer the state of the
 // engine is read again.
 TEST_F(HolderServiceTest, ReadsTheStateAgainAfterALostAnswer)
