Keep the later end of a cold phase of one process

What callers would see: an upstream that crashes again after its start. Cause: each entry set the end of the cold phase to the time of its reading plus the remaining time in it, also if an answer of the same process had named a later end; and each answer did the same. An entry that was read again moved the end once more. An answer of an earlier process set the end for the new one. Change: entries and answers of one process only extend its cold phase. An entry that was read before changes nothing, since it was written before the first reading. A new process starts with the end in its own entry. Why it works: the rate of requests to a cold upstream is a hard limit, and the later end errs on its side. The cost is at most the age of an entry. Evidence: on the code before (with the new parameter of OnColdTime unused), UpstreamTableTest.AnEntryDoesNotEndTheColdPhaseThatAnAnswerNamed finds an end that is 8.9 s too early; AnAnswerDoesNotEndTheColdPhaseEarly, ANewProcessHasItsOwnColdPhase ("a late answer of the old process") and AnEntryThatIsReadAgainDoesNotExtendTheColdPhase fail too.

--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -57,6 +57,9 @@
     return false; // written before the known entry
   }
   const bool isNewProcess = isNew || known.startedAt_ != aEntry.startedAt_;
+  // An entry that is read again was written before it was first read, which the remaining time in
+  // it does not show.
+  const bool isReadAgain = !isNewProcess && known.heartbeat_ == aEntry.heartbeat_;
   if (isNewProcess) {
     const auto running = upstream.running_;
     const auto peers = upstream.peersRunning_;
@@ -86,7 +89,10 @@
     }
     upstream.isMisdirected_ = false;
   }
-  upstream.coldUntil_ = now + aEntry.coldTimeLeft_;
+  if (!isReadAgain) {
+    // The entry may have been written before an answer that named a later end.
+    upstream.coldUntil_ = std::max(upstream.coldUntil_, now + aEntry.coldTimeLeft_);
+  }
   return isNewProcess;
 }
 
@@ -431,10 +437,11 @@
 }
 
 void
-UpstreamTable::OnColdTime(const UpstreamId& aId, Duration aFor)
+UpstreamTable::OnColdTime(const UpstreamId& aId, std::int64_t aStartedAt, Duration aFor)
 {
-  if (auto* upstream = Find(aId)) {
-    upstream->coldUntil_ = clock_.Now() + aFor;
+  auto* upstream = Find(aId);
+  if (upstream != nullptr && upstream->entry_.startedAt_ == aStartedAt) {
+    upstream->coldUntil_ = std::max(upstream->coldUntil_, clock_.Now() + aFor);
   }
 }
 
--- a/tests/fleet/upstream_table_test.cpp
+++ b/tests/fleet/upstream_table_test.cpp
@@ -275,6 +275,61 @@
   EXPECT_GT(all, 20) << "a cold upstream is used";
 }
 
+// Guards against too many requests to a cold upstream: an entry that was written before an answer
+// named a later end of the cold phase ended it early.
+TEST_F(UpstreamTableTest, AnEntryDoesNotEndTheColdPhaseThatAnAnswerNamed)
+{
+  const auto id = Add("e1");
+  table_.OnColdTime(id, 1, 10s);
+  clock_.Advance(100ms);
+  auto entry = MakeEngine("e1");
+  entry.heartbeat_ = 2;
+  entry.coldTimeLeft_ = 1s;
+  table_.OnEntry(entry);
+  EXPECT_EQ(table_.Find(id)->coldUntil_, clock_.Now() + 9900ms);
+  entry.heartbeat_ = 3;
+  entry.coldTimeLeft_ = 20s;
+  table_.OnEntry(entry);
+  EXPECT_EQ(table_.Find(id)->coldUntil_, clock_.Now() + 20s) << "the later end holds";
+}
+
+// Guards against an answer that was sent before the known end of the cold phase was named.
+TEST_F(UpstreamTableTest, AnAnswerDoesNotEndTheColdPhaseEarly)
+{
+  auto entry = MakeEngine("e1");
+  entry.coldTimeLeft_ = 10s;
+  table_.OnEntry(entry);
+  table_.OnColdTime(entry.id_, 1, 1s);
+  EXPECT_EQ(table_.Find(entry.id_)->coldUntil_, clock_.Now() + 10s);
+}
+
+// Guards against a process that stays cold because of the cold phase of the one before it.
+TEST_F(UpstreamTableTest, ANewProcessHasItsOwnColdPhase)
+{
+  const auto id = Add("e1");
+  table_.OnColdTime(id, 1, 10s);
+  auto entry = MakeEngine("e1");
+  entry.startedAt_ = 2;
+  entry.coldTimeLeft_ = 3s;
+  table_.OnEntry(entry);
+  EXPECT_EQ(table_.Find(id)->coldUntil_, clock_.Now() + 3s);
+  table_.OnColdTime(id, 1, 10s);
+  EXPECT_EQ(table_.Find(id)->coldUntil_, clock_.Now() + 3s) << "a late answer of the old process";
+}
+
+// Guards against a cold phase that grows each time that the store is read: an entry that was read
+// before names the time that was left when it was written.
+TEST_F(UpstreamTableTest, AnEntryThatIsReadAgainDoesNotExtendTheColdPhase)
+{
+  auto entry = MakeEngine("e1");
+  entry.coldTimeLeft_ = 10s;
+  table_.OnEntry(entry);
+  const auto end = clock_.Now() + 10s;
+  clock_.Advance(9s);
+  table_.OnEntry(entry);
+  EXPECT_EQ(table_.Find(entry.id_)->coldUntil_, end);
+}
+
 // Guards against a new connection for each request: with many hosts and many engines, each pair
 // exchanges a request every few seconds.
 TEST_F(UpstreamTableTest, PrefersAnIdleConnectionBetweenEqualLoads)
