Let each permit end on its own

What callers would see: more requests to an upstream in need than its limit allows, a while after several permits were granted. Cause: a host kept a number of permits with one end for all, and each new permit moved that end. The issuer saves up for half a second only and counts on unused permits to expire. Change: the host keeps the end of each permit. A request uses the one that ends first. Evidence: on the code before, RequestLimitTest.EachPermitEndsOnItsOwn prints "Chosen() Which is: "e2"" where no upstream may be chosen, "the first permit has expired". ARequestUsesThePermitThatEndsFirst passes on both. Two tests of GossipServiceTest read the end of the last permit from the new field; their checks are the same.

--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -375,8 +375,12 @@
 {
   if (auto* upstream = Find(aId)) {
     ++upstream->running_;
-    upstream->permits_ -= upstream->permits_ > 0 ? 1 : 0;
-    if (upstream->coldUntil_ > clock_.Now()) {
+    const auto now = clock_.Now();
+    std::erase_if(upstream->permits_, [now](TimePoint aEnd) { return aEnd <= now; });
+    if (!upstream->permits_.empty()) {
+      upstream->permits_.erase(upstream->permits_.begin());
+    }
+    if (upstream->coldUntil_ > now) {
       upstream->coldTokens_ = std::max(0.0, upstream->coldTokens_ - 1.0);
     }
   }
@@ -530,7 +534,7 @@
 bool
 UpstreamTable::NeedsPermit(const Upstream& aUpstream, TimePoint aNow)
 {
-  const bool hasPermit = aUpstream.permits_ > 0 && aNow < aUpstream.permitsUntil_;
+  const bool hasPermit = !aUpstream.permits_.empty() && aNow < aUpstream.permits_.back();
   return !hasPermit && LimitOf(aUpstream, aNow);
 }
 
@@ -553,8 +557,8 @@
     upstream->permitDeniedUntil_ = now + aPermit.delay_;
     return;
   }
-  upstream->permits_ = now < upstream->permitsUntil_ ? upstream->permits_ + 1 : 1;
-  upstream->permitsUntil_ = now + kPermitTtl;
+  std::erase_if(upstream->permits_, [now](TimePoint aEnd) { return aEnd <= now; });
+  upstream->permits_.push_back(now + kPermitTtl);
 }
 
 Upstream*
--- a/src/fleet/upstream_table.h
+++ b/src/fleet/upstream_table.h
@@ -66,8 +66,7 @@
   std::optional<double> requestLimit_;    ///< Requests/s that its last answer to this host allows.
   std::optional<TimePoint> limitHeardAt_; ///< When that answer was received; none if there is none.
   std::optional<double> peersLimit_; ///< Requests/s that peers have reported; none if none did.
-  std::uint32_t permits_ = 0;        ///< Requests that this host may send while it has a limit.
-  TimePoint permitsUntil_;           ///< When these permits expire.
+  std::vector<TimePoint> permits_;   ///< Ends of its permits, each for one request; in order.
   TimePoint permitDeniedUntil_;      ///< No permit is requested before this time.
   bool isMisdirected_ = false;       ///< Another upstream answers at its endpoint.
   bool isLeaving_ = false;           ///< An answer of its process said that it leaves the fleet.
--- a/tests/fleet/permit_issuer_test.cpp
+++ b/tests/fleet/permit_issuer_test.cpp
@@ -125,6 +125,34 @@
   EXPECT_EQ(Chosen(), "") << "the permit has expired";
 }
 
+// Guards against more requests than the limit allows: each new permit made those before it valid
+// for longer, while the issuer counts on their end.
+TEST_F(RequestLimitTest, EachPermitEndsOnItsOwn)
+{
+  table_.OnRequestLimit(e1_, 1, 5);
+  table_.OnRequestLimit(e2_, 1, 5);
+  table_.OnPermit(e2_, { true, 0ms });
+  clock_.Advance(kPermitTtl - 50ms);
+  table_.OnPermit(e2_, { true, 0ms });
+  clock_.Advance(100ms);
+  EXPECT_EQ(Chosen(), "e2");
+  table_.OnAttemptSent(e2_);
+  EXPECT_EQ(Chosen(), "") << "the first permit has expired";
+}
+
+// Guards against a permit that is lost because another one, which ended first, was kept instead.
+TEST_F(RequestLimitTest, ARequestUsesThePermitThatEndsFirst)
+{
+  table_.OnRequestLimit(e1_, 1, 5);
+  table_.OnRequestLimit(e2_, 1, 5);
+  table_.OnPermit(e2_, { true, 0ms });
+  clock_.Advance(kPermitTtl - 50ms);
+  table_.OnPermit(e2_, { true, 0ms });
+  table_.OnAttemptSent(e2_);
+  clock_.Advance(100ms);
+  EXPECT_EQ(Chosen(), "e2") << "the second permit is still valid";
+}
+
 // Guards against requests that wait for one engine in need, while others could load their adapter.
 TEST_F(RequestLimitTest, AdapterIsLoadedElsewhereWhenPermitsAreDenied)
 {
--- a/tests/gateway/gossip_service_test.cpp
+++ b/tests/gateway/gossip_service_test.cpp
@@ -350,7 +350,7 @@
       auto& upstreams = host->fleet_.Upstreams();
       host->gossip_->RequestPermit(engine);
       const auto& upstream = *upstreams.Find(engine);
-      if (upstream.permits_ > 0 && network_.clock_.Now() < upstream.permitsUntil_) {
+      if (!upstream.permits_.empty() && network_.clock_.Now() < upstream.permits_.back()) {
         ++permits;
         upstreams.OnAttemptSent(engine);
         upstreams.OnAttemptEnded(engine, AttemptHealth::Good, 1ms);
@@ -373,14 +373,17 @@
   auto& first = *network_.hosts_.front();
   first.fleet_.Upstreams().OnRequestLimit(engine, 1, 100);
   const auto& upstream = *first.fleet_.Upstreams().Find(engine);
+  const auto lastEnd = [&] {
+    return upstream.permits_.empty() ? TimePoint() : upstream.permits_.back();
+  };
   const auto granted = [&](Duration aTime) {
-    const auto before = upstream.permitsUntil_;
+    const auto before = lastEnd();
     for (Duration time{}; time < aTime; time += 20ms) {
       first.fleet_.Upstreams().OnRequestLimit(engine, 1, 100);
       first.gossip_->RequestPermit(engine);
       network_.scheduler_.Run(20ms);
     }
-    return upstream.permitsUntil_ > before;
+    return lastEnd() > before;
   };
   EXPECT_TRUE(granted(1s));
   for (auto& host : network_.hosts_) {
