Await the member time limit before the first order to a new partition

What callers would see: a refused order, or an engine that crashes on one load too many, after a partition has moved. Cause: the host that gets a partition waits for the lease of the settings. The host that had it, if it is cut off from the store, orders until its own membership may have expired, which depends on the member time limit alone. With a lease shorter than that limit both order. Change: the wait is at least the member time limit. The time of a restore is no longer kept, since partitions that are got after it wait that long anyway. With a lease of at least the limit, the wait is as before. Two tests had a lease of 2 s with a limit of 3 s. OrdersOnlyWhileTheMembershipIsCertain took an order after 2 s for safe; it now refuses it and awaits it after 3 s. RestoredAssignmentsWaitForTheLeasesBeforeThem lets the other host renew later, so that it still orders after the restore, and checks that it does.

--- a/src/fleet/holder_lease.cpp
+++ b/src/fleet/holder_lease.cpp
@@ -38,10 +38,10 @@
   }
   OnEra(aMembership.era_);
   const auto now = clock_.Now();
-  // The copy may assign a partition again that its holder gave up, or before its holder knows that
-  // it lost it. Leases of the era before were granted before the restore.
-  const auto settledAt =
-    std::max(now + settleTime_, restoredAt_ ? *restoredAt_ + timeout_ : TimePoint::min());
+  // The previous holder may have renewed its membership until now. After a restore, the copy may
+  // also assign a partition before its holder knows that it lost it; memberships of the era before
+  // were granted before the restore.
+  const auto settledAt = now + std::max(settleTime_, timeout_);
   const auto token = OrderedGeneration(era_, aMembership.generation_);
   // After a gap in the lease another member may have held the partitions in between.
   const auto before = IsValid() ? std::move(held_) : std::map<std::uint32_t, HeldPartition>();
@@ -100,7 +100,6 @@
   }
   era_ = aEra;
   generation_ = 0;
-  restoredAt_ = clock_.Now();
   // In the generations that the copy lacks, partitions of this host may have got another holder.
   OnMembershipLost();
 }
--- a/src/fleet/holder_lease.h
+++ b/src/fleet/holder_lease.h
@@ -21,7 +21,8 @@
  * Partitions that this host holds, with their lease. Hosts that hold engines form a group in the
  * store, which assigns the partitions to its members. A host sends orders to the engines of a
  * partition only while its membership of the group cannot have expired. After it gets a partition,
- * it first waits until the orders of the previous holder have taken effect. Not thread-safe.
+ * it first waits until the orders of the previous holder have taken effect; that host may be cut
+ * off from the store and then stops when its own membership expires. Not thread-safe.
  */
 class HolderLease
 {
@@ -29,7 +30,7 @@
   /**
    * @param aClock must also advance while the host is suspended; must outlive this object.
    * @param aTimeout time after which the group reassigns the partitions of a silent member.
-   * @param aSettleTime time from getting a partition to the first order.
+   * @param aSettleTime time from getting a partition to the first order, if it exceeds aTimeout.
    */
   HolderLease(const Clock& aClock, Duration aTimeout, Duration aSettleTime)
     : clock_(aClock)
@@ -94,10 +95,8 @@
   const Duration settleTime_;    ///< Time from getting a partition to the first order.
   StoreEra era_ = 0;             ///< Newest era that an answer of the store named.
   std::uint64_t generation_ = 0; ///< Generation of the last answer of this era; 0 if none.
-  /** When this host learned of the era; none in era 0. */
-  std::optional<TimePoint> restoredAt_;
-  TimePoint sentAt_;      ///< When the call of the last answer was sent.
-  bool isMember_ = false; ///< Whether this host is a member according to the last answer.
+  TimePoint sentAt_;             ///< When the call of the last answer was sent.
+  bool isMember_ = false;        ///< Whether this host is a member according to the last answer.
   std::map<std::uint32_t, HeldPartition> held_; ///< Partitions of the last answer.
 };
 
--- a/tests/fleet/small_modules_test.cpp
+++ b/tests/fleet/small_modules_test.cpp
@@ -156,6 +156,9 @@
   EXPECT_FALSE(lease_.MayOrder(4)) << "an order of the previous holder may still arrive";
   clock_.Advance(2s);
   lease_.OnMembership(clock_.Now(), { 1, { 4 } });
+  EXPECT_FALSE(lease_.MayOrder(4)) << "the membership of the previous holder may still be valid";
+  clock_.Advance(1s);
+  lease_.OnMembership(clock_.Now(), { 1, { 4 } });
   EXPECT_TRUE(lease_.MayOrder(4));
   EXPECT_FALSE(lease_.MayOrder(5));
   clock_.Advance(2500ms);
@@ -163,6 +166,25 @@
   EXPECT_TRUE(lease_.Partitions().empty());
 }
 
+// Guards against two hosts that order at one engine: the host that gets a partition waits for a
+// lease, but one that is cut off from the store orders until the member timeout.
+TEST_F(HolderLeaseTest, AShortLeaseDoesNotEndBeforeTheMembershipOfThePreviousHolder)
+{
+  HolderLease next(clock_, 3s, 500ms);
+  lease_.OnMembership(clock_.Now(), { 1, { 4 } });
+  clock_.Advance(2s);
+  lease_.OnMembership(clock_.Now(), { 1, { 4 } });
+  clock_.Advance(1s);
+  lease_.OnMembership(clock_.Now(), { 1, { 4 } });
+  EXPECT_TRUE(lease_.MayOrder(4));
+  for (int i = 0; i < 40; ++i) {
+    next.OnMembership(clock_.Now(), { 2, { 4 } });
+    EXPECT_FALSE(lease_.MayOrder(4) && next.MayOrder(4)) << 100 * i << " ms after the move";
+    clock_.Advance(100ms);
+  }
+  EXPECT_TRUE(next.MayOrder(4));
+}
+
 // Guards against a suspended host that sends orders as soon as it resumes: after a gap in the lease
 // the partition may have had another holder, so the host must wait for the settle time again.
 TEST_F(HolderLeaseTest, SettlesAnewAfterAGap)
@@ -231,12 +253,14 @@
   clock_.Advance(2s);
   lease_.OnMembership(clock_.Now(), { 48, { 4 } });
   other.OnMembership(clock_.Now(), { 49, { 4 } });
-  clock_.Advance(500ms);
+  clock_.Advance(1s);
   other.OnMembership(clock_.Now(), { 49, { 4 } });
   clock_.Advance(100ms);
   lease_.OnMembership(clock_.Now(), { 48, { 4 }, 1 });
   std::uint64_t highest = 0;
+  bool hasOtherOrdered = false;
   for (int i = 0; i < 40; ++i) {
+    hasOtherOrdered = hasOtherOrdered || other.MayOrder(4);
     EXPECT_FALSE(lease_.MayOrder(4) && other.MayOrder(4)) << 100 * i << " ms after the restore";
     for (const auto* lease : { &lease_, &other }) {
       if (lease->MayOrder(4)) {
@@ -247,6 +271,7 @@
     clock_.Advance(100ms);
     lease_.OnMembership(clock_.Now(), { 48, { 4 }, 1 });
   }
+  EXPECT_TRUE(hasOtherOrdered);
   EXPECT_TRUE(lease_.MayOrder(4));
   EXPECT_EQ(highest, *lease_.TokenOf(4));
 }
