Apply a changed lease on a reload

What callers would see: an order to an engine sooner after those of the previous holder than the settings allow, after an operator raised the lease. Cause: the lease was read at the start only; a reload replaced the bounds but not what was derived from them. Change: a reload sets the lease. A longer one also holds for the partitions that the host has, counted from when it got them. A shorter one is used for partitions that it gets later, so that no wait that has begun gets shorter. Two hosts can't order at once in either direction: when the previous holder stops depends on the member time limit, which every host awaits whatever its settings are. That limit is not among the settings that a reload may change. HolderLeaseTest.TheLongerSettleTimeHoldsForHeldPartitions tests the directions; it needs the new function and was not run without it.

--- a/src/fleet/holder_lease.cpp
+++ b/src/fleet/holder_lease.cpp
@@ -64,6 +64,18 @@
   return isChanged;
 }
 
+void
+HolderLease::SetSettleTime(Duration aSettleTime)
+{
+  settleTime_ = aSettleTime;
+  // A longer time is safe at once, since it only delays orders. A shorter one is used for the
+  // partitions that this host gets from now on: when the previous holder stops depends on timeout_,
+  // which each host awaits whatever its settings are.
+  for (auto& [partition, held] : held_) {
+    held.settledAt_ = std::max(held.settledAt_, held.since_ + settleTime_);
+  }
+}
+
 void
 HolderLease::OnMembershipLost()
 {
--- a/src/fleet/holder_lease.h
+++ b/src/fleet/holder_lease.h
@@ -46,6 +46,8 @@
    * era, and ignored.
    */
   bool OnMembership(TimePoint aSentAt, const GroupMembership& aMembership);
+  /** Changes the time from getting a partition to the first order. */
+  void SetSettleTime(Duration aSettleTime);
   /** Records that this host is not a member of the group. */
   void OnMembershipLost();
   /** Records the era of an answer of the store. A newer one ends the membership of this host. */
@@ -92,7 +94,7 @@
 
   const Clock& clock_;
   const Duration timeout_;       ///< Time after which a silent member is removed.
-  const Duration settleTime_;    ///< Time from getting a partition to the first order.
+  Duration settleTime_;          ///< Time from getting a partition to the first order.
   StoreEra era_ = 0;             ///< Newest era that an answer of the store named.
   std::uint64_t generation_ = 0; ///< Generation of the last answer of this era; 0 if none.
   TimePoint sentAt_;             ///< When the call of the last answer was sent.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -471,6 +471,7 @@
     // Addresses and names are fixed for the lifetime of the process; only limits may change.
     settings_.bounds_ = settings->bounds_;
     retries_.SetBounds(RetryBoundsOf(settings_.bounds_));
+    holder_->SetLease(settings_.bounds_.lease_);
     if (aReason == "signal") {
       LogEvent(LogLevel::Info, "reload", { { "trigger", std::string(aReason) } });
     }
--- a/src/gateway/holder_service.h
+++ b/src/gateway/holder_service.h
@@ -26,8 +26,9 @@
   /** A member that does not join again within this time loses its partitions. */
   std::chrono::milliseconds memberTimeout_{ 3000 };
   std::chrono::milliseconds joinInterval_{ 1000 }; ///< Time between joins; a third of that time.
-  std::chrono::milliseconds lease_{ 3000 };        ///< From getting a partition to the first order.
-  std::uint32_t partitions_ = 12;                  ///< Number of partitions of the group's topic.
+  /** From getting a partition to the first order, if it exceeds memberTimeout_. */
+  std::chrono::milliseconds lease_{ 3000 };
+  std::uint32_t partitions_ = 12; ///< Number of partitions of the group's topic.
 };
 
 /** Joins the group and sends orders for load requests to the engines of this host's partitions. */
@@ -57,6 +58,8 @@
   void Start();
   /** Leaves the group; no orders are sent from then on. */
   void Leave();
+  /** Changes the minimum time between the orders of two successive holders of an engine. */
+  void SetLease(Duration aLease) { lease_.SetSettleTime(aLease); }
   /** Records a load request for an engine. If the requested version is already resident, publishes
    * the engine's resident adapters instead. */
   void RequestLoad(const UpstreamId& aEngine, const LoadRequest& aRequest);
--- a/tests/fleet/small_modules_test.cpp
+++ b/tests/fleet/small_modules_test.cpp
@@ -185,6 +185,24 @@
   EXPECT_TRUE(next.MayOrder(4));
 }
 
+// Guards against an order too soon after those of the previous holder, if the settings change
+// between the membership and the first order.
+TEST_F(HolderLeaseTest, TheLongerSettleTimeHoldsForHeldPartitions)
+{
+  lease_.SetSettleTime(4s);
+  lease_.OnMembership(clock_.Now(), { 1, { 4 } });
+  lease_.SetSettleTime(3s);
+  lease_.SetSettleTime(6s);
+  lease_.SetSettleTime(3s);
+  for (int i = 0; i < 6; ++i) {
+    EXPECT_FALSE(lease_.MayOrder(4)) << i << " s";
+    clock_.Advance(1s);
+    lease_.OnMembership(clock_.Now(), { 2, { 4, 5 } });
+  }
+  EXPECT_TRUE(lease_.MayOrder(4));
+  EXPECT_TRUE(lease_.MayOrder(5)) << "it was got after the settle time became shorter";
+}
+
 // Guards against a suspended host that sends orders as soon as it resumes: after a gap in the lease
 // the partition may have had another holder, so the host must wait for the settle time again.
 TEST_F(HolderLeaseTest, SettlesAnewAfterAGap)
