Read upstream entries at the interval of a reloaded drain bound

What callers would see: requests to an upstream that drains for longer than a bound that was lowered while the gateway runs. Cause: the interval between reads of the entries is a fraction of the drain bound and was worked out at the start only. Change: a reload sets the interval. A running wait ends within 100 ms of it, since it proceeds in steps. The first gap after a change may be as long as the former interval and does not count as an outage of the store, which would defer removals. Evidence: GatewayTest.ALowerDrainBoundIsKeptAfterAReload prints on the code before "Expected: (upstreamReads_) >= (3), actual: 0 vs 3". StoreWatchTest.AShorterIntervalAppliesAtOnceAndIsNoOutage needs the new function and was not run without it. The other bounds are read where they are used; no further value of HolderSettings and WatchSettings follows from them.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -149,7 +149,7 @@
       [this](const EngineResidency& aResidency) { gossip_->SendResidency(aResidency); },
       [this] { ScheduleRepublish(); });
     WatchSettings watch;
-    watch.upstreamInterval_ = settings_.bounds_.maxDrainDelay_ * 2 / 5;
+    watch.upstreamInterval_ = UpstreamIntervalOf(settings_.bounds_);
     watch_ = std::make_shared<StoreWatch>(
       ports_.store_,
       fleet_,
@@ -281,6 +281,11 @@
     return { aBounds.retryRatio_, aBounds.retrySlack_, aBounds.retryWindow_ };
   }
 
+  static milliseconds UpstreamIntervalOf(const GatewayBounds& aBounds)
+  {
+    return aBounds.maxDrainDelay_ * 2 / 5;
+  }
+
   SessionLimits CallerSessionLimits() const
   {
     SessionLimits limits;
@@ -472,6 +477,7 @@
     settings_.bounds_ = settings->bounds_;
     retries_.SetBounds(RetryBoundsOf(settings_.bounds_));
     holder_->SetLease(settings_.bounds_.lease_);
+    watch_->SetUpstreamInterval(UpstreamIntervalOf(settings_.bounds_));
     if (aReason == "signal") {
       LogEvent(LogLevel::Info, "reload", { { "trigger", std::string(aReason) } });
     }
--- a/src/gateway/store_watch.cpp
+++ b/src/gateway/store_watch.cpp
@@ -41,6 +41,7 @@
   , clock_(aClock)
   , scheduler_(aScheduler)
   , settings_(aSettings)
+  , longestInterval_(aSettings.upstreamInterval_)
   , onChange_(std::move(aOnChange))
   , onRestored_(std::move(aOnRestored))
 {
@@ -55,6 +56,13 @@
   PollUpstreams();
 }
 
+void
+StoreWatch::SetUpstreamInterval(std::chrono::milliseconds aInterval)
+{
+  settings_.upstreamInterval_ = aInterval;
+  longestInterval_ = std::max(longestInterval_, aInterval);
+}
+
 void
 StoreWatch::RunAfter(Duration aDelay, void (StoreWatch::*aFunction)())
 {
@@ -231,15 +239,31 @@
     return;
   }
   ApplyUpstreams(aSentAt, aBatch);
-  RunAfter(isRelayed_ ? settings_.relayCheckInterval_ : settings_.upstreamInterval_,
-           &StoreWatch::PollUpstreams);
+  upstreamsReadAt_ = clock_.Now();
+  if (isRelayed_) {
+    RunAfter(settings_.relayCheckInterval_, &StoreWatch::PollUpstreams);
+  } else {
+    AwaitUpstreamRead();
+  }
+}
+
+void
+StoreWatch::AwaitUpstreamRead()
+{
+  const Duration left = upstreamsReadAt_ + settings_.upstreamInterval_ - clock_.Now();
+  if (left > settings_.relayCheckInterval_) {
+    // The interval may become shorter during the wait.
+    RunAfter(settings_.relayCheckInterval_, &StoreWatch::AwaitUpstreamRead);
+  } else {
+    RunAfter(std::max(left, Duration::zero()), &StoreWatch::PollUpstreams);
+  }
 }
 
 void
 StoreWatch::ApplyUpstreams(TimePoint aSentAt, const ChangeBatch& aBatch)
 {
   const auto now = clock_.Now();
-  if (now - upstreamsUpdatedAt_ > settings_.upstreamInterval_ * kOutageIntervals) {
+  if (now - upstreamsUpdatedAt_ > longestInterval_ * kOutageIntervals) {
     LogEvent(
       LogLevel::Info,
       "upstreams_read_again",
@@ -250,6 +274,7 @@
     flushRemovalsAt_ = now + settings_.removalHoldTime_;
   }
   upstreamsUpdatedAt_ = now;
+  longestInterval_ = settings_.upstreamInterval_;
   upstreamsRequestedAt_ = std::max(upstreamsRequestedAt_, aSentAt);
   upstreams_ = aBatch.Next();
   state_.ApplyUpstreams(aBatch, flushRemovalsAt_.has_value());
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -70,6 +70,8 @@
 
   /** Starts to read both streams. */
   void Start();
+  /** Changes the interval between reads of upstream entries; a shorter one applies at once. */
+  void SetUpstreamInterval(std::chrono::milliseconds aInterval);
   /**
    * Processes the position of a store reader in the operators' stream.
    * @param aSentAt when the query was sent.
@@ -102,6 +104,8 @@
                    const ChangeBatch& aBatch);
   void EndUnnamedEvacuations();
   void PollUpstreams();
+  /** Waits for the next read of the upstreams' stream. */
+  void AwaitUpstreamRead();
   void OnUpstreams(TimePoint aSentAt, std::error_code aError, const ChangeBatch& aBatch);
   void ApplyUpstreams(TimePoint aSentAt, const ChangeBatch& aBatch);
   bool AreUpstreamsRelayed() const;
@@ -117,7 +121,9 @@
   FleetState& state_; ///< Updated from the store.
   const Clock& clock_;
   Scheduler& scheduler_;
-  const WatchSettings settings_;
+  WatchSettings settings_; ///< Only upstreamInterval_ may change.
+  /** Longest upstreamInterval_ since entries were last read or relayed. */
+  std::chrono::milliseconds longestInterval_;
   std::function<void()> onChange_;          ///< Called after each batch that was applied.
   std::function<void()> onRestored_;        ///< Called after the first snapshot of a newer era.
   std::optional<StoreEra> era_;             ///< Newest era that a stream was read in.
@@ -130,6 +136,7 @@
   std::optional<StorePosition> upstreams_; ///< Next position; if none, a snapshot is read.
   std::optional<StoreEra> upstreamsEra_;   ///< Newest era that the upstreams' stream was read in.
   TimePoint operatorsReadAt_;              ///< When the operators' stream was last read.
+  TimePoint upstreamsReadAt_;              ///< When a read of entries was last answered.
   TimePoint upstreamsUpdatedAt_;           ///< When entries were last read or relayed.
   TimePoint upstreamsRequestedAt_;         ///< When the newest state of the entries was requested.
   bool isRelayed_ = false;                 ///< A store reader relays the content of the store.
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -94,6 +94,19 @@
   int reportRequests_ = 0; ///< Reports requested from engines, which precede the first order.
 };
 
+// Guards against requests to an upstream that drains for longer than a bound that was lowered while
+// the gateway runs: the entries were still read at the interval of the former one.
+TEST_F(GatewayTest, ALowerDrainBoundIsKeptAfterAReload)
+{
+  settings_.bounds_.maxDrainDelay_ = 10s;
+  After(300ms, [this] {
+    EXPECT_EQ(upstreamReads_, 0);
+    settings_.bounds_.maxDrainDelay_ = 500ms;
+  });
+  Run(320ms, 1500ms);
+  EXPECT_GE(upstreamReads_, 3) << "one read in 200 ms";
+}
+
 // Guards against an order that follows that of the previous holder too closely: a longer lease did
 // not hold for the partitions that a host had just got.
 TEST_F(GatewayTest, ALongerLeaseHoldsAfterAReload)
--- a/tests/gateway/store_watch_test.cpp
+++ b/tests/gateway/store_watch_test.cpp
@@ -202,6 +202,19 @@
   EXPECT_FALSE(HasEngine());
 }
 
+// Guards against removals that are deferred although there was no outage: after the interval became
+// shorter, the time since the last read was more than three of the new ones.
+TEST_F(StoreWatchTest, AShorterIntervalAppliesAtOnceAndIsNoOutage)
+{
+  watch_->SetUpstreamInterval(4s);
+  watch_->Start();
+  scheduler_.Run(3s);
+  nextChanges_ = { UpstreamChange{ UpstreamId("e1"), std::nullopt } };
+  watch_->SetUpstreamInterval(200ms);
+  scheduler_.Run(110ms);
+  EXPECT_FALSE(HasEngine());
+}
+
 // Guards against the removal of live upstreams after an outage of the store that is longer than the
 // time to live of their entries, so that all entries expire. Live upstreams write their entries
 // again within about two seconds after the outage; until then they must be kept.
