Trust a limit that peers report over an older answer without one

What callers would see: more requests to an upstream in need than its limit allows: hosts that got an answer shortly before the limit was named send without permits until their next answer. Cause: for 5 s, the last answer to a host outranked the reports of its peers. These name a limit for 2 s after an answer and take at most three rounds of gossip, so in the second half of the 5 s they are newer. Change: the own answer outranks the reports for 2.75 s, as long as these may be of earlier answers. Evidence: on the code before, RequestLimitTest.AnAnswerDoesNotOutrankReportsOfLaterOnes prints "table_.RequestLimit(e1_) Which is: (nullopt)" instead of 3.

--- a/src/table/limit_const.h
+++ b/src/table/limit_const.h
@@ -3,18 +3,20 @@
 #define LABURNUMWEIR_TABLE_LIMIT_CONST_H
 
 #include "core/clock_base.h"
+#include "table/fleet_const.h"
 
 #include <chrono>
 
 namespace laburnumweir {
 
+/** Time for which a host reports a limit that an answer named. */
+constexpr Duration kLimitReportTime = std::chrono::seconds(2);
 /**
  * Time for which the last answer of an upstream to this host says more of its limit than the
- * reports of the other hosts.
+ * reports of the other hosts. After it, a report that names a limit is of a later answer, since it
+ * takes up to three rounds of gossip.
  */
-constexpr Duration kOwnLimitTtl = std::chrono::seconds(5);
-/** Time for which a host reports a limit that an answer named. */
-constexpr Duration kLimitReportTime = std::chrono::seconds(2);
+constexpr Duration kOwnLimitTtl = kLimitReportTime + 3 * kGossipInterval;
 /** Minimum rate at which permits are issued, requests/s; only an answer shows that a limit has
  * ended. */
 constexpr double kMinPermitRate = 0.25;
--- a/tests/fleet/permit_issuer_test.cpp
+++ b/tests/fleet/permit_issuer_test.cpp
@@ -195,6 +195,17 @@
   EXPECT_EQ(table_.RequestLimit(e1_), 3) << "another host got an answer that names it";
 }
 
+// Guards against requests beyond a limit that a host has not heard of itself: an answer without one
+// outranked the reports of the peers although these were of later answers.
+TEST_F(RequestLimitTest, AnAnswerDoesNotOutrankReportsOfLaterOnes)
+{
+  const UpstreamLoad load{ e1_, 0, 3.0 };
+  table_.OnRequestLimit(e1_, 1, std::nullopt);
+  clock_.Advance(3s);
+  table_.OnPeerLoad(HostId("h2"), { &load, 1 });
+  EXPECT_EQ(table_.RequestLimit(e1_), 3) << "a peer names a limit for 2 s after its answer";
+}
+
 TEST_F(RequestLimitTest, RecentLimitsAreReportedToPeers)
 {
   table_.OnRequestLimit(e1_, 1, 5);
