Start a cold phase without saved requests

What callers would see: an upstream that crashes when it becomes cold while it runs. Cause: the token of a host for a cold upstream filled up from the last use, which may be long before the cold phase. Each host could send a request at its start, at the same moment as all others. Change: a cold phase that begins, by an entry or by an answer, begins without tokens, as that of a new process does. Evidence: on the code before, UpstreamTableTest.AColdPhaseBeginsWithoutSavedRequests gets an upstream where none may be chosen.

--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -91,7 +91,7 @@
   }
   if (!isReadAgain) {
     // The entry may have been written before an answer that named a later end.
-    upstream.coldUntil_ = std::max(upstream.coldUntil_, now + aEntry.coldTimeLeft_);
+    ExtendColdPhase(upstream, aEntry.coldTimeLeft_, now);
   }
   return isNewProcess;
 }
@@ -198,6 +198,20 @@
   return aUpstream.running_ + aUpstream.peersRunning_ < aUpstream.entry_.slots_;
 }
 
+void
+UpstreamTable::ExtendColdPhase(Upstream& aUpstream, Duration aFor, TimePoint aNow)
+{
+  if (aNow + aFor <= aUpstream.coldUntil_) {
+    return;
+  }
+  if (aUpstream.coldUntil_ <= aNow) {
+    // Otherwise every host could send a request that it saved while the upstream was not cold.
+    aUpstream.coldTokens_ = 0;
+    aUpstream.coldTokensAt_ = aNow;
+  }
+  aUpstream.coldUntil_ = aNow + aFor;
+}
+
 bool
 UpstreamTable::MaySendIfCold(Upstream& aUpstream, TimePoint aNow)
 {
@@ -445,7 +459,7 @@
 {
   auto* upstream = Find(aId);
   if (upstream != nullptr && upstream->entry_.startedAt_ == aStartedAt) {
-    upstream->coldUntil_ = std::max(upstream->coldUntil_, clock_.Now() + aFor);
+    ExtendColdPhase(*upstream, aFor, clock_.Now());
   }
 }
 
--- a/src/fleet/upstream_table.h
+++ b/src/fleet/upstream_table.h
@@ -227,6 +227,8 @@
   bool IsUsableAt(const Upstream& aUpstream, TimePoint aNow) const;
   bool HasFreeSlot(const Upstream& aUpstream) const;
   bool MaySendIfCold(Upstream& aUpstream, TimePoint aNow);
+  /** Sets the end of the cold phase unless it is known to end later. */
+  static void ExtendColdPhase(Upstream& aUpstream, Duration aFor, TimePoint aNow);
   static std::optional<double> LimitOf(const Upstream& aUpstream, TimePoint aNow);
   /** @return whether a limit and the lack of a permit forbid to send a request. */
   static bool NeedsPermit(const Upstream& aUpstream, TimePoint aNow);
--- a/tests/fleet/upstream_table_test.cpp
+++ b/tests/fleet/upstream_table_test.cpp
@@ -330,6 +330,19 @@
   EXPECT_EQ(table_.Find(entry.id_)->coldUntil_, end);
 }
 
+// Guards against a burst at the start of a cold phase that begins while a process runs: the hosts
+// had saved a request each while it was not cold.
+TEST_F(UpstreamTableTest, AColdPhaseBeginsWithoutSavedRequests)
+{
+  table_.SetHosts({ HostId("h1"), HostId("h2"), HostId("h3"), HostId("h4") });
+  const auto id = Add("e1");
+  clock_.Advance(10s);
+  table_.OnColdTime(id, 1, 10s);
+  EXPECT_EQ(table_.Choose(NeedOf("")).upstream_, nullptr);
+  clock_.Advance(250ms);
+  EXPECT_NE(table_.Choose(NeedOf("")).upstream_, nullptr) << "20 a second, less 0.2, over 4 hosts";
+}
+
 // Guards against a new connection for each request: with many hosts and many engines, each pair
 // exchanges a request every few seconds.
 TEST_F(UpstreamTableTest, PrefersAnIdleConnectionBetweenEqualLoads)
