Keep what is known of a process whose entry is lost for a while

What callers would see: an upstream that gets more requests than its slots, its limit or its cold phase allow, after an outage or a restore of the store. Cause: the removal of an entry dropped the state of the upstream. When the entry of the same process came back, the host had forgotten the requests that still ran there, the limit and the end of the cold phase; and the end of each of those requests was subtracted from the number of later ones. Change: the notices, which kept that a process leaves or pauses, keep these too. Running requests stay counted until they end, as they do when a process is replaced without a removal. Evidence: on the code before, UpstreamTableTest.AnEntryThatComesBackKeepsWhatIsKnownOfItsProcess prints running 0 instead of 1, an earlier end of the cold phase and "table_.RequestLimit(id) Which is: (nullopt)" instead of 5.

--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -68,10 +68,17 @@
     upstream.peersRunning_ = peers;
     upstream.coldTokensAt_ = now;
     upstream.entry_ = aEntry;
-    if (const auto notice = notices_.extract(aEntry.id_);
-        notice && notice.mapped().startedAt_ == aEntry.startedAt_) {
-      upstream.isLeaving_ = notice.mapped().isLeaving_;
-      upstream.pausedUntil_ = notice.mapped().pausedUntil_;
+    if (const auto extracted = notices_.extract(aEntry.id_)) {
+      const auto& notice = extracted.mapped();
+      // Counted until they end, also if they were sent to an earlier process.
+      upstream.running_ += notice.running_;
+      if (notice.startedAt_ == aEntry.startedAt_) {
+        upstream.isLeaving_ = notice.isLeaving_;
+        upstream.pausedUntil_ = notice.pausedUntil_;
+        upstream.coldUntil_ = notice.coldUntil_;
+        upstream.requestLimit_ = notice.requestLimit_;
+        upstream.limitHeardAt_ = notice.limitHeardAt_;
+      }
     }
   } else {
     // The residency that the holder sent after an order is newer than an entry written before it.
@@ -108,8 +115,12 @@
     return now - aEntry.second.removedAt_ > kUpstreamNoticeTtl;
   });
   const auto& upstream = found->second;
-  if (upstream.isLeaving_ || upstream.pausedUntil_ > now) {
-    notices_[aId] = { upstream.entry_.startedAt_, now, upstream.isLeaving_, upstream.pausedUntil_ };
+  if (upstream.running_ > 0 || upstream.isLeaving_ || upstream.pausedUntil_ > now ||
+      upstream.coldUntil_ > now || upstream.requestLimit_) {
+    notices_[aId] = { upstream.entry_.startedAt_, now,
+                      upstream.running_,          upstream.isLeaving_,
+                      upstream.pausedUntil_,      upstream.coldUntil_,
+                      upstream.requestLimit_,     upstream.limitHeardAt_ };
   }
   upstreams_.erase(found);
   return true;
@@ -405,6 +416,9 @@
 {
   auto* upstream = Find(aId);
   if (upstream == nullptr) {
+    if (const auto notice = notices_.find(aId); notice != notices_.end()) {
+      notice->second.running_ -= notice->second.running_ > 0 ? 1 : 0;
+    }
     return;
   }
   upstream->running_ -= upstream->running_ > 0 ? 1 : 0;
--- a/src/fleet/upstream_table.h
+++ b/src/fleet/upstream_table.h
@@ -207,14 +207,18 @@
                                                      std::string_view aAdapter);
 
 private:
-  /** What an upstream without an entry has asked for, in case its entry comes back; as the fields
-   * of the same names in Upstream. */
+  /** What an upstream without an entry has asked for and what it still runs, in case its entry
+   * comes back; as the fields of the same names in Upstream. */
   struct Notice
   {
     std::int64_t startedAt_ = 0; ///< Start time of its process, Unix ms.
     TimePoint removedAt_;
+    std::uint32_t running_ = 0;
     bool isLeaving_ = false;
     TimePoint pausedUntil_;
+    TimePoint coldUntil_;
+    std::optional<double> requestLimit_;
+    std::optional<TimePoint> limitHeardAt_;
   };
   struct LoadReport
   {
--- a/tests/fleet/upstream_table_test.cpp
+++ b/tests/fleet/upstream_table_test.cpp
@@ -343,6 +343,31 @@
   EXPECT_NE(table_.Choose(NeedOf("")).upstream_, nullptr) << "20 a second, less 0.2, over 4 hosts";
 }
 
+// Guards against an overload of an upstream whose entry was lost for a while: its process goes on
+// with the requests that it had, and what its answers named still holds.
+TEST_F(UpstreamTableTest, AnEntryThatComesBackKeepsWhatIsKnownOfItsProcess)
+{
+  const auto id = Add("e1");
+  table_.OnAttemptSent(id);
+  table_.OnAttemptSent(id);
+  table_.OnRequestLimit(id, 1, 5);
+  table_.OnColdTime(id, 1, 10s);
+  const auto end = clock_.Now() + 10s;
+  table_.OnRemoved(id);
+  table_.OnAttemptEnded(id, AttemptHealth::Good, 1ms);
+  Add("e1");
+  EXPECT_EQ(table_.Find(id)->running_, 1U);
+  EXPECT_EQ(table_.Find(id)->coldUntil_, end);
+  EXPECT_EQ(table_.RequestLimit(id), 5);
+  table_.OnRemoved(id);
+  auto entry = MakeEngine("e1");
+  entry.startedAt_ = 2;
+  table_.OnEntry(entry);
+  EXPECT_EQ(table_.Find(id)->running_, 1U) << "until it ends";
+  EXPECT_FALSE(table_.RequestLimit(id));
+  EXPECT_LE(table_.Find(id)->coldUntil_, clock_.Now());
+}
+
 // Guards against a new connection for each request: with many hosts and many engines, each pair
 // exchanges a request every few seconds.
 TEST_F(UpstreamTableTest, PrefersAnIdleConnectionBetweenEqualLoads)
