Drop the answers of an earlier process of an engine

What callers would see: requests that are sent to an engine for an adapter that it lost, and loads that start up to 0.6 s late, after a restart. Cause: the holder applied the answer to an order, or to a confirmation, to the process that is known when the answer arrives. The order count of the new process was raised, so that its report seemed to lag and was ignored; an adapter that the old one had loaded counted as resident at the new one. Change: an answer counts only for the process that got the order. Evidence: on the code before, HolderServiceTest.AnAnswerOfAnEarlierProcessDoesNotCount prints an order count of 1 instead of 0, and AConfirmationOfAnEarlierProcessDoesNotCount prints "IsResident("a1") Actual: true".

--- a/src/gateway/holder_service.cpp
+++ b/src/gateway/holder_service.cpp
@@ -356,8 +356,11 @@
 void
 HolderService::SendOrder(const UpstreamId& aId, const EngineOrder& aOrder)
 {
-  engines_.at(aId).isCallPending_ = true;
-  const auto order = AddFencing(*state_.Upstreams().Find(aId), aOrder);
+  const auto& upstream = *state_.Upstreams().Find(aId);
+  auto& engine = engines_.at(aId);
+  engine.isCallPending_ = true;
+  engine.orderedProcess_ = upstream.entry_.startedAt_;
+  const auto order = AddFencing(upstream, aOrder);
   engineControl_.Send(
     order,
     [weak = weak_from_this(), aId, aOrder, token = order.fencingToken_](OrderAnswer aAnswer) {
@@ -391,6 +394,11 @@
              { "resident", std::to_string(ResidentCount(upstream->entry_)) },
              { "loading", std::to_string(engine.orders_.Pending().size()) },
              { "answer", NameOf(aAnswer) } });
+  if (engine.orderedProcess_ != upstream->entry_.startedAt_) {
+    // The engine was restarted and counts its orders anew.
+    TickEngine(aId, engine);
+    return;
+  }
   const auto now = clock_.Now();
   engine.lastOrderAt_ = now;
   switch (aAnswer) {
@@ -477,8 +485,11 @@
     return;
   }
   engineControl_.Send(AddFencing(*upstream, aOrder),
-                      [weak = weak_from_this(), aId, aOrder](OrderAnswer aAnswer) {
-                        if (const auto self = weak.lock()) {
+                      [weak = weak_from_this(), aId, aOrder, process = upstream->entry_.startedAt_](
+                        OrderAnswer aAnswer) {
+                        const auto self = weak.lock();
+                        const auto* engine = self ? self->state_.Upstreams().Find(aId) : nullptr;
+                        if (engine != nullptr && engine->entry_.startedAt_ == process) {
                           self->OnConfirmed(aId, aOrder, aAnswer);
                         }
                       });
--- a/src/gateway/holder_service.h
+++ b/src/gateway/holder_service.h
@@ -88,6 +88,7 @@
     std::int64_t startedAt_ = 0;               ///< Start time of the engine.
     std::optional<TimePoint> heldSince_;       ///< HolderLease::HeldSince() at the last tick.
     bool isCallPending_ = false;               ///< An order or report request was not answered yet.
+    std::int64_t orderedProcess_ = 0;          ///< Start time of the process that got the order.
     bool needsReport_ = false;                 ///< A report is needed before the next order.
     TimePoint nextReportAt_;                   ///< Earliest time of the next report request.
     TimePoint lastOrderAt_;                    ///< When the last order was answered.
--- a/tests/gateway/holder_service_test.cpp
+++ b/tests/gateway/holder_service_test.cpp
@@ -236,6 +236,49 @@
   EXPECT_EQ(KnownVersion(), 0);
 }
 
+// Guards against orders that a restarted engine refuses, and against requests for an adapter that
+// it lost: the process before it answered an order after the entry of the new one had been read.
+TEST_F(HolderServiceTest, AnAnswerOfAnEarlierProcessDoesNotCount)
+{
+  WaitForLease();
+  EngineControl::OrderCallback answer;
+  EXPECT_CALL(engines_, Send)
+    .WillOnce([&](const FencedOrder&, const EngineControl::OrderCallback& aCallback) {
+      answer = aCallback;
+    })
+    .WillRepeatedly(testing::DoDefault());
+  RequestLoad("a1");
+  service_->Tick();
+  ASSERT_TRUE(answer);
+  auto restarted = MakeEngine("e1");
+  restarted.startedAt_ = 2;
+  state_.Upstreams().OnEntry(restarted);
+  answer(OrderAnswer::Accepted);
+  EXPECT_EQ(state_.Upstreams().Find(engine_)->orderCount_, 0U);
+}
+
+// As above, with the answer to a confirmation.
+TEST_F(HolderServiceTest, AConfirmationOfAnEarlierProcessDoesNotCount)
+{
+  WaitForLease();
+  RequestLoad("a1");
+  service_->Tick();
+  ASSERT_EQ(sent_.size(), 1U);
+  EngineControl::OrderCallback answer;
+  EXPECT_CALL(engines_, Send)
+    .WillOnce([&](const FencedOrder&, const EngineControl::OrderCallback& aCallback) {
+      answer = aCallback;
+    })
+    .WillRepeatedly(testing::DoDefault());
+  scheduler_.Run(210ms);
+  ASSERT_TRUE(answer);
+  auto restarted = MakeEngine("e1");
+  restarted.startedAt_ = 2;
+  state_.Upstreams().OnEntry(restarted);
+  answer(OrderAnswer::AlreadyDone);
+  EXPECT_FALSE(IsResident("a1"));
+}
+
 // Guards against orders that are executed twice or too late: after a lost answer the state of the
 // engine is read again.
 TEST_F(HolderServiceTest, ReadsTheStateAgainAfterALostAnswer)
