--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -57,6 +57,9 @@
     return false; // written before the known entry
   }
   const bool isNewProcess = isNew || known.startedAt_ != aEntry.startedAt_;
+  // An entry that is read again was written before it was first read, which the remaining time in
+  // it does not show.
+  const bool isReadAgain = !isNewProcess && known.heartbeat_ == aEntry.heartbeat_;
   if (isNewProcess) {
     const auto running = upstream.running_;
     const auto peers = upstream.peersRunning_;
@@ -65,10 +68,17 @@
     upstream.peersRunning_ = peers;
     upstream.coldTokensAt_ = now;
     upstream.entry_ = aEntry;
-    if (const auto notice = notices_.extract(aEntry.id_);
-        notice && notice.mapped().startedAt_ == aEntry.startedAt_) {
-      upstream.isLeaving_ = notice.mapped().isLeaving_;
-      upstream.pausedUntil_ = notice.mapped().pausedUntil_;
+    if (const auto extracted = notices_.extract(aEntry.id_)) {
+      const auto& notice = extracted.mapped();
+      // Counted until they end, also if they were sent to an earlier process.
+      upstream.running_ += notice.running_;
+      if (notice.startedAt_ == aEntry.startedAt_) {
+        upstream.isLeaving_ = notice.isLeaving_;
+        upstream.pausedUntil_ = notice.pausedUntil_;
+        upstream.coldUntil_ = notice.coldUntil_;
+        upstream.requestLimit_ = notice.requestLimit_;
+        upstream.limitHeardAt_ = notice.limitHeardAt_;
+      }
     }
   } else {
     // The residency that the holder sent after an order is newer than an entry written before it.
@@ -86,7 +96,10 @@
     }
     upstream.isMisdirected_ = false;
   }
-  upstream.coldUntil_ = now + aEntry.coldTimeLeft_;
+  if (!isReadAgain) {
+    // The entry may have been written before an answer that named a later end.
+    ExtendColdPhase(upstream, aEntry.coldTimeLeft_, now);
+  }
   return isNewProcess;
 }
 
@@ -102,8 +115,12 @@
     return now - aEntry.second.removedAt_ > kUpstreamNoticeTtl;
   });
   const auto& upstream = found->second;
-  if (upstream.isLeaving_ || upstream.pausedUntil_ > now) {
-    notices_[aId] = { upstream.entry_.startedAt_, now, upstream.isLeaving_, upstream.pausedUntil_ };
+  if (upstream.running_ > 0 || upstream.isLeaving_ || upstream.pausedUntil_ > now ||
+      upstream.coldUntil_ > now || upstream.requestLimit_) {
+    notices_[aId] = { upstream.entry_.startedAt_, now,
+                      upstream.running_,          upstream.isLeaving_,
+                      upstream.pausedUntil_,      upstream.coldUntil_,
+                      upstream.requestLimit_,     upstream.limitHeardAt_ };
   }
   upstreams_.erase(found);
   return true;
@@ -192,6 +209,20 @@
   return aUpstream.running_ + aUpstream.peersRunning_ < aUpstream.entry_.slots_;
 }
 
+void
+UpstreamTable::ExtendColdPhase(Upstream& aUpstream, Duration aFor, TimePoint aNow)
+{
+  if (aNow + aFor <= aUpstream.coldUntil_) {
+    return;
+  }
+  if (aUpstream.coldUntil_ <= aNow) {
+    // Otherwise every host could send a request that it saved while the upstream was not cold.
+    aUpstream.coldTokens_ = 0;
+    aUpstream.coldTokensAt_ = aNow;
+  }
+  aUpstream.coldUntil_ = aNow + aFor;
+}
+
 bool
 UpstreamTable::MaySendIfCold(Upstream& aUpstream, TimePoint aNow)
 {
@@ -369,8 +400,12 @@
 {
   if (auto* upstream = Find(aId)) {
     ++upstream->running_;
-    upstream->permits_ -= upstream->permits_ > 0 ? 1 : 0;
-    if (upstream->coldUntil_ > clock_.Now()) {
+    const auto now = clock_.Now();
+    std::erase_if(upstream->permits_, [now](TimePoint aEnd) { return aEnd <= now; });
+    if (!upstream->permits_.empty()) {
+      upstream->permits_.erase(upstream->permits_.begin());
+    }
+    if (upstream->coldUntil_ > now) {
       upstream->coldTokens_ = std::max(0.0, upstream->coldTokens_ - 1.0);
     }
   }
@@ -381,6 +416,9 @@
 {
   auto* upstream = Find(aId);
   if (upstream == nullptr) {
+    if (const auto notice = notices_.find(aId); notice != notices_.end()) {
+      notice->second.running_ -= notice->second.running_ > 0 ? 1 : 0;
+    }
     return;
   }
   upstream->running_ -= upstream->running_ > 0 ? 1 : 0;
@@ -431,10 +469,11 @@
 }
 
 void
-UpstreamTable::OnColdTime(const UpstreamId& aId, Duration aFor)
+UpstreamTable::OnColdTime(const UpstreamId& aId, std::int64_t aStartedAt, Duration aFor)
 {
-  if (auto* upstream = Find(aId)) {
-    upstream->coldUntil_ = clock_.Now() + aFor;
+  auto* upstream = Find(aId);
+  if (upstream != nullptr && upstream->entry_.startedAt_ == aStartedAt) {
+    ExtendColdPhase(*upstream, aFor, clock_.Now());
   }
 }
 
@@ -523,7 +562,7 @@
 bool
 UpstreamTable::NeedsPermit(const Upstream& aUpstream, TimePoint aNow)
 {
-  const bool hasPermit = aUpstream.permits_ > 0 && aNow < aUpstream.permitsUntil_;
+  const bool hasPermit = !aUpstream.permits_.empty() && aNow < aUpstream.permits_.back();
   return !hasPermit && LimitOf(aUpstream, aNow);
 }
 
@@ -546,8 +585,8 @@
     upstream->permitDeniedUntil_ = now + aPermit.delay_;
     return;
   }
-  upstream->permits_ = now < upstream->permitsUntil_ ? upstream->permits_ + 1 : 1;
-  upstream->permitsUntil_ = now + kPermitTtl;
+  std::erase_if(upstream->permits_, [now](TimePoint aEnd) { return aEnd <= now; });
+  upstream->permits_.push_back(now + kPermitTtl);
 }
 
 Upstream*
--- a/src/fleet/upstream_table.h
+++ b/src/fleet/upstream_table.h
@@ -66,8 +66,7 @@
   std::optional<double> requestLimit_;    ///< Requests/s that its last answer to this host allows.
   std::optional<TimePoint> limitHeardAt_; ///< When that answer was received; none if there is none.
   std::optional<double> peersLimit_; ///< Requests/s that peers have reported; none if none did.
-  std::uint32_t permits_ = 0;        ///< Requests that this host may send while it has a limit.
-  TimePoint permitsUntil_;           ///< When these permits expire.
+  std::vector<TimePoint> permits_;   ///< Ends of its permits, each for one request; in order.
   TimePoint permitDeniedUntil_;      ///< No permit is requested before this time.
   bool isMisdirected_ = false;       ///< Another upstream answers at its endpoint.
   bool isLeaving_ = false;           ///< An answer of its process said that it leaves the fleet.
@@ -154,8 +153,11 @@
   void OnAdapterMissing(const UpstreamId& aId, std::string_view aModel, std::string_view aAdapter);
   /** Excludes an upstream until its next entry, as another one answers at its endpoint. */
   void OnMisdirected(const UpstreamId& aId);
-  /** Updates the end of the cold phase. @param aFor remaining time, from an answer. */
-  void OnColdTime(const UpstreamId& aId, Duration aFor);
+  /**
+   * Extends the cold phase of a process.
+   * @param aStartedAt start time of the process. @param aFor remaining time, from an answer.
+   */
+  void OnColdTime(const UpstreamId& aId, std::int64_t aStartedAt, Duration aFor);
   /**
    * Applies the limit that an answer of an upstream names.
    * @param aStartedAt start time of its process. @param aLimit requests/s; none if it names none.
@@ -205,14 +207,18 @@
                                                      std::string_view aAdapter);
 
 private:
-  /** What an upstream without an entry has asked for, in case its entry comes back; as the fields
-   * of the same names in Upstream. */
+  /** What an upstream without an entry has asked for and what it still runs, in case its entry
+   * comes back; as the fields of the same names in Upstream. */
   struct Notice
   {
     std::int64_t startedAt_ = 0; ///< Start time of its process, Unix ms.
     TimePoint removedAt_;
+    std::uint32_t running_ = 0;
     bool isLeaving_ = false;
     TimePoint pausedUntil_;
+    TimePoint coldUntil_;
+    std::optional<double> requestLimit_;
+    std::optional<TimePoint> limitHeardAt_;
   };
   struct LoadReport
   {
@@ -225,6 +231,8 @@
   bool IsUsableAt(const Upstream& aUpstream, TimePoint aNow) const;
   bool HasFreeSlot(const Upstream& aUpstream) const;
   bool MaySendIfCold(Upstream& aUpstream, TimePoint aNow);
+  /** Sets the end of the cold phase unless it is known to end later. */
+  static void ExtendColdPhase(Upstream& aUpstream, Duration aFor, TimePoint aNow);
   static std::optional<double> LimitOf(const Upstream& aUpstream, TimePoint aNow);
   /** @return whether a limit and the lack of a permit forbid to send a request. */
   static bool NeedsPermit(const Upstream& aUpstream, TimePoint aNow);
--- a/src/gateway/holder_service.cpp
+++ b/src/gateway/holder_service.cpp
@@ -326,8 +326,7 @@
              UpstreamTable::ResidentVersion(aOther.second, aModel, aAdapter).has_value();
     });
   };
-  const auto order =
-    aEngine.orders_.NextOrder(*service->engine_, upstream->entry_, isResidentElsewhere);
+  auto order = aEngine.orders_.NextOrder(*service->engine_, upstream->entry_, isResidentElsewhere);
   if (!order) {
     return;
   }
@@ -345,14 +344,23 @@
     }
     weightLoadTokens_ -= 1.0;
   }
+  if (order->kind_ == OrderKind::Load && !order->adapter_.empty()) {
+    // An order without a version would load the newest one, but neither its answer nor that to a
+    // confirmation tells which one that is.
+    const auto* releases = state_.FindReleases(order->model_, order->adapter_);
+    order->version_ = std::max(order->version_, releases == nullptr ? 0 : releases->Newest());
+  }
   SendOrder(aId, *order);
 }
 
 void
 HolderService::SendOrder(const UpstreamId& aId, const EngineOrder& aOrder)
 {
-  engines_.at(aId).isCallPending_ = true;
-  const auto order = AddFencing(*state_.Upstreams().Find(aId), aOrder);
+  const auto& upstream = *state_.Upstreams().Find(aId);
+  auto& engine = engines_.at(aId);
+  engine.isCallPending_ = true;
+  engine.orderedProcess_ = upstream.entry_.startedAt_;
+  const auto order = AddFencing(upstream, aOrder);
   engineControl_.Send(
     order,
     [weak = weak_from_this(), aId, aOrder, token = order.fencingToken_](OrderAnswer aAnswer) {
@@ -386,6 +394,11 @@
              { "resident", std::to_string(ResidentCount(upstream->entry_)) },
              { "loading", std::to_string(engine.orders_.Pending().size()) },
              { "answer", NameOf(aAnswer) } });
+  if (engine.orderedProcess_ != upstream->entry_.startedAt_) {
+    // The engine was restarted and counts its orders anew.
+    TickEngine(aId, engine);
+    return;
+  }
   const auto now = clock_.Now();
   engine.lastOrderAt_ = now;
   switch (aAnswer) {
@@ -472,8 +485,11 @@
     return;
   }
   engineControl_.Send(AddFencing(*upstream, aOrder),
-                      [weak = weak_from_this(), aId, aOrder](OrderAnswer aAnswer) {
-                        if (const auto self = weak.lock()) {
+                      [weak = weak_from_this(), aId, aOrder, process = upstream->entry_.startedAt_](
+                        OrderAnswer aAnswer) {
+                        const auto self = weak.lock();
+                        const auto* engine = self ? self->state_.Upstreams().Find(aId) : nullptr;
+                        if (engine != nullptr && engine->entry_.startedAt_ == process) {
                           self->OnConfirmed(aId, aOrder, aAnswer);
                         }
                       });
--- a/src/gateway/store_watch.cpp
+++ b/src/gateway/store_watch.cpp
@@ -42,6 +42,7 @@
   , clock_(aClock)
   , scheduler_(aScheduler)
   , settings_(aSettings)
+  , longestInterval_(aSettings.upstreamInterval_)
   , onChange_(std::move(aOnChange))
   , onRestored_(std::move(aOnRestored))
 {
@@ -55,6 +56,13 @@
   PollUpstreams();
 }
 
+void
+StoreWatch::SetUpstreamInterval(std::chrono::milliseconds aInterval)
+{
+  settings_.upstreamInterval_ = aInterval;
+  longestInterval_ = std::max(longestInterval_, aInterval);
+}
+
 void
 StoreWatch::RunAfter(Duration aDelay, void (StoreWatch::*aFunction)())
 {
@@ -266,18 +274,35 @@
     return;
   }
   ApplyUpstreams(aSentAt, aBatch);
-  Duration delay = isRelayed_ ? settings_.relayCheckInterval_ : settings_.upstreamInterval_;
+  upstreamsReadAt_ = clock_.Now();
+  if (isRelayed_) {
+    RunAfter(settings_.relayCheckInterval_, &StoreWatch::PollUpstreams);
+  } else {
+    AwaitUpstreamRead();
+  }
+}
+
+void
+StoreWatch::AwaitUpstreamRead()
+{
+  auto dueAt = upstreamsReadAt_ + settings_.upstreamInterval_;
   if (removalHoldEnd_) {
-    delay = std::min(delay, std::max(*removalHoldEnd_ - clock_.Now(), kMinPollInterval));
+    dueAt = std::min(dueAt, std::max(*removalHoldEnd_, upstreamsReadAt_ + kMinPollInterval));
+  }
+  const Duration left = dueAt - clock_.Now();
+  if (left > settings_.relayCheckInterval_) {
+    // The interval may become shorter during the wait.
+    RunAfter(settings_.relayCheckInterval_, &StoreWatch::AwaitUpstreamRead);
+  } else {
+    RunAfter(std::max(left, Duration::zero()), &StoreWatch::PollUpstreams);
   }
-  RunAfter(delay, &StoreWatch::PollUpstreams);
 }
 
 void
 StoreWatch::HoldRemovals(TimePoint aRequestedAt, StoreEra aEra)
 {
   const auto gap = aRequestedAt - upstreamsRequestedAt_;
-  const bool wasAway = gap > settings_.upstreamInterval_ * kOutageIntervals;
+  const bool wasAway = gap > longestInterval_ * kOutageIntervals;
   if (wasAway) {
     LogEvent(LogLevel::Info,
              "upstreams_read_again",
@@ -294,10 +319,10 @@
   bool mayFollowOutage = false;
   if (aRequestedAt) {
     HoldRemovals(*aRequestedAt, aBatch.era_);
+    longestInterval_ = settings_.upstreamInterval_;
     upstreamsRequestedAt_ = std::max(upstreamsRequestedAt_, *aRequestedAt);
   } else {
-    mayFollowOutage =
-      clock_.Now() - upstreamsRequestedAt_ > settings_.upstreamInterval_ * kOutageIntervals;
+    mayFollowOutage = clock_.Now() - upstreamsRequestedAt_ > longestInterval_ * kOutageIntervals;
   }
   upstreams_ = aBatch.Next();
   state_.ApplyUpstreams(aBatch, removalHoldEnd_ || mayFollowOutage);
