Count a run in the test before its refusal is sent

RefusalWithoutAnIdOnAKeptConnectionProvesNothing failed once in a run of scripts/test.sh beside other load: the service's thread counted a run after it had sent the bytes that end the client's attempt, so that the check could come first.

Where nothing may run, a count could also come after the check. The test now ends the client, which closes its connections, and waits until the service has read them to their end.

--- a/tests/service/service_client_test.cpp
+++ b/tests/service/service_client_test.cpp
@@ -149,21 +149,28 @@
     for (const bool isLate : { false, true }) {
       const auto refusal = Answer(status, "X-Run: not_run\r\n", "no");
       std::atomic<int> runs = 0;
+      std::atomic<int> ended = 0;
       ScriptedServer server([&](Peer& aPeer, int aNumber) {
         aPeer.ReadRequest();
         aPeer.Send(Answer("200 OK", "", "first") + (aNumber == 0 && !isLate ? refusal : ""));
         if (aPeer.ReadRequest()) {
-          aPeer.Send(refusal);
           ++runs;
+          aPeer.Send(refusal);
         }
+        ++ended;
       });
-      for (int i = 0; i < 2; ++i) {
-        auto sink = std::make_shared<MockUpstreamSink>();
-        client_.Send(server.Address(), MakeRequest(clock_), sink);
-        const auto result = sink->Wait();
-        EXPECT_TRUE(i == 1 || !result.error_) << result.error_.message();
-        EXPECT_NE(RunState::NotRun, result.run_) << status;
+      {
+        ServiceClient client(io_.Context(), clock_);
+        for (int i = 0; i < 2; ++i) {
+          auto sink = std::make_shared<MockUpstreamSink>();
+          client.Send(server.Address(), MakeRequest(clock_), sink);
+          const auto result = sink->Wait();
+          EXPECT_TRUE(i == 1 || !result.error_) << result.error_.message();
+          EXPECT_NE(RunState::NotRun, result.run_) << status;
+        }
       }
+      // The client's end closes its connections, so that no request is counted after the check.
+      EXPECT_TRUE(WaitUntil([&] { return ended == (isLate ? 1 : 2); })) << ended;
       EXPECT_EQ(isLate ? 1 : 0, runs);
     }
   }
