Wait for the surplus answer instead of sleeping in its test

SurplusAnswerTest slept 50 ms for an answer that the engine's thread sends after 20 ms. On a busy machine the next request was sent first and took the kept connection (2 connections expected, 1 found). The engine now waits until the first answer was taken, and the test until the second one was sent.

--- a/tests/engine/engine_client_test.cpp
+++ b/tests/engine/engine_client_test.cpp
@@ -525,22 +525,26 @@
 /** Guards against a second answer to one request being taken for the answer to the next. */
 TEST_P(SurplusAnswerTest, DoesNotReachTheNextRequest)
 {
-  ScriptedServer server([](Peer& aPeer, int) {
+  std::atomic<bool> isAnswered = false;
+  std::atomic<bool> isSurplusSent = false;
+  ScriptedServer server([&](Peer& aPeer, int) {
     const auto answer = Answer("200 OK", kId + kJson, kGoodBody);
     aPeer.ReadRequest();
     if (GetParam()) {
       aPeer.Send(answer + answer);
     } else {
       aPeer.Send(answer);
-      std::this_thread::sleep_for(20ms);
+      WaitUntil([&isAnswered] { return isAnswered.load(); });
       aPeer.Send(answer);
     }
+    isSurplusSent = true;
     AnswerAll(aPeer);
   });
   auto first = std::make_shared<MockUpstreamSink>();
   client_.Send(server.Address(), MakeRequest(clock_, false), first);
   EXPECT_FALSE(first->Wait().error_);
-  std::this_thread::sleep_for(50ms);
+  isAnswered = true;
+  ASSERT_TRUE(WaitUntil([&isSurplusSent] { return isSurplusSent.load(); }));
   auto second = MakeRequest(clock_, false);
   second.id_ = RequestId("req-2");
   client_.Send(server.Address(), second, sink_);
