Keep a connection whose write ends after its answer was read

The read that completes an answer may be handled before the end of the write, even if the kernel took all bytes of the request: the two handlers run on the strand in any order if several threads run the context. The connection was closed then and the next request had to connect anew.

An attempt whose answer is complete now waits up to 50 ms for the end of the write. The result of an upstream that answers and keeps its connection without reading the request comes that much later.

--- a/src/http/upstream_exchange.cpp
+++ b/src/http/upstream_exchange.cpp
@@ -276,6 +276,10 @@
     wroteNothing_ = aBytes == 0;
     if (phase_ == Phase::Ended) {
       if (pendingError_) {
+        if (keepAfterWrite_) {
+          timer_->cancel();
+          Release(!aError && connection_->socket_.is_open());
+        }
         Report(*std::exchange(pendingError_, std::nullopt));
       }
       return;
@@ -493,26 +497,52 @@
   void FinishUsed(std::error_code aError)
   {
     const bool isTrusted = !aError || refused_ || aError == UpstreamError::Failed;
-    keepConnection_ = isTrusted && phase_ != Phase::Ended && parser_->keep_alive() && !isWriting_ &&
+    keepConnection_ = isTrusted && phase_ != Phase::Ended && parser_->keep_alive() &&
                       !writeFailed_ && connection_->buffer_.size() == 0;
-    Finish(aError);
+    if (keepConnection_ && isWriting_) {
+      WaitForWrite(aError);
+    } else {
+      Finish(aError);
+    }
   }
 
-  void Finish(std::error_code aError)
+  /** Ends the attempt after the write. The handler of a write that is complete may run after that
+   * of the read, so that the connection cannot be judged before. */
+  void WaitForWrite(std::error_code aError)
   {
-    if (phase_ == Phase::Ended) {
-      return;
-    }
-    const bool wasExchanging = phase_ == Phase::Exchanging;
     phase_ = Phase::Ended;
-    timer_->cancel();
-    if (keepConnection_) {
+    pendingError_ = aError;
+    keepAfterWrite_ = true;
+    timer_->expires_after(pool_->Settings().maxWriteDelay_);
+    timer_->async_wait([self = shared_from_this()](BoostError aTimerError) {
+      if (!aTimerError && self->isWriting_) {
+        // Ends the write.
+        self->Release(false);
+      }
+    });
+  }
+
+  /** Pools the connection, or closes it. */
+  void Release(bool aIsKept)
+  {
+    if (aIsKept) {
       connection_->buffer_.shrink_to_fit();
       pool_->Put(exchange_.endpoint_, connection_);
     } else {
       BoostError ignored;
       connection_->socket_.close(ignored);
     }
+  }
+
+  void Finish(std::error_code aError)
+  {
+    if (phase_ == Phase::Ended) {
+      return;
+    }
+    const bool wasExchanging = phase_ == Phase::Exchanging;
+    phase_ = Phase::Ended;
+    timer_->cancel();
+    Release(keepConnection_);
     if (wasExchanging && isWriting_) {
       // The write's handler knows whether a byte was written.
       pendingError_ = aError;
@@ -618,6 +648,7 @@
   bool refused_ = false;                        ///< Refused before the start.
   bool isWaiting_ = false;                      ///< Waits for aContinue.
   bool keepConnection_ = false;                 ///< The connection can be used again.
+  bool keepAfterWrite_ = false;                 ///< The same, once the write has ended.
 };
 
 } // namespace
--- a/src/http/upstream_exchange.h
+++ b/src/http/upstream_exchange.h
@@ -28,6 +28,8 @@
   std::size_t maxIdleConnections_ = 64;                ///< Pooled connections for each endpoint.
   std::size_t maxHeadBytes_ = std::size_t{ 16 } << 10; ///< Status line and header fields.
   std::size_t maxAnswerBytes_ = std::size_t{ 16 } << 20; ///< Body that is held to be checked.
+  /** Longest time from the end of an answer to the end of the request's write. */
+  std::chrono::milliseconds maxWriteDelay_{ 50 };
 };
 
 /** What to do with the body of an answer. */
--- a/tests/service/service_client_test.cpp
+++ b/tests/service/service_client_test.cpp
@@ -243,6 +243,64 @@
   EXPECT_LE(largest, std::size_t{ 256 } << 10);
 }
 
+/** Sends a request whose body no socket buffer holds to a service that answers before it reads the
+ * body. */
+struct EarlyAnswerTest : ServiceClientTest
+{
+  EarlyAnswerTest()
+  {
+    request_.body_ = std::string(std::size_t{ 64 } << 20, 'x');
+    ON_CALL(*sink_, OnData(testing::_, testing::_)).WillByDefault([this](auto&&...) {
+      isPassedOn_ = true;
+    });
+  }
+
+  UpstreamRequest request_ = MakeRequest(clock_);
+  std::atomic<bool> isPassedOn_ = false; ///< The client has read the answer.
+};
+
+/** Guards against a connection that is not used again because the answer was read before the end of
+ * the write. */
+TEST_F(EarlyAnswerTest, KeepsTheConnectionIfTheBodyIsReadSoon)
+{
+  ScriptedServer server([this](Peer& aPeer, int) {
+    aPeer.ReadUntil("\r\n\r\n");
+    aPeer.Send(Answer("200 OK", "", "early"));
+    WaitUntil([this] { return isPassedOn_.load(); });
+    if (aPeer.ReadRequest() && aPeer.ReadRequest()) {
+      aPeer.Send(Answer("200 OK", "", "second"));
+    }
+  });
+  ExchangeSettings settings;
+  settings.maxWriteDelay_ = kTestTimeout;
+  ServiceClient client(io_.Context(), clock_, settings);
+  client.Send(server.Address(), request_, sink_);
+  EXPECT_FALSE(sink_->Wait().error_);
+  auto second = std::make_shared<MockUpstreamSink>();
+  client.Send(server.Address(), MakeRequest(clock_), second);
+  EXPECT_FALSE(second->Wait().error_);
+  EXPECT_EQ("second", second->body_);
+  EXPECT_EQ(1, server.Accepted());
+}
+
+/** Guards against an answer that is held back until a service reads the rest of the body. */
+TEST_F(EarlyAnswerTest, EndsThoughTheBodyIsNeverRead)
+{
+  std::atomic<bool> isEnded = false;
+  ScriptedServer server([&](Peer& aPeer, int) {
+    aPeer.ReadUntil("\r\n\r\n");
+    aPeer.Send(Answer("200 OK", "", "early"));
+    WaitUntil([&isEnded] { return isEnded.load(); });
+  });
+  const auto start = std::chrono::steady_clock::now();
+  client_.Send(server.Address(), request_, sink_);
+  const auto result = sink_->Wait();
+  isEnded = true;
+  EXPECT_FALSE(result.error_) << result.error_.message();
+  EXPECT_EQ(RunState::Ran, result.run_);
+  EXPECT_LT(std::chrono::steady_clock::now() - start, kTestTimeout);
+}
+
 /** Guards against a refused connection counting as sent: a booking could not be tried elsewhere. */
 TEST_F(ServiceClientTest, RefusedConnectionIsNotRun)
 {
