Repeat an unanswered confirmation of a load at an interval

An engine that crashes while it loads an adapter refuses connections at once. The holder repeated its confirmation without any delay, as fast as connections failed, until the entry of the engine was gone: a flood of connections and processor time of the host, beside callers' requests.

The repetition now waits for the interval of other confirmations. HolderServiceTest.RepeatsAnUnansweredConfirmationAtAnInterval sends one order with 499 unanswered confirmations behind it. The code before repeats them without any time passing in between; it was not run against it.

--- a/src/gateway/holder_service.cpp
+++ b/src/gateway/holder_service.cpp
@@ -526,8 +526,9 @@
     PublishResidency(*upstream);
     Tick();
   } else if (aAnswer == OrderAnswer::NoAnswer) {
+    // An engine that is down refuses connections at once.
     engine.unmeasuredLoads_.insert(aOrder);
-    ScheduleConfirmation(aId, aOrder, Duration::zero());
+    ScheduleConfirmation(aId, aOrder, kMinConfirmInterval);
   } else {
     engine.unmeasuredLoads_.insert(aOrder);
     engine.needsReport_ = true;
--- a/tests/gateway/holder_service_test.cpp
+++ b/tests/gateway/holder_service_test.cpp
@@ -303,6 +303,20 @@
   EXPECT_TRUE(IsResident("a1"));
 }
 
+// Guards against a flood of connections to an engine that crashed while it loaded an adapter: it
+// refuses connections at once, until its entry is gone.
+TEST_F(HolderServiceTest, RepeatsAnUnansweredConfirmationAtAnInterval)
+{
+  WaitForLease();
+  answers_.assign(500, OrderAnswer::NoAnswer);
+  answers_.front() = OrderAnswer::Accepted;
+  RequestLoad("a1");
+  service_->Tick();
+  scheduler_.Run(1s);
+  EXPECT_GE(sent_.size(), 10U);
+  EXPECT_LE(sent_.size(), 40U);
+}
+
 // Guards against an engine that never accepts an order again because the holder counts more orders
 // than the engine has accepted.
 TEST_F(HolderServiceTest, AcceptsALowerOrderCountThatPersists)
