Keep limit and running requests of an upstream whose entry comes back

What callers saw: the entry of an upstream may expire on all hosts at once, in an outage of the store or through one unreadable record, and be written again by the same process. Its request limit was then forgotten: all hosts sent without permits until their next answers. The requests that still ran there were not counted, but their ends were, so that more requests than the upstream has slots were sent. Cause: of a removed upstream only "leaving" and the pause were kept. Change: the limit and the number of running requests are kept too, for kUpstreamNoticeTtl. What a process has said is restored for that process only; the running requests are counted for the id, as after a restart in place, since the ends of attempts do not name their process. Load reports go on to carry the limit, while it is recent, and the running requests. A kept state older than kUpstreamNoticeTtl is not used any more, also if no other upstream was removed since.

--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -65,10 +65,13 @@
     upstream.peersRunning_ = peers;
     upstream.coldTokensAt_ = now;
     upstream.entry_ = aEntry;
-    if (const auto notice = notices_.extract(aEntry.id_);
-        notice && notice.mapped().startedAt_ == aEntry.startedAt_) {
-      upstream.isLeaving_ = notice.mapped().isLeaving_;
-      upstream.pausedUntil_ = notice.mapped().pausedUntil_;
+    if (const auto kept = kept_.extract(aEntry.id_);
+        kept && now - kept.mapped().changedAt_ <= kUpstreamNoticeTtl) {
+      // The ends of attempts that were sent to an earlier process are still to be subtracted.
+      upstream.running_ = kept.mapped().running_;
+      if (kept.mapped().startedAt_ == aEntry.startedAt_) {
+        static_cast<UpstreamNotice&>(upstream) = kept.mapped().notice_;
+      }
     }
   } else {
     // The residency that the holder sent after an order is newer than an entry written before it.
@@ -98,12 +101,12 @@
     return false;
   }
   const auto now = clock_.Now();
-  std::erase_if(notices_, [now](const auto& aEntry) {
-    return now - aEntry.second.removedAt_ > kUpstreamNoticeTtl;
-  });
+  std::erase_if(
+    kept_, [now](const auto& aKept) { return now - aKept.second.changedAt_ > kUpstreamNoticeTtl; });
   const auto& upstream = found->second;
-  if (upstream.isLeaving_ || upstream.pausedUntil_ > now) {
-    notices_[aId] = { upstream.entry_.startedAt_, now, upstream.isLeaving_, upstream.pausedUntil_ };
+  if (upstream.running_ > 0 || upstream.isLeaving_ || upstream.pausedUntil_ > now ||
+      upstream.requestLimit_) {
+    kept_[aId] = { upstream.entry_.startedAt_, now, upstream.running_, upstream };
   }
   upstreams_.erase(found);
   return true;
@@ -381,6 +384,9 @@
 {
   auto* upstream = Find(aId);
   if (upstream == nullptr) {
+    if (const auto kept = kept_.find(aId); kept != kept_.end()) {
+      kept->second.running_ -= kept->second.running_ > 0 ? 1 : 0;
+    }
     return;
   }
   upstream->running_ -= upstream->running_ > 0 ? 1 : 0;
@@ -562,14 +568,21 @@
 {
   std::vector<UpstreamLoad> result;
   const auto now = clock_.Now();
+  const auto add =
+    [&](const UpstreamId& aId, std::uint32_t aRunning, const UpstreamNotice& aNotice) {
+      UpstreamLoad load{ aId, aRunning };
+      if (aNotice.limitHeardAt_ && now - *aNotice.limitHeardAt_ < kLimitReportTime) {
+        load.requestLimit_ = aNotice.requestLimit_;
+      }
+      if (load.running_ > 0 || load.requestLimit_) {
+        result.push_back(load);
+      }
+    };
   for (const auto& [id, upstream] : upstreams_) {
-    UpstreamLoad load{ id, upstream.running_ };
-    if (upstream.limitHeardAt_ && now - *upstream.limitHeardAt_ < kLimitReportTime) {
-      load.requestLimit_ = upstream.requestLimit_;
-    }
-    if (load.running_ > 0 || load.requestLimit_) {
-      result.push_back(load);
-    }
+    add(id, upstream.running_, upstream);
+  }
+  for (const auto& [id, kept] : kept_) {
+    add(id, kept.running_, kept.notice_);
   }
   return result;
 }
--- a/src/fleet/upstream_table.h
+++ b/src/fleet/upstream_table.h
@@ -46,8 +46,17 @@
   Busy         ///< Refused because of overload.
 };
 
+/** What the process of an upstream has asked for in its answers to this host. */
+struct UpstreamNotice
+{
+  bool isLeaving_ = false;                ///< It leaves the fleet.
+  TimePoint pausedUntil_;                 ///< It wants no requests of this host before this time.
+  std::optional<double> requestLimit_;    ///< Requests/s that its last answer allows.
+  std::optional<TimePoint> limitHeardAt_; ///< When that answer was received; none if there is none.
+};
+
 /** State of an upstream as known to this host. */
-struct Upstream
+struct Upstream : UpstreamNotice
 {
   UpstreamEntry entry_;            ///< Its newest entry; the models may be its holder's.
   std::uint32_t running_ = 0;      ///< Running requests of this host.
@@ -56,21 +65,17 @@
   double failureAverage_ = 0;      ///< Moving average of the fraction of failures, 0 to 1.
   double latencyAverage_ = 0;      ///< Moving average of the time to the first byte, s.
   TimePoint backoffUntil_;         ///< It gets no requests before this time, after failures.
-  TimePoint pausedUntil_;          ///< It asked this host for no requests before this time.
   TimePoint coldUntil_;            ///< End of its cold phase.
   TimePoint coldTokensAt_;         ///< When coldTokens_ was last refilled.
   double coldTokens_ = 0;          ///< Requests this host may send now while it is cold.
   std::uint64_t orderCount_ = 0;   ///< Orders accepted by an engine; from its holder.
   bool differsFromHolder_ = false; ///< Its entry lists other models than its holder sent.
   std::optional<TimePoint> residencyReceivedAt_; ///< When its holder last sent its residency.
-  std::optional<double> requestLimit_;    ///< Requests/s that its last answer to this host allows.
-  std::optional<TimePoint> limitHeardAt_; ///< When that answer was received; none if there is none.
   std::optional<double> peersLimit_; ///< Requests/s that peers have reported; none if none did.
   std::uint32_t permits_ = 0;        ///< Requests that this host may send while it has a limit.
   TimePoint permitsUntil_;           ///< When these permits expire.
   TimePoint permitDeniedUntil_;      ///< No permit is requested before this time.
   bool isMisdirected_ = false;       ///< Another upstream answers at its endpoint.
-  bool isLeaving_ = false;           ///< An answer of its process said that it leaves the fleet.
 };
 
 /** Requirements of a request on an upstream. */
@@ -187,7 +192,10 @@
   /** @return the upstream, or nullptr if it is unknown. */
   Upstream* Find(const UpstreamId& aId);
   const std::map<UpstreamId, Upstream>& All() const { return upstreams_; }
-  /** @return the load report of this host: upstreams with running requests. */
+  /**
+   * @return the load report of this host: upstreams with running requests or a limit that was named
+   * recently, including those whose entry went.
+   */
   std::vector<UpstreamLoad> OwnLoad() const;
   /** @return whether an upstream leaves the fleet, by its entry or by one of its answers. */
   static bool IsLeaving(const Upstream& aUpstream)
@@ -205,14 +213,13 @@
                                                      std::string_view aAdapter);
 
 private:
-  /** What an upstream without an entry has asked for, in case its entry comes back; as the fields
-   * of the same names in Upstream. */
-  struct Notice
+  /** State of an upstream without an entry, in case its entry comes back. */
+  struct KeptState
   {
     std::int64_t startedAt_ = 0; ///< Start time of its process, Unix ms.
-    TimePoint removedAt_;
-    bool isLeaving_ = false;
-    TimePoint pausedUntil_;
+    TimePoint changedAt_;        ///< When the entry was removed.
+    std::uint32_t running_ = 0;  ///< As in Upstream.
+    UpstreamNotice notice_;
   };
   struct LoadReport
   {
@@ -239,7 +246,7 @@
   const HostId host_;
   const DataCentreId dataCentre_; ///< Data centre of this host.
   std::map<UpstreamId, Upstream> upstreams_;
-  std::map<UpstreamId, Notice> notices_; ///< Of upstreams removed within kUpstreamNoticeTtl.
+  std::map<UpstreamId, KeptState> kept_; ///< Of upstreams removed within kUpstreamNoticeTtl.
   std::map<ServiceName, ServiceSpec> services_;
   std::set<DataCentreId> evacuated_; ///< Data centres whose upstreams get no requests.
   std::vector<HostId> hosts_;        ///< Live hosts, this one included.
--- a/tests/fleet/permit_issuer_test.cpp
+++ b/tests/fleet/permit_issuer_test.cpp
@@ -3,6 +3,7 @@
 
 #include "dispatch/fake_clock.h"
 #include "fleet/fleet_support.h"
+#include "table/fleet_const.h"
 #include "table/limit_const.h"
 
 #include <gtest/gtest.h>
@@ -176,5 +177,37 @@
   EXPECT_TRUE(table_.OwnLoad().empty());
 }
 
+// Guards against hosts that all send at the same moment after the entry of an upstream in need
+// expired on all of them and came back, as after an outage of the store.
+TEST_F(RequestLimitTest, LimitIsKeptWhenTheEntryComesBack)
+{
+  const auto entry = table_.Find(e1_)->entry_;
+  table_.OnRequestLimit(e1_, 1, 5);
+  table_.OnRemoved(e1_);
+  const auto load = table_.OwnLoad();
+  EXPECT_TRUE(load.size() == 1 && load[0].requestLimit_ == 5) << "peers may know the upstream";
+  table_.OnEntry(entry);
+  EXPECT_EQ(table_.RequestLimit(e1_), 5);
+  clock_.Advance(kLimitReportTime);
+  EXPECT_TRUE(table_.OwnLoad().empty()) << "the answer is no newer than before";
+  table_.OnRemoved(e1_);
+  auto restarted = entry;
+  restarted.startedAt_ = 2;
+  table_.OnEntry(restarted);
+  EXPECT_FALSE(table_.RequestLimit(e1_)) << "a new process has named no limit";
+}
+
+// Guards against memory that grows with each upstream that was ever removed, and against a limit
+// that comes back after a long time.
+TEST_F(RequestLimitTest, LimitOfARemovedUpstreamIsForgottenAfterAWhile)
+{
+  const auto entry = table_.Find(e1_)->entry_;
+  table_.OnRequestLimit(e1_, 1, 5);
+  table_.OnRemoved(e1_);
+  clock_.Advance(kUpstreamNoticeTtl + 1ms);
+  table_.OnEntry(entry);
+  EXPECT_FALSE(table_.RequestLimit(e1_));
+}
+
 } // namespace
 } // namespace laburnumweir
--- a/tests/fleet/upstream_table_test.cpp
+++ b/tests/fleet/upstream_table_test.cpp
@@ -209,6 +209,35 @@
   EXPECT_NE(table_.Choose(NeedOf("")).upstream_, nullptr);
 }
 
+// Guards against more requests than slots at an upstream whose entry goes and comes back while it
+// answers: the requests sent before were not counted, but their ends were.
+TEST_F(UpstreamTableTest, CountsItsRunningRequestsAfterTheEntryComesBack)
+{
+  const auto id = Add("e1");
+  for (int i = 0; i < 8; ++i) {
+    table_.OnAttemptSent(id);
+  }
+  const auto entry = table_.Find(id)->entry_;
+  table_.OnRemoved(id);
+  const auto load = table_.OwnLoad();
+  EXPECT_TRUE(load.size() == 1 && load[0].running_ == 8) << "peers may know the upstream";
+  table_.OnAttemptEnded(id, AttemptHealth::Good, 1ms);
+  table_.OnEntry(entry);
+  EXPECT_EQ(table_.Find(id)->running_, 7U);
+  table_.OnAttemptSent(id);
+  EXPECT_EQ(table_.Choose(NeedOf("")).upstream_, nullptr) << "8 of 8 slots are taken";
+  table_.OnRemoved(id);
+  auto next = entry;
+  next.startedAt_ = 2;
+  table_.OnEntry(next);
+  for (int i = 0; i < 8; ++i) {
+    table_.OnAttemptEnded(id, AttemptHealth::Failed, {});
+    table_.OnAttemptSent(id);
+  }
+  EXPECT_EQ(table_.Choose(NeedOf("")).upstream_, nullptr)
+    << "ends of requests to the old process hide those to the new one";
+}
+
 // Guards against an adapter that gets most of the requests and is resident at one busy engine only,
 // while other engines are idle.
 TEST_F(UpstreamTableTest, LoadsACopyWhenTheEnginesOfAnAdapterAreBusy)
