Believe answers of an upstream while its entry is missing

What callers saw: a request in flight may be answered after the entry of its upstream went. If the answer said that the upstream leaves, named a pause or a request limit, it was dropped, and as soon as the same process wrote a ready entry again, the host went on sending to it. Cause: OnLeaving(), OnPause() and OnRequestLimit() returned early without an entry. Change: they record it in the kept state of the removed upstream if it is of the process that the attempt was sent to. Each removed upstream has such a state now, for kUpstreamNoticeTtl, so an answer adds none and the size is bounded by the removals of that time.

Tests, on the code before: AnswersCountWhileTheEntryIsMissing chose the upstream that leaves and the paused one, and printed a limit of nullopt instead of 5; AnswersWithoutAnEntryCountForTheirProcessOnly printed nullopt too; IsBelievedInAnAnswerAfterItsEntryExpired got "leaving" instead of "other" from the next request.

--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -104,10 +104,7 @@
   std::erase_if(
     kept_, [now](const auto& aKept) { return now - aKept.second.changedAt_ > kUpstreamNoticeTtl; });
   const auto& upstream = found->second;
-  if (upstream.running_ > 0 || upstream.isLeaving_ || upstream.pausedUntil_ > now ||
-      upstream.requestLimit_) {
-    kept_[aId] = { upstream.entry_.startedAt_, now, upstream.running_, upstream };
-  }
+  kept_[aId] = { upstream.entry_.startedAt_, now, upstream.running_, upstream };
   upstreams_.erase(found);
   return true;
 }
@@ -444,16 +441,27 @@
   }
 }
 
+UpstreamNotice*
+UpstreamTable::NoticeOf(const UpstreamId& aId, std::int64_t aStartedAt)
+{
+  if (auto* upstream = Find(aId)) {
+    return upstream->entry_.startedAt_ == aStartedAt ? upstream : nullptr;
+  }
+  const auto kept = kept_.find(aId);
+  return kept != kept_.end() && kept->second.startedAt_ == aStartedAt ? &kept->second.notice_
+                                                                      : nullptr;
+}
+
 void
 UpstreamTable::OnRequestLimit(const UpstreamId& aId,
                               std::int64_t aStartedAt,
                               std::optional<double> aLimit)
 {
-  auto* upstream = Find(aId);
-  if (upstream == nullptr || upstream->entry_.startedAt_ != aStartedAt) {
+  auto* notice = NoticeOf(aId, aStartedAt);
+  if (notice == nullptr) {
     return;
   }
-  if (upstream->requestLimit_ != aLimit) {
+  if (notice->requestLimit_ != aLimit) {
     const auto toText = [](std::optional<double> aRate) {
       return aRate ? std::to_string(*aRate) : "none";
     };
@@ -461,20 +469,20 @@
              "request_limit",
              { { "upstream", aId.Value() },
                { "per_second", toText(aLimit) },
-               { "before", toText(upstream->requestLimit_) } });
+               { "before", toText(notice->requestLimit_) } });
   }
-  upstream->requestLimit_ = aLimit;
-  upstream->limitHeardAt_ = clock_.Now();
+  notice->requestLimit_ = aLimit;
+  notice->limitHeardAt_ = clock_.Now();
 }
 
 void
 UpstreamTable::OnLeaving(const UpstreamId& aId, std::int64_t aStartedAt)
 {
-  auto* upstream = Find(aId);
-  if (upstream == nullptr || upstream->entry_.startedAt_ != aStartedAt || upstream->isLeaving_) {
+  auto* notice = NoticeOf(aId, aStartedAt);
+  if (notice == nullptr || notice->isLeaving_) {
     return;
   }
-  upstream->isLeaving_ = true;
+  notice->isLeaving_ = true;
   LogEvent(LogLevel::Info,
            "upstream_leaving",
            { { "upstream", aId.Value() }, { "life", std::to_string(aStartedAt) } });
@@ -483,13 +491,12 @@
 void
 UpstreamTable::OnPause(const UpstreamId& aId, std::int64_t aStartedAt, Duration aFor)
 {
-  auto* upstream = Find(aId);
+  auto* notice = NoticeOf(aId, aStartedAt);
   const auto until = clock_.Now() + aFor;
-  if (upstream == nullptr || upstream->entry_.startedAt_ != aStartedAt ||
-      aFor <= Duration::zero() || until <= upstream->pausedUntil_) {
+  if (notice == nullptr || aFor <= Duration::zero() || until <= notice->pausedUntil_) {
     return;
   }
-  upstream->pausedUntil_ = until;
+  notice->pausedUntil_ = until;
   LogEvent(LogLevel::Info,
            "upstream_paused",
            { { "upstream", aId.Value() },
--- a/src/fleet/upstream_table.h
+++ b/src/fleet/upstream_table.h
@@ -241,6 +241,11 @@
                                                double aBusyThreshold,
                                                TimePoint aNow) const;
   void SumPeerLoads();
+  /**
+   * @return where to record what an answer of a process says; nullptr if its upstream is unknown or
+   * has another process.
+   */
+  UpstreamNotice* NoticeOf(const UpstreamId& aId, std::int64_t aStartedAt);
 
   const Clock& clock_;
   const HostId host_;
--- a/tests/fleet/upstream_table_test.cpp
+++ b/tests/fleet/upstream_table_test.cpp
@@ -169,6 +169,61 @@
   EXPECT_NE(table_.Choose(NeedOf("a1")).upstream_, nullptr);
 }
 
+// Guards against requests to an upstream that said in an answer that it wants none, if its entry
+// had expired when the answer arrived and the same process writes a ready one again.
+TEST_F(UpstreamTableTest, AnswersCountWhileTheEntryIsMissing)
+{
+  const auto leaving = Add("e1");
+  const auto paused = Add("e2");
+  const auto limited = Add("e3");
+  for (const auto& id : { leaving, paused, limited }) {
+    table_.OnRemoved(id);
+  }
+  table_.OnLeaving(leaving, 1);
+  table_.OnPause(paused, 1, 2s);
+  table_.OnRequestLimit(limited, 1, 5);
+  Add("e1");
+  EXPECT_EQ(table_.Choose(NeedOf("")).upstream_, nullptr) << "it leaves";
+  Add("e2");
+  EXPECT_EQ(table_.Choose(NeedOf("")).upstream_, nullptr) << "it is paused";
+  Add("e3");
+  EXPECT_EQ(table_.RequestLimit(limited), 5);
+  EXPECT_EQ(table_.Choose(NeedOf("")).permitTarget_, limited);
+  clock_.Advance(2s);
+  ASSERT_NE(table_.Choose(NeedOf("")).upstream_, nullptr) << "the pause has ended";
+  EXPECT_EQ(table_.Choose(NeedOf("")).upstream_->entry_.id_, paused);
+  table_.OnRemoved(limited);
+  table_.OnRequestLimit(limited, 1, std::nullopt);
+  Add("e3");
+  EXPECT_FALSE(table_.RequestLimit(limited)) << "a later answer named none";
+}
+
+// Guards against a late answer of an earlier process that excludes the next one, or that replaces
+// what the newer process has said.
+TEST_F(UpstreamTableTest, AnswersWithoutAnEntryCountForTheirProcessOnly)
+{
+  const auto id = Add("e1");
+  const auto entry = table_.Find(id)->entry_;
+  auto next = entry;
+  next.startedAt_ = 2;
+  table_.OnRemoved(id);
+  table_.OnLeaving(id, 1);
+  table_.OnEntry(next);
+  EXPECT_NE(table_.Choose(NeedOf("")).upstream_, nullptr) << "a new process";
+  table_.OnRemoved(id);
+  table_.OnRequestLimit(id, 2, 5);
+  table_.OnLeaving(id, 1);
+  table_.OnRequestLimit(id, 1, std::nullopt);
+  table_.OnEntry(next);
+  EXPECT_EQ(table_.RequestLimit(id), 5);
+  EXPECT_TRUE(table_.IsUsable(*table_.Find(id)));
+  table_.OnRemoved(id);
+  table_.OnLeaving(id, 2);
+  clock_.Advance(kUpstreamNoticeTtl + 1ms);
+  table_.OnEntry(next);
+  EXPECT_TRUE(table_.IsUsable(*table_.Find(id))) << "it is forgotten after a while";
+}
+
 // Guards against refusing requests that another upstream of the service could still serve, such as
 // an engine that has not loaded their adapter yet or one in a short back-off.
 TEST_F(UpstreamTableTest, APauseEndsWithTheFirstUpstreamThatMayServe)
--- a/tests/gateway/request_flow_leaving_test.cpp
+++ b/tests/gateway/request_flow_leaving_test.cpp
@@ -1,6 +1,9 @@
 /** @file request_flow_leaving_test.cpp Tests of RequestFlow with upstreams that leave the fleet. */
 #include "gateway/request_flow_support.h"
 
+#include <atomic>
+#include <thread>
+
 namespace laburnumweir {
 namespace {
 
@@ -33,6 +36,18 @@
     fleet_.Upstreams().OnEntry(entry);
   }
 
+  /** Sends a request to an upstream `u64` that answers it once mayAnswer_ is set. */
+  void StartAndWaitUntilReceived()
+  {
+    SetUpstreams({ slow_.Address(), other_.Address() });
+    Start();
+    for (int i = 0; i < 200 && !isReceived_; ++i) {
+      context_.run_for(5ms);
+      context_.restart();
+    }
+    ASSERT_TRUE(isReceived_);
+  }
+
   std::string answerText_ = Answer("leaving", kGoodHead + std::string("Server-Leaving: 1\r\n"));
   /** Preferred upstream `u64`; sends answerText_. */
   ScriptedServer leaving_{ [this](Peer& aPeer, int) {
@@ -45,6 +60,18 @@
       aPeer.Send(Answer("other"));
     }
   } };
+  std::atomic<bool> isReceived_ = false; ///< Whether slow_ has received a request.
+  std::atomic<bool> mayAnswer_ = false;  ///< Whether it may answer.
+  /** Sends answerText_. */
+  ScriptedServer slow_{ [this](Peer& aPeer, int) {
+    while (aPeer.ReadRequest()) {
+      isReceived_ = true;
+      for (int i = 0; i < 2000 && !mayAnswer_; ++i) {
+        std::this_thread::sleep_for(1ms);
+      }
+      aPeer.Send(answerText_);
+    }
+  } };
 };
 
 // Guards against requests to an upstream that leaves, from a host that has not read its new entry
@@ -72,6 +99,20 @@
   EXPECT_EQ(Ask(), "other");
 }
 
+// Guards against requests to an upstream whose entry expired while a request ran there, and whose
+// answer said that it leaves.
+TEST_F(LeavingUpstreamTest, IsBelievedInAnAnswerAfterItsEntryExpired)
+{
+  StartAndWaitUntilReceived();
+  const auto entry = fleet_.Upstreams().Find(UpstreamId("u64"))->entry_;
+  fleet_.Upstreams().OnRemoved(entry.id_);
+  mayAnswer_ = true;
+  Finish();
+  EXPECT_EQ(answer_->body_, "leaving");
+  fleet_.Upstreams().OnEntry(entry);
+  EXPECT_EQ(Ask(), "other");
+}
+
 // Guards against an upstream that is taken for leaving because of an answer that another process
 // made: it is not signed and does not prove that the request was refused.
 TEST_F(LeavingUpstreamTest, IsBelievedOnlyInItsOwnAnswers)
