Keep the pause of a process whose entry is read after its answer

What callers saw: a process that restarted in place, with the same id and address, may answer before this host has read its new entry. Its pause (503 with Retry-After) was recorded for the process before it and ended when the entry came, so requests were sent to an upstream that had just asked for none. Change: pauses are kept with the time at which they were heard. When the entry of a new process at the same address is applied, also after a removal, those heard since its start are kept. A longer pause of the process before ends, even if the new one asked for a shorter one. Of the pauses heard only those are stored that end later than all that were heard after them, so their number is bounded by the requests in flight. "Leaving" is not carried over: it may be a late answer of the old process and would take the new one out of service.

Tests: on the code before, APauseHeardSinceTheStartOfANewProcessIsKept found the upstream usable in the three cases in which it is paused; PauseOfAProcessWhoseEntryIsReadLaterIsKept got "pausing" instead of "other", and the upstream 2 requests instead of 1. FakeClock has a wall clock that tests set; its default is as before.

--- a/src/core/clock_base.h
+++ b/src/core/clock_base.h
@@ -29,7 +29,7 @@
   /** @return the monotonic time, which includes time during which the machine was suspended. */
   virtual TimePoint Now() const = 0;
   /** @return the wall-clock time. It is used only for rules that name hours of the day, and for
-   * times that are stored for other processes. */
+   * times that are stored for or by other processes. */
   virtual WallTime WallNow() const = 0;
 };
 
--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -35,6 +35,18 @@
   return std::chrono::duration<double>(aDuration).count();
 }
 
+/** Copies the pauses that a process asked for itself, before its entry was read. */
+void
+KeepPausesSince(std::int64_t aStartedAt, const UpstreamNotice& aLast, UpstreamNotice& aNotice)
+{
+  aNotice.pauses_ = aLast.pauses_;
+  std::erase_if(aNotice.pauses_,
+                [aStartedAt](const UpstreamPause& aPause) { return aPause.heardAt_ < aStartedAt; });
+  if (!aNotice.pauses_.empty()) {
+    aNotice.pausedUntil_ = aNotice.pauses_.front().until_;
+  }
+}
+
 } // namespace
 
 UpstreamTable::UpstreamTable(const Clock& aClock, HostId aHost, DataCentreId aDataCentre)
@@ -58,20 +70,18 @@
   }
   const bool isNewProcess = isNew || known.startedAt_ != aEntry.startedAt_;
   if (isNewProcess) {
-    const auto running = upstream.running_;
+    const auto last = isNew ? TakeKept(aEntry.id_, now) : StateOf(upstream, now);
     const auto peers = upstream.peersRunning_;
     upstream = {};
-    upstream.running_ = running;
+    // The ends of attempts that were sent to an earlier process are still to be subtracted.
+    upstream.running_ = last.running_;
     upstream.peersRunning_ = peers;
     upstream.coldTokensAt_ = now;
     upstream.entry_ = aEntry;
-    if (const auto kept = kept_.extract(aEntry.id_);
-        kept && now - kept.mapped().changedAt_ <= kUpstreamNoticeTtl) {
-      // The ends of attempts that were sent to an earlier process are still to be subtracted.
-      upstream.running_ = kept.mapped().running_;
-      if (kept.mapped().startedAt_ == aEntry.startedAt_) {
-        static_cast<UpstreamNotice&>(upstream) = kept.mapped().notice_;
-      }
+    if (last.startedAt_ == aEntry.startedAt_) {
+      static_cast<UpstreamNotice&>(upstream) = last.notice_;
+    } else if (last.startedAt_ < aEntry.startedAt_ && last.endpoint_ == aEntry.endpoint_) {
+      KeepPausesSince(aEntry.startedAt_, last.notice_, upstream);
     }
   } else {
     // The residency that the holder sent after an order is newer than an entry written before it.
@@ -103,8 +113,7 @@
   const auto now = clock_.Now();
   std::erase_if(
     kept_, [now](const auto& aKept) { return now - aKept.second.changedAt_ > kUpstreamNoticeTtl; });
-  const auto& upstream = found->second;
-  kept_[aId] = { upstream.entry_.startedAt_, now, upstream.running_, upstream };
+  kept_[aId] = StateOf(found->second, now);
   upstreams_.erase(found);
   return true;
 }
@@ -441,6 +450,21 @@
   }
 }
 
+UpstreamTable::KeptState
+UpstreamTable::StateOf(const Upstream& aUpstream, TimePoint aNow)
+{
+  const auto& entry = aUpstream.entry_;
+  return { entry.startedAt_, aNow, entry.endpoint_, aUpstream.running_, aUpstream };
+}
+
+UpstreamTable::KeptState
+UpstreamTable::TakeKept(const UpstreamId& aId, TimePoint aNow)
+{
+  const auto kept = kept_.extract(aId);
+  return kept && aNow - kept.mapped().changedAt_ <= kUpstreamNoticeTtl ? kept.mapped()
+                                                                       : KeptState{};
+}
+
 UpstreamNotice*
 UpstreamTable::NoticeOf(const UpstreamId& aId, std::int64_t aStartedAt)
 {
@@ -493,7 +517,15 @@
 {
   auto* notice = NoticeOf(aId, aStartedAt);
   const auto until = clock_.Now() + aFor;
-  if (notice == nullptr || aFor <= Duration::zero() || until <= notice->pausedUntil_) {
+  if (notice == nullptr || aFor <= Duration::zero()) {
+    return;
+  }
+  const auto wallNow = clock_.WallNow().time_since_epoch();
+  std::erase_if(notice->pauses_,
+                [until](const UpstreamPause& aPause) { return aPause.until_ <= until; });
+  notice->pauses_.push_back(
+    { std::chrono::duration_cast<std::chrono::milliseconds>(wallNow).count(), until });
+  if (until <= notice->pausedUntil_) {
     return;
   }
   notice->pausedUntil_ = until;
--- a/src/fleet/upstream_table.h
+++ b/src/fleet/upstream_table.h
@@ -46,11 +46,19 @@
   Busy         ///< Refused because of overload.
 };
 
+/** A pause that an answer of an upstream asked for. */
+struct UpstreamPause
+{
+  std::int64_t heardAt_ = 0; ///< When the answer was received, Unix ms.
+  TimePoint until_;
+};
+
 /** What the process of an upstream has asked for in its answers to this host. */
 struct UpstreamNotice
 {
   bool isLeaving_ = false;                ///< It leaves the fleet.
   TimePoint pausedUntil_;                 ///< It wants no requests of this host before this time.
+  std::vector<UpstreamPause> pauses_;     ///< By time heard; each ends earlier than the one before.
   std::optional<double> requestLimit_;    ///< Requests/s that its last answer allows.
   std::optional<TimePoint> limitHeardAt_; ///< When that answer was received; none if there is none.
 };
@@ -173,7 +181,8 @@
   void OnLeaving(const UpstreamId& aId, std::int64_t aStartedAt);
   /**
    * Excludes an upstream for a while, as it asked this host in a refusal. Its health is not
-   * changed.
+   * changed. A process that started in place before the answer was received, and whose entry is
+   * read later, counts as the one that asked.
    * @param aStartedAt start time of its process. @param aFor at most kMaxUpstreamPause.
    */
   void OnPause(const UpstreamId& aId, std::int64_t aStartedAt, Duration aFor);
@@ -218,7 +227,8 @@
   {
     std::int64_t startedAt_ = 0; ///< Start time of its process, Unix ms.
     TimePoint changedAt_;        ///< When the entry was removed.
-    std::uint32_t running_ = 0;  ///< As in Upstream.
+    Endpoint endpoint_;
+    std::uint32_t running_ = 0; ///< As in Upstream.
     UpstreamNotice notice_;
   };
   struct LoadReport
@@ -241,6 +251,9 @@
                                                double aBusyThreshold,
                                                TimePoint aNow) const;
   void SumPeerLoads();
+  static KeptState StateOf(const Upstream& aUpstream, TimePoint aNow);
+  /** @return what is known of an upstream that gets an entry; empty if nothing is. */
+  KeptState TakeKept(const UpstreamId& aId, TimePoint aNow);
   /**
    * @return where to record what an answer of a process says; nullptr if its upstream is unknown or
    * has another process.
--- a/tests/dispatch/fake_clock.h
+++ b/tests/dispatch/fake_clock.h
@@ -11,12 +11,15 @@
 {
 public:
   TimePoint Now() const override { return now_; }
-  WallTime WallNow() const override { return WallTime{}; }
+  WallTime WallNow() const override { return wallNow_; }
   /** Moves time on. */
   void Advance(Duration aTime) { now_ += aTime; }
+  /** Sets the wall-clock time, which Advance() does not change. */
+  void SetWallNow(WallTime aTime) { wallNow_ = aTime; }
 
 private:
   TimePoint now_{ std::chrono::hours(1) }; ///< Current time.
+  WallTime wallNow_{};
 };
 
 } // namespace laburnumweir
--- a/tests/fleet/upstream_table_test.cpp
+++ b/tests/fleet/upstream_table_test.cpp
@@ -224,6 +224,40 @@
   EXPECT_TRUE(table_.IsUsable(*table_.Find(id))) << "it is forgotten after a while";
 }
 
+// Guards against requests to a process that restarted in place and whose pause was recorded for the
+// process before it, and against pauses and a farewell of that one which exclude the new process.
+TEST_F(UpstreamTableTest, APauseHeardSinceTheStartOfANewProcessIsKept)
+{
+  const auto id = Add("e1");
+  auto entry = table_.Find(id)->entry_;
+  const auto restartAt = [&](std::int64_t aStartedAt) {
+    entry.startedAt_ = aStartedAt;
+    table_.OnEntry(entry);
+    return table_.IsUsable(*table_.Find(id));
+  };
+  const auto pauseAt = [&](std::int64_t aUnixMs, Duration aFor) {
+    clock_.SetWallNow(WallTime(std::chrono::milliseconds(aUnixMs)));
+    table_.OnPause(id, entry.startedAt_, aFor);
+  };
+  pauseAt(1000, 300s);
+  pauseAt(2000, 20s);
+  pauseAt(3000, 10s);
+  table_.OnLeaving(id, 1);
+  EXPECT_FALSE(restartAt(1500)) << "paused by its own answers of 2000 and 3000";
+  clock_.Advance(20s - 1ms);
+  EXPECT_FALSE(table_.IsUsable(*table_.Find(id)));
+  clock_.Advance(1ms);
+  EXPECT_TRUE(table_.IsUsable(*table_.Find(id))) << "the process before it left and was paused";
+  pauseAt(4000, 10s);
+  EXPECT_TRUE(restartAt(4001)) << "it started after the answer";
+  pauseAt(5000, 10s);
+  table_.OnRemoved(id);
+  EXPECT_FALSE(restartAt(4500)) << "its entry came after a removal";
+  pauseAt(6000, 10s);
+  ++entry.endpoint_.port_;
+  EXPECT_TRUE(restartAt(5500)) << "another address; the answer came from the process before it";
+}
+
 // Guards against refusing requests that another upstream of the service could still serve, such as
 // an engine that has not loaded their adapter yet or one in a short back-off.
 TEST_F(UpstreamTableTest, APauseEndsWithTheFirstUpstreamThatMayServe)
--- a/tests/gateway/request_flow_pause_test.cpp
+++ b/tests/gateway/request_flow_pause_test.cpp
@@ -23,6 +23,15 @@
          aSeconds + "\r\nContent-Length: 0\r\n\r\n";
 }
 
+/** @return the wall-clock time, Unix ms. */
+std::int64_t
+UnixMs()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
 class PausedUpstreamTest : public RequestFlowTest
 {
 protected:
@@ -96,6 +105,25 @@
   EXPECT_TRUE(fleet_.Upstreams().IsUsable(*fleet_.Upstreams().Find(UpstreamId("u64"))));
 }
 
+// Guards against requests to a process that restarted in place and asked for a pause before this
+// host had read its entry.
+TEST_F(PausedUpstreamTest, PauseOfAProcessWhoseEntryIsReadLaterIsKept)
+{
+  refusal_ = PauseRefusal("30");
+  startedAt_ = UnixMs() - 60'000;
+  SetUpstreams({ pausing_.Address(), other_.Address() });
+  auto entry = fleet_.Upstreams().Find(UpstreamId("u64"))->entry_;
+  entry.startedAt_ = UnixMs();
+  EXPECT_EQ(Ask(), "other");
+  fleet_.Upstreams().OnEntry(entry);
+  EXPECT_EQ(Ask(), "other");
+  EXPECT_EQ(received_, 1);
+  std::this_thread::sleep_for(2ms);
+  entry.startedAt_ = UnixMs();
+  fleet_.Upstreams().OnEntry(entry);
+  EXPECT_EQ(Ask(), "pausing") << "it started after the answer";
+}
+
 /** @return seconds in the field Retry-After of an answer; 0 if it has none. */
 double
 RetryAfter(const FakeAnswer& aAnswer)
