--- a/tests/wire/message_codec_test.cpp
+++ b/tests/wire/message_codec_test.cpp
@@ -69,6 +69,7 @@
                                                                  { "-1", {} },
                                                                  { "nan", {} },
                                                                  { "inf", {} },
+                                                                 { "1e400", {} },
                                                                  { "2.5/s", {} },
                                                                  { "", {} } }) {
     Fields fields;
@@ -90,7 +91,8 @@
 }
 
 // Guards against an upstream that gets no requests until its next start because of a wrong value,
-// and against one that gets them at once because the value has a fraction.
+// and against one that gets them at once because the value has a fraction or is too large for a
+// double.
 TEST(MessageCodec, ReadsThePauseThatAnUpstreamAsksFor)
 {
   using namespace std::chrono_literals;
@@ -100,7 +102,21 @@
                                      { "0.25", 250ms },
                                      { "0", 0s },
                                      { "1e12", kMaxUpstreamPause },
+                                     { "1e400", kMaxUpstreamPause },
+                                     { std::string(400, '9'), kMaxUpstreamPause },
+                                     { std::string(400, '0') + "2", 2s },
+                                     { "1e-400", 0s },
+                                     { "0." + std::string(400, '0') + "1", 0s },
                                      { "-1", {} },
+                                     { "-1e400", {} },
+                                     { "-1e-400", {} },
+                                     { "1e400s", {} },
+                                     { " 2", 2s },
+                                     { "2 ", 2s },
+                                     { " 1e400 ", kMaxUpstreamPause },
+                                     { " ", {} },
+                                     { "2 s", {} },
+                                     { "-inf", {} },
                                      { "nan", {} },
                                      { "inf", {} },
                                      { "soon", {} },
