Apply the cold time of an answer to the process that answered only

What callers saw: a late answer of an earlier process with a cold time of 0 ended the cold phase of the process after it, which then got more requests than a cold upstream may get. Cause: OnColdTime() was told the id only. Change: it is told the start time of the process, as OnLeaving() is.

--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -443,9 +443,10 @@
 }
 
 void
-UpstreamTable::OnColdTime(const UpstreamId& aId, Duration aFor)
+UpstreamTable::OnColdTime(const UpstreamId& aId, std::int64_t aStartedAt, Duration aFor)
 {
-  if (auto* upstream = Find(aId)) {
+  if (auto* upstream = Find(aId);
+      upstream != nullptr && upstream->entry_.startedAt_ == aStartedAt) {
     upstream->coldUntil_ = clock_.Now() + aFor;
   }
 }
--- a/src/fleet/upstream_table.h
+++ b/src/fleet/upstream_table.h
@@ -167,8 +167,11 @@
   void OnAdapterMissing(const UpstreamId& aId, std::string_view aModel, std::string_view aAdapter);
   /** Excludes an upstream until its next entry, as another one answers at its endpoint. */
   void OnMisdirected(const UpstreamId& aId);
-  /** Updates the end of the cold phase. @param aFor remaining time, from an answer. */
-  void OnColdTime(const UpstreamId& aId, Duration aFor);
+  /**
+   * Updates the end of the cold phase.
+   * @param aStartedAt start time of the process that answered. @param aFor remaining time.
+   */
+  void OnColdTime(const UpstreamId& aId, std::int64_t aStartedAt, Duration aFor);
   /**
    * Applies the limit that an answer of an upstream names.
    * @param aStartedAt start time of its process. @param aLimit requests/s; none if it names none.
--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -109,7 +109,7 @@
     answerClass_ = AnswerClass::Invalid;
   }
   if (answerFacts_.coldTimeLeft_) {
-    context_.fleet_.Upstreams().OnColdTime(upstream_, *answerFacts_.coldTimeLeft_);
+    context_.fleet_.Upstreams().OnColdTime(upstream_, startedAt_, *answerFacts_.coldTimeLeft_);
   }
   if (isGenuine || isProvenRefusal) {
     context_.fleet_.Upstreams().OnRequestLimit(upstream_, startedAt_, answerFacts_.requestLimit_);
--- a/tests/gateway/request_flow_leaving_test.cpp
+++ b/tests/gateway/request_flow_leaving_test.cpp
@@ -113,6 +113,23 @@
   EXPECT_EQ(Ask(), "other");
 }
 
+// Guards against too many requests to a cold process after a late answer of the process before it,
+// which was warm.
+TEST_F(LeavingUpstreamTest, LateAnswerOfAnEarlierProcessEndsNoColdPhase)
+{
+  answerText_ = Answer("late", kGoodHead + std::string("X-Cold-Ms: 0\r\n"));
+  StartAndWaitUntilReceived();
+  auto entry = fleet_.Upstreams().Find(UpstreamId("u64"))->entry_;
+  ++entry.startedAt_;
+  entry.coldTimeLeft_ = 30s;
+  fleet_.Upstreams().OnEntry(entry);
+  mayAnswer_ = true;
+  Finish();
+  EXPECT_EQ(answer_->body_, "late");
+  const auto coldUntil = fleet_.Upstreams().Find(entry.id_)->coldUntil_;
+  EXPECT_GT(coldUntil - clock_.Now(), 20s);
+}
+
 // Guards against an upstream that is taken for leaving because of an answer that another process
 // made: it is not signed and does not prove that the request was refused.
 TEST_F(LeavingUpstreamTest, IsBelievedOnlyInItsOwnAnswers)
