--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -35,6 +35,18 @@
   return std::chrono::duration<double>(aDuration).count();
 }
 
+/** Copies the pauses that a process asked for itself, before its entry was read. */
+void
+KeepPausesSince(std::int64_t aStartedAt, const UpstreamNotice& aLast, UpstreamNotice& aNotice)
+{
+  aNotice.pauses_ = aLast.pauses_;
+  std::erase_if(aNotice.pauses_,
+                [aStartedAt](const UpstreamPause& aPause) { return aPause.heardAt_ < aStartedAt; });
+  if (!aNotice.pauses_.empty()) {
+    aNotice.pausedUntil_ = aNotice.pauses_.front().until_;
+  }
+}
+
 } // namespace
 
 UpstreamTable::UpstreamTable(const Clock& aClock, HostId aHost, DataCentreId aDataCentre)
@@ -61,24 +73,18 @@
   // it does not show.
   const bool isReadAgain = !isNewProcess && known.heartbeat_ == aEntry.heartbeat_;
   if (isNewProcess) {
-    const auto running = upstream.running_;
+    const auto last = isNew ? TakeKept(aEntry.id_, now) : StateOf(upstream, now);
     const auto peers = upstream.peersRunning_;
     upstream = {};
-    upstream.running_ = running;
+    // The ends of attempts that were sent to an earlier process are still to be subtracted.
+    upstream.running_ = last.running_;
     upstream.peersRunning_ = peers;
     upstream.coldTokensAt_ = now;
     upstream.entry_ = aEntry;
-    if (const auto extracted = notices_.extract(aEntry.id_)) {
-      const auto& notice = extracted.mapped();
-      // Counted until they end, also if they were sent to an earlier process.
-      upstream.running_ += notice.running_;
-      if (notice.startedAt_ == aEntry.startedAt_) {
-        upstream.isLeaving_ = notice.isLeaving_;
-        upstream.pausedUntil_ = notice.pausedUntil_;
-        upstream.coldUntil_ = notice.coldUntil_;
-        upstream.requestLimit_ = notice.requestLimit_;
-        upstream.limitHeardAt_ = notice.limitHeardAt_;
-      }
+    if (last.startedAt_ == aEntry.startedAt_) {
+      static_cast<UpstreamNotice&>(upstream) = last.notice_;
+    } else if (last.startedAt_ < aEntry.startedAt_ && last.endpoint_ == aEntry.endpoint_) {
+      KeepPausesSince(aEntry.startedAt_, last.notice_, upstream);
     }
   } else {
     // The residency that the holder sent after an order is newer than an entry written before it.
@@ -111,17 +117,9 @@
     return false;
   }
   const auto now = clock_.Now();
-  std::erase_if(notices_, [now](const auto& aEntry) {
-    return now - aEntry.second.removedAt_ > kUpstreamNoticeTtl;
-  });
-  const auto& upstream = found->second;
-  if (upstream.running_ > 0 || upstream.isLeaving_ || upstream.pausedUntil_ > now ||
-      upstream.coldUntil_ > now || upstream.requestLimit_) {
-    notices_[aId] = { upstream.entry_.startedAt_, now,
-                      upstream.running_,          upstream.isLeaving_,
-                      upstream.pausedUntil_,      upstream.coldUntil_,
-                      upstream.requestLimit_,     upstream.limitHeardAt_ };
-  }
+  std::erase_if(
+    kept_, [now](const auto& aKept) { return now - aKept.second.changedAt_ > kUpstreamNoticeTtl; });
+  kept_[aId] = StateOf(found->second, now);
   upstreams_.erase(found);
   return true;
 }
@@ -416,8 +414,8 @@
 {
   auto* upstream = Find(aId);
   if (upstream == nullptr) {
-    if (const auto notice = notices_.find(aId); notice != notices_.end()) {
-      notice->second.running_ -= notice->second.running_ > 0 ? 1 : 0;
+    if (const auto kept = kept_.find(aId); kept != kept_.end()) {
+      kept->second.running_ -= kept->second.running_ > 0 ? 1 : 0;
     }
     return;
   }
@@ -477,16 +475,42 @@
   }
 }
 
+UpstreamTable::KeptState
+UpstreamTable::StateOf(const Upstream& aUpstream, TimePoint aNow)
+{
+  const auto& entry = aUpstream.entry_;
+  return { entry.startedAt_, aNow, entry.endpoint_, aUpstream.running_, aUpstream };
+}
+
+UpstreamTable::KeptState
+UpstreamTable::TakeKept(const UpstreamId& aId, TimePoint aNow)
+{
+  const auto kept = kept_.extract(aId);
+  return kept && aNow - kept.mapped().changedAt_ <= kUpstreamNoticeTtl ? kept.mapped()
+                                                                       : KeptState{};
+}
+
+UpstreamNotice*
+UpstreamTable::NoticeOf(const UpstreamId& aId, std::int64_t aStartedAt)
+{
+  if (auto* upstream = Find(aId)) {
+    return upstream->entry_.startedAt_ == aStartedAt ? upstream : nullptr;
+  }
+  const auto kept = kept_.find(aId);
+  return kept != kept_.end() && kept->second.startedAt_ == aStartedAt ? &kept->second.notice_
+                                                                      : nullptr;
+}
+
 void
 UpstreamTable::OnRequestLimit(const UpstreamId& aId,
                               std::int64_t aStartedAt,
                               std::optional<double> aLimit)
 {
-  auto* upstream = Find(aId);
-  if (upstream == nullptr || upstream->entry_.startedAt_ != aStartedAt) {
+  auto* notice = NoticeOf(aId, aStartedAt);
+  if (notice == nullptr) {
     return;
   }
-  if (upstream->requestLimit_ != aLimit) {
+  if (notice->requestLimit_ != aLimit) {
     const auto toText = [](std::optional<double> aRate) {
       return aRate ? std::to_string(*aRate) : "none";
     };
@@ -494,20 +518,20 @@
              "request_limit",
              { { "upstream", aId.Value() },
                { "per_second", toText(aLimit) },
-               { "before", toText(upstream->requestLimit_) } });
+               { "before", toText(notice->requestLimit_) } });
   }
-  upstream->requestLimit_ = aLimit;
-  upstream->limitHeardAt_ = clock_.Now();
+  notice->requestLimit_ = aLimit;
+  notice->limitHeardAt_ = clock_.Now();
 }
 
 void
 UpstreamTable::OnLeaving(const UpstreamId& aId, std::int64_t aStartedAt)
 {
-  auto* upstream = Find(aId);
-  if (upstream == nullptr || upstream->entry_.startedAt_ != aStartedAt || upstream->isLeaving_) {
+  auto* notice = NoticeOf(aId, aStartedAt);
+  if (notice == nullptr || notice->isLeaving_) {
     return;
   }
-  upstream->isLeaving_ = true;
+  notice->isLeaving_ = true;
   LogEvent(LogLevel::Info,
            "upstream_leaving",
            { { "upstream", aId.Value() }, { "life", std::to_string(aStartedAt) } });
@@ -516,13 +540,20 @@
 void
 UpstreamTable::OnPause(const UpstreamId& aId, std::int64_t aStartedAt, Duration aFor)
 {
-  auto* upstream = Find(aId);
+  auto* notice = NoticeOf(aId, aStartedAt);
   const auto until = clock_.Now() + aFor;
-  if (upstream == nullptr || upstream->entry_.startedAt_ != aStartedAt ||
-      aFor <= Duration::zero() || until <= upstream->pausedUntil_) {
+  if (notice == nullptr || aFor <= Duration::zero()) {
+    return;
+  }
+  const auto wallNow = clock_.WallNow().time_since_epoch();
+  std::erase_if(notice->pauses_,
+                [until](const UpstreamPause& aPause) { return aPause.until_ <= until; });
+  notice->pauses_.push_back(
+    { std::chrono::duration_cast<std::chrono::milliseconds>(wallNow).count(), until });
+  if (until <= notice->pausedUntil_) {
     return;
   }
-  upstream->pausedUntil_ = until;
+  notice->pausedUntil_ = until;
   LogEvent(LogLevel::Info,
            "upstream_paused",
            { { "upstream", aId.Value() },
@@ -601,14 +632,21 @@
 {
   std::vector<UpstreamLoad> result;
   const auto now = clock_.Now();
+  const auto add =
+    [&](const UpstreamId& aId, std::uint32_t aRunning, const UpstreamNotice& aNotice) {
+      UpstreamLoad load{ aId, aRunning };
+      if (aNotice.limitHeardAt_ && now - *aNotice.limitHeardAt_ < kLimitReportTime) {
+        load.requestLimit_ = aNotice.requestLimit_;
+      }
+      if (load.running_ > 0 || load.requestLimit_) {
+        result.push_back(load);
+      }
+    };
   for (const auto& [id, upstream] : upstreams_) {
-    UpstreamLoad load{ id, upstream.running_ };
-    if (upstream.limitHeardAt_ && now - *upstream.limitHeardAt_ < kLimitReportTime) {
-      load.requestLimit_ = upstream.requestLimit_;
-    }
-    if (load.running_ > 0 || load.requestLimit_) {
-      result.push_back(load);
-    }
+    add(id, upstream.running_, upstream);
+  }
+  for (const auto& [id, kept] : kept_) {
+    add(id, kept.running_, kept.notice_);
   }
   return result;
 }
--- a/src/fleet/upstream_table.h
+++ b/src/fleet/upstream_table.h
@@ -46,8 +46,26 @@
   Busy         ///< Refused because of overload.
 };
 
+/** A pause that an answer of an upstream asked for. */
+struct UpstreamPause
+{
+  std::int64_t heardAt_ = 0; ///< When the answer was received, Unix ms.
+  TimePoint until_;
+};
+
+/** What the process of an upstream has told this host, mostly in its answers. */
+struct UpstreamNotice
+{
+  bool isLeaving_ = false;                ///< It leaves the fleet.
+  TimePoint pausedUntil_;                 ///< It wants no requests of this host before this time.
+  std::vector<UpstreamPause> pauses_;     ///< By time heard; each ends earlier than the one before.
+  std::optional<double> requestLimit_;    ///< Requests/s that its last answer allows.
+  std::optional<TimePoint> limitHeardAt_; ///< When that answer was received; none if there is none.
+  TimePoint coldUntil_;                   ///< End of its cold phase.
+};
+
 /** State of an upstream as known to this host. */
-struct Upstream
+struct Upstream : UpstreamNotice
 {
   UpstreamEntry entry_;            ///< Its newest entry; the models may be its holder's.
   std::uint32_t running_ = 0;      ///< Running requests of this host.
@@ -56,20 +74,15 @@
   double failureAverage_ = 0;      ///< Moving average of the fraction of failures, 0 to 1.
   double latencyAverage_ = 0;      ///< Moving average of the time to the first byte, s.
   TimePoint backoffUntil_;         ///< It gets no requests before this time, after failures.
-  TimePoint pausedUntil_;          ///< It asked this host for no requests before this time.
-  TimePoint coldUntil_;            ///< End of its cold phase.
   TimePoint coldTokensAt_;         ///< When coldTokens_ was last refilled.
   double coldTokens_ = 0;          ///< Requests this host may send now while it is cold.
   std::uint64_t orderCount_ = 0;   ///< Orders accepted by an engine; from its holder.
   bool differsFromHolder_ = false; ///< Its entry lists other models than its holder sent.
   std::optional<TimePoint> residencyReceivedAt_; ///< When its holder last sent its residency.
-  std::optional<double> requestLimit_;    ///< Requests/s that its last answer to this host allows.
-  std::optional<TimePoint> limitHeardAt_; ///< When that answer was received; none if there is none.
   std::optional<double> peersLimit_; ///< Requests/s that peers have reported; none if none did.
   std::vector<TimePoint> permits_;   ///< Ends of its permits, each for one request; in order.
   TimePoint permitDeniedUntil_;      ///< No permit is requested before this time.
   bool isMisdirected_ = false;       ///< Another upstream answers at its endpoint.
-  bool isLeaving_ = false;           ///< An answer of its process said that it leaves the fleet.
 };
 
 /** Requirements of a request on an upstream. */
@@ -170,7 +183,8 @@
   void OnLeaving(const UpstreamId& aId, std::int64_t aStartedAt);
   /**
    * Excludes an upstream for a while, as it asked this host in a refusal. Its health is not
-   * changed.
+   * changed. A process that started in place before the answer was received, and whose entry is
+   * read later, counts as the one that asked.
    * @param aStartedAt start time of its process. @param aFor at most kMaxUpstreamPause.
    */
   void OnPause(const UpstreamId& aId, std::int64_t aStartedAt, Duration aFor);
@@ -189,7 +203,10 @@
   /** @return the upstream, or nullptr if it is unknown. */
   Upstream* Find(const UpstreamId& aId);
   const std::map<UpstreamId, Upstream>& All() const { return upstreams_; }
-  /** @return the load report of this host: upstreams with running requests. */
+  /**
+   * @return the load report of this host: upstreams with running requests or a limit that was named
+   * recently, including those whose entry went.
+   */
   std::vector<UpstreamLoad> OwnLoad() const;
   /** @return whether an upstream leaves the fleet, by its entry or by one of its answers. */
   static bool IsLeaving(const Upstream& aUpstream)
@@ -207,18 +224,14 @@
                                                      std::string_view aAdapter);
 
 private:
-  /** What an upstream without an entry has asked for and what it still runs, in case its entry
-   * comes back; as the fields of the same names in Upstream. */
-  struct Notice
+  /** State of an upstream without an entry, in case its entry comes back. */
+  struct KeptState
   {
     std::int64_t startedAt_ = 0; ///< Start time of its process, Unix ms.
-    TimePoint removedAt_;
-    std::uint32_t running_ = 0;
-    bool isLeaving_ = false;
-    TimePoint pausedUntil_;
-    TimePoint coldUntil_;
-    std::optional<double> requestLimit_;
-    std::optional<TimePoint> limitHeardAt_;
+    TimePoint changedAt_;        ///< When the entry was removed.
+    Endpoint endpoint_;
+    std::uint32_t running_ = 0; ///< As in Upstream.
+    UpstreamNotice notice_;
   };
   struct LoadReport
   {
@@ -242,12 +255,20 @@
                                                double aBusyThreshold,
                                                TimePoint aNow) const;
   void SumPeerLoads();
+  static KeptState StateOf(const Upstream& aUpstream, TimePoint aNow);
+  /** @return what is known of an upstream that gets an entry; empty if nothing is. */
+  KeptState TakeKept(const UpstreamId& aId, TimePoint aNow);
+  /**
+   * @return where to record what an answer of a process says; nullptr if its upstream is unknown or
+   * has another process.
+   */
+  UpstreamNotice* NoticeOf(const UpstreamId& aId, std::int64_t aStartedAt);
 
   const Clock& clock_;
   const HostId host_;
   const DataCentreId dataCentre_; ///< Data centre of this host.
   std::map<UpstreamId, Upstream> upstreams_;
-  std::map<UpstreamId, Notice> notices_; ///< Of upstreams removed within kUpstreamNoticeTtl.
+  std::map<UpstreamId, KeptState> kept_; ///< Of upstreams removed within kUpstreamNoticeTtl.
   std::map<ServiceName, ServiceSpec> services_;
   std::set<DataCentreId> evacuated_; ///< Data centres whose upstreams get no requests.
   std::vector<HostId> hosts_;        ///< Live hosts, this one included.
--- a/tests/fleet/upstream_table_test.cpp
+++ b/tests/fleet/upstream_table_test.cpp
@@ -169,6 +169,95 @@
   EXPECT_NE(table_.Choose(NeedOf("a1")).upstream_, nullptr);
 }
 
+// Guards against requests to an upstream that said in an answer that it wants none, if its entry
+// had expired when the answer arrived and the same process writes a ready one again.
+TEST_F(UpstreamTableTest, AnswersCountWhileTheEntryIsMissing)
+{
+  const auto leaving = Add("e1");
+  const auto paused = Add("e2");
+  const auto limited = Add("e3");
+  for (const auto& id : { leaving, paused, limited }) {
+    table_.OnRemoved(id);
+  }
+  table_.OnLeaving(leaving, 1);
+  table_.OnPause(paused, 1, 2s);
+  table_.OnRequestLimit(limited, 1, 5);
+  Add("e1");
+  EXPECT_EQ(table_.Choose(NeedOf("")).upstream_, nullptr) << "it leaves";
+  Add("e2");
+  EXPECT_EQ(table_.Choose(NeedOf("")).upstream_, nullptr) << "it is paused";
+  Add("e3");
+  EXPECT_EQ(table_.RequestLimit(limited), 5);
+  EXPECT_EQ(table_.Choose(NeedOf("")).permitTarget_, limited);
+  clock_.Advance(2s);
+  ASSERT_NE(table_.Choose(NeedOf("")).upstream_, nullptr) << "the pause has ended";
+  EXPECT_EQ(table_.Choose(NeedOf("")).upstream_->entry_.id_, paused);
+  table_.OnRemoved(limited);
+  table_.OnRequestLimit(limited, 1, std::nullopt);
+  Add("e3");
+  EXPECT_FALSE(table_.RequestLimit(limited)) << "a later answer named none";
+}
+
+// Guards against a late answer of an earlier process that excludes the next one, or that replaces
+// what the newer process has said.
+TEST_F(UpstreamTableTest, AnswersWithoutAnEntryCountForTheirProcessOnly)
+{
+  const auto id = Add("e1");
+  const auto entry = table_.Find(id)->entry_;
+  auto next = entry;
+  next.startedAt_ = 2;
+  table_.OnRemoved(id);
+  table_.OnLeaving(id, 1);
+  table_.OnEntry(next);
+  EXPECT_NE(table_.Choose(NeedOf("")).upstream_, nullptr) << "a new process";
+  table_.OnRemoved(id);
+  table_.OnRequestLimit(id, 2, 5);
+  table_.OnLeaving(id, 1);
+  table_.OnRequestLimit(id, 1, std::nullopt);
+  table_.OnEntry(next);
+  EXPECT_EQ(table_.RequestLimit(id), 5);
+  EXPECT_TRUE(table_.IsUsable(*table_.Find(id)));
+  table_.OnRemoved(id);
+  table_.OnLeaving(id, 2);
+  clock_.Advance(kUpstreamNoticeTtl + 1ms);
+  table_.OnEntry(next);
+  EXPECT_TRUE(table_.IsUsable(*table_.Find(id))) << "it is forgotten after a while";
+}
+
+// Guards against requests to a process that restarted in place and whose pause was recorded for the
+// process before it, and against pauses and a farewell of that one which exclude the new process.
+TEST_F(UpstreamTableTest, APauseHeardSinceTheStartOfANewProcessIsKept)
+{
+  const auto id = Add("e1");
+  auto entry = table_.Find(id)->entry_;
+  const auto restartAt = [&](std::int64_t aStartedAt) {
+    entry.startedAt_ = aStartedAt;
+    table_.OnEntry(entry);
+    return table_.IsUsable(*table_.Find(id));
+  };
+  const auto pauseAt = [&](std::int64_t aUnixMs, Duration aFor) {
+    clock_.SetWallNow(WallTime(std::chrono::milliseconds(aUnixMs)));
+    table_.OnPause(id, entry.startedAt_, aFor);
+  };
+  pauseAt(1000, 300s);
+  pauseAt(2000, 20s);
+  pauseAt(3000, 10s);
+  table_.OnLeaving(id, 1);
+  EXPECT_FALSE(restartAt(1500)) << "paused by its own answers of 2000 and 3000";
+  clock_.Advance(20s - 1ms);
+  EXPECT_FALSE(table_.IsUsable(*table_.Find(id)));
+  clock_.Advance(1ms);
+  EXPECT_TRUE(table_.IsUsable(*table_.Find(id))) << "the process before it left and was paused";
+  pauseAt(4000, 10s);
+  EXPECT_TRUE(restartAt(4001)) << "it started after the answer";
+  pauseAt(5000, 10s);
+  table_.OnRemoved(id);
+  EXPECT_FALSE(restartAt(4500)) << "its entry came after a removal";
+  pauseAt(6000, 10s);
+  ++entry.endpoint_.port_;
+  EXPECT_TRUE(restartAt(5500)) << "another address; the answer came from the process before it";
+}
+
 // Guards against refusing requests that another upstream of the service could still serve, such as
 // an engine that has not loaded their adapter yet or one in a short back-off.
 TEST_F(UpstreamTableTest, APauseEndsWithTheFirstUpstreamThatMayServe)
@@ -209,6 +298,35 @@
   EXPECT_NE(table_.Choose(NeedOf("")).upstream_, nullptr);
 }
 
+// Guards against more requests than slots at an upstream whose entry goes and comes back while it
+// answers: the requests sent before were not counted, but their ends were.
+TEST_F(UpstreamTableTest, CountsItsRunningRequestsAfterTheEntryComesBack)
+{
+  const auto id = Add("e1");
+  for (int i = 0; i < 8; ++i) {
+    table_.OnAttemptSent(id);
+  }
+  const auto entry = table_.Find(id)->entry_;
+  table_.OnRemoved(id);
+  const auto load = table_.OwnLoad();
+  EXPECT_TRUE(load.size() == 1 && load[0].running_ == 8) << "peers may know the upstream";
+  table_.OnAttemptEnded(id, AttemptHealth::Good, 1ms);
+  table_.OnEntry(entry);
+  EXPECT_EQ(table_.Find(id)->running_, 7U);
+  table_.OnAttemptSent(id);
+  EXPECT_EQ(table_.Choose(NeedOf("")).upstream_, nullptr) << "8 of 8 slots are taken";
+  table_.OnRemoved(id);
+  auto next = entry;
+  next.startedAt_ = 2;
+  table_.OnEntry(next);
+  for (int i = 0; i < 8; ++i) {
+    table_.OnAttemptEnded(id, AttemptHealth::Failed, {});
+    table_.OnAttemptSent(id);
+  }
+  EXPECT_EQ(table_.Choose(NeedOf("")).upstream_, nullptr)
+    << "ends of requests to the old process hide those to the new one";
+}
+
 // Guards against an adapter that gets most of the requests and is resident at one busy engine only,
 // while other engines are idle.
 TEST_F(UpstreamTableTest, LoadsACopyWhenTheEnginesOfAnAdapterAreBusy)
