Do not serve on an older copy of the store right after a restore

Callers with a withdrawn key would be served, and requests would go to evacuated data centres and draining upstreams until all that was written again; only a lost configuration version was noticed, by the version that peers report.

The load reports of hosts that saw the era change now carry the era and the time since in ms (field t), for the hold time; sums keep the latest restore as the first host saw it. A host whose first read of the operators' stream was in that era has no state from before. Its ConfigAge() is Duration::max() until the hold time after the restore, so it is not ready, and it refuses requests with 503 configuration_unsettled. It never waits longer than the hold time after its own first read, so a report of a host that saw the era late does not take a running host out of service. If all hosts start on the copy, nobody reports a restore and none waits. A report without the field has no restore.

GossipServiceTest.AHostThatStartsAfterARestoreWaitsForWhatTheCopyLacks failed on the code before: ConfigAge() was 375 ms, not Duration::max(). HostsThatStartTogetherAfterARestoreDoNotWait passed before and guards the new code, as do the tests of the encoding and of the sums, which need the new fields.

Not done: stored quarantines are still read at the start and not after the hold time, and the host serves until the first message of a peer. The refusal in gateway.cpp has no test of its own.

--- a/src/fleet/count_table.cpp
+++ b/src/fleet/count_table.cpp
@@ -16,7 +16,8 @@
   {
   }
 
-  void Add(const HostLoad& aCounts)
+  /** @param aAge time since the report was received. */
+  void Add(const HostLoad& aCounts, Duration aAge = Duration::zero())
   {
     for (const auto& demand : aCounts.demand_) {
       auto& sum = demand_[demand.workspace_];
@@ -30,6 +31,10 @@
       sum.requestLimit_ = LowerLimit(sum.requestLimit_, load.requestLimit_);
     }
     MergeConfig(aCounts.config_);
+    if (aCounts.restore_) {
+      const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(aAge);
+      MergeRestore(StoreRestore{ aCounts.restore_->era_, aCounts.restore_->age_ + age });
+    }
   }
   /** Adds a received report unless it has expired. Running requests expire sooner than demand,
    * for which quota stays reserved while a peer is silent. */
@@ -37,7 +42,7 @@
   {
     const auto age = now_ - aEntry.receivedAt_;
     if (age < kPeerLoadTtl) {
-      Add(aEntry.counts_);
+      Add(aEntry.counts_, age);
     } else if (age < kPeerDemandTtl) {
       Add(HostLoad{ aEntry.counts_.demand_, {} });
     }
@@ -57,11 +62,13 @@
       sum.requestLimit_ = LowerLimit(sum.requestLimit_, load.requestLimit_);
     }
     MergeConfig(aOther.config_);
+    MergeRestore(aOther.restore_);
   }
   HostLoad Result() const
   {
     HostLoad counts;
     counts.config_ = config_;
+    counts.restore_ = restore_;
     counts.demand_.reserve(demand_.size());
     for (const auto& [workspace, demand] : demand_) {
       counts.demand_.push_back({ workspace,
@@ -85,6 +92,14 @@
       config_ = aOther;
     }
   }
+  /** Keeps the later restore, as the first host saw it. */
+  void MergeRestore(const std::optional<StoreRestore>& aOther)
+  {
+    if (aOther && (!restore_ || std::pair(aOther->era_, aOther->age_) >
+                                  std::pair(restore_->era_, restore_->age_))) {
+      restore_ = aOther;
+    }
+  }
   static std::optional<double> LowerLimit(std::optional<double> aLeft, std::optional<double> aRight)
   {
     return aLeft && aRight ? std::min(aLeft, aRight) : aLeft ? aLeft : aRight;
@@ -94,6 +109,7 @@
   std::map<WorkspaceId, WorkspaceDemand> demand_;
   std::map<UpstreamId, UpstreamLoad> load_;
   ConfigInForce config_;
+  std::optional<StoreRestore> restore_;
 };
 
 void
--- a/src/fleet/count_table.h
+++ b/src/fleet/count_table.h
@@ -19,6 +19,9 @@
   std::vector<WorkspaceDemand> demand_;
   std::vector<UpstreamLoad> load_; ///< Running requests by upstream.
   ConfigInForce config_ = {};      ///< Newest configuration that is in force at one of the hosts.
+  /** The last restore of the store that one of the hosts has seen lately, as the first of them saw
+   * it. */
+  std::optional<StoreRestore> restore_ = std::nullopt;
 };
 
 /**
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -17,6 +17,10 @@
 FleetState::ApplyOperators(const ChangeBatch& aBatch, bool aKeepEvacuations)
 {
   const FleetConfig* newest = nullptr;
+  if (!firstEra_) {
+    firstEra_ = aBatch.era_;
+    firstReadAt_ = clock_.Now();
+  }
   operatorsNext_ = aBatch.Next();
   auto evacuated = evacuated_;
   if (aBatch.isSnapshot_ && aKeepEvacuations) {
@@ -235,10 +239,28 @@
          clock_.Now() - peerConfigSince_ < kLostConfigTtl;
 }
 
+void
+FleetState::OnPeerRestore(StoreEra aEra, TimePoint aSeenAt, Duration aHoldTime)
+{
+  const bool isLatest = !peerRestore_ || peerRestore_->era_ <= aEra;
+  if (isLatest && (!firstEra_ || *firstEra_ >= aEra)) {
+    peerRestore_ = { aEra, aSeenAt, aHoldTime };
+  }
+}
+
+bool
+FleetState::IsConfigUnsettled() const
+{
+  // A peer that was out of touch with the store may have seen the era later than this host.
+  return peerRestore_ && firstEra_ && *firstEra_ >= peerRestore_->era_ &&
+         clock_.Now() < std::min(peerRestore_->seenAt_, firstReadAt_) + peerRestore_->holdTime_;
+}
+
 Duration
 FleetState::ConfigAge() const
 {
-  return confirmedAt_ && !IsConfigOutdated() ? clock_.Now() - *confirmedAt_ : Duration::max();
+  return confirmedAt_ && !IsConfigOutdated() && !IsConfigUnsettled() ? clock_.Now() - *confirmedAt_
+                                                                     : Duration::max();
 }
 
 const ReleaseHistory*
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -52,15 +52,26 @@
   /** Sets the newest configuration that is in force at a live peer. */
   void SetPeerConfig(const ConfigInForce& aConfig);
 
+  /**
+   * Records that a live peer has seen the store come back from an older copy.
+   * @param aEra era after it.
+   * @param aSeenAt when the peer saw that era.
+   * @param aHoldTime time within which operators write again what the copy lacks.
+   */
+  void OnPeerRestore(StoreEra aEra, TimePoint aSeenAt, Duration aHoldTime);
+
   /**
    * @return time since the store last confirmed that the configuration is the newest;
-   *         Duration::max() if it never did, or if IsConfigOutdated().
+   *         Duration::max() if it never did, or if IsConfigOutdated() or IsConfigUnsettled().
    */
   Duration ConfigAge() const;
   /** @return whether a live peer has a newer configuration, which the store has lost: it is not in
    * the store up to the position where this peer got it. Ends after kLostConfigTtl, as operators
    * may never have got the store's answer and never write it again. */
   bool IsConfigOutdated() const;
+  /** @return whether this host knows only an older copy of the store, and operators may not yet
+   * have written again what it lacks. */
+  bool IsConfigUnsettled() const;
   /** @return the configuration in force at this host. */
   const ConfigInForce& Config() const { return config_; }
   /** @return the routes in force, or nullptr before the first configuration. */
@@ -82,6 +93,13 @@
     TimePoint removedAt_;
   };
 
+  struct PeerRestore
+  {
+    StoreEra era_ = 0;
+    TimePoint seenAt_;
+    Duration holdTime_{};
+  };
+
   void OnRelease(const AdapterRelease& aRelease);
   void SetEvacuated(std::set<DataCentreId> aEvacuated);
   /** @return the newest known stamp of the entries of an upstream. */
@@ -95,6 +113,9 @@
   ConfigInForce config_;                     ///< Its version, and where it was read.
   ConfigInForce peerConfig_;                 ///< Newest configuration of the live peers.
   TimePoint peerConfigSince_;                ///< When a peer was first known to have it.
+  std::optional<StoreEra> firstEra_;         ///< Era of the first batch of the operators' stream.
+  TimePoint firstReadAt_;                    ///< When that batch was applied.
+  std::optional<PeerRestore> peerRestore_;   ///< Last restore that a peer has seen.
   StorePosition operatorsNext_; ///< Position up to which the operators' stream was applied.
   UpstreamTable upstreams_;
   UpstreamChanges changes_;                   ///< Entries as the store holds them.
--- a/src/fleet/fleet_store_base.h
+++ b/src/fleet/fleet_store_base.h
@@ -5,6 +5,7 @@
 #include "fleet/fleet_type.h"
 #include "fleet/quarantine.h"
 
+#include <chrono>
 #include <functional>
 #include <optional>
 #include <span>
@@ -52,6 +53,13 @@
   StorePosition next_;       ///< Position in the operators' stream after the read that brought it.
 };
 
+/** A return of the store from an older copy, as a host has seen it. */
+struct StoreRestore
+{
+  StoreEra era_ = 0;                   ///< Era after it.
+  std::chrono::milliseconds age_{ 0 }; ///< Time since the host saw that era.
+};
+
 /** Evacuation of a data centre, or the end of one. */
 struct EvacuationChange
 {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -232,6 +232,10 @@
       Refuse(*aAnswer, admitted, 503, "no_configuration", kNotReadyRetryAfter);
       return;
     }
+    if (fleet_.IsConfigUnsettled()) {
+      Refuse(*aAnswer, admitted, 503, "configuration_unsettled", kNotReadyRetryAfter);
+      return;
+    }
     const auto host = aRequest[http::field::host];
     const auto target = aRequest.target();
     admitted.route_ =
--- a/src/gateway/gossip_message.cpp
+++ b/src/gateway/gossip_message.cpp
@@ -19,7 +19,7 @@
 // o partitions, e engines with their adapters, u uses that started, k uses that still run,
 // w load requests, q query, s answer, x changed upstreams, m live hosts, f crash suspects,
 // b contents that have begun, y quarantines, j permit requests, i permit answers, v configuration
-// in force.
+// in force, t restore of the store.
 
 /** @return text of a cell; empty if the cell is missing or of another type. */
 std::string
@@ -266,6 +266,9 @@
     const auto& [version, next] = aLoad.config_;
     aObject["v"] = json::array{ version, next.next_, next.era_ };
   }
+  if (aLoad.restore_) {
+    aObject["t"] = json::array{ aLoad.restore_->era_, aLoad.restore_->age_.count() };
+  }
 }
 
 HostLoad
@@ -290,6 +293,11 @@
     counts.config_ = { NumberAt<std::int64_t>(row, 0),
                        { NumberAt<StoreEra>(row, 2), NumberAt<LogOffset>(row, 1) } };
   }
+  if (const auto* value = aObject.if_contains("t"); value != nullptr && value->is_array()) {
+    const auto& row = value->get_array();
+    counts.restore_ = { NumberAt<StoreEra>(row, 0),
+                        std::chrono::milliseconds(NumberAt<std::int64_t>(row, 1)) };
+  }
   return counts;
 }
 
--- a/src/gateway/gossip_service.cpp
+++ b/src/gateway/gossip_service.cpp
@@ -113,7 +113,8 @@
 {
   return { context_.quota_.Demand(),
            context_.fleet_.Upstreams().OwnLoad(),
-           context_.fleet_.Config() };
+           context_.fleet_.Config(),
+           watch_->Restore() };
 }
 
 HostPartitions
@@ -309,6 +310,9 @@
 {
   context_.peers_.OnPartitions(aMessage.host_.id_, aMessage.generation_, aMessage.partitions_);
   watch_->OnPeerEra(NewestEra(aMessage));
+  if (const auto& restore = aMessage.hostLoad_->restore_) {
+    watch_->OnPeerRestore(*restore);
+  }
   if (aMessage.reply_) {
     OnReply(aMessage);
   } else {
--- a/src/gateway/store_watch.cpp
+++ b/src/gateway/store_watch.cpp
@@ -193,6 +193,7 @@
   if (!EnterEra(era_, aEra)) {
     return;
   }
+  restoredAt_ = clock_.Now();
   LogEvent(LogLevel::Warn,
            "store_restored",
            { { "era", std::to_string(aEra) }, { "era_before", std::to_string(*before) } });
@@ -329,6 +330,23 @@
   HurryOperators(aEra);
 }
 
+void
+StoreWatch::OnPeerRestore(const StoreRestore& aRestore)
+{
+  state_.OnPeerRestore(aRestore.era_, clock_.Now() - aRestore.age_, settings_.removalHoldTime_);
+}
+
+std::optional<StoreRestore>
+StoreWatch::Restore() const
+{
+  if (!restoredAt_ || clock_.Now() - *restoredAt_ >= settings_.removalHoldTime_) {
+    return std::nullopt;
+  }
+  return StoreRestore{
+    *era_, std::chrono::duration_cast<std::chrono::milliseconds>(clock_.Now() - *restoredAt_)
+  };
+}
+
 WatchPosition
 StoreWatch::Position() const
 {
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -91,6 +91,10 @@
    * @param aEra newest era in a message of the peer.
    */
   void OnPeerEra(StoreEra aEra);
+  /** Applies a restore of the store that a peer has seen. */
+  void OnPeerRestore(const StoreRestore& aRestore);
+  /** @return the restore that this host saw within the hold time; none if there was none. */
+  std::optional<StoreRestore> Restore() const;
   /** Reads the upstreams' stream at the next check because a store reader lacks the changes. */
   void OnRelayGap() { isUpstreamReadDue_ = true; }
   /** Sets whether a store reader relays the content of the store to this host. */
@@ -140,6 +144,7 @@
   std::function<void()> onChange_;          ///< Called after each batch that was applied.
   std::function<void()> onRestored_;        ///< Called after the first snapshot of a newer era.
   std::optional<StoreEra> era_;             ///< Newest era that a stream was read in.
+  std::optional<TimePoint> restoredAt_;     ///< When that era replaced another one.
   std::chrono::milliseconds pollWait_{ 0 }; ///< Wait of the current or next long poll.
   std::optional<StorePosition> operators_;  ///< Next position; if none, a snapshot is read.
   StorePosition relayedOperators_;          ///< Newest position that a store reader had.
--- a/tests/fleet/relay_modules_test.cpp
+++ b/tests/fleet/relay_modules_test.cpp
@@ -166,6 +166,30 @@
   EXPECT_EQ(counts.TotalOfOthers().config_.version_, 0);
 }
 
+// Guards against a host that starts on a copy of the store and does not learn of the restore, or
+// waits anew for each host that saw it later than the first one.
+TEST(HostLoadTable, TellsTheLastRestoreAsTheFirstHostSawIt)
+{
+  FakeClock clock;
+  HostLoadTable counts(clock);
+  HostLoad early;
+  early.restore_ = { 2, 500ms };
+  HostLoad late;
+  late.restore_ = { 2, 100ms };
+  HostLoad old;
+  old.restore_ = { 1, 2000ms };
+  counts.OnPeerLoad(HostId("member1"), early, true);
+  clock.Advance(250ms);
+  counts.OnPeerLoad(HostId("member2"), late, true);
+  counts.OnPeerLoad(HostId("reader"), old, false);
+  ASSERT_TRUE(counts.TotalOfOthers().restore_);
+  EXPECT_EQ(counts.TotalOfOthers().restore_->era_, 2U);
+  EXPECT_EQ(counts.TotalOfOthers().restore_->age_, 750ms);
+  EXPECT_EQ(counts.SumWithout(HostId("member1"), {}).restore_->age_, 100ms);
+  clock.Advance(kPeerLoadTtl);
+  EXPECT_FALSE(counts.TotalOfOthers().restore_);
+}
+
 // Guards against an exceeded quota while a host becomes a store reader: until the other store
 // readers send their sums, it uses the last sum that it received from its own store reader.
 TEST(HostLoadTable, KeepsTheSumOfItsReaderWhileItBecomesOne)
--- a/tests/gateway/gossip_message_test.cpp
+++ b/tests/gateway/gossip_message_test.cpp
@@ -31,6 +31,7 @@
                                       40ms } };
   message.hostLoad_->load_.push_back({ UpstreamId("e4"), 2, 4.5 });
   message.hostLoad_->config_ = { 17, { 2, 40 } };
+  message.hostLoad_->restore_ = { 3, 700ms };
   message.permitRequests_ = { { UpstreamId("e4"), 4.5 } };
   message.permitAnswers_ = { { UpstreamId("e5"), { false, 150ms } } };
   message.quarantine_.begun_ = { { ContentId("p1"), 20ms } };
@@ -54,6 +55,9 @@
   EXPECT_EQ(decoded->hostLoad_->load_.at(0).running_, 7U);
   EXPECT_EQ(decoded->hostLoad_->config_.version_, 17);
   EXPECT_EQ(decoded->hostLoad_->config_.next_, (StorePosition{ 2, 40 }));
+  ASSERT_TRUE(decoded->hostLoad_->restore_);
+  EXPECT_EQ(decoded->hostLoad_->restore_->era_, 3U);
+  EXPECT_EQ(decoded->hostLoad_->restore_->age_, 700ms);
   EXPECT_EQ(decoded->generation_, 9U);
   EXPECT_EQ(decoded->partitions_, sent.partitions_);
   EXPECT_EQ(decoded->residency_.at(0).orderCount_, 6U);
@@ -84,6 +88,19 @@
 }
 
 // Guards against a missing load report that is taken as zero demand.
+// Guards against load reports that hosts of a build without restores cannot read, or the reverse.
+TEST(GossipMessage, ALoadReportWithoutARestoreHasNone)
+{
+  auto message = MakeMessage();
+  message.hostLoad_->restore_.reset();
+  const auto payload = EncodeGossip(message);
+  EXPECT_EQ(payload.find("\"t\""), std::string::npos);
+  const auto decoded = DecodeGossip(payload);
+  ASSERT_TRUE(decoded && decoded->hostLoad_);
+  EXPECT_FALSE(decoded->hostLoad_->restore_);
+  EXPECT_EQ(decoded->hostLoad_->config_.version_, 17);
+}
+
 TEST(GossipMessage, DistinguishesMissingLoadReports)
 {
   GossipMessage message = MakeMessage();
--- a/tests/gateway/gossip_service_test.cpp
+++ b/tests/gateway/gossip_service_test.cpp
@@ -644,6 +644,49 @@
   }
 }
 
+// Guards against a withdrawn key, or an evacuated data centre, that is in use at a host that starts
+// on a copy without them: its peers know them, but not as a newer configuration.
+TEST_F(GossipServiceTest, AHostThatStartsAfterARestoreWaitsForWhatTheCopyLacks)
+{
+  const auto self = network_.hosts_.back()->self_;
+  network_.hosts_.pop_back();
+  network_.Start();
+  network_.store_.Restore(0, 0);
+  network_.scheduler_.Run(600ms);
+  network_.hosts_.push_back(
+    std::make_unique<Host>(network_, network_.clock_, network_.scheduler_, network_.store_, self));
+  auto& late = *network_.hosts_.back();
+  for (const auto& host : network_.hosts_) {
+    late.peers_.OnStoreRecord(host->self_);
+  }
+  late.Start();
+  network_.scheduler_.Run(400ms);
+  for (const auto& host : network_.hosts_) {
+    if (host.get() == &late) {
+      EXPECT_EQ(host->fleet_.ConfigAge(), Duration::max());
+    } else {
+      EXPECT_LE(host->fleet_.ConfigAge(), 2s) << host->self_.id_.Value();
+    }
+  }
+  network_.scheduler_.Run(WatchSettings().removalHoldTime_);
+  EXPECT_LE(late.fleet_.ConfigAge(), 2s);
+}
+
+// Guards against a fleet that refuses all requests because every host waits for the others.
+TEST_F(GossipServiceTest, HostsThatStartTogetherAfterARestoreDoNotWait)
+{
+  network_.store_.Restore(0, 0);
+  for (auto& host : network_.hosts_) {
+    host->Start();
+  }
+  for (int i = 0; i < 20; ++i) {
+    network_.scheduler_.Run(100ms);
+    for (const auto& host : network_.hosts_) {
+      EXPECT_LE(host->fleet_.ConfigAge(), 2s) << host->self_.id_.Value();
+    }
+  }
+}
+
 // Guards against needless calls during an outage of the store. Calls are charged even if the store
 // does not answer, so the 15 hosts that query a store reader must retry less often than the store
 // readers.
