--- a/tests/gateway/request_flow_version_test.cpp
+++ b/tests/gateway/request_flow_version_test.cpp
@@ -55,6 +55,8 @@
 // Guards against refusals while engines load a version that has just been released.
 TEST_F(ReleaseTest, OldVersionServesWhileTheNewOneIsLoaded)
 {
+  bounds_.maxVersionDelay_ = 5s;
+  timeout_ = 5s;
   SetUpstreams({ server_.Address() });
   Release(2);
   EXPECT_EQ(Request(), 200U);
