Count requests shortly after another one in a host's share of a quota

Callers of a workspace beyond its rate were refused more often at hosts with few requests than elsewhere.

Cause: past demand is sampled at most each 100 ms, when a request arrives. A request within 100 ms after a sampled one was missing from the history until the next sample, which such a host takes seconds later.

Why it works: the request is added to the last sample, scaled back to the time of that sample, so later values of the history are exact.

--- a/src/fleet/quota_share.cpp
+++ b/src/fleet/quota_share.cpp
@@ -38,6 +38,11 @@
 {
   if (samples_.empty() || aNow - samples_.back().first >= kDemandSampleInterval) {
     samples_.emplace_back(aNow, aPerSecond);
+  } else {
+    // Counts the request in the last sample. Otherwise it would be missing until the next one,
+    // which a host with few requests takes seconds later.
+    auto& [time, perSecond] = samples_.back();
+    perSecond = aPerSecond * std::exp(Seconds(aNow - time) / Seconds(kDemandTimeConstant));
   }
   // Keeps one sample that is at least kPeerDemandDelay old, as Delayed() reads the newest such
   // sample.
--- a/tests/fleet/quota_share_test.cpp
+++ b/tests/fleet/quota_share_test.cpp
@@ -228,6 +228,33 @@
   EXPECT_TRUE(quota.TryTake(workspace, 500).isGranted_);
 }
 
+// Guards against a share that is too small because a request shortly after another one is not
+// counted.
+TEST(QuotaShare, CountsRequestsShortlyAfterAnotherInTheShare)
+{
+  const auto shareWithGap = [](Duration aGap) {
+    FakeClock clock;
+    QuotaShare quota(clock);
+    const auto workspace = testing_support::MakeWorkspace(kRate, kBurst);
+    const auto request = [&] {
+      quota.RecordDemand(workspace, 1000);
+      return quota.TryTake(workspace, 1000);
+    };
+    clock.Advance(60s);
+    request();
+    clock.Advance(aGap);
+    request();
+    clock.Advance(kPeerDemandDelay);
+    const WorkspaceDemand others{ workspace.id_, 9 * kRate, kRate, 9 * kRate };
+    quota.OnPeerDemand(HostId("others"), { &others, 1 });
+    const auto decision = request();
+    EXPECT_TRUE(decision.isContended_);
+    return decision.perSecond_;
+  };
+  const double share = shareWithGap(kDemandSampleInterval);
+  EXPECT_NEAR(shareWithGap(kDemandSampleInterval / 2), share, 0.1 * share);
+}
+
 TEST(QuotaShare, HasNoLimitWithoutARate)
 {
   FakeClock clock;
