Keep quotas on a fleet whose shares are smaller than a request

With 195 hosts a workspace that sent 7.5 times its usual demand was granted more than its quota in 8 s, and others were refused within theirs.

Grants beyond the quota before that were forgiven down to one burst. A short average of demand counted chance as a jump, and an equal level at all hosts let each of them grant a request when contention began.

Why it works: under contention a host owes the whole request, from a random level within its size, so grants of all hosts add up to the shares. A debt of the bucket of the fleet lowers the shared rate until it is repaid; a few unused requests raise it. Grants are averaged over 0.5 s. A jump must exceed the rate by two standard deviations of the measured demand. The cost of a request does not depend on the number of hosts or workspaces.

--- a/src/fleet/quota_share.cpp
+++ b/src/fleet/quota_share.cpp
@@ -18,6 +18,16 @@
   return std::chrono::duration<double>(aDuration).count();
 }
 
+/**
+ * Returns by how much an average of demand at a given rate may exceed that rate by chance.
+ * @param aRequestTokens tokens of a request; requests are assumed to arrive independently.
+ */
+double
+DemandMargin(double aRate, double aRequestTokens, Duration aTimeConstant)
+{
+  return kDemandDeviations * std::sqrt(aRate * aRequestTokens / (2 * Seconds(aTimeConstant)));
+}
+
 } // namespace
 
 double
@@ -72,8 +82,8 @@
   // Fills the buckets up to now at the rates of the previous reports. Otherwise the new rates would
   // be applied to the whole time since a bucket was last filled, which may be seconds ago.
   for (auto& [workspace, bucket] : buckets_) {
-    if (bucket.ownComputedAt_) {
-      FillFleet(workspace, bucket);
+    if (bucket.computedAt_) {
+      Fill(bucket, PeerDemand(workspace));
     }
   }
   auto& peer = peers_[aPeer];
@@ -106,59 +116,87 @@
 }
 
 double
-QuotaShare::SurgePerSecond(const WorkspaceId& aWorkspace) const
+QuotaShare::RateShare(const Bucket& aBucket, const WorkspaceDemand& aPeers) const
 {
-  const auto found = buckets_.find(aWorkspace);
-  const double ownPerSecond = found == buckets_.end() ? 0 : found->second.surge_.At(clock_.Now());
-  return ownPerSecond + PeerDemand(aWorkspace).recentPerSecond_;
+  // Unused tokens raise the rate too, by no more than a few requests: with few requests in all, the
+  // tokens of a host wait there for its next one, and the others have to grant them.
+  const double tokens =
+    std::min(aBucket.fleetTokens_, kUnusedRequestCount * aBucket.requestTokens_);
+  const double rate =
+    std::max(kMinRateInDebt * aBucket.rate_, aBucket.rate_ + tokens / Seconds(kQuotaBalanceTime));
+  const double ownPerSecond = aBucket.history_.Delayed(clock_.Now());
+  const double totalPerSecond = ownPerSecond + aPeers.requestedPerSecond_;
+  if (totalPerSecond <= rate) {
+    return ownPerSecond + (rate - totalPerSecond) / static_cast<double>(hostCount_);
+  }
+  return rate * ownPerSecond / totalPerSecond;
 }
 
 double
-QuotaShare::RateShare(const Workspace& aWorkspace) const
-{
-  const auto found = buckets_.find(aWorkspace.id_);
-  const double ownPerSecond =
-    found == buckets_.end() ? 0 : found->second.history_.Delayed(clock_.Now());
-  const double totalPerSecond = ownPerSecond + PeerDemand(aWorkspace.id_).requestedPerSecond_;
-  if (totalPerSecond <= aWorkspace.ratePerSecond_) {
-    return ownPerSecond +
-           (aWorkspace.ratePerSecond_ - totalPerSecond) / static_cast<double>(hostCount_);
-  }
-  return aWorkspace.ratePerSecond_ * ownPerSecond / totalPerSecond;
+QuotaShare::BurstFraction(const Bucket& aBucket, double aShare) const
+{
+  return std::max(aShare / aBucket.rate_, 1.0 / static_cast<double>(hostCount_));
 }
 
 double
-QuotaShare::Capacity(const Workspace& aWorkspace, double aShare) const
+QuotaShare::UnreportedTokens(const Bucket& aBucket, const WorkspaceDemand& aPeers) const
+{
+  const double surge = aBucket.surge_.At(clock_.Now()) + aPeers.recentPerSecond_;
+  const double margin = DemandMargin(aBucket.rate_, aBucket.requestTokens_, kSurgeTimeConstant);
+  return std::max(0.0, surge - aBucket.rate_ - margin) * Seconds(kUnreportedGrantTime);
+}
+
+bool
+QuotaShare::IsContended(const Bucket& aBucket, const WorkspaceDemand& aPeers, double aTokens) const
 {
-  return aWorkspace.burst_ *
-         std::max(aShare / aWorkspace.ratePerSecond_, 1.0 / static_cast<double>(hostCount_));
+  return aBucket.fleetTokens_ + kRoundingTokens <
+         std::min(aTokens, aBucket.burst_) + UnreportedTokens(aBucket, aPeers);
 }
 
 void
-QuotaShare::FillFleet(const WorkspaceId& aWorkspace, Bucket& aBucket)
+QuotaShare::Start(Bucket& aBucket, const WorkspaceDemand& aPeers)
 {
-  const auto now = clock_.Now();
-  const double elapsed = Seconds(now - aBucket.fleetComputedAt_.value_or(startedAt_));
-  const double grantedPerSecond = PeerDemand(aWorkspace).grantedPerSecond_;
+  // What the peers granted before is not known here.
+  const double margin = DemandMargin(aBucket.rate_, aBucket.requestTokens_, kDemandTimeConstant);
   aBucket.fleetTokens_ =
-    std::clamp(aBucket.fleetTokens_ + (aBucket.rate_ - grantedPerSecond) * elapsed,
-               -aBucket.burst_,
-               aBucket.burst_);
-  aBucket.fleetComputedAt_ = now;
+    aPeers.requestedPerSecond_ > aBucket.rate_ + margin
+      ? 0
+      : std::min(aBucket.burst_, aBucket.rate_ * Seconds(clock_.Now() - startedAt_));
+  constexpr std::uint64_t kSteps = 1U << 20U;
+  const double random = static_cast<double>(random_.Below(kSteps)) / kSteps;
+  const double capacity = aBucket.burst_ * BurstFraction(aBucket, RateShare(aBucket, aPeers));
+  aBucket.ownTokens_ = -random * std::max(0.0, aBucket.requestTokens_ - capacity);
 }
 
 void
-QuotaShare::Fill(const Workspace& aWorkspace, Bucket& aBucket)
+QuotaShare::Fill(Bucket& aBucket, const WorkspaceDemand& aPeers)
 {
-  aBucket.rate_ = aWorkspace.ratePerSecond_;
-  aBucket.burst_ = aWorkspace.burst_;
-  FillFleet(aWorkspace.id_, aBucket);
   const auto now = clock_.Now();
-  const double share = RateShare(aWorkspace);
-  const double capacity = Capacity(aWorkspace, share);
-  const double elapsed = Seconds(now - aBucket.ownComputedAt_.value_or(startedAt_));
-  aBucket.ownTokens_ = std::clamp(aBucket.ownTokens_ + share * elapsed, -capacity, capacity);
-  aBucket.ownComputedAt_ = now;
+  const double elapsed = Seconds(now - aBucket.computedAt_.value_or(now));
+  aBucket.computedAt_ = now;
+  aBucket.fleetTokens_ =
+    std::clamp(aBucket.fleetTokens_ + (aBucket.rate_ - aPeers.grantedPerSecond_) * elapsed,
+               -aBucket.burst_ - aBucket.rate_ * 2 * Seconds(kQuotaBalanceTime),
+               aBucket.burst_);
+  const bool wasContended = aBucket.isContended_;
+  aBucket.isContended_ = IsContended(aBucket, aPeers, aBucket.requestTokens_);
+  if (!aBucket.isContended_) {
+    return;
+  }
+  const double share = RateShare(aBucket, aPeers);
+  const double fraction = BurstFraction(aBucket, share);
+  const double capacity = aBucket.burst_ * fraction;
+  if (wasContended) {
+    aBucket.ownTokens_ = std::min(aBucket.ownTokens_ + share * elapsed,
+                                  std::max(capacity, kSavedRequestCount * aBucket.requestTokens_));
+    return;
+  }
+  // Starts with this host's share of what the fleet has left. What the host saved or owes within
+  // the size of a request is kept, since a share smaller than a request carries it over.
+  const double tokensLeft = aBucket.fleetTokens_ - UnreportedTokens(aBucket, aPeers);
+  const double kept = std::max(0.0, aBucket.requestTokens_ - capacity);
+  aBucket.ownTokens_ = std::clamp(tokensLeft * fraction, -capacity, capacity) +
+                       std::clamp(aBucket.ownTokens_, -kept, kept);
 }
 
 void
@@ -179,18 +217,22 @@
     return decision;
   }
   auto& bucket = buckets_[aWorkspace.id_];
-  Fill(aWorkspace, bucket);
   const auto tokens = static_cast<double>(aTokens);
-  const double share = std::max(RateShare(aWorkspace), 1.0);
-  const double unreportedTokens =
-    std::max(0.0, SurgePerSecond(aWorkspace.id_) - aWorkspace.ratePerSecond_) *
-    Seconds(kUnreportedGrantTime);
-  decision.isContended_ =
-    bucket.fleetTokens_ + kRoundingTokens < std::min(tokens, aWorkspace.burst_) + unreportedTokens;
+  const auto peers = PeerDemand(aWorkspace.id_);
+  bucket.requestTokens_ = tokens;
+  bucket.rate_ = aWorkspace.ratePerSecond_;
+  bucket.burst_ = aWorkspace.burst_;
+  if (!bucket.computedAt_) {
+    Start(bucket, peers);
+  }
+  Fill(bucket, peers);
+  const double share = std::max(RateShare(bucket, peers), 1.0);
+  const double ownCapacity = bucket.burst_ * BurstFraction(bucket, share);
+  decision.isContended_ = bucket.isContended_;
   const bool isContended = decision.isContended_;
   decision.perSecond_ = isContended ? share : aWorkspace.ratePerSecond_;
   decision.level_ = isContended ? bucket.ownTokens_ : bucket.fleetTokens_;
-  const double capacity = isContended ? Capacity(aWorkspace, share) : aWorkspace.burst_;
+  const double capacity = isContended ? ownCapacity : aWorkspace.burst_;
   // A request larger than the bucket is granted from a full bucket and leaves a negative level;
   // otherwise no host could ever serve it.
   decision.needed_ = std::min(tokens, capacity);
@@ -200,7 +242,9 @@
       std::chrono::duration<double>((decision.needed_ - decision.level_) / decision.perSecond_));
     return decision;
   }
-  bucket.ownTokens_ -= tokens;
+  if (isContended || bucket.ownTokens_ >= ownCapacity) {
+    bucket.ownTokens_ -= tokens;
+  }
   bucket.fleetTokens_ -= tokens;
   bucket.granted_.Add(clock_.Now(), tokens);
   return decision;
@@ -210,7 +254,10 @@
 QuotaShare::Return(const WorkspaceId& aWorkspace, TokenCount aTokens)
 {
   if (const auto found = buckets_.find(aWorkspace); found != buckets_.end()) {
-    found->second.ownTokens_ += static_cast<double>(aTokens);
+    // Grants by the bucket of the fleet alone are not taken from the host's own one.
+    if (found->second.isContended_) {
+      found->second.ownTokens_ += static_cast<double>(aTokens);
+    }
     found->second.fleetTokens_ += static_cast<double>(aTokens);
   }
 }
--- a/src/fleet/quota_share.h
+++ b/src/fleet/quota_share.h
@@ -4,6 +4,7 @@
 #define LABURNUMWEIR_FLEET_QUOTA_SHARE_H
 
 #include "core/clock_base.h"
+#include "core/random_base.h"
 #include "fleet/fleet_type.h"
 #include "table/fleet_const.h"
 
@@ -43,17 +44,28 @@
  * for the whole fleet, and subtracts from it its own grants and the grant rate that its peers
  * report. While this bucket holds enough for what all hosts may grant before they receive each
  * other's reports, no request is refused. Once it does not, a second bucket decides, which is
- * filled with the host's share of rate and burst in proportion to its demand. The demand of the
- * peers is known with a delay, so a host computes its share from its own demand of the same age:
- * the shares then add up to the quota even while demand rises on all hosts. Not thread-safe.
+ * filled with the host's share of the rate in proportion to its demand. The demand of the peers is
+ * known with a delay, so a host computes its share from its own demand of the same age: the shares
+ * then add up to the rate even while demand rises on all hosts. What was granted beyond the quota
+ * meanwhile leaves a debt in the fleet's bucket, and lowers the rate that is shared until it is
+ * repaid.
+ *
+ * With many hosts a host's share of the burst is smaller than a request. The host then grants a
+ * request from a full bucket and repays it from its share before it grants the next one. Its bucket
+ * starts at a random level within the size of a request, so that the hosts do not all grant one
+ * when the workspace exceeds its quota. Not thread-safe.
  */
 class QuotaShare
 {
 public:
-  /** @param aClock must outlive this object. */
-  explicit QuotaShare(const Clock& aClock)
+  /**
+   * @param aClock must outlive this object.
+   * @param aSeed for random initial levels; should differ by host.
+   */
+  explicit QuotaShare(const Clock& aClock, std::uint64_t aSeed = 1)
     : clock_(aClock)
     , startedAt_(aClock.Now())
+    , random_(aSeed)
   {
   }
 
@@ -79,8 +91,6 @@
   void Return(const WorkspaceId& aWorkspace, TokenCount aTokens);
   /** @return the demand at this host by workspace, to be sent to its peers. */
   std::vector<WorkspaceDemand> Demand() const;
-  /** @return tokens per second that this host may use of a workspace's rate under contention. */
-  double RateShare(const Workspace& aWorkspace) const;
 
 private:
   /** Exponential moving average of tokens per second. */
@@ -105,15 +115,18 @@
   };
   struct Bucket
   {
-    double rate_ = 0;        ///< Rate of the workspace in tokens/s.
-    double burst_ = 0;       ///< Burst of the workspace in tokens.
-    double fleetTokens_ = 0; ///< Tokens left for all hosts; negative after a large request.
+    double rate_ = 0;          ///< Rate of the workspace in tokens/s.
+    double burst_ = 0;         ///< Burst of the workspace in tokens.
+    double requestTokens_ = 0; ///< Tokens of the last request.
+    double fleetTokens_ = 0; ///< Tokens left for all hosts; negative after grants beyond the quota.
     double ownTokens_ = 0;   ///< Tokens left of this host's share; may be negative too.
-    std::optional<TimePoint> fleetComputedAt_; ///< When fleetTokens_ was computed.
-    std::optional<TimePoint> ownComputedAt_;   ///< When ownTokens_ was computed.
+    bool isContended_ = false;            ///< Whether ownTokens_ decided when it was computed.
+    std::optional<TimePoint> computedAt_; ///< When the levels were computed.
     Average requested_;
     Average surge_{ kSurgeTimeConstant, 0, {} }; ///< As requested_, averaged over a shorter time.
-    Average granted_;
+    /** Peers subtract this from their bucket of the fleet, so a long time constant would add to the
+     * delay at which they know of grants. */
+    Average granted_{ kSurgeTimeConstant, 0, {} };
     History history_; ///< Past values of requested_.
   };
   struct Peer
@@ -122,23 +135,30 @@
     std::map<WorkspaceId, WorkspaceDemand> demand_;
   };
 
+  WorkspaceDemand PeerDemand(const WorkspaceId& aWorkspace) const;
+  /** @return this host's share in tokens/s of the rate, lowered while the fleet is in debt. */
+  double RateShare(const Bucket& aBucket, const WorkspaceDemand& aPeers) const;
   /**
-   * Returns the size of this host's own bucket in tokens: its share of the burst, but not less than
-   * an equal share. A host that gets a request every few seconds has a share of the rate near zero
-   * between them, and must not lose the tokens that it has saved.
+   * Returns the fraction of the burst that this host's own bucket holds: its fraction of the rate,
+   * but not less than an equal one. A host that gets a request every few seconds has a share of the
+   * rate near zero between them, and must not lose the tokens that it has saved.
    * @param aShare this host's share of the rate in tokens/s.
    */
-  double Capacity(const Workspace& aWorkspace, double aShare) const;
-  WorkspaceDemand PeerDemand(const WorkspaceId& aWorkspace) const;
-  double SurgePerSecond(const WorkspaceId& aWorkspace) const;
-  void FillFleet(const WorkspaceId& aWorkspace, Bucket& aBucket);
-  void Fill(const Workspace& aWorkspace, Bucket& aBucket);
+  double BurstFraction(const Bucket& aBucket, double aShare) const;
+  /** @return estimated tokens that the hosts grant before they know of each other's grants. */
+  double UnreportedTokens(const Bucket& aBucket, const WorkspaceDemand& aPeers) const;
+  /** @return whether the bucket of the fleet lacks the tokens for a request. */
+  bool IsContended(const Bucket& aBucket, const WorkspaceDemand& aPeers, double aTokens) const;
+  /** Sets the levels at the first request of a workspace. */
+  void Start(Bucket& aBucket, const WorkspaceDemand& aPeers);
+  void Fill(Bucket& aBucket, const WorkspaceDemand& aPeers);
 
   const Clock& clock_;
   /** All buckets start empty at this time: the use of tokens before it is not known, and full
    * buckets would grant a second burst if all hosts restart at once. */
   const TimePoint startedAt_;
   std::size_t hostCount_ = 1;
+  SeededRandom random_;
   std::unordered_map<WorkspaceId, Bucket> buckets_;
   std::map<HostId, Peer> peers_;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -88,7 +88,7 @@
     , random_(std::random_device()())
     , life_(std::chrono::duration_cast<milliseconds>(clock_.WallNow().time_since_epoch()).count())
     , fleet_(clock_, settings_.host_, settings_.dataCentre_)
-    , quota_(clock_)
+    , quota_(clock_, std::random_device()())
     , retries_(clock_, RetryBoundsOf(settings_.bounds_))
     , queue_(clock_)
     , self_{ settings_.host_, settings_.gossipEndpoint_, settings_.dataCentre_ }
--- a/src/table/fleet_const.h
+++ b/src/table/fleet_const.h
@@ -82,7 +82,20 @@
  * Time for which hosts grant tokens that the other hosts do not know of yet: kPeerDemandDelay, and
  * most of the time constant of the average in which grants are sent.
  */
-constexpr Duration kUnreportedGrantTime = kPeerDemandDelay + kDemandTimeConstant * 3 / 4;
+constexpr Duration kUnreportedGrantTime = kPeerDemandDelay + kSurgeTimeConstant * 3 / 4;
+/**
+ * Time in which hosts take back what they granted beyond a quota; a few times the delay at which
+ * grants are known, since a shorter one would overshoot.
+ */
+constexpr Duration kQuotaBalanceTime = std::chrono::milliseconds(2500);
+/** Lowest part of a workspace's rate that is granted while hosts take back such grants. */
+constexpr double kMinRateInDebt = 0.1;
+/** Standard deviations by which measured demand must exceed a rate to count as higher. */
+constexpr double kDemandDeviations = 2;
+/** Requests whose tokens raise the shared rate of a workspace at most while they are unused. */
+constexpr double kUnusedRequestCount = 4;
+/** Requests for which a host may save tokens of its share. */
+constexpr double kSavedRequestCount = 2;
 /** Tokens by which the token bucket's level may fall short through rounding. */
 constexpr double kRoundingTokens = 1e-6;
 
--- a/tests/fleet/quota_share_test.cpp
+++ b/tests/fleet/quota_share_test.cpp
@@ -8,6 +8,7 @@
 
 #include <deque>
 #include <gtest/gtest.h>
+#include <map>
 #include <memory>
 #include <random>
 
@@ -262,5 +263,423 @@
   EXPECT_TRUE(quota.TryTake(testing_support::MakeWorkspace(0, 0), 1000000).isGranted_);
 }
 
+constexpr std::size_t kLargeFleet = 195;                      // hosts
+constexpr double kRates[] = { 10000, 46000, 120000, 260000 }; // tokens/s of workspaces there
+
+/** Demand of one workspace at a LargeQuotaFleet, and what was granted of it. */
+struct SimulatedWorkspace
+{
+  SimulatedWorkspace(const std::string& aId, double aRate, double aPerSecond)
+    : workspace_(testing_support::MakeWorkspace(aRate, aRate))
+    , perSecond_(aPerSecond)
+    , idealTokens_(aRate)
+  {
+    workspace_.id_ = WorkspaceId(aId);
+  }
+  double GrantedFraction() const { return grantedTokens_ / requestedTokens_; }
+  double RefusedFraction() const { return static_cast<double>(refused_) / requested_; }
+  /** @return fraction of the requests that one bucket for all hosts would refuse. */
+  double IdealRefusedFraction() const { return static_cast<double>(idealRefused_) / requested_; }
+  /** Forgets what was counted so far. */
+  void ResetCounts()
+  {
+    requested_ = refused_ = idealRefused_ = 0;
+    requestedTokens_ = grantedTokens_ = maxInWindow_ = 0;
+    grantsInWindow_.clear();
+    tokensInWindow_ = 0;
+  }
+  /** @return most tokens that the hosts may grant in kWindow at the current quota. */
+  double Allowed() const
+  {
+    return (workspace_.ratePerSecond_ * std::chrono::duration<double>(kWindow).count() +
+            workspace_.burst_) *
+             (1 + kOverage) +
+           kSlack;
+  }
+
+  Workspace workspace_;
+  double perSecond_ = 0;     ///< Tokens/s that its callers request, without repeated requests.
+  bool isPlain_ = false;     ///< Whether all requests take 200 tokens.
+  bool isRepeating_ = false; ///< Whether refused callers repeat, at once or after Retry-After.
+  int requested_ = 0;
+  int refused_ = 0;
+  int idealRefused_ = 0;
+  double requestedTokens_ = 0;
+  double grantedTokens_ = 0;
+  double maxInWindow_ = 0;
+  double tokensInWindow_ = 0;
+  double idealTokens_ = 0; ///< Level of a bucket that knows all requests without delay.
+  std::deque<std::pair<TimePoint, double>> grantsInWindow_;
+};
+
+/**
+ * Hosts that get Poisson arrivals and receive the sum of their peers' demand late. A report is sent
+ * each kGossipInterval and is received one interval plus a fraction that differs by host later, so
+ * that it is half a second old on average when it is used.
+ */
+class LargeQuotaFleet
+{
+public:
+  LargeQuotaFleet(std::vector<SimulatedWorkspace> aWorkspaces, std::uint32_t aSeed)
+    : workspaces_(std::move(aWorkspaces))
+    , random_(aSeed)
+    , reports_(kLargeFleet)
+  {
+    std::vector<double> weights;
+    for (std::size_t i = 0; i < kLargeFleet; ++i) {
+      hosts_.emplace_back();
+      Restart(i);
+      phases_.push_back(Steps(kGossipInterval) * i / kLargeFleet);
+      weights.push_back(0.3 + 1.4 * Fraction()); // demand differs by host
+    }
+    pickHost_ = std::discrete_distribution<std::size_t>(weights.begin(), weights.end());
+    clock_.Advance(3s);
+  }
+
+  /** Restarts the process of a host, which loses its state. */
+  void Restart(std::size_t aHost)
+  {
+    hosts_[aHost] = std::make_unique<QuotaShare>(clock_, ++lives_);
+    hosts_[aHost]->SetHostCount(kLargeFleet);
+  }
+
+  void Run(Duration aTime)
+  {
+    for (Duration passed{}; passed < aTime; passed += kStep) {
+      clock_.Advance(kStep);
+      Gossip();
+      for (auto& workspace : workspaces_) {
+        RunStep(workspace);
+      }
+      while (!repeats_.empty() && repeats_.begin()->first <= clock_.Now()) {
+        const auto repeat = repeats_.begin()->second;
+        repeats_.erase(repeats_.begin());
+        Request(workspaces_[repeat.workspace_], repeat.tokens_, repeat.attempt_);
+      }
+    }
+  }
+
+  FakeClock clock_;
+  std::vector<SimulatedWorkspace> workspaces_;
+  double lostFraction_ = 0.02; ///< Part of the reports that are lost, each way.
+
+private:
+  struct Repeat
+  {
+    std::size_t workspace_ = 0;
+    TokenCount tokens_ = 0;
+    int attempt_ = 0;
+  };
+  using Demands = std::map<WorkspaceId, WorkspaceDemand>;
+
+  static std::size_t Steps(Duration aTime) { return static_cast<std::size_t>(aTime / kStep); }
+  double Fraction() { return std::uniform_real_distribution<double>()(random_); }
+
+  TokenCount PickTokens(const SimulatedWorkspace& aWorkspace)
+  {
+    if (aWorkspace.isPlain_) {
+      return 200;
+    }
+    return Fraction() < 0.01 ? static_cast<TokenCount>(2500 + 5500 * Fraction())
+                             : static_cast<TokenCount>(800 + 1700 * Fraction());
+  }
+
+  void RunStep(SimulatedWorkspace& aWorkspace)
+  {
+    const double stepSeconds = std::chrono::duration<double>(kStep).count();
+    aWorkspace.idealTokens_ =
+      std::min(aWorkspace.workspace_.burst_,
+               aWorkspace.idealTokens_ + aWorkspace.workspace_.ratePerSecond_ * stepSeconds);
+    const double meanTokens = aWorkspace.isPlain_ ? 200 : 1686;
+    const int count =
+      std::poisson_distribution<int>(aWorkspace.perSecond_ * stepSeconds / meanTokens)(random_);
+    for (int i = 0; i < count; ++i) {
+      const auto tokens = PickTokens(aWorkspace);
+      if (aWorkspace.idealTokens_ >= std::min<double>(tokens, aWorkspace.workspace_.burst_)) {
+        aWorkspace.idealTokens_ -= static_cast<double>(tokens);
+      } else {
+        ++aWorkspace.idealRefused_;
+      }
+      Request(aWorkspace, tokens, 0);
+    }
+  }
+
+  void Request(SimulatedWorkspace& aWorkspace, TokenCount aTokens, int aAttempt)
+  {
+    constexpr int kMaxRepeats = 3;
+    auto& host = *hosts_[pickHost_(random_)];
+    host.RecordDemand(aWorkspace.workspace_, aTokens);
+    const auto decision = host.TryTake(aWorkspace.workspace_, aTokens);
+    ++aWorkspace.requested_;
+    aWorkspace.requestedTokens_ += static_cast<double>(aTokens);
+    if (decision.isGranted_) {
+      RecordGrant(aWorkspace, static_cast<double>(aTokens));
+      return;
+    }
+    ++aWorkspace.refused_;
+    if (aWorkspace.isRepeating_ && aAttempt < kMaxRepeats) {
+      const auto index = static_cast<std::size_t>(&aWorkspace - workspaces_.data());
+      const auto wait = Fraction() < 0.5 ? kStep : std::max<Duration>(decision.wait_, 1s);
+      repeats_.emplace(clock_.Now() + wait, Repeat{ index, aTokens, aAttempt + 1 });
+    }
+  }
+
+  void RecordGrant(SimulatedWorkspace& aWorkspace, double aTokens)
+  {
+    aWorkspace.grantedTokens_ += aTokens;
+    aWorkspace.grantsInWindow_.emplace_back(clock_.Now(), aTokens);
+    aWorkspace.tokensInWindow_ += aTokens;
+    while (aWorkspace.grantsInWindow_.front().first <= clock_.Now() - kWindow) {
+      aWorkspace.tokensInWindow_ -= aWorkspace.grantsInWindow_.front().second;
+      aWorkspace.grantsInWindow_.pop_front();
+    }
+    aWorkspace.maxInWindow_ = std::max(aWorkspace.maxInWindow_, aWorkspace.tokensInWindow_);
+  }
+
+  void Gossip()
+  {
+    const auto interval = Steps(kGossipInterval);
+    if (step_ % interval == 0) {
+      SendReports();
+    }
+    for (std::size_t i = 0; i < kLargeFleet; ++i) {
+      if (step_ % interval == phases_[i] && Fraction() >= lostFraction_) {
+        std::vector<WorkspaceDemand> others;
+        for (const auto& [id, total] : previousTotal_) {
+          const auto& own = previousReports_[i][id];
+          others.push_back({ id,
+                             total.requestedPerSecond_ - own.requestedPerSecond_,
+                             total.grantedPerSecond_ - own.grantedPerSecond_,
+                             total.recentPerSecond_ - own.recentPerSecond_ });
+        }
+        hosts_[i]->OnPeerDemand(HostId("others"), others);
+      }
+    }
+    ++step_;
+  }
+
+  void SendReports()
+  {
+    previousReports_ = reports_;
+    previousTotal_ = total_;
+    total_.clear();
+    for (std::size_t i = 0; i < kLargeFleet; ++i) {
+      if (Fraction() >= lostFraction_) {
+        reports_[i].clear();
+        for (const auto& demand : hosts_[i]->Demand()) {
+          reports_[i][demand.workspace_] = demand;
+        }
+      }
+      for (const auto& [id, demand] : reports_[i]) {
+        auto& sum = total_[id];
+        sum.requestedPerSecond_ += demand.requestedPerSecond_;
+        sum.grantedPerSecond_ += demand.grantedPerSecond_;
+        sum.recentPerSecond_ += demand.recentPerSecond_;
+      }
+    }
+  }
+
+  std::minstd_rand random_;
+  std::vector<std::unique_ptr<QuotaShare>> hosts_;
+  std::discrete_distribution<std::size_t> pickHost_;
+  std::vector<std::size_t> phases_; ///< Steps after an interval's start at which a host receives.
+  std::vector<Demands> reports_;    ///< Last report of each host that was not lost.
+  std::vector<Demands> previousReports_;
+  Demands total_;
+  Demands previousTotal_;
+  std::multimap<TimePoint, Repeat> repeats_;
+  std::size_t step_ = 0;
+  std::uint64_t lives_ = 0; ///< Processes started so far.
+};
+
+/**
+ * @param aRate rate and burst of the first workspace.
+ * @param aLoad fraction of its rate that it requests.
+ * @return this workspace and two others.
+ */
+std::vector<SimulatedWorkspace>
+MakeLargeDemand(double aRate, double aLoad)
+{
+  std::vector<SimulatedWorkspace> workspaces;
+  workspaces.emplace_back("w0", aRate, aRate * aLoad);
+  workspaces.emplace_back("w1", 100000, 30000);
+  workspaces.emplace_back("w2", 20000, 4000);
+  workspaces.back().isPlain_ = true;
+  return workspaces;
+}
+
+/**
+ * Lets a workspace send 7.5 times its usual demand for 6.5 s.
+ * @param aLoad fraction of its rate that it requests usually.
+ * @return most tokens granted in kWindow, as a fraction of those allowed.
+ */
+double
+RunJump(double aRate, double aLoad, bool aIsRepeating, std::uint32_t aSeed)
+{
+  LargeQuotaFleet fleet(MakeLargeDemand(aRate, aLoad), aSeed);
+  auto& workspace = fleet.workspaces_[0];
+  workspace.isRepeating_ = aIsRepeating;
+  fleet.Run(12s);
+  workspace.perSecond_ *= 7.5;
+  fleet.Run(6500ms);
+  workspace.perSecond_ /= 7.5;
+  fleet.Run(10s);
+  return workspace.maxInWindow_ / workspace.Allowed();
+}
+
+// Guards against an exceeded quota on a large fleet when the demand of a workspace jumps: each host
+// has a share of the burst that is far smaller than a request.
+TEST(LargeFleetQuota, IsKeptWhenAWorkspaceJumps)
+{
+  for (const double rate : kRates) {
+    for (const bool isRepeating : { false, true }) {
+      for (const std::uint32_t seed : { 1, 2 }) {
+        EXPECT_LE(RunJump(rate, 0.5, isRepeating, seed), 1)
+          << "rate " << rate << ", callers repeat: " << isRepeating << ", seed " << seed;
+      }
+    }
+  }
+}
+
+// Guards against an exceeded quota when a workspace that uses most of its rate jumps.
+TEST(LargeFleetQuota, IsKeptWhenABusyWorkspaceJumps)
+{
+  for (const double rate : kRates) {
+    for (const std::uint32_t seed : { 1, 2 }) {
+      EXPECT_LE(RunJump(rate, 0.85, true, seed), 1) << "rate " << rate << ", seed " << seed;
+    }
+  }
+}
+
+// Guards against an exceeded quota while a workspace asks for four times its rate and its callers
+// repeat what is refused.
+TEST(LargeFleetQuota, IsKeptWhileAWorkspaceAsksForMore)
+{
+  for (const double rate : kRates) {
+    for (const bool isRepeating : { false, true }) {
+      LargeQuotaFleet fleet(MakeLargeDemand(rate, 4), 1);
+      auto& workspace = fleet.workspaces_[0];
+      workspace.isRepeating_ = isRepeating;
+      fleet.Run(25s);
+      EXPECT_LE(workspace.maxInWindow_, workspace.Allowed())
+        << "rate " << rate << ", callers repeat: " << isRepeating;
+    }
+  }
+}
+
+/**
+ * Runs a workspace that asks for four times its rate.
+ * @param aBefore time before grants are counted.
+ * @param aTime time for which they are counted.
+ * @return fraction of its rate that it is granted.
+ */
+double
+RunContention(double aRate, std::uint32_t aSeed, Duration aBefore, Duration aTime)
+{
+  LargeQuotaFleet fleet(MakeLargeDemand(aRate, 4), aSeed);
+  auto& workspace = fleet.workspaces_[0];
+  fleet.Run(aBefore);
+  workspace.ResetCounts();
+  fleet.Run(aTime);
+  return workspace.grantedTokens_ / (std::chrono::duration<double>(aTime).count() * aRate);
+}
+
+// Guards against grants far below the rate under contention.
+TEST(LargeFleetQuota, GrantsTheRateWhileAWorkspaceAsksForMore)
+{
+  for (const double rate : { 46000, 120000, 260000 }) {
+    for (const std::uint32_t seed : { 1, 2 }) {
+      EXPECT_GE(RunContention(rate, seed, 8s, 20s), 0.9) << "rate " << rate << ", seed " << seed;
+    }
+  }
+}
+
+// Guards against grants far below the rate of a workspace of which each host gets one request in
+// eight seconds.
+TEST(LargeFleetQuota, GrantsTheRateWithFewRequestsAtEachHost)
+{
+  constexpr std::uint32_t kSeeds = 8;
+  double granted = 0;
+  for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    granted += RunContention(10000, seed, 28s, 40s) / kSeeds;
+  }
+  EXPECT_GE(granted, 0.9);
+}
+
+// Guards against refusals while the hosts have not saved the tokens of a request yet, which takes
+// them some seconds.
+TEST(LargeFleetQuota, GrantsTheRateToTheFirstRequestsAtEachHost)
+{
+  for (const std::uint32_t seed : { 11, 12, 13, 14 }) {
+    EXPECT_GE(RunContention(10000, seed, 8s, 20s), 0.9) << "seed " << seed;
+  }
+}
+
+// Guards against an exceeded quota when refused callers begin to repeat at once at other hosts, and
+// find those that have saved tokens.
+TEST(LargeFleetQuota, IsKeptWhenRefusedCallersBeginToRepeat)
+{
+  for (const double rate : { 10000, 20000 }) {
+    for (const std::uint32_t seed : { 11, 12, 13 }) {
+      LargeQuotaFleet fleet(MakeLargeDemand(rate, 4), seed);
+      auto& workspace = fleet.workspaces_[0];
+      fleet.Run(60s);
+      workspace.isRepeating_ = true;
+      fleet.Run(15s);
+      EXPECT_LE(workspace.maxInWindow_, workspace.Allowed())
+        << "rate " << rate << ", seed " << seed;
+    }
+  }
+}
+
+// Guards against grants at the former quota after it is lowered or raised.
+TEST(LargeFleetQuota, IsKeptWhenItChanges)
+{
+  for (const double rate : kRates) {
+    LargeQuotaFleet fleet(MakeLargeDemand(rate, 1), 1);
+    auto& workspace = fleet.workspaces_[0];
+    workspace.isRepeating_ = true;
+    fleet.Run(10s);
+    for (const double newRate : { rate / 4, rate }) {
+      workspace.workspace_.ratePerSecond_ = newRate;
+      workspace.workspace_.burst_ = newRate;
+      workspace.ResetCounts();
+      fleet.Run(12s);
+      EXPECT_LE(workspace.maxInWindow_, workspace.Allowed())
+        << "rate " << newRate << " of " << rate;
+    }
+  }
+}
+
+// Guards against a second burst when half of the hosts restart while a workspace exceeds its rate.
+TEST(LargeFleetQuota, IsKeptWhenHalfOfTheHostsRestart)
+{
+  for (const double rate : kRates) {
+    LargeQuotaFleet fleet(MakeLargeDemand(rate, 4), 1);
+    auto& workspace = fleet.workspaces_[0];
+    workspace.isRepeating_ = true;
+    fleet.Run(10s);
+    for (std::size_t host = 0; host < kLargeFleet; host += 2) {
+      fleet.Restart(host);
+    }
+    fleet.Run(12s);
+    EXPECT_LE(workspace.maxInWindow_, workspace.Allowed()) << "rate " << rate;
+  }
+}
+
+// Guards against refusals of requests that one bucket for all hosts would grant.
+TEST(LargeFleetQuota, RefusesAlmostNothingBelowTheRate)
+{
+  for (const double rate : kRates) {
+    for (const std::uint32_t seed : { 1, 2 }) {
+      LargeQuotaFleet fleet(MakeLargeDemand(rate, 0.85), seed);
+      const auto& workspace = fleet.workspaces_[0];
+      fleet.Run(30s);
+      EXPECT_LE(workspace.RefusedFraction(), 0.005 + workspace.IdealRefusedFraction())
+        << "rate " << rate << ", seed " << seed;
+    }
+  }
+}
+
 } // namespace
 } // namespace laburnumweir
