Decide once in a test whether its service runs a request

RepeatedRefusalTest.CopyDoesNotEndTheNextRequestWithTheSameId failed twice beside builds (2 runs instead of 1). The service looked twice whether it may run a request: after it had sent the last refusal of the first request, the test could already allow runs, and the service counted one for the request that it had refused. The checks are the same.

--- a/tests/gateway/request_flow_leftover_test.cpp
+++ b/tests/gateway/request_flow_leftover_test.cpp
@@ -213,11 +213,12 @@
   ScriptedServer server([&](Peer& aPeer, int) {
     bool hasRefused = false;
     while (aPeer.ReadRequest()) {
-      if (!mayRun || hasRefused) {
+      const bool isRun = mayRun;
+      if (!isRun || hasRefused) {
         hasRefused = true;
         aPeer.Send(refusal);
       }
-      if (mayRun) {
+      if (isRun) {
         ++runs;
         aPeer.Send(Answer("booked"));
       }
