--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -37,7 +37,7 @@
 
 /** Copies the pauses that a process asked for itself, before its entry was read. */
 void
-KeepPausesSince(std::int64_t aStartedAt, const UpstreamNotice& aLast, UpstreamNotice& aNotice)
+CopyPausesSince(std::int64_t aStartedAt, const UpstreamNotice& aLast, UpstreamNotice& aNotice)
 {
   aNotice.pauses_ = aLast.pauses_;
   std::erase_if(aNotice.pauses_,
@@ -73,7 +73,7 @@
   // it does not show.
   const bool isReadAgain = !isNewProcess && known.heartbeat_ == aEntry.heartbeat_;
   if (isNewProcess) {
-    const auto last = isNew ? TakeKept(aEntry.id_, now) : StateOf(upstream, now);
+    const auto last = isNew ? TakeRemovedState(aEntry.id_, now) : StateToKeep(upstream, now);
     const auto peers = upstream.peersRunning_;
     upstream = {};
     // The ends of attempts that were sent to an earlier process are still to be subtracted.
@@ -84,7 +84,7 @@
     if (last.startedAt_ == aEntry.startedAt_) {
       static_cast<UpstreamNotice&>(upstream) = last.notice_;
     } else if (last.startedAt_ < aEntry.startedAt_ && last.endpoint_ == aEntry.endpoint_) {
-      KeepPausesSince(aEntry.startedAt_, last.notice_, upstream);
+      CopyPausesSince(aEntry.startedAt_, last.notice_, upstream);
     }
   } else {
     // The residency that the holder sent after an order is newer than an entry written before it.
@@ -117,9 +117,10 @@
     return false;
   }
   const auto now = clock_.Now();
-  std::erase_if(
-    kept_, [now](const auto& aKept) { return now - aKept.second.changedAt_ > kUpstreamNoticeTtl; });
-  kept_[aId] = StateOf(found->second, now);
+  std::erase_if(removedStates_, [now](const auto& aKept) {
+    return now - aKept.second.changedAt_ > kUpstreamNoticeTtl;
+  });
+  removedStates_[aId] = StateToKeep(found->second, now);
   upstreams_.erase(found);
   return true;
 }
@@ -414,7 +415,7 @@
 {
   auto* upstream = Find(aId);
   if (upstream == nullptr) {
-    if (const auto kept = kept_.find(aId); kept != kept_.end()) {
+    if (const auto kept = removedStates_.find(aId); kept != removedStates_.end()) {
       kept->second.running_ -= kept->second.running_ > 0 ? 1 : 0;
     }
     return;
@@ -475,19 +476,19 @@
   }
 }
 
-UpstreamTable::KeptState
-UpstreamTable::StateOf(const Upstream& aUpstream, TimePoint aNow)
+UpstreamTable::RemovedState
+UpstreamTable::StateToKeep(const Upstream& aUpstream, TimePoint aNow)
 {
   const auto& entry = aUpstream.entry_;
   return { entry.startedAt_, aNow, entry.endpoint_, aUpstream.running_, aUpstream };
 }
 
-UpstreamTable::KeptState
-UpstreamTable::TakeKept(const UpstreamId& aId, TimePoint aNow)
+UpstreamTable::RemovedState
+UpstreamTable::TakeRemovedState(const UpstreamId& aId, TimePoint aNow)
 {
-  const auto kept = kept_.extract(aId);
+  const auto kept = removedStates_.extract(aId);
   return kept && aNow - kept.mapped().changedAt_ <= kUpstreamNoticeTtl ? kept.mapped()
-                                                                       : KeptState{};
+                                                                       : RemovedState{};
 }
 
 UpstreamNotice*
@@ -496,9 +497,10 @@
   if (auto* upstream = Find(aId)) {
     return upstream->entry_.startedAt_ == aStartedAt ? upstream : nullptr;
   }
-  const auto kept = kept_.find(aId);
-  return kept != kept_.end() && kept->second.startedAt_ == aStartedAt ? &kept->second.notice_
-                                                                      : nullptr;
+  const auto kept = removedStates_.find(aId);
+  return kept != removedStates_.end() && kept->second.startedAt_ == aStartedAt
+           ? &kept->second.notice_
+           : nullptr;
 }
 
 void
@@ -645,7 +647,7 @@
   for (const auto& [id, upstream] : upstreams_) {
     add(id, upstream.running_, upstream);
   }
-  for (const auto& [id, kept] : kept_) {
+  for (const auto& [id, kept] : removedStates_) {
     add(id, kept.running_, kept.notice_);
   }
   return result;
--- a/src/fleet/upstream_table.h
+++ b/src/fleet/upstream_table.h
@@ -225,7 +225,7 @@
 
 private:
   /** State of an upstream without an entry, in case its entry comes back. */
-  struct KeptState
+  struct RemovedState
   {
     std::int64_t startedAt_ = 0; ///< Start time of its process, Unix ms.
     TimePoint changedAt_;        ///< When the entry was removed.
@@ -255,9 +255,9 @@
                                                double aBusyThreshold,
                                                TimePoint aNow) const;
   void SumPeerLoads();
-  static KeptState StateOf(const Upstream& aUpstream, TimePoint aNow);
+  static RemovedState StateToKeep(const Upstream& aUpstream, TimePoint aNow);
   /** @return what is known of an upstream that gets an entry; empty if nothing is. */
-  KeptState TakeKept(const UpstreamId& aId, TimePoint aNow);
+  RemovedState TakeRemovedState(const UpstreamId& aId, TimePoint aNow);
   /**
    * @return where to record what an answer of a process says; nullptr if its upstream is unknown or
    * has another process.
@@ -268,7 +268,8 @@
   const HostId host_;
   const DataCentreId dataCentre_; ///< Data centre of this host.
   std::map<UpstreamId, Upstream> upstreams_;
-  std::map<UpstreamId, KeptState> kept_; ///< Of upstreams removed within kUpstreamNoticeTtl.
+  std::map<UpstreamId, RemovedState>
+    removedStates_; ///< Of upstreams removed within kUpstreamNoticeTtl.
   std::map<ServiceName, ServiceSpec> services_;
   std::set<DataCentreId> evacuated_; ///< Data centres whose upstreams get no requests.
   std::vector<HostId> hosts_;        ///< Live hosts, this one included.
--- a/src/gateway/store_watch.cpp
+++ b/src/gateway/store_watch.cpp
@@ -84,12 +84,12 @@
 }
 
 void
-StoreWatch::HurryOperators(StoreEra aEra)
+StoreWatch::ReadOperatorsInNewEra(StoreEra aEra)
 {
-  if (!operatorsEra_ || aEra <= *operatorsEra_ || aEra <= hurriedEra_) {
+  if (!operatorsEra_ || aEra <= *operatorsEra_ || aEra <= announcedEra_) {
     return;
   }
-  hurriedEra_ = aEra;
+  announcedEra_ = aEra;
   ++operatorsPoll_;
   pollWait_ = std::chrono::milliseconds(0);
   ReadOperators();
@@ -333,7 +333,7 @@
     state_.ApplyDeferredRemovals();
   }
   OnEra(aBatch.era_);
-  HurryOperators(aBatch.era_);
+  ReadOperatorsInNewEra(aBatch.era_);
   onChange_();
 }
 
@@ -366,7 +366,7 @@
   if (upstreams_ && upstreams_->era_ < aEra) {
     isUpstreamReadDue_ = true;
   }
-  HurryOperators(aEra);
+  ReadOperatorsInNewEra(aEra);
 }
 
 void
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -114,7 +114,7 @@
   void PollOperatorsAfter(Duration aDelay);
   /** Reads the operators' stream at once, in place of the running or next poll, unless it was read
    * in that era or this was called for it before. */
-  void HurryOperators(StoreEra aEra);
+  void ReadOperatorsInNewEra(StoreEra aEra);
   /** @param aKnownNext end of the operators' stream that was known when the read was sent. */
   void OnOperators(TimePoint aSentAt,
                    StorePosition aKnownNext,
@@ -155,7 +155,7 @@
   std::optional<StorePosition> operators_;  ///< Next position; if none, a snapshot is read.
   StorePosition relayedOperators_;          ///< Newest position that a store reader had.
   std::optional<StoreEra> operatorsEra_;    ///< Newest era that the operators' stream was read in.
-  StoreEra hurriedEra_ = 0; ///< Newest era for which the operators' stream was read at once.
+  StoreEra announcedEra_ = 0; ///< Newest era for which the operators' stream was read at once.
   /** Rises when a read of the operators' stream is started in place of the one before, whose answer
    * is then not used. */
   std::uint64_t operatorsPoll_ = 0;
