Log the configuration that the peers have in force with each refusal

Tells a host that does not know of a newer configuration from one that knows and refuses nevertheless.

--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -74,6 +74,8 @@
   bool IsConfigUnsettled() const;
   /** @return the configuration in force at this host. */
   const ConfigInForce& Config() const { return config_; }
+  /** @return the newest configuration that is in force at a live peer. */
+  const ConfigInForce& PeerConfig() const { return peerConfig_; }
   /** @return the routes in force, or nullptr before the first configuration. */
   const std::shared_ptr<const RouteTable>& Routes() const { return routes_; }
   UpstreamTable& Upstreams() { return upstreams_; }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -335,6 +335,7 @@
         { "tokens", std::to_string(aRequest.tokens_) },
         { "config",
           aRequest.routes_ ? std::to_string(aRequest.routes_->Config().version_) : "none" },
+        { "peers_config", std::to_string(fleet_.PeerConfig().version_) },
         { "proof_ms",
           std::to_string(std::min<Duration>(fleet_.ConfigAge(), std::chrono::hours(1)) /
                          milliseconds(1)) } });
