Refuse nothing for good by a configuration that may be outdated

Callers saw 401 and 404 for keys and routes that had been in force for up to 20 s, from hosts that the store turned away. Cause: route and key were looked up in the configuration at hand, whatever its age, and although peers had reported a newer one. Now such a request gets 503 with a short Retry-After, as another host can serve it, and a host whose peers have had a newer configuration for longer than the bounds allow refuses all requests. GatewayTest.WhatIsUnknownIsNotRefusedForGoodWithoutAProvenConfiguration gets 404 and 401 in place of 503 without the check of the age.

--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -61,6 +61,7 @@
     config_ = { newest->version_, aBatch.Next() };
     upstreams_.SetServices(routes_->Config().services_);
   }
+  DropReadConfigs();
   return isNewer;
 }
 
@@ -230,6 +231,24 @@
     peerConfigSince_ = clock_.Now();
   }
   peerConfig_ = aConfig;
+  if (unreadConfigs_.empty() || unreadConfigs_.back().config_.version_ < aConfig.version_) {
+    unreadConfigs_.push_back({ aConfig, clock_.Now() });
+    DropReadConfigs();
+  }
+}
+
+void
+FleetState::DropReadConfigs()
+{
+  std::erase_if(unreadConfigs_, [this](const UnreadConfig& aUnread) {
+    return aUnread.config_.version_ <= config_.version_ || aUnread.config_.next_ <= operatorsNext_;
+  });
+}
+
+std::optional<TimePoint>
+FleetState::BehindPeersSince() const
+{
+  return unreadConfigs_.empty() ? std::nullopt : std::optional(unreadConfigs_.front().reportedAt_);
 }
 
 bool
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace laburnumweir {
 
@@ -69,6 +70,10 @@
    * the store up to the position where this peer got it. Ends after kLostConfigTtl, as operators
    * may never have got the store's answer and never write it again. */
   bool IsConfigOutdated() const;
+  /** @return since when a peer has had a newer configuration that this host has yet to read; none
+   * if no peer has reported one. Ends when this host has read up to it, whether it found it there
+   * or not. */
+  std::optional<TimePoint> BehindPeersSince() const;
   /** @return whether this host knows only an older copy of the store, and operators may not yet
    * have written again what it lacks. */
   bool IsConfigUnsettled() const;
@@ -95,6 +100,13 @@
     TimePoint removedAt_;
   };
 
+  /** A configuration of a peer that this host has not read. */
+  struct UnreadConfig
+  {
+    ConfigInForce config_;
+    TimePoint reportedAt_; ///< When a peer first reported it.
+  };
+
   struct PeerRestore
   {
     StoreEra era_ = 0;
@@ -103,6 +115,7 @@
   };
 
   void OnRelease(const AdapterRelease& aRelease);
+  void DropReadConfigs();
   void SetEvacuated(std::set<DataCentreId> aEvacuated);
   /** @return the newest known stamp of the entries of an upstream. */
   EntryStamp LastStamp(const UpstreamId& aId) const;
@@ -115,6 +128,7 @@
   ConfigInForce config_;                     ///< Its version, and where it was read.
   ConfigInForce peerConfig_;                 ///< Newest configuration of the live peers.
   TimePoint peerConfigSince_;                ///< When a peer was first known to have it.
+  std::vector<UnreadConfig> unreadConfigs_;  ///< Oldest first.
   std::optional<StoreEra> firstEra_;         ///< Era of the first batch of the operators' stream.
   TimePoint firstReadAt_;                    ///< When that batch was applied.
   std::optional<PeerRestore> peerRestore_;   ///< Last restore that a peer has seen.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -12,6 +12,7 @@
 #include "http/strand_scheduler.h"
 #include "logging/logging_func.h"
 #include "table/fleet_const.h"
+#include "table/flow_const.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -49,8 +50,8 @@
 // The settings file is read at this interval because it may change without a signal.
 constexpr Duration kReloadInterval = std::chrono::seconds(2);
 constexpr Duration kNotReadyRetryAfter = milliseconds(500);
-// The balancer has taken this host out of service, so a caller that retries reaches another one.
-constexpr Duration kDrainRetryAfter = milliseconds(10);
+// A caller that retries reaches another host, which can serve the request.
+constexpr Duration kOtherHostRetryAfter = milliseconds(10);
 
 /** Serves one text page of this host, such as readiness or metrics, at every path. */
 class PageHandler : public HttpHandler
@@ -225,7 +226,7 @@
     admitted.routes_ = fleet_.Routes();
     if (isDraining_ && !MayAcceptInDrain(admitted.facts_)) {
       // The caller can retry at another host.
-      Refuse(*aAnswer, admitted, 503, "draining", kDrainRetryAfter);
+      Refuse(*aAnswer, admitted, 503, "draining", kOtherHostRetryAfter);
       return;
     }
     if (!admitted.routes_ || !fleet_.HasUpstreams()) {
@@ -236,6 +237,10 @@
       Refuse(*aAnswer, admitted, 503, "configuration_unsettled", kNotReadyRetryAfter);
       return;
     }
+    if (IsBehindPeersTooLong()) {
+      Refuse(*aAnswer, admitted, 503, "configuration_outdated", kOtherHostRetryAfter);
+      return;
+    }
     const auto host = aRequest[http::field::host];
     const auto target = aRequest.target();
     admitted.route_ =
@@ -342,14 +347,27 @@
     metrics_.GetCounter("laburnumweir_gateway_requests_total", "outcome", aReason).Add();
   }
 
-  /** Refuses a request for something that is not in the configuration. */
+  /** @return whether peers have had a newer configuration for so long that no host may act on
+   * an older one any more. */
+  bool IsBehindPeersTooLong() const
+  {
+    const auto since = fleet_.BehindPeersSince();
+    const auto& bounds = settings_.bounds_;
+    return since && clock_.Now() - *since >
+                      bounds.maxConfigDelay_ + bounds.maxOutageExtension_ - kRevocationMargin;
+  }
+
+  /** Refuses a request for something that is not in the configuration. Callers take that for final,
+   * so it must not come from an older configuration than the newest one that is in force. */
   void RefuseUnknown(AnswerStream& aAnswer,
                      const AdmittedRequest& aRequest,
                      unsigned aStatus,
                      std::string_view aReason)
   {
-    if (fleet_.IsConfigOutdated()) {
-      Refuse(aAnswer, aRequest, 503, "configuration_outdated", kNotReadyRetryAfter);
+    if (fleet_.IsConfigOutdated() || fleet_.BehindPeersSince()) {
+      Refuse(aAnswer, aRequest, 503, "configuration_outdated", kOtherHostRetryAfter);
+    } else if (fleet_.ConfigAge() > settings_.bounds_.maxConfigDelay_) {
+      Refuse(aAnswer, aRequest, 503, "configuration_not_proven", kOtherHostRetryAfter);
     } else {
       Refuse(aAnswer, aRequest, aStatus, aReason, std::nullopt);
     }
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -24,6 +24,10 @@
   /** Whether maxRevocationDelay_ also holds while the store cannot be reached, by refusing
    * requests. */
   bool isRevocationStrict_ = true;
+  /** Maximum time from the acknowledgement of a configuration until all hosts act on it. */
+  std::chrono::milliseconds maxConfigDelay_{ 2000 };
+  /** Time by which an outage of the store may extend maxConfigDelay_. */
+  std::chrono::milliseconds maxOutageExtension_{ 5000 };
   /** Maximum time from the start of an upstream's drain until no host sends it requests. */
   std::chrono::milliseconds maxDrainDelay_{ 2000 };
   /** Maximum time from the release of an adapter version until no host uses an older one. */
--- a/tests/fleet/fleet_state_test.cpp
+++ b/tests/fleet/fleet_state_test.cpp
@@ -126,5 +126,55 @@
   EXPECT_TRUE(HasEngine()) << "it is running";
 }
 
+class BehindPeersTest : public testing::Test
+{
+protected:
+  void Read(std::int64_t aVersion, LogOffset aNext)
+  {
+    FleetConfig config;
+    config.version_ = aVersion;
+    ChangeBatch batch;
+    batch.changes_ = { config };
+    batch.next_ = aNext;
+    state_.ApplyOperators(batch);
+  }
+
+  FakeClock clock_;
+  FleetState state_{ clock_, HostId("h1"), DataCentreId("dc1") };
+};
+
+// Guards against a host that acts for long on a configuration that its peers have replaced, as the
+// store turns away its reads.
+TEST_F(BehindPeersTest, LastsFromTheFirstUnreadConfigurationUntilItIsRead)
+{
+  Read(3, 10);
+  state_.SetPeerConfig({ 3, { 0, 12 } });
+  EXPECT_FALSE(state_.BehindPeersSince()) << "the same version";
+  const auto start = clock_.Now();
+  for (std::int64_t version = 4; version < 9; ++version) {
+    state_.SetPeerConfig({ version, { 0, static_cast<LogOffset>(version) + 10 } });
+    clock_.Advance(1s);
+    EXPECT_EQ(state_.BehindPeersSince(), start);
+  }
+  Read(6, 16);
+  EXPECT_EQ(state_.BehindPeersSince(), start + 3s) << "versions 7 and 8 are still unread";
+  Read(8, 18);
+  EXPECT_FALSE(state_.BehindPeersSince());
+}
+
+// Guards against a host that refuses all requests since the store has lost a configuration of its
+// peers.
+TEST_F(BehindPeersTest, EndsWhenTheStoreDoesNotHoldTheConfiguration)
+{
+  Read(3, 10);
+  state_.SetPeerConfig({ 4, { 0, 11 } });
+  EXPECT_TRUE(state_.BehindPeersSince());
+  ChangeBatch restored;
+  restored.era_ = 1;
+  restored.next_ = 5;
+  state_.ApplyOperators(restored);
+  EXPECT_FALSE(state_.BehindPeersSince());
+}
+
 } // namespace
 } // namespace laburnumweir
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -1,13 +1,14 @@
-/** @file gateway_test.cpp Tests that a running gateway keeps the bounds of its settings when they
- * are reloaded. */
+/** @file gateway_test.cpp Tests that a running gateway keeps the bounds of its settings. */
 #include "gateway/gateway.h"
 
 #include "fleet/fleet_support.h"
 #include "gateway/gateway_support.h"
 #include "platform/message_codec.h"
+#include "support/net_support.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
+#include <future>
 #include <gtest/gtest.h>
 
 namespace laburnumweir {
@@ -21,6 +22,8 @@
 protected:
   GatewayTest()
   {
+    config_.version_ = 1;
+    config_.services_ = { testing_support::MakeService() };
     settings_.host_ = HostId("h1");
     settings_.dataCentre_ = DataCentreId("dc1");
     for (auto* endpoint : { &settings_.callerEndpoint_,
@@ -32,13 +35,10 @@
     settings_.groupPartitions_ = 1;
     ON_CALL(store_, ReadAll)
       .WillByDefault([this](ChangeStream aStream, const FleetStore::ChangesCallback& aCallback) {
-        FleetConfig config;
-        config.version_ = 1;
-        config.services_ = { testing_support::MakeService() };
         ChangeBatch batch;
         batch.isSnapshot_ = true;
         if (aStream == ChangeStream::Operators) {
-          batch.changes_ = { config };
+          batch.changes_ = { config_ };
         } else {
           batch.changes_ = { UpstreamChange{ engine_.id_, engine_ } };
         }
@@ -84,11 +84,22 @@
     ASSERT_TRUE(RunGateway(context_, GatewaySettings(settings_), ports));
   }
 
+  /** @return status of the answer to a request with a key, sent while the gateway runs. */
+  unsigned StatusOf(const std::string& aTarget, const std::string& aKey) const
+  {
+    auto peer = testing_support::ConnectTo(settings_.callerEndpoint_);
+    peer.Send("GET " + aTarget + " HTTP/1.1\r\nHost: a\r\nAuthorization: Token " + aKey +
+              "\r\n\r\n");
+    const auto answer = peer.ReadAnswer();
+    return answer ? answer->result_int() : 0;
+  }
+
   boost::asio::io_context context_;
   testing::NiceMock<testing_support::MockStore> store_;
   testing::NiceMock<testing_support::MockEngines> engines_;
   platform::PlatformMessageCodec codec_;
   GatewaySettings settings_;
+  FleetConfig config_;
   UpstreamEntry engine_ = testing_support::MakeEngine("e1");
   int upstreamReads_ = 0;  ///< Reads of the upstreams' changes.
   int reportRequests_ = 0; ///< Reports requested from engines, which precede the first order.
@@ -118,5 +129,29 @@
   EXPECT_EQ(reportRequests_, 0);
 }
 
+// Guards against a key or a route that is refused for good by a host that has not learned of it,
+// since the store has turned away the host for longer than a configuration may take to be in force.
+TEST_F(GatewayTest, WhatIsUnknownIsNotRefusedForGoodWithoutAProvenConfiguration)
+{
+  settings_.callerEndpoint_ = testing_support::RefusingEndpoint();
+  settings_.bounds_.maxConfigDelay_ = 600ms;
+  Route route;
+  route.host_ = "a";
+  route.prefix_ = "/known/";
+  config_.routes_ = { route };
+  config_.workspaces_ = { testing_support::MakeWorkspace(0, 0) };
+  using Statuses = std::vector<unsigned>;
+  std::future<Statuses> early;
+  std::future<Statuses> late;
+  const auto ask = [this] {
+    return Statuses{ StatusOf("/other/", "key-1"), StatusOf("/known/", "key-2") };
+  };
+  After(100ms, [&] { early = std::async(std::launch::async, ask); });
+  After(900ms, [&] { late = std::async(std::launch::async, ask); });
+  Run(200ms, 1300ms);
+  EXPECT_EQ(early.get(), (Statuses{ 404, 401 }));
+  EXPECT_EQ(late.get(), (Statuses{ 503, 503 }));
+}
+
 } // namespace
 } // namespace laburnumweir
