Record the timeline of streams joined from two software versions

The software version of an upstream is now read from its entry, relayed between hosts and logged with each attempt, as are the attempt and the event that a caller resumes; no decision uses them yet.

--- a/src/core/id_type.h
+++ b/src/core/id_type.h
@@ -53,6 +53,8 @@
 using KeyDigest = StringId<struct KeyDigestTag>; ///< SHA-256 of a caller's key, 64 hex digits.
 using ServiceName =
   StringId<struct ServiceTag>; ///< A plain service that several upstreams provide.
+using SoftwareVersion =
+  StringId<struct SoftwareTag>; ///< Software that an upstream runs; without an order.
 
 /** Offset of a record in a stream of the log. The revision of the rules is the offset up to which
  * the records have been applied. */
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -173,6 +173,7 @@
                { "data_centre", aChange.entry_->dataCentre_.Value() },
                { "state", aChange.entry_->isDraining_ ? "draining" : "ready" },
                { "new_life", isNewProcess ? "true" : "false" },
+               { "software", aChange.entry_->software_.Value() },
                { "cold_ms", std::to_string(aChange.entry_->coldTimeLeft_.count()) } });
   }
 }
--- a/src/fleet/fleet_type.h
+++ b/src/fleet/fleet_type.h
@@ -141,8 +141,9 @@
   ServiceName service_;
   Endpoint endpoint_; ///< Where it listens.
   DataCentreId dataCentre_;
-  std::uint32_t slots_ = 1; ///< Maximum number of concurrent requests.
-  bool isDraining_ = false; ///< It leaves the fleet and accepts no new requests.
+  SoftwareVersion software_; ///< Empty if the entry names none.
+  std::uint32_t slots_ = 1;  ///< Maximum number of concurrent requests.
+  bool isDraining_ = false;  ///< It leaves the fleet and accepts no new requests.
   std::chrono::milliseconds coldTimeLeft_{ 0 }; ///< Remaining time for which it is cold.
   std::int64_t startedAt_ = 0;  ///< Start time, Unix ms; identifies the process instance.
   std::uint64_t heartbeat_ = 0; ///< Rises with each entry of one process instance.
--- a/src/fleet/upstream_changes.cpp
+++ b/src/fleet/upstream_changes.cpp
@@ -23,10 +23,10 @@
 IsSameExceptHeartbeat(const UpstreamEntry& aLeft, const UpstreamEntry& aRight)
 {
   return aLeft.service_ == aRight.service_ && aLeft.endpoint_ == aRight.endpoint_ &&
-         aLeft.dataCentre_ == aRight.dataCentre_ && aLeft.slots_ == aRight.slots_ &&
-         aLeft.isDraining_ == aRight.isDraining_ && aLeft.coldTimeLeft_ == aRight.coldTimeLeft_ &&
-         aLeft.startedAt_ == aRight.startedAt_ && aLeft.listsModels_ == aRight.listsModels_ &&
-         aLeft.models_ == aRight.models_;
+         aLeft.dataCentre_ == aRight.dataCentre_ && aLeft.software_ == aRight.software_ &&
+         aLeft.slots_ == aRight.slots_ && aLeft.isDraining_ == aRight.isDraining_ &&
+         aLeft.coldTimeLeft_ == aRight.coldTimeLeft_ && aLeft.startedAt_ == aRight.startedAt_ &&
+         aLeft.listsModels_ == aRight.listsModels_ && aLeft.models_ == aRight.models_;
 }
 
 } // namespace
--- a/src/gateway/gossip_message.cpp
+++ b/src/gateway/gossip_message.cpp
@@ -148,6 +148,11 @@
     row.emplace_back(entry->heartbeat_);
     if (entry->listsModels_) {
       row.emplace_back(EncodeModels(entry->models_));
+    } else if (!entry->software_.IsEmpty()) {
+      row.emplace_back(nullptr);
+    }
+    if (!entry->software_.IsEmpty()) {
+      row.emplace_back(entry->software_.Value());
     }
   } else {
     row.emplace_back(aChange.lastStamp_.startedAt_);
@@ -172,10 +177,11 @@
     entry.coldTimeLeft_ = std::chrono::milliseconds(NumberAt<std::int64_t>(aRow, 7));
     entry.startedAt_ = NumberAt<std::int64_t>(aRow, 8);
     entry.heartbeat_ = NumberAt<std::uint64_t>(aRow, 9);
-    entry.listsModels_ = aRow.size() > kModelsColumn;
+    entry.listsModels_ = aRow.size() > kModelsColumn && aRow[kModelsColumn].is_array();
     if (entry.listsModels_) {
       entry.models_ = DecodeModels(aRow[kModelsColumn]);
     }
+    entry.software_ = SoftwareVersion(TextAt(aRow, kModelsColumn + 1));
     change.entry_ = std::move(entry);
   } else {
     change.lastStamp_ = { NumberAt<std::int64_t>(aRow, 1), NumberAt<std::uint64_t>(aRow, 2) };
--- a/src/gateway/message_codec_base.h
+++ b/src/gateway/message_codec_base.h
@@ -26,6 +26,8 @@
   /** Ids of the parts of the prompt that other requests may share, in order. The last part of a
    * prompt is left out: it belongs to the request or its session alone. */
   std::vector<std::string> sharedParts_;
+  RequestId resumes_;       ///< Attempt that brought the first event of a stream; empty if none.
+  std::string lastEventId_; ///< Last event that the caller has of a stream; empty if none.
 };
 
 /** Values that this host adds to the header of a request to an upstream. */
