Continue a stream only at the software version that began it, within one answer

Callers got whole answers, 200, whose first part came from one software version of a service and the rest from another one. Cause: after a break an engine of any version was chosen; no part of the system used the version in the entries. Now a stream that has brought events goes on only at upstreams of the version of the upstream that began it, and its answer is broken off at once if none is left. If the entry shows that the upstream had been started anew with other software, the stream is not continued.

--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -307,7 +307,7 @@
   const Upstream* best = nullptr;
   std::pair<int, std::uint64_t> bestRank{ -1, 0 };
   for (const auto& [id, upstream] : upstreams_) {
-    if (upstream.entry_.service_ != aNeed.service_ || !IsUsableAt(upstream, aNow) ||
+    if (!IsOfService(upstream, aNeed) || !IsUsableAt(upstream, aNow) ||
         (aNeed.excluded_ != nullptr && aNeed.excluded_->contains(id)) ||
         (aNeed.loadTimedOut_ != nullptr && aNeed.loadTimedOut_->contains(id))) {
       continue;
@@ -343,7 +343,7 @@
   bool isResident = false;
   double minResidentLoad = std::numeric_limits<double>::max();
   for (auto& [id, upstream] : upstreams_) {
-    if (upstream.entry_.service_ != aNeed.service_) {
+    if (!IsOfService(upstream, aNeed)) {
       continue;
     }
     if (!IsUsableAt(upstream, now)) {
@@ -563,14 +563,15 @@
 }
 
 std::optional<TimePoint>
-UpstreamTable::PauseEnd(const ServiceName& aService, const std::set<UpstreamId>& aFailed) const
+UpstreamTable::PauseEnd(const UpstreamNeed& aNeed) const
 {
   const auto now = clock_.Now();
   std::optional<TimePoint> earliest;
   bool isAnyPaused = false;
   for (const auto& [id, upstream] : upstreams_) {
-    if (upstream.entry_.service_ != aService || IsLeaving(upstream) ||
-        evacuated_.contains(upstream.entry_.dataCentre_) || aFailed.contains(id)) {
+    if (!IsOfService(upstream, aNeed) || IsLeaving(upstream) ||
+        evacuated_.contains(upstream.entry_.dataCentre_) ||
+        (aNeed.excluded_ != nullptr && aNeed.excluded_->contains(id))) {
       continue;
     }
     if (upstream.isMisdirected_) {
@@ -583,6 +584,18 @@
   return isAnyPaused ? earliest : std::nullopt;
 }
 
+bool
+UpstreamTable::IsServed(const ServiceName& aService, const SoftwareVersion& aSoftware) const
+{
+  UpstreamNeed need;
+  need.service_ = aService;
+  need.software_ = aSoftware;
+  return std::any_of(upstreams_.begin(), upstreams_.end(), [&](const auto& aUpstream) {
+    return IsOfService(aUpstream.second, need) && !IsLeaving(aUpstream.second) &&
+           !evacuated_.contains(aUpstream.second.entry_.dataCentre_);
+  });
+}
+
 std::optional<double>
 UpstreamTable::LimitOf(const Upstream& aUpstream, TimePoint aNow)
 {
--- a/src/fleet/upstream_table.h
+++ b/src/fleet/upstream_table.h
@@ -89,9 +89,10 @@
 struct UpstreamNeed
 {
   ServiceName service_;
-  std::string_view model_;                             ///< Empty for plain services.
-  std::string_view adapter_;                           ///< Empty for the base model.
-  std::int64_t minVersion_ = 0;                        ///< Minimum version of the adapter.
+  std::string_view model_;                                 ///< Empty for plain services.
+  std::string_view adapter_;                               ///< Empty for the base model.
+  std::int64_t minVersion_ = 0;                            ///< Minimum version of the adapter.
+  std::optional<SoftwareVersion> software_ = std::nullopt; ///< Only upstreams that run it.
   const std::set<UpstreamId>* excluded_ = nullptr;     ///< Upstreams that got the request already.
   const std::set<UpstreamId>* loadTimedOut_ = nullptr; ///< Engines that did not load it in time.
 };
@@ -189,12 +190,13 @@
    */
   void OnPause(const UpstreamId& aId, std::int64_t aStartedAt, Duration aFor);
   /**
-   * @param aFailed upstreams that are not used again.
-   * @return the first moment at which another upstream of a service may get requests; none if none
-   * of them is paused, since new entries may come at any time.
+   * @param aNeed its excluded upstreams are not used again.
+   * @return the first moment at which another upstream may get requests; none if none of them is
+   * paused, since new entries may come at any time.
    */
-  std::optional<TimePoint> PauseEnd(const ServiceName& aService,
-                                    const std::set<UpstreamId>& aFailed) const;
+  std::optional<TimePoint> PauseEnd(const UpstreamNeed& aNeed) const;
+  /** @return whether an upstream of a service runs a software version and does not leave. */
+  bool IsServed(const ServiceName& aService, const SoftwareVersion& aSoftware) const;
   /** @return requests/s that an upstream takes from all hosts; none if it has no limit. */
   std::optional<double> RequestLimit(const UpstreamId& aId) const;
   /** Applies the answer to a request for a permit. A permit is valid for kPermitTtl. */
@@ -239,6 +241,12 @@
     std::vector<UpstreamLoad> loads_;
   };
 
+  static bool IsOfService(const Upstream& aUpstream, const UpstreamNeed& aNeed)
+  {
+    return aUpstream.entry_.service_ == aNeed.service_ &&
+           (!aNeed.software_ || aUpstream.entry_.software_ == *aNeed.software_);
+  }
+
   // These functions get the current time as a parameter, because reading the clock for each of some
   // hundred engines took most of the time of Choose().
   bool IsUsableAt(const Upstream& aUpstream, TimePoint aNow) const;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -150,6 +150,9 @@
     need.model_ = facts.model_;
     need.adapter_ = facts.adapter_;
   }
+  if (origin_) {
+    need.software_ = origin_->software_;
+  }
   need.excluded_ = &excluded_;
   need.loadTimedOut_ = &loadTimedOut_;
   const auto* releases = Releases();
@@ -231,6 +234,10 @@
   }
   const auto choice = ChooseUpstream();
   if (choice.upstream_ == nullptr) {
+    if (origin_ && !context_.fleet_.Upstreams().IsServed(origin_->service_, origin_->software_)) {
+      Reply(runs_ > 0 ? 502 : 503, "software_version_gone", std::nullopt);
+      return true;
+    }
     const auto pauseEnd = choice.hasUntried_ ? std::nullopt : PauseEnd();
     if (pauseEnd && *pauseEnd >= LatestStart()) {
       Reply(runs_ > 0 ? 502 : 503, "upstreams_paused", RetryDelay());
@@ -272,7 +279,13 @@
 std::optional<TimePoint>
 RequestFlow::PauseEnd() const
 {
-  return context_.fleet_.Upstreams().PauseEnd(admitted_.service_, failed_);
+  UpstreamNeed need;
+  need.service_ = admitted_.service_;
+  need.excluded_ = &failed_;
+  if (origin_) {
+    need.software_ = origin_->software_;
+  }
+  return context_.fleet_.Upstreams().PauseEnd(need);
 }
 
 void
@@ -315,7 +328,9 @@
 RequestFlow::RetryDelay() const
 {
   // The caller's next request may use an upstream that this one may not use again.
-  const auto pauseEnd = context_.fleet_.Upstreams().PauseEnd(admitted_.service_, {});
+  UpstreamNeed need;
+  need.service_ = admitted_.service_;
+  const auto pauseEnd = context_.fleet_.Upstreams().PauseEnd(need);
   const auto now = context_.clock_.Now();
   if (pauseEnd && *pauseEnd > now) {
     return *pauseEnd - now;
@@ -357,6 +372,7 @@
   upstream_ = upstream.entry_.id_;
   endpoint_ = upstream.entry_.endpoint_;
   startedAt_ = upstream.entry_.startedAt_;
+  software_ = upstream.entry_.software_;
   demandedVersion_ = aChoice.demandedVersion_;
   eventsBefore_ = events_.Events();
   sent_ = context_.clock_.Now();
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -8,6 +8,7 @@
 #include "fleet/quarantine.h"
 #include "fleet/quota_share.h"
 #include "fleet/retry_share.h"
+#include "fleet/stream_origin.h"
 #include "fleet/wait_queue.h"
 #include "gateway/caller_session.h"
 #include "gateway/gateway_settings.h"
@@ -135,6 +136,11 @@
   /** @return whether a version with which the last attempt may run was replaced so long ago that
    * the attempt must not begin any more. */
   bool IsVersionTooOld() const;
+  /** @return whether the attempt may have reached a process that runs other software than the entry
+   * that was known when it was sent. */
+  bool IsSoftwareUncertain() const;
+  /** Records what began the stream when its first events go to the caller. */
+  void RecordOrigin();
   /** @return see UpstreamTable::PauseEnd(). */
   std::optional<TimePoint> PauseEnd() const;
   std::uint32_t Rank() const;
@@ -185,6 +191,8 @@
   UpstreamId upstream_;                  ///< Upstream of the last attempt.
   Endpoint endpoint_;                    ///< Address of upstream_.
   std::int64_t startedAt_ = 0;           ///< Start time of its process, Unix ms.
+  SoftwareVersion software_;             ///< Software of upstream_, by its entry.
+  std::optional<StreamOrigin> origin_;   ///< What began the stream; none before its first event.
   TimePoint sent_;                       ///< When the last attempt started.
   std::optional<TimePoint> firstByte_;   ///< When the answer head of the last attempt was received.
   TimePoint lastByte_;                   ///< When bytes of the answer were last received.
--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -190,6 +190,7 @@
   if (!output.empty()) {
     if (!isBegun_) {
       isBegun_ = true;
+      RecordOrigin();
       answer_->Begin(
         status_, reason_, fields_, isStreaming_ ? std::optional<std::uint64_t>() : length_);
     }
@@ -213,6 +214,27 @@
   return true;
 }
 
+bool
+RequestFlow::IsSoftwareUncertain() const
+{
+  const auto* upstream = context_.fleet_.Upstreams().Find(upstream_);
+  if (upstream == nullptr || upstream->entry_.startedAt_ <= startedAt_ ||
+      upstream->entry_.software_ == software_) {
+    return false;
+  }
+  const auto sinceSent = context_.clock_.Now() - sent_;
+  const auto sentAt = context_.clock_.WallNow().time_since_epoch() - sinceSent;
+  return milliseconds(upstream->entry_.startedAt_) <= sentAt + kMaxClockDifference;
+}
+
+void
+RequestFlow::RecordOrigin()
+{
+  if (!origin_ && isStreaming_ && MayRepeat()) {
+    origin_ = StreamOrigin{ admitted_.service_, software_ };
+  }
+}
+
 void
 RequestFlow::EndCall(AnswerClass aClass)
 {
@@ -380,7 +402,11 @@
              { "attempt", std::to_string(attempts_) },
              { "status", std::to_string(answerClass_ == AnswerClass::None ? 0 : status_) },
              { "events", std::to_string(events_.Events()) } });
-  const bool canResume = !isBegun_ || !events_.LastEventId().empty();
+  if (origin_ && isBegun_ && IsSoftwareUncertain()) {
+    origin_->isAmbiguous_ = true;
+  }
+  const bool canResume =
+    !isBegun_ || (!events_.LastEventId().empty() && !(origin_ && origin_->isAmbiguous_));
   const bool isUpstreamError = aIsAnswerComplete && answerClass_ == AnswerClass::Error && !isBegun_;
   if (MayRepeat() && canResume && AcquireRetry(true)) {
     events_.Resume();
--- a/src/table/flow_const.h
+++ b/src/table/flow_const.h
@@ -53,6 +53,11 @@
  * attempt.
  */
 constexpr Duration kRefusalLeadTime = std::chrono::milliseconds(500);
+/**
+ * A process that started up to this long after a request was sent, by the clocks of two machines,
+ * may have answered it.
+ */
+constexpr Duration kMaxClockDifference = std::chrono::seconds(2);
 /** Interval at which a load request is repeated, since datagrams may be lost. */
 constexpr Duration kLoadRequestInterval = std::chrono::milliseconds(150);
 /** Maximum wait for an engine to load an adapter. */
--- a/tests/fleet/upstream_table_test.cpp
+++ b/tests/fleet/upstream_table_test.cpp
@@ -262,26 +262,30 @@
 // an engine that has not loaded their adapter yet or one in a short back-off.
 TEST_F(UpstreamTableTest, APauseEndsWithTheFirstUpstreamThatMayServe)
 {
-  const ServiceName service("llm");
-  EXPECT_FALSE(table_.PauseEnd(service, {})) << "no upstream at all";
+  const auto pauseEnd = [this](const std::set<UpstreamId>& aExcluded) {
+    auto need = NeedOf("a1");
+    need.excluded_ = &aExcluded;
+    return table_.PauseEnd(need);
+  };
+  EXPECT_FALSE(pauseEnd({})) << "no upstream at all";
   const auto first = Add("e1", { { "a1", 1 } });
   const auto second = Add("e2");
-  EXPECT_FALSE(table_.PauseEnd(service, {}));
+  EXPECT_FALSE(pauseEnd({}));
   table_.OnPause(first, 1, 20s);
-  EXPECT_EQ(table_.PauseEnd(service, {}), clock_.Now()) << "e2 may load the adapter";
-  EXPECT_EQ(table_.PauseEnd(service, { second }), clock_.Now() + 20s);
-  EXPECT_FALSE(table_.PauseEnd(service, { first, second }));
+  EXPECT_EQ(pauseEnd({}), clock_.Now()) << "e2 may load the adapter";
+  EXPECT_EQ(pauseEnd({ second }), clock_.Now() + 20s);
+  EXPECT_FALSE(pauseEnd({ first, second }));
   table_.OnPause(second, 1, 9s);
-  EXPECT_EQ(table_.PauseEnd(service, {}), clock_.Now() + 9s);
+  EXPECT_EQ(pauseEnd({}), clock_.Now() + 9s);
   table_.OnLeaving(second, 1);
-  EXPECT_EQ(table_.PauseEnd(service, {}), clock_.Now() + 20s);
+  EXPECT_EQ(pauseEnd({}), clock_.Now() + 20s);
   const auto third = Add("e3");
   for (std::uint32_t i = 0; i < kFailuresBeforePause; ++i) {
     table_.OnAttemptEnded(third, AttemptHealth::Unreachable, {});
   }
-  EXPECT_EQ(table_.PauseEnd(service, {}), clock_.Now() + kUpstreamBackoffInitial);
+  EXPECT_EQ(pauseEnd({}), clock_.Now() + kUpstreamBackoffInitial);
   table_.OnMisdirected(third);
-  EXPECT_FALSE(table_.PauseEnd(service, {})) << "its next entry may make it usable";
+  EXPECT_FALSE(pauseEnd({})) << "its next entry may make it usable";
 }
 
 // Guards against more requests than slots at an upstream that several hosts use, and against load
--- a/tests/gateway/request_flow_support.h
+++ b/tests/gateway/request_flow_support.h
@@ -99,8 +99,10 @@
     fleet_.ApplyOperators(batch);
     fleet_.OnConfigConfirmed(clock_.Now());
     std::uint32_t slots = 64;
-    for (const auto& endpoint : aEndpoints) {
+    for (std::size_t i = 0; i < aEndpoints.size(); ++i) {
+      const auto& endpoint = aEndpoints[i];
       UpstreamEntry entry;
+      entry.software_ = SoftwareVersion(i < software_.size() ? software_[i] : "");
       entry.id_ = UpstreamId("u" + std::to_string(slots));
       entry.service_ = service.name_;
       entry.endpoint_ = endpoint;
@@ -197,6 +199,7 @@
   std::string prompt_;                        ///< Parts of its prompt; empty for none.
   std::chrono::milliseconds timeout_{ 1500 }; ///< Of the route and of the caller.
   std::int64_t configVersion_ = 0;
+  std::vector<std::string> software_;       ///< Of the upstreams, in their order.
   std::int64_t startedAt_ = 0;              ///< Start time of the processes of the upstreams.
   std::vector<ResidentModel> engineModels_; ///< If set, the upstreams are engines with these.
   RepeatRule repeat_ = RepeatRule::Once;
