Resume a stream only at the software version that began it, at any host

Callers that resumed a stream got 200 and a whole answer whose first part came from another software version, with nothing to show it. Cause: no host could tell which version had begun a stream that another host had served. Now hosts share the origin of each stream that may be resumed: three of them keep it, the versions of each service are kept in the store, and the origins as well while more than one version serves. A stream whose version nobody knows, or has no upstream left, is refused at once.

--- a/src/fleet/fleet_store_base.h
+++ b/src/fleet/fleet_store_base.h
@@ -4,6 +4,7 @@
 
 #include "fleet/fleet_type.h"
 #include "fleet/quarantine.h"
+#include "fleet/stream_origin.h"
 
 #include <chrono>
 #include <functional>
@@ -125,11 +126,33 @@
   WallTime until_; ///< When it ends.
 };
 
+/** Software versions of the upstreams of a service that may have begun streams which callers
+ * resume, from which hosts that start learn of them. */
+struct SoftwareRecord
+{
+  ServiceName service_;
+  std::vector<SoftwareVersion> versions_; ///< Sorted.
+  bool isComplete_ = false;               ///< Whether no such version is missing.
+  StoreEra era_ = 0;                      ///< Era in which it was written.
+
+  auto operator<=>(const SoftwareRecord&) const = default;
+};
+
 /** Records that hosts wrote for other hosts. */
 struct HostTopicRecords
 {
+  StoreEra era_ = 0;                          ///< Era in which they were read.
   std::vector<HostRecord> hosts_;             ///< Some may be gone.
   std::vector<QuarantineRecord> quarantines_; ///< Some may have ended.
+  std::vector<SoftwareRecord> software_;      ///< Some may be of an earlier era.
+};
+
+/** Origins of streams in the order of the store. */
+struct StreamOriginBatch
+{
+  std::vector<StreamOriginRecord> records_;
+  StorePosition next_;     ///< Where the next read starts.
+  bool isComplete_ = true; ///< Whether it reaches the end that the stream had.
 };
 
 /** Partitions that the group assigned to a member. */
@@ -148,6 +171,7 @@
   using ChangesCallback = std::function<void(std::error_code, ChangeBatch)>;
   using MembershipCallback = std::function<void(std::error_code, GroupMembership)>;
   using RecordsCallback = std::function<void(std::error_code, HostTopicRecords)>;
+  using OriginsCallback = std::function<void(std::error_code, StreamOriginBatch)>;
   using DoneCallback = std::function<void(std::error_code)>;
 
   virtual ~FleetStore() = default;
@@ -183,6 +207,14 @@
   virtual void WriteQuarantine(const QuarantineRecord& aRecord, DoneCallback aCallback) = 0;
   /** Removes the record of the quarantine of these contents. */
   virtual void RemoveQuarantine(std::span<const ContentId> aContents, DoneCallback aCallback) = 0;
+  /** Writes the software versions of a service. */
+  virtual void WriteSoftware(const SoftwareRecord& aRecord, DoneCallback aCallback) = 0;
+  /** Adds origins of streams, which the store keeps for some time. */
+  virtual void AppendOrigins(std::span<const StreamOriginRecord> aRecords,
+                             DoneCallback aCallback) = 0;
+  /** Reads origins of streams. @param aFrom position of the first one; none for the oldest. Fails
+   * with HistoryLost if the store is in another era than that of the position. */
+  virtual void ReadOrigins(std::optional<StorePosition> aFrom, OriginsCallback aCallback) = 0;
   /** Reads all records that hosts wrote. */
   virtual void ReadHostTopic(RecordsCallback aCallback) = 0;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -8,7 +8,9 @@
 #include "gateway/host_registration.h"
 #include "gateway/quarantine_service.h"
 #include "gateway/request_flow.h"
+#include "gateway/software_recorder.h"
 #include "gateway/store_watch.h"
+#include "gateway/stream_origin_service.h"
 #include "http/strand_scheduler.h"
 #include "logging/logging_func.h"
 #include "table/fleet_const.h"
@@ -78,7 +80,9 @@
   Page page_; ///< Returns status and body.
 };
 
-class Gateway : public HttpHandler
+class Gateway
+  : public HttpHandler
+  , private StreamOrigins
 {
 public:
   Gateway(asio::io_context& aContext, const GatewaySettings& aSettings, const GatewayPorts& aPorts)
@@ -95,6 +99,7 @@
     , self_{ settings_.host_, settings_.gossipEndpoint_, settings_.dataCentre_ }
     , peers_(clock_, self_)
     , quarantine_(clock_)
+    , history_(clock_, settings_.isFirstStart_)
     , link_(aContext)
     , flowContext_{ aContext,
                     clock_,
@@ -104,6 +109,7 @@
                     retries_,
                     queue_,
                     quarantine_,
+                    *this,
                     link_,
                     metrics_,
                     settings_.bounds_,
@@ -158,15 +164,24 @@
       scheduler_,
       watch,
       [this] { OnFleetChange(); },
-      [this] { metrics_.GetCounter("laburnumweir_gateway_store_restores_total").Add(); });
+      [this] { OnStoreRestored(); });
     quarantineService_ = std::make_shared<QuarantineService>(
       ports_.store_, quarantine_, clock_, scheduler_, [this] { return peers_.IsStoreReader(); });
+    origins_ = std::make_shared<StreamOriginService>(
+      StreamOriginContext{
+        ports_.store_, clock_, scheduler_, fleet_, peers_, history_, *watch_, *gossip_ },
+      self_);
+    gossip_->SetOnOrigins(
+      [this](const auto& aFrom, const auto& aMessage) { origins_->OnMessage(aFrom, aMessage); });
+    softwareRecorder_ = std::make_shared<SoftwareRecorder>(
+      ports_.store_, fleet_, history_, scheduler_, [this] { return peers_.IsStoreReader(); });
     registration_ = std::make_shared<HostRegistration>(
       ports_.store_, scheduler_, self_, [this](const HostTopicRecords& aRecords) {
         for (const auto& host : aRecords.hosts_) {
           peers_.OnStoreRecord(host);
         }
         quarantineService_->OnStored(aRecords.quarantines_);
+        softwareRecorder_->OnStored(aRecords);
       });
     gossip_->Connect(gossipLink_, *holder_, *watch_);
   }
@@ -212,6 +227,8 @@
     holder_->Start();
     gossip_->Start();
     quarantineService_->Start();
+    origins_->Start();
+    softwareRecorder_->Start();
     registration_->Start();
     RepeatWhileAlive(scheduler_, kQueueCheckInterval, gossip_, [this] { OnTick(); });
     RepeatWhileAlive(scheduler_, kReloadInterval, gossip_, [this] { Reload("interval"); });
@@ -405,8 +422,27 @@
     return { reason.empty() ? 200 : 503, reason.empty() ? "ready\n" : reason + "\n" };
   }
 
+  // The flows are wired before the service of the origins exists.
+  void Record(const RequestId& aAttempt, const StreamOrigin& aOrigin) override
+  {
+    origins_->Record(aAttempt, aOrigin);
+  }
+  void Find(const RequestId& aAttempt, const ServiceName& aService, Callback aCallback) override
+  {
+    origins_->Find(aAttempt, aService, std::move(aCallback));
+  }
+
+  void OnStoreRestored()
+  {
+    metrics_.GetCounter("laburnumweir_gateway_store_restores_total").Add();
+    softwareRecorder_->OnRestored(watch_->Restore()->era_);
+  }
+
   void OnFleetChange()
   {
+    if (fleet_.HasUpstreams()) {
+      history_.OnUpstreams(fleet_.Upstreams(), clock_.Now() - watch_->Position().upstreamAge_);
+    }
     callers_.SetLimits(CallerSessionLimits());
     ScheduleStartQueued();
   }
@@ -554,11 +590,14 @@
   const HostRecord self_; ///< Published to the store and to peers.
   PeerTable peers_;
   Quarantine quarantine_; ///< Requests that crash upstreams.
+  SoftwareHistory history_;
   UpstreamLink link_;
   FlowContext flowContext_; ///< References to the services above.
   std::unordered_map<WaitTicket, std::shared_ptr<RequestFlow>> waiting_; ///< Queued requests.
   std::shared_ptr<GossipService> gossip_;
   std::shared_ptr<QuarantineService> quarantineService_;
+  std::shared_ptr<StreamOriginService> origins_;
+  std::shared_ptr<SoftwareRecorder> softwareRecorder_; ///< Keeps history_ in the store.
   std::shared_ptr<HostRegistration> registration_;
   std::shared_ptr<HolderService> holder_; ///< Sends orders to engines.
   std::shared_ptr<StoreWatch> watch_;     ///< Reads changes of the store.
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -58,6 +58,7 @@
   std::size_t memoryMb_ = 256;        ///< Memory limit of the process in MB.
   /** Minimum timeout after which the store removes a silent host from its group. */
   std::chrono::milliseconds minMemberTimeout_{ 1000 };
+  bool isFirstStart_ = false;          ///< The whole system starts for the first time.
   std::uint32_t groupPartitions_ = 12; ///< Partitions of the group's topic, divided among members.
   GatewayBounds bounds_;
 };
--- a/src/gateway/gossip_message.cpp
+++ b/src/gateway/gossip_message.cpp
@@ -19,7 +19,7 @@
 // o partitions, e engines with their adapters, u uses that started, k uses that still run,
 // w load requests, q query, s answer, x changed upstreams, m live hosts, f crash suspects,
 // b contents that have begun, y quarantines, j permit requests, i permit answers, v configuration
-// in force, t restore of the store.
+// in force, t restore of the store, R origins of streams, Q queries for such, U unknown ones.
 
 /** @return text of a cell; empty if the cell is missing or of another type. */
 std::string
@@ -381,6 +381,53 @@
   return report;
 }
 
+json::array
+EncodeAttempts(const std::vector<RequestId>& aAttempts)
+{
+  json::array rows;
+  for (const auto& attempt : aAttempts) {
+    rows.emplace_back(json::array{ attempt.Value() });
+  }
+  return rows;
+}
+
+void
+EncodeOrigins(const StreamOriginMessage& aOrigins, json::object& aObject)
+{
+  json::array records;
+  for (const auto& [attempt, origin] : aOrigins.records_) {
+    records.emplace_back(json::array{ attempt.Value(),
+                                      origin.service_.Value(),
+                                      origin.software_.Value(),
+                                      origin.isAmbiguous_ ? 1 : 0 });
+  }
+  auto queries = EncodeAttempts(aOrigins.queries_);
+  auto unknown = EncodeAttempts(aOrigins.unknown_);
+  for (auto [key, rows] :
+       { std::pair("R", &records), std::pair("Q", &queries), std::pair("U", &unknown) }) {
+    if (!rows->empty()) {
+      aObject[key] = std::move(*rows);
+    }
+  }
+}
+
+StreamOriginMessage
+DecodeOrigins(const json::object& aObject)
+{
+  StreamOriginMessage origins;
+  ForRows(aObject, "R", [&](const json::array& aRow) {
+    origins.records_.push_back({ RequestId(TextAt(aRow, 0)),
+                                 { ServiceName(TextAt(aRow, 1)),
+                                   SoftwareVersion(TextAt(aRow, 2)),
+                                   NumberAt<int>(aRow, 3) != 0 } });
+  });
+  ForRows(
+    aObject, "Q", [&](const json::array& aRow) { origins.queries_.emplace_back(TextAt(aRow, 0)); });
+  ForRows(
+    aObject, "U", [&](const json::array& aRow) { origins.unknown_.emplace_back(TextAt(aRow, 0)); });
+  return origins;
+}
+
 } // namespace
 
 std::uint64_t
@@ -412,6 +459,7 @@
     object["o"] = std::move(partitions);
   }
   EncodeQuarantine(aMessage.quarantine_, object);
+  EncodeOrigins(aMessage.origins_, object);
   if (const auto& query = aMessage.query_) {
     object["q"] =
       json::array{ query->upstreams_.next_, query->hostsDigest_, query->upstreams_.era_ };
@@ -510,6 +558,7 @@
   ForRows(
     object, "m", [&](const json::array& aRow) { message.hosts_.push_back(DecodeHost(aRow)); });
   message.quarantine_ = DecodeQuarantine(object);
+  message.origins_ = DecodeOrigins(object);
   ForRows(object, "o", [&](const json::array& aRow) {
     message.partitions_.push_back(NumberAt<std::uint32_t>(aRow, 0));
   });
--- a/src/gateway/gossip_message.h
+++ b/src/gateway/gossip_message.h
@@ -7,6 +7,7 @@
 #include "fleet/peer_table.h"
 #include "fleet/permit_issuer.h"
 #include "fleet/quarantine.h"
+#include "fleet/stream_origin.h"
 
 #include <chrono>
 #include <optional>
@@ -80,6 +81,14 @@
  * once. */
 constexpr std::chrono::milliseconds kIncompletePageAge = std::chrono::hours(1);
 
+/** What hosts tell and ask each other of the origins of streams. */
+struct StreamOriginMessage
+{
+  std::vector<StreamOriginRecord> records_; ///< To be kept; also the answer to a query.
+  std::vector<RequestId> queries_;          ///< Streams whose origins the sender asks for.
+  std::vector<RequestId> unknown_;          ///< Answer to queries: the sender does not know these.
+};
+
 /** One gossip datagram. All lists may be empty. */
 struct GossipMessage
 {
@@ -99,6 +108,7 @@
   QuarantineReport quarantine_;                 ///< Crashes known to the sender.
   std::vector<PermitRequest> permitRequests_;
   std::vector<PermitAnswer> permitAnswers_;
+  StreamOriginMessage origins_;
 };
 
 /** @return digest of the hosts and their partitions; depends on the order of the hosts. */
--- a/src/gateway/gossip_service.cpp
+++ b/src/gateway/gossip_service.cpp
@@ -288,7 +288,7 @@
     batch.changes_.assign(answer.changes_->begin(), answer.changes_->end());
     watch_->OnRelayedUpstreams(sentAt, batch, answer.upstreamAge_);
   } else if (answer.upstreams_) {
-    watch_->OnRelayGap();
+    watch_->ReadUpstreamsSoon();
   }
   if (const auto reader = context_.peers_.AssignedReader();
       reader && reader->id_ == aMessage.host_.id_ && answer.upstreamAge_ >= kIncompletePageAge) {
@@ -363,6 +363,9 @@
   }
   context_.quarantine_.Merge(message->quarantine_);
   OnPermitMessage(*message);
+  if (onOrigins_) {
+    onOrigins_(message->host_, message->origins_);
+  }
   bool hasChanged = false;
   for (const auto& residency : message->residency_) {
     hasChanged = context_.fleet_.Upstreams().OnResidency(residency) || hasChanged;
@@ -495,6 +498,14 @@
   }
 }
 
+void
+GossipService::SendOrigins(const Endpoint& aTo, const StreamOriginMessage& aMessage)
+{
+  auto message = NewMessage();
+  message.origins_ = aMessage;
+  Send(aTo, message);
+}
+
 void
 GossipService::OnUseStarted(const AdapterUse& aUse)
 {
--- a/src/gateway/gossip_service.h
+++ b/src/gateway/gossip_service.h
@@ -13,6 +13,7 @@
 #include "gateway/gossip_message.h"
 #include "gateway/holder_service.h"
 #include "gateway/store_watch.h"
+#include "gateway/stream_origin_service.h"
 
 #include <functional>
 #include <map>
@@ -41,7 +42,9 @@
  * answer holds the sum of the load reports of all other hosts, the live hosts and the changes of
  * the store.
  */
-class GossipService : public std::enable_shared_from_this<GossipService>
+class GossipService
+  : public StreamOriginSender
+  , public std::enable_shared_from_this<GossipService>
 {
 public:
   /**
@@ -58,6 +61,12 @@
   /** Sets the objects that gossip works with. Must be called before Start(); all objects must
    * outlive the service. */
   void Connect(DatagramSender& aLink, HolderService& aHolder, StoreWatch& aWatch);
+  /** Sets the function that receives the messages on origins of streams. */
+  void SetOnOrigins(std::function<void(const HostRecord&, const StreamOriginMessage&)> aFunction)
+  {
+    onOrigins_ = std::move(aFunction);
+  }
+  void SendOrigins(const Endpoint& aTo, const StreamOriginMessage& aMessage) override;
   /** Starts to send at each gossip interval. */
   void Start();
   /** Processes the payload of a received datagram. */
@@ -118,6 +127,7 @@
   const HostRecord self_;
   const std::int64_t startTime_;   ///< Start time of this process, Unix ms.
   std::function<void()> onChange_; ///< Called when requests that wait may be able to start.
+  std::function<void(const HostRecord&, const StreamOriginMessage&)> onOrigins_;
   DatagramSender* link_ = nullptr;
   HolderService* holder_ = nullptr;
   StoreWatch* watch_ = nullptr;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -77,6 +77,55 @@
       self->OnCallerGone();
     }
   });
+  if (IsResumption()) {
+    isFindingOrigin_ = true;
+    const auto& services = admitted_.route_->services_;
+    const bool isSplit = std::count_if(services.begin(), services.end(), [](const auto& aService) {
+                           return aService.weight_ > 0;
+                         }) > 1;
+    // Until its origin is found, nothing else owns the request.
+    context_.origins_.Find(
+      admitted_.facts_.resumes_,
+      isSplit ? ServiceName() : admitted_.service_,
+      [self = shared_from_this()](const OriginResult& aResult) { self->OnOrigin(aResult); });
+  } else if (!TryStart() && answer_) {
+    Enqueue();
+  }
+  ArmTimer();
+}
+
+bool
+RequestFlow::IsResumption() const
+{
+  return IsStream() && MayRepeat() &&
+         !(admitted_.facts_.resumes_.IsEmpty() && admitted_.facts_.lastEventId_.empty());
+}
+
+void
+RequestFlow::OnOrigin(const OriginResult& aResult)
+{
+  isFindingOrigin_ = false;
+  if (!answer_) {
+    return;
+  }
+  if (!aResult.origin_ || aResult.origin_->isAmbiguous_) {
+    // No other host can continue the stream either if the result is conclusive.
+    Reply(503,
+          "stream_origin_unknown",
+          aResult.isConclusive_ ? std::nullopt : std::optional(kDefaultRetryAfter));
+    return;
+  }
+  origin_ = aResult.origin_;
+  const auto& services = admitted_.route_->services_;
+  const bool isOfRoute =
+    std::any_of(services.begin(), services.end(), [this](const auto& aService) {
+      return aService.service_ == origin_->service_ && aService.weight_ > 0;
+    });
+  if (!isOfRoute) {
+    Reply(503, "stream_service_replaced", std::nullopt);
+    return;
+  }
+  admitted_.service_ = origin_->service_;
   if (!TryStart() && answer_) {
     Enqueue();
   }
@@ -214,6 +263,9 @@
   if (!answer_ || call_) {
     return true;
   }
+  if (isFindingOrigin_) {
+    return false;
+  }
   if (IsConfigTooOld()) {
     Reply(503, "configuration_not_proven", kDefaultRetryAfter);
     return true;
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -8,12 +8,12 @@
 #include "fleet/quarantine.h"
 #include "fleet/quota_share.h"
 #include "fleet/retry_share.h"
-#include "fleet/stream_origin.h"
 #include "fleet/wait_queue.h"
 #include "gateway/caller_session.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/gossip_message.h"
 #include "gateway/message_codec_base.h"
+#include "gateway/stream_origin_base.h"
 #include "gateway/upstream_link.h"
 #include "metrics/metrics.h"
 
@@ -51,6 +51,7 @@
   RetryShare& retries_;    ///< This host's share of the retry budget.
   WaitQueue& queue_;       ///< Order of the requests that wait for a free slot.
   Quarantine& quarantine_; ///< Requests that crash upstreams.
+  StreamOrigins& origins_; ///< What began the streams that callers resume.
   UpstreamLink& link_;
   Metrics& metrics_;
   const GatewayBounds& bounds_; ///< Limits that hold over all hosts; may change on a reload.
@@ -136,11 +137,16 @@
   /** @return whether a version with which the last attempt may run was replaced so long ago that
    * the attempt must not begin any more. */
   bool IsVersionTooOld() const;
+  /** @return whether the caller resumes a stream that another attempt has begun. */
+  bool IsResumption() const;
+  void OnOrigin(const OriginResult& aResult);
   /** @return whether the attempt may have reached a process that runs other software than the entry
    * that was known when it was sent. */
   bool IsSoftwareUncertain() const;
-  /** Records what began the stream when its first events go to the caller. */
+  /** Records what began the stream when its first events go to the caller, for the case that the
+   * caller resumes it at another host. */
   void RecordOrigin();
+  void ShareOrigin();
   /** @return see UpstreamTable::PauseEnd(). */
   std::optional<TimePoint> PauseEnd() const;
   std::uint32_t Rank() const;
@@ -193,9 +199,10 @@
   std::int64_t startedAt_ = 0;           ///< Start time of its process, Unix ms.
   SoftwareVersion software_;             ///< Software of upstream_, by its entry.
   std::optional<StreamOrigin> origin_;   ///< What began the stream; none before its first event.
-  TimePoint sent_;                       ///< When the last attempt started.
-  std::optional<TimePoint> firstByte_;   ///< When the answer head of the last attempt was received.
-  TimePoint lastByte_;                   ///< When bytes of the answer were last received.
+  bool isFindingOrigin_ = false; ///< The caller resumes a stream whose origin is not known yet.
+  TimePoint sent_;               ///< When the last attempt started.
+  std::optional<TimePoint> firstByte_; ///< When the answer head of the last attempt was received.
+  TimePoint lastByte_;                 ///< When bytes of the answer were last received.
   TimePoint lastEvent_; ///< When the head or the last complete event of the answer was received.
   Duration longestPause_{};     ///< Longest time between two reads of the body.
   std::set<Endpoint> sentTo_;   ///< Addresses to which the request was sent.
--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -230,8 +230,21 @@
 void
 RequestFlow::RecordOrigin()
 {
-  if (!origin_ && isStreaming_ && MayRepeat()) {
-    origin_ = StreamOrigin{ admitted_.service_, software_ };
+  if (!isStreaming_ || !MayRepeat()) {
+    return;
+  }
+  if (!origin_) {
+    origin_ = StreamOrigin{ admitted_.service_, software_, IsSoftwareUncertain() };
+  }
+  ShareOrigin();
+}
+
+void
+RequestFlow::ShareOrigin()
+{
+  context_.origins_.Record(admitted_.facts_.id_, *origin_);
+  if (!admitted_.facts_.resumes_.IsEmpty()) {
+    context_.origins_.Record(admitted_.facts_.resumes_, *origin_);
   }
 }
 
@@ -404,6 +417,7 @@
              { "events", std::to_string(events_.Events()) } });
   if (origin_ && isBegun_ && IsSoftwareUncertain()) {
     origin_->isAmbiguous_ = true;
+    ShareOrigin();
   }
   const bool canResume =
     !isBegun_ || (!events_.LastEventId().empty() && !(origin_ && origin_->isAmbiguous_));
--- a/src/gateway/store_watch.cpp
+++ b/src/gateway/store_watch.cpp
@@ -287,7 +287,9 @@
 StoreWatch::AwaitUpstreamRead()
 {
   auto dueAt = upstreamsReadAt_ + settings_.upstreamInterval_;
-  if (removalHoldEnd_) {
+  if (isUpstreamReadDue_) {
+    dueAt = upstreamsReadAt_ + kMinPollInterval;
+  } else if (removalHoldEnd_) {
     dueAt = std::min(dueAt, std::max(*removalHoldEnd_, upstreamsReadAt_ + kMinPollInterval));
   }
   const Duration left = dueAt - clock_.Now();
--- a/src/gateway/store_watch.h
+++ b/src/gateway/store_watch.h
@@ -97,8 +97,9 @@
   void OnPeerRestore(const StoreRestore& aRestore);
   /** @return the restore that this host saw within the hold time; none if there was none. */
   std::optional<StoreRestore> Restore() const;
-  /** Reads the upstreams' stream at the next check because a store reader lacks the changes. */
-  void OnRelayGap() { isUpstreamReadDue_ = true; }
+  /** Reads the upstreams' stream at the next check, as a store reader lacks the changes or newer
+   * ones are needed. */
+  void ReadUpstreamsSoon() { isUpstreamReadDue_ = true; }
   /** Sets whether a store reader relays the content of the store to this host. */
   void SetRelayed(bool aIsRelayed) { isRelayed_ = aIsRelayed; }
   WatchPosition Position() const;
@@ -168,7 +169,7 @@
   TimePoint upstreamsRequestedAt_;         ///< When the newest state of the entries was requested.
   bool isRelayed_ = false;                 ///< A store reader relays the content of the store.
   bool isOperatorReadDue_ = false;         ///< A store reader has a newer configuration.
-  bool isUpstreamReadDue_ = false;         ///< A store reader lacks the changes.
+  bool isUpstreamReadDue_ = false;         ///< See ReadUpstreamsSoon().
   /** End of the hold time; deferred removals take effect with a state requested after it. */
   std::optional<TimePoint> removalHoldEnd_;
   bool isConnected_ = false; ///< The last read of the operators' stream succeeded.
--- a/tests/gateway/gateway_support.h
+++ b/tests/gateway/gateway_support.h
@@ -61,6 +61,9 @@
   MOCK_METHOD(void, PublishHost, (const HostRecord&, DoneCallback), (override));
   MOCK_METHOD(void, WriteQuarantine, (const QuarantineRecord&, DoneCallback), (override));
   MOCK_METHOD(void, RemoveQuarantine, (std::span<const ContentId>, DoneCallback), (override));
+  MOCK_METHOD(void, WriteSoftware, (const SoftwareRecord&, DoneCallback), (override));
+  MOCK_METHOD(void, AppendOrigins, (std::span<const StreamOriginRecord>, DoneCallback), (override));
+  MOCK_METHOD(void, ReadOrigins, (std::optional<StorePosition>, OriginsCallback), (override));
   MOCK_METHOD(void, ReadHostTopic, (RecordsCallback), (override));
 };
 
--- a/tests/gateway/gossip_message_test.cpp
+++ b/tests/gateway/gossip_message_test.cpp
@@ -34,6 +34,9 @@
   message.hostLoad_->restore_ = { 3, 700ms };
   message.permitRequests_ = { { UpstreamId("e4"), 4.5 } };
   message.permitAnswers_ = { { UpstreamId("e5"), { false, 150ms } } };
+  message.origins_ = { { { RequestId("r1"), { ServiceName("s"), SoftwareVersion("v2"), true } } },
+                       { RequestId("r2") },
+                       { RequestId("r3") } };
   message.quarantine_.begun_ = { { ContentId("p1"), 20ms } };
   message.quarantine_.entries_ = { { { ContentId("p3") }, 70ms, 9s } };
   return message;
@@ -71,6 +74,10 @@
   EXPECT_EQ(decoded->permitAnswers_.at(0).upstream_, UpstreamId("e5"));
   EXPECT_FALSE(decoded->permitAnswers_.at(0).permit_.isGranted_);
   EXPECT_EQ(decoded->permitAnswers_.at(0).permit_.delay_, 150ms);
+  EXPECT_EQ(decoded->origins_.records_.at(0).attempt_, RequestId("r1"));
+  EXPECT_EQ(decoded->origins_.records_.at(0).origin_, sent.origins_.records_[0].origin_);
+  EXPECT_EQ(decoded->origins_.queries_, sent.origins_.queries_);
+  EXPECT_EQ(decoded->origins_.unknown_, sent.origins_.unknown_);
   const auto& suspect = decoded->quarantine_.suspects_.at(0);
   EXPECT_EQ(suspect.process_, sent.quarantine_.suspects_[0].process_);
   EXPECT_EQ(suspect.contents_.parts_, sent.quarantine_.suspects_[0].contents_.parts_);
@@ -137,7 +144,9 @@
   entry.isDraining_ = true;
   entry.coldTimeLeft_ = std::chrono::milliseconds(900);
   entry.models_ = { { "m", { { "a1", 2 } } } };
+  entry.software_ = SoftwareVersion("v2");
   auto plain = testing_support::MakeEngine("p1");
+  plain.software_ = SoftwareVersion("v1");
   plain.listsModels_ = false;
   plain.models_.clear();
   message.reply_->upstreams_ = StorePosition{ 3, 80 };
@@ -157,6 +166,8 @@
   EXPECT_EQ(changes[0].entry_->service_, entry.service_);
   EXPECT_EQ(changes[0].entry_->dataCentre_, entry.dataCentre_);
   EXPECT_EQ(changes[0].entry_->slots_, entry.slots_);
+  EXPECT_EQ(changes[0].entry_->software_, entry.software_);
+  EXPECT_EQ(changes[1].entry_->software_, plain.software_);
   EXPECT_TRUE(changes[0].entry_->isDraining_);
   EXPECT_EQ(changes[0].entry_->coldTimeLeft_, entry.coldTimeLeft_);
   EXPECT_EQ(changes[0].entry_->startedAt_, entry.startedAt_);
--- a/tests/gateway/request_flow_software_test.cpp
+++ b/tests/gateway/request_flow_software_test.cpp
@@ -8,6 +8,7 @@
 
 using namespace std::chrono_literals;
 using testing_support::Chunk;
+using testing_support::FakeAnswer;
 using testing_support::Peer;
 using testing_support::RequestFlowTest;
 using testing_support::ScriptedServer;
@@ -34,6 +35,19 @@
     Start();
     Finish();
   }
+  /** Serves a request that resumes the stream of `r0` after its first event. */
+  void Resume()
+  {
+    fields_ = { { "Resumes", "r0" }, { "Last-Event-Id", "1" } };
+    Serve();
+  }
+  void ExpectRefusal(const std::string& aReason)
+  {
+    EXPECT_EQ(answer_->status_, 503U);
+    EXPECT_EQ(answer_->body_, aReason + "\n");
+    EXPECT_EQ(first_.Accepted() + second_.Accepted() + third_.Accepted(), 0);
+  }
+  void SetOrigin(const StreamOrigin& aOrigin) { origins_.records_[RequestId("r0")] = aOrigin; }
   static void SendRest(Peer& aPeer)
   {
     const auto request = aPeer.ReadRequest();
@@ -107,5 +121,60 @@
   EXPECT_EQ(second_.Accepted() + third_.Accepted(), 0);
 }
 
+// Guards against a stream that is joined over the tries of a caller, and against one that cannot be
+// resumed a second time, as nobody knows on which version it goes on.
+TEST_F(SoftwareTest, ResumedStreamGoesOnAtTheVersionThatBeganIt)
+{
+  software_ = { "v1", "v2", "v1" };
+  const StreamOrigin origin{ ServiceName("app"), SoftwareVersion("v2") };
+  SetOrigin(origin);
+  boost::asio::steady_timer timer(context_, 50ms);
+  origins_.defer_ = [&](auto aFunction) {
+    timer.async_wait([function = std::move(aFunction)](auto) { function(); });
+  };
+  Resume();
+  EXPECT_TRUE(answer_->isComplete_);
+  EXPECT_EQ(answer_->body_, kEvent2);
+  EXPECT_EQ(second_.Accepted(), 1);
+  EXPECT_EQ(origins_.records_[RequestId("r1")], origin);
+  EXPECT_EQ(origins_.records_[RequestId("r0")], origin);
+}
+
+// Guards against a caller that waits, or tries other hosts in vain, for a stream that nobody can
+// continue.
+TEST_F(SoftwareTest, ResumedStreamOfAnUnknownVersionIsRefusedAtOnce)
+{
+  Resume();
+  ExpectRefusal("stream_origin_unknown");
+  EXPECT_EQ(answer_->fields_.count("Retry-After"), 0U);
+}
+
+// Guards against a stream that is lost although a host that did not answer knows its version.
+TEST_F(SoftwareTest, CallerIsToldToComeBackIfAnotherHostMayKnowTheVersion)
+{
+  origins_.isConclusive_ = false;
+  Resume();
+  ExpectRefusal("stream_origin_unknown");
+  EXPECT_EQ(answer_->fields_.count("Retry-After"), 1U);
+}
+
+// Guards against a stream that goes on at any version, as its own has left, has no single one or
+// belongs to a service to which its route no longer leads.
+TEST_F(SoftwareTest, ResumedStreamThatNoUpstreamCanContinueIsRefusedAtOnce)
+{
+  software_ = { "v2", "v2", "v2" };
+  SetOrigin({ ServiceName("app"), SoftwareVersion("v1") });
+  Resume();
+  ExpectRefusal("software_version_gone");
+  SetOrigin({ ServiceName("app"), SoftwareVersion("v2"), true });
+  answer_ = std::make_shared<FakeAnswer>();
+  Resume();
+  ExpectRefusal("stream_origin_unknown");
+  SetOrigin({ ServiceName("other"), SoftwareVersion("v2") });
+  answer_ = std::make_shared<FakeAnswer>();
+  Resume();
+  ExpectRefusal("stream_service_replaced");
+}
+
 } // namespace
 } // namespace laburnumweir
--- a/tests/gateway/request_flow_support.h
+++ b/tests/gateway/request_flow_support.h
@@ -49,6 +49,32 @@
   std::function<void()> onDisconnect_;
 };
 
+/** Origins of streams, as if they were shared with no other host. */
+class FakeOrigins : public StreamOrigins
+{
+public:
+  void Record(const RequestId& aAttempt, const StreamOrigin& aOrigin) override
+  {
+    records_[aAttempt] = aOrigin;
+  }
+  void Find(const RequestId& aAttempt, const ServiceName&, Callback aCallback) override
+  {
+    const auto found = records_.find(aAttempt);
+    const OriginResult result{ found == records_.end() ? std::nullopt
+                                                       : std::optional(found->second),
+                               isConclusive_ };
+    if (defer_) {
+      defer_([result, callback = std::move(aCallback)] { callback(result); });
+    } else {
+      aCallback(result);
+    }
+  }
+
+  std::map<RequestId, StreamOrigin> records_;
+  bool isConclusive_ = true;                         ///< Of the results of searches.
+  std::function<void(std::function<void()>)> defer_; ///< If set, calls the callbacks.
+};
+
 inline constexpr const char* kGoodHead =
   "HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nX-Server-Stamp: s\r\n";
 
@@ -131,6 +157,9 @@
     if (!prompt_.empty()) {
       admitted.message_.set("X-Prompt-Prefix", prompt_);
     }
+    for (const auto& [name, value] : fields_) {
+      admitted.message_.set(name, value);
+    }
     admitted.message_.body() = body_;
     admitted.facts_ = codec_.ReadRequest(admitted.message_);
     admitted.routes_ = fleet_.Routes();
@@ -167,6 +196,7 @@
   WaitQueue queue_{ clock_ };
   Quarantine quarantine_{ clock_ };
   PermitIssuer issuer_{ clock_ }; ///< This host issues all permits.
+  FakeOrigins origins_;
   UpstreamLink link_{ context_ };
   Metrics metrics_;
   GatewayBounds bounds_;
@@ -179,6 +209,7 @@
                      retries_,
                      queue_,
                      quarantine_,
+                     origins_,
                      link_,
                      metrics_,
                      bounds_,
@@ -196,6 +227,7 @@
   std::shared_ptr<FakeAnswer> answer_ = std::make_shared<FakeAnswer>();
   std::string id_ = "r1";                     ///< Id of the next request.
   std::string body_ = "question";             ///< Of the next request.
+  std::map<std::string, std::string> fields_; ///< Further header fields of the next request.
   std::string prompt_;                        ///< Parts of its prompt; empty for none.
   std::chrono::milliseconds timeout_{ 1500 }; ///< Of the route and of the caller.
   std::int64_t configVersion_ = 0;
--- a/tests/wire/client_test.cpp
+++ b/tests/wire/client_test.cpp
@@ -4,6 +4,7 @@
 #include "platform/store_client.h"
 #include "support/net_support.h"
 
+#include <array>
 #include <gtest/gtest.h>
 
 namespace laburnumweir::platform {
@@ -325,6 +326,59 @@
   EXPECT_EQ(bodies_.at(2).size(), bodies_.at(0).find('{')) << "a record without a value";
 }
 
+// Guards against streams that are joined from two software versions, or all refused, after all
+// hosts were killed: what the store holds of them is not understood.
+TEST_F(ClientTest, WritesAndReadsTheSoftwareThatBeganStreams)
+{
+  const StreamOriginRecord first{ RequestId("r1"), { ServiceName("s"), SoftwareVersion("v1") } };
+  const StreamOriginRecord second{ RequestId("r2"),
+                                   { ServiceName("s"), SoftwareVersion("v2"), true } };
+  const auto written = EncodeRecord(EncodeOrigins(std::array{ first, second }));
+  const std::string head{ "\0\0\0\0\0\0\0\x09\0\0\0\0\0\0\0\x06", 16 };
+  const SoftwareRecord record{
+    ServiceName("s"), { SoftwareVersion("v1"), SoftwareVersion("v2") }, true, 3
+  };
+  // In base64, the value is that of the record.
+  Serve(
+    { Answer(200, R"({"offset":1,"end_offset":2})"),
+      Answer(410, R"({"first_offset":6})", EraField("3")),
+      Answer(200, head + written + EncodeRecord("odd") + written, EraField("3")),
+      Answer(
+        200,
+        R"({"items":[{"key":"software/1","value":"eyJzZXJ2aWNlIjoicyIsInZlcnNpb25zIjpbInYxIiwidjIiXSwiY29tcGxldGUiOnRydWUsImVyYSI6M30="},
+            {"key":"software/2","value":"b2Rk"}],"has_more":false,"end_offset":2})",
+        EraField("3")) });
+  bool isDone = false;
+  store_->AppendOrigins(std::array{ first, second }, [&](std::error_code aError) {
+    EXPECT_FALSE(aError);
+    isDone = true;
+  });
+  RunUntil(isDone);
+  EXPECT_EQ(bodies_.at(0), written);
+  isDone = false;
+  store_->ReadOrigins(std::nullopt, [&](std::error_code aError, const StreamOriginBatch& aBatch) {
+    EXPECT_FALSE(aError);
+    ASSERT_EQ(aBatch.records_.size(), 4U);
+    EXPECT_EQ(aBatch.records_[1].attempt_, second.attempt_);
+    EXPECT_EQ(aBatch.records_[1].origin_, second.origin_);
+    EXPECT_EQ(aBatch.next_, (StorePosition{ 3, 9 }));
+    EXPECT_TRUE(aBatch.isComplete_);
+    isDone = true;
+  });
+  RunUntil(isDone);
+  EXPECT_NE(targets_.at(2).find("from=6"), std::string::npos);
+  isDone = false;
+  store_->ReadHostTopic([&](std::error_code aError, const HostTopicRecords& aRecords) {
+    EXPECT_FALSE(aError);
+    EXPECT_EQ(aRecords.software_, std::vector{ record });
+    EXPECT_EQ(aRecords.era_, 3U);
+    isDone = true;
+  });
+  RunUntil(isDone);
+  EXPECT_EQ(EncodeSoftware(record),
+            R"({"service":"s","versions":["v1","v2"],"complete":true,"era":3})");
+}
+
 TEST_F(ClientTest, PublishesAndReadsHosts)
 {
   // In base64, MTAuMS4wLjI1Ojc2MDAgZGMx is "10.1.0.25:7600 dc1" and b2Rk is "odd".
--- a/tests/wire/message_codec_test.cpp
+++ b/tests/wire/message_codec_test.cpp
@@ -18,6 +18,8 @@
   fields.set("X-Model", "m/a1");
   fields.set("X-Token-Usage", "1460,80");
   fields.set("X-Deadline-Ms", "12000");
+  fields.set("Resumes", "8b30");
+  fields.set("Last-Event-Id", "17");
   const auto facts = PlatformMessageCodec().ReadRequest(fields);
   EXPECT_EQ(facts.id_, RequestId("9c41"));
   EXPECT_EQ(facts.key_, "key");
@@ -25,6 +27,8 @@
   EXPECT_EQ(facts.adapter_, "a1");
   EXPECT_EQ(facts.tokens_, 1540);
   EXPECT_EQ(facts.callerTimeout_->count(), 12000);
+  EXPECT_EQ(facts.resumes_, RequestId("8b30"));
+  EXPECT_EQ(facts.lastEventId_, "17");
 }
 
 TEST(MessageCodec, TakesMalformedFieldsAsAbsent)
