--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -139,6 +139,9 @@
 void
 FleetState::ApplyUpstream(const UpstreamChange& aChange, LogOffset aNext, bool aDeferRemovals)
 {
+  if (aChange.id_.IsEmpty()) {
+    return;
+  }
   if (!aChange.entry_) {
     const auto stamp = std::max(aChange.lastStamp_, LastStamp(aChange.id_));
     changes_.OnRemoved(aChange.id_, aNext, stamp);
--- a/src/fleet/fleet_store_base.h
+++ b/src/fleet/fleet_store_base.h
@@ -71,7 +71,7 @@
 /** A new entry of an upstream, or the removal of its entry. */
 struct UpstreamChange
 {
-  UpstreamId id_;
+  UpstreamId id_;                      ///< Empty if the record concerns no upstream.
   std::optional<UpstreamEntry> entry_; ///< Empty if the entry was removed.
   EntryStamp lastStamp_ = {};          ///< Of the last entry before a removal, if known.
 };
--- a/src/gateway/gossip_message.cpp
+++ b/src/gateway/gossip_message.cpp
@@ -3,7 +3,9 @@
 
 #include "core/hash_func.h"
 #include "http/json_field.h"
+#include "table/fleet_const.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <cmath>
 
@@ -12,6 +14,7 @@
 namespace {
 
 namespace json = boost::json;
+using namespace std::chrono_literals;
 
 // Keys are single letters because traffic between data centres is charged by the byte.
 // h host, a address, p port, z data centre, n message number, l start time of the process,
@@ -174,7 +177,8 @@
     entry.dataCentre_ = DataCentreId(TextAt(aRow, 4));
     entry.slots_ = NumberAt<std::uint32_t>(aRow, 5);
     entry.isDraining_ = NumberAt<int>(aRow, 6) != 0;
-    entry.coldTimeLeft_ = std::chrono::milliseconds(NumberAt<std::int64_t>(aRow, 7));
+    entry.coldTimeLeft_ =
+      std::clamp(std::chrono::milliseconds(NumberAt<std::int64_t>(aRow, 7)), 0ms, kMaxColdTime);
     entry.startedAt_ = NumberAt<std::int64_t>(aRow, 8);
     entry.heartbeat_ = NumberAt<std::uint64_t>(aRow, 9);
     entry.listsModels_ = aRow.size() > kModelsColumn && aRow[kModelsColumn].is_array();
--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -224,7 +224,8 @@
   }
   const auto sinceSent = context_.clock_.Now() - sent_;
   const auto sentAt = context_.clock_.WallNow().time_since_epoch() - sinceSent;
-  return milliseconds(upstream->entry_.startedAt_) <= sentAt + kMaxClockDifference;
+  return upstream->entry_.startedAt_ <=
+         std::chrono::duration_cast<milliseconds>(sentAt + kMaxClockDifference).count();
 }
 
 void
--- a/src/table/fleet_const.h
+++ b/src/table/fleet_const.h
@@ -110,6 +110,9 @@
  */
 constexpr double kColdRateSafetyFactor = 0.8;
 
+/** Longest cold phase that an upstream may name; a larger number is an error. */
+constexpr std::chrono::milliseconds kMaxColdTime = std::chrono::hours(24);
+
 /** Number of consecutive failures after which an upstream gets no requests for a while. */
 constexpr std::uint32_t kFailuresBeforePause = 2;
 /** Back-off after the first of these failures of an upstream; doubles with each further failure. */
