Limit the numbers in the header fields of callers and upstreams

A caller that named 2^63-1 prompt and 2^63-1 output tokens was charged -2 tokens, so each such request added tokens to its quota; a deadline or cold time of that size overflowed when time was added. Cause: numbers were checked one by one, but not the sums with them. Found while looking for the cause of odd entries elsewhere.

--- a/src/table/fleet_const.h
+++ b/src/table/fleet_const.h
@@ -113,6 +113,11 @@
 /** Longest cold phase that an upstream may name; a larger number is an error. */
 constexpr std::chrono::milliseconds kMaxColdTime = std::chrono::hours(24);
 
+/** Tokens charged at most for a request; more than any engine can hold. */
+constexpr std::int64_t kMaxRequestTokens = 1'000'000'000'000;
+/** Longest deadline of a caller that is told apart; longer ones count as this. */
+constexpr std::chrono::milliseconds kMaxCallerDeadline = std::chrono::hours(24);
+
 /** Number of consecutive failures after which an upstream gets no requests for a while. */
 constexpr std::uint32_t kFailuresBeforePause = 2;
 /** Back-off after the first of these failures of an upstream; doubles with each further failure. */
--- a/tests/wire/message_codec_test.cpp
+++ b/tests/wire/message_codec_test.cpp
@@ -48,6 +48,21 @@
 
 // Guards against callers who set fields that only a gateway may set, such as the workspace, and
 // against forwarding the key or the hop-by-hop fields of the caller to an upstream.
+// Guards against a caller that gets tokens beyond its quota, or an upstream that is cold for ever,
+// by a number so large that sums with it wrap around.
+TEST(MessageCodec, LimitsLargeNumbers)
+{
+  constexpr const char* kLargest = "9223372036854775807";
+  Fields fields;
+  fields.set("X-Token-Usage", std::string(kLargest) + "," + kLargest);
+  fields.set("X-Deadline-Ms", kLargest);
+  fields.set("X-Cold-Ms", kLargest);
+  const auto facts = PlatformMessageCodec().ReadRequest(fields);
+  EXPECT_EQ(facts.tokens_, kMaxRequestTokens);
+  EXPECT_EQ(facts.callerTimeout_, kMaxCallerDeadline);
+  EXPECT_EQ(PlatformMessageCodec().ReadAnswer(200, fields).coldTimeLeft_, kMaxColdTime);
+}
+
 TEST(MessageCodec, LeavesOutThePartOfAPromptThatIsNotShared)
 {
   using Parts = std::vector<std::string>;
