Answer every request of a planned stop that has no answer yet

Report of other operators: in a planned stop, requests that came late in the grace period were passed on and cut at its end without an answer. Cause: a drain accepted what could not be completed in the time that was left, and its end closed all connections. Now a drain accepts what is answered in time, and for 2.5 s what callers may repeat; the rest gets 503 at once. Before the end, each request without an answer gets 503, or 502 if an upstream got it.

--- a/src/fleet/fleet_type.h
+++ b/src/fleet/fleet_type.h
@@ -46,6 +46,14 @@
   std::vector<WeightedService> services_;
 };
 
+/** @return whether a request of a route may run again after it may have run. */
+inline bool
+MayRepeat(const Route& aRoute)
+{
+  return aRoute.repeat_ == RepeatRule::Repeatable ||
+         (aRoute.repeat_ == RepeatRule::Stream && aRoute.isResumable_);
+}
+
 /** A base model of an engine service. */
 struct ModelSpec
 {
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -112,6 +112,7 @@
     }
     socket_.close(ignored);
     onSent_ = nullptr;
+    onStopping_ = nullptr;
     auto onDisconnect = std::exchange(onDisconnect_, nullptr);
     listener_.sessions_.erase(shared_from_this());
     if (isAnswering && onDisconnect) {
@@ -194,6 +195,7 @@
       queued_ += "0\r\n\r\n";
     }
     onDisconnect_ = nullptr;
+    onStopping_ = nullptr;
     onSent_ = nullptr;
     isEnded_ = true;
     Write();
@@ -220,6 +222,19 @@
   {
     onDisconnect_ = std::move(aFunction);
   }
+  void NotifyWhenStopping(std::function<void()> aFunction) override
+  {
+    onStopping_ = std::move(aFunction);
+  }
+
+  /** Asks for the answer of the running request, unless it has begun. */
+  void EndAnswer()
+  {
+    auto onStopping = std::exchange(onStopping_, nullptr);
+    if (phase_ == Phase::Answering && !isBegun_ && onStopping) {
+      onStopping();
+    }
+  }
 
 private:
   enum class Phase : std::uint8_t
@@ -395,6 +410,7 @@
   std::string queued_;                     ///< Bytes to write once writing_ is written.
   std::string writing_;                    ///< Bytes of the running write.
   std::function<void()> onSent_;           ///< Set by NotifyWhenSent(); cleared when called.
+  std::function<void()> onStopping_;       ///< Set by NotifyWhenStopping(); cleared at the end.
   std::function<void()> onDisconnect_;     ///< Set by NotifyWhenGone(); cleared at the end.
   std::optional<std::uint64_t> remaining_; ///< Announced body bytes that Data() has not received.
   Phase phase_ = Phase::Idle;
@@ -522,6 +538,15 @@
   }
 }
 
+void
+HttpListener::EndAnswers()
+{
+  const std::vector<std::shared_ptr<CallerSession>> sessions(sessions_.begin(), sessions_.end());
+  for (const auto& session : sessions) {
+    session->EndAnswer();
+  }
+}
+
 bool
 HttpListener::HasUnreadInput()
 {
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -54,6 +54,9 @@
   virtual void NotifyWhenSent(std::function<void()> aFunction) = 0;
   /** Sets a function that is called once if the connection closes before the answer ends. */
   virtual void NotifyWhenGone(std::function<void()> aFunction) = 0;
+  /** Sets a function that is called once if the process stops soon: what was not begun must be
+   * answered now. */
+  virtual void NotifyWhenStopping(std::function<void()> aFunction) = 0;
 };
 
 /** Answers the requests that an HttpListener has read. */
@@ -103,6 +106,8 @@
   void StartDrain();
   /** @return whether a connection waits to be accepted or holds bytes that were not read yet. */
   bool HasUnreadInput();
+  /** Asks the handlers of all requests without an answer to answer them now. */
+  void EndAnswers();
   /** Closes the listening socket and all connections, including those with running requests. */
   void Stop();
   /** @return number of open connections. */
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -45,8 +45,13 @@
 constexpr double kStoreLostAgeFraction = 0.4;
 // The balancer needs two failed checks, one second apart, to take a host out of service.
 constexpr Duration kDrainNoticeTime = milliseconds(2500);
+// Time before the end of the grace period at which requests without an answer are answered. Until
+// then, streams that have begun may go on, and so may answers that are being sent.
+constexpr Duration kEndAnswersMargin = milliseconds(700);
 // Time at the end of the grace period that is reserved to close the remaining connections.
-constexpr Duration kGraceMargin = milliseconds(700);
+constexpr Duration kStopMargin = milliseconds(400);
+// Time from the deadline of a request until its answer is on the way.
+constexpr Duration kAnswerMargin = milliseconds(200);
 // File descriptors reserved for files, the store, peers and orders to engines.
 constexpr std::size_t kReservedDescriptors = 400;
 // The settings file is read at this interval because it may change without a signal.
@@ -241,11 +246,6 @@
     admitted.arrived_ = clock_.Now();
     admitted.facts_ = ports_.codec_.ReadRequest(aRequest);
     admitted.routes_ = fleet_.Routes();
-    if (isDraining_ && !MayAcceptInDrain(admitted.facts_)) {
-      // The caller can retry at another host.
-      Refuse(*aAnswer, admitted, 503, "draining", kOtherHostRetryAfter);
-      return;
-    }
     if (!admitted.routes_ || !fleet_.HasUpstreams()) {
       Refuse(*aAnswer, admitted, 503, "no_configuration", kNotReadyRetryAfter);
       return;
@@ -273,6 +273,10 @@
         return;
       }
     }
+    if (isDraining_ && !MayAcceptInDrain(admitted)) {
+      Refuse(*aAnswer, admitted, 503, "draining", kOtherHostRetryAfter);
+      return;
+    }
     admitted.service_ = ChooseService(*admitted.route_, random_.Below(kRandomRange));
     if (const auto* workspace = admitted.workspace_) {
       admitted.tokens_ =
@@ -391,15 +395,21 @@
   }
 
   /**
-   * @return whether a request that arrives during a drain may be accepted: either its deadline is
-   * within the grace period, or the balancer may not yet have noticed the drain.
+   * @return whether a request that arrives during a drain may be accepted: it is answered before
+   * this host stops, or the balancer may not yet have noticed the drain and the caller may repeat
+   * what is cut.
    */
-  bool MayAcceptInDrain(const RequestFacts& aFacts) const
+  bool MayAcceptInDrain(const AdmittedRequest& aRequest) const
   {
     const auto elapsed = clock_.Now() - drainStart_;
-    const Duration timeout = aFacts.callerTimeout_.value_or(settings_.bounds_.shutdownGrace_);
-    return elapsed <= kDrainNoticeTime ||
-           elapsed + timeout < settings_.bounds_.shutdownGrace_ - kGraceMargin;
+    const auto& route = *aRequest.route_;
+    auto timeout = aRequest.facts_.callerTimeout_;
+    if (route.timeout_.count() > 0) {
+      timeout = std::min(timeout.value_or(route.timeout_), route.timeout_);
+    }
+    const bool isAnsweredInTime = timeout && elapsed + *timeout + kAnswerMargin <
+                                               settings_.bounds_.shutdownGrace_ - kEndAnswersMargin;
+    return isAnsweredInTime || (elapsed <= kDrainNoticeTime && MayRepeat(route));
   }
 
   std::pair<unsigned, std::string> ReadyPage()
@@ -556,8 +566,11 @@
   {
     const auto elapsed = clock_.Now() - drainStart_;
     const bool isIdle = callers_.BusySessions() == 0 && !callers_.HasUnreadInput();
+    if (elapsed > settings_.bounds_.shutdownGrace_ - kEndAnswersMargin) {
+      callers_.EndAnswers();
+    }
     if ((isIdle && elapsed > kDrainNoticeTime) ||
-        elapsed > settings_.bounds_.shutdownGrace_ - kGraceMargin) {
+        elapsed > settings_.bounds_.shutdownGrace_ - kStopMargin) {
       Stop(isIdle ? "drained" : "grace period over");
     }
   }
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -77,6 +77,11 @@
       self->OnCallerGone();
     }
   });
+  answer_->NotifyWhenStopping([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->OnStopping();
+    }
+  });
   if (IsResumption()) {
     isFindingOrigin_ = true;
     const auto& services = admitted_.route_->services_;
@@ -135,8 +140,7 @@
 bool
 RequestFlow::MayRepeat() const
 {
-  return admitted_.route_->repeat_ == RepeatRule::Repeatable ||
-         (IsStream() && admitted_.route_->isResumable_);
+  return laburnumweir::MayRepeat(*admitted_.route_);
 }
 
 std::uint32_t
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -183,6 +183,8 @@
   bool AcquireRetry(bool aHasRun);
   void ForwardAnswer();
   void OnCallerGone();
+  /** Answers a request whose answer has not begun, since the process stops. */
+  void OnStopping();
   void Reply(unsigned aStatus, std::string_view aReason, std::optional<Duration> aRetryAfter);
   void Finish(unsigned aStatus, std::string_view aReason);
   Duration RetryDelay() const;
--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -464,6 +464,21 @@
   }
 }
 
+void
+RequestFlow::OnStopping()
+{
+  if (!answer_ || isBegun_) {
+    return;
+  }
+  if (call_) {
+    runs_ += hasSent_ ? 1 : 0;
+    call_->Cancel();
+    call_.reset();
+    EndAttempt(AttemptHealth::Good);
+  }
+  Reply(runs_ > 0 ? 502 : 503, "stopping", std::chrono::milliseconds(0));
+}
+
 void
 RequestFlow::ArmTimer()
 {
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <future>
 #include <gtest/gtest.h>
+#include <map>
 
 namespace laburnumweir {
 namespace {
@@ -84,13 +85,18 @@
     ASSERT_TRUE(RunGateway(context_, GatewaySettings(settings_), ports));
   }
 
-  /** @return status of the answer to a request with a key, sent while the gateway runs. */
-  unsigned StatusOf(const std::string& aTarget, const std::string& aKey) const
+  /**
+   * Sends a request while the gateway runs.
+   * @param aDeadline in milliseconds; 0 for none.
+   * @return status of the answer; 0 if there is none.
+   */
+  unsigned StatusOf(const std::string& aTarget, const std::string& aKey, int aDeadline = 0) const
   {
     auto peer = testing_support::ConnectTo(settings_.callerEndpoint_);
-    peer.Send("GET " + aTarget + " HTTP/1.1\r\nHost: a\r\nAuthorization: Token " + aKey +
-              "\r\n\r\n");
-    const auto answer = peer.ReadAnswer();
+    peer.Send("GET " + aTarget + " HTTP/1.1\r\nHost: a\r\nAuthorization: Token " + aKey + "\r\n" +
+              (aDeadline > 0 ? "X-Deadline-Ms: " + std::to_string(aDeadline) + "\r\n" : "") +
+              "\r\n");
+    const auto answer = peer.ReadAnswer(5s);
     return answer ? answer->result_int() : 0;
   }
 
@@ -153,5 +159,50 @@
   EXPECT_EQ(late.get(), (Statuses{ 503, 503 }));
 }
 
+// Guards against requests, some of which may not be repeated, that a host takes in the grace period
+// of a planned stop, and then cuts at its end without an answer.
+TEST_F(GatewayTest, EachRequestOfAPlannedStopIsAnswered)
+{
+  testing_support::ScriptedServer silent([](testing_support::Peer& aPeer, int) {
+    aPeer.ReadRequest();
+    aPeer.ReadSome(5s);
+  });
+  settings_.callerEndpoint_ = testing_support::RefusingEndpoint();
+  settings_.bounds_.shutdownGrace_ = 3500ms;
+  for (const auto rule : { RepeatRule::Once, RepeatRule::Repeatable }) {
+    Route route;
+    route.host_ = "a";
+    route.prefix_ = rule == RepeatRule::Once ? "/once/" : "/safe/";
+    route.repeat_ = rule;
+    route.services_ = { { engine_.service_, 1 } };
+    config_.routes_.push_back(route);
+  }
+  config_.services_.front().engine_.reset();
+  engine_.endpoint_ = silent.Address();
+  std::map<std::string, std::future<unsigned>> statuses;
+  const auto ask = [&](const std::string& aName, const std::string& aTarget, int aDeadline) {
+    statuses[aName] = std::async(
+      std::launch::async, [this, aTarget, aDeadline] { return StatusOf(aTarget, "", aDeadline); });
+  };
+  After(100ms, [&] { ask("before the stop", "/once/", 60000); });
+  After(300ms, [] { std::raise(SIGTERM); });
+  After(500ms, [&] {
+    ask("too long", "/once/", 2700);
+    ask("without a deadline", "/once/", 0);
+    ask("too long, repeatable", "/safe/", 60000);
+    ask("in time", "/once/", 1500);
+  });
+  After(3000ms, [&] { ask("late", "/safe/", 700); });
+  const GatewayPorts ports{ store_, engines_, codec_, [this] { return settings_; } };
+  ASSERT_TRUE(RunGateway(context_, GatewaySettings(settings_), ports));
+  EXPECT_EQ(statuses["before the stop"].get(), 502U);
+  EXPECT_EQ(statuses["too long"].get(), 503U);
+  EXPECT_EQ(statuses["without a deadline"].get(), 503U);
+  EXPECT_EQ(statuses["too long, repeatable"].get(), 502U);
+  EXPECT_EQ(statuses["in time"].get(), 504U);
+  EXPECT_EQ(statuses["late"].get(), 503U);
+  EXPECT_EQ(silent.Accepted(), 3);
+}
+
 } // namespace
 } // namespace laburnumweir
--- a/tests/gateway/request_flow_support.h
+++ b/tests/gateway/request_flow_support.h
@@ -39,6 +39,11 @@
     onDisconnect_ = std::move(aFunction);
   }
 
+  void NotifyWhenStopping(std::function<void()> aFunction) override
+  {
+    onStopping_ = std::move(aFunction);
+  }
+
   bool IsDone() const { return isComplete_ || isAborted_; }
 
   unsigned status_ = 0;
@@ -47,6 +52,7 @@
   bool isComplete_ = false;
   bool isAborted_ = false;
   std::function<void()> onDisconnect_;
+  std::function<void()> onStopping_;
 };
 
 /** Origins of streams, as if they were shared with no other host. */
