--- a/src/gateway/stream_origin_service.cpp
+++ b/src/gateway/stream_origin_service.cpp
@@ -259,9 +259,8 @@
              { "took_ms",
                std::to_string((context_.clock_.Now() - aSearch->startedAt_) /
                               std::chrono::milliseconds(1)) } });
-  const auto search = aSearch;
-  searches_.remove(search);
-  std::exchange(search->callback_, nullptr)(aResult);
+  searches_.remove(aSearch);
+  std::exchange(aSearch->callback_, nullptr)(aResult);
 }
 
 void
--- a/src/gateway/stream_origin_service.h
+++ b/src/gateway/stream_origin_service.h
@@ -88,6 +88,7 @@
   void StoreOrigins();
   /** @param aCount origins that were to be written. */
   void OnStored(std::size_t aCount, std::error_code aError);
+  /** @param aSearch must not be an element of searches_ itself. */
   void End(const std::shared_ptr<Search>& aSearch, const OriginResult& aResult);
 
   StreamOriginContext context_;
--- a/tests/wire/odd_entry_test.cpp
+++ b/tests/wire/odd_entry_test.cpp
@@ -123,6 +123,7 @@
                   Odd("NegativeStart", "born", "-9223372036854775808"),
                   Odd("NegativeHeartbeat", "sequence", "-1"),
                   Odd("LargeHeartbeat", "sequence", "18446744073709551615"),
+                  Odd("NumberAsSoftware", "version", "2"),
                   Odd("LargePort", "address", "\"10.1.2.3:70000\""),
                   Odd("NegativePort", "address", "\"10.1.2.3:-1\""),
                   Odd("PortZero", "address", "\"10.1.2.3:0\""),
