Show that one spoilt report of an engine ends a host

The client for reports and orders lets the same oversized trailer field through as that for requests.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,13 +6,12 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "common"))
 from platform_stand_in import (APP_SERVICE, Client, Machine, Runner, Store, answer_after,
-                               configuration, message, route, run_case, sound_head)
+                               chunked_and_spoilt, configuration, route, run_case, sound_head)
 
 RUNNERS = 4  # of one service; one of them spoils one of its answers
 BOOKINGS = 12
 BOOKING_S = 1.0
 LOOK_UPS_BEFORE = 60
-TRAILER_BYTES = 66000
 LOST_ALLOWED = 3
 
 
@@ -22,10 +21,7 @@
 
 
 async def spoil(runner, request, writer):
-    """Answers in chunks; what follows the last chunk are no fields of an answer."""
-    head = message("HTTP/1.1 200 OK", sound_head(request, {"Transfer-Encoding": "chunked"}))
-    writer.write(head.replace(b"Content-Length: 0\r\n", b"") + b"4\r\ndone\r\n0\r\nx: " +
-                 b"a" * TRAILER_BYTES + b"\r\n\r\n")
+    writer.write(chunked_and_spoilt(sound_head(request), b"done"))
     await writer.drain()
     runner.record("runner %s spoils its answer to %s" % (runner.name, request["id"]))
     return True
--- a/review/common/platform_stand_in.py
+++ b/review/common/platform_stand_in.py
@@ -123,6 +123,16 @@
     return head.encode("latin-1") + body
 
 
+SPOILT_BYTES = 66000
+
+
+def chunked_and_spoilt(fields, body):
+    """An answer in chunks; what follows the last chunk are no fields of an answer."""
+    head = message("HTTP/1.1 200 OK", dict(fields, **{"Transfer-Encoding": "chunked"}))
+    return (head.replace(b"Content-Length: 0\r\n", b"") + b"%x\r\n" % len(body) + body +
+            b"\r\n0\r\nx: " + b"a" * SPOILT_BYTES + b"\r\n\r\n")
+
+
 class Store:
     """The platform's store in the form of a log, on one port."""
 
@@ -247,12 +257,17 @@
         self.state = "ready"
         self.writers = set()
         self.is_quiet = False
+        self.adapters = []
+        self.spoils_report = False
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, limit=1 << 20)
         self.port = self.server.sockets[0].getsockname()[1]
         self.task = asyncio.create_task(self.beat())
 
+    def models(self):
+        return [{"name": "daka510000", "version": 1, "adapters": self.adapters}]
+
     async def leave(self, drain_s=2.0):
         """Planned shutdown: reports draining, goes on serving, and exits."""
         self.state = "draining"
@@ -278,7 +293,7 @@
                  "born": self.born}
         if self.engine:
             entry["phase"] = "both"
-            entry["models"] = [{"name": "daka510000", "version": 1, "adapters": []}]
+            entry["models"] = self.models()
         await self.store.put("keyed.servers", self.name, json.dumps(entry).encode())
 
     async def serve(self, reader, writer):
@@ -291,10 +306,14 @@
                 if path == "/api/report":
                     answer = json.dumps({"phase": "both", "busy": False, "sequence": 0,
                                          "born": self.born, "queued": 0, "active": 0,
-                                         "models": [{"name": "daka510000", "version": 1,
-                                                     "adapters": []}]}).encode()
-                    writer.write(message("HTTP/1.1 200 OK",
-                                         {"Content-Type": "application/json"}, answer))
+                                         "models": self.models()}).encode()
+                    head = {"Content-Type": "application/json"}
+                    if self.spoils_report:
+                        self.spoils_report = False
+                        self.record("runner %s spoils its answer to a report" % self.name)
+                        writer.write(chunked_and_spoilt(head, answer))
+                    else:
+                        writer.write(message("HTTP/1.1 200 OK", head, answer))
                 elif path == "/api/order":
                     writer.write(message("HTTP/1.1 200 OK", {}, b"{}"))
                 elif path == "/healthz":
