--- a/review/common/platform_stand_in.py
+++ b/review/common/platform_stand_in.py
@@ -6,6 +6,7 @@
 import base64
 import json
 import os
+import random
 import resource
 import signal
 import socket
@@ -56,36 +57,23 @@
         print(line, flush=True)
 
 
-def free_ports(count):
-    sockets = []
-    for _ in range(count):
-        one = socket.socket()
-        one.bind(("127.0.0.1", 0))
-        sockets.append(one)
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
-
-
-def free_port_pair():
-    """Two consecutive free ports: the range for traffic between hosts."""
-    for _ in range(200):
-        (first,) = free_ports(1)
-        if first >= 65000:
-            continue
+def free_ports(count, kinds=(socket.SOCK_STREAM,)):
+    """The first of `count` free ports in a row, below those that connections are given."""
+    for _ in range(1000):
+        first = random.randrange(10000, 32000)
+        sockets = []
         try:
-            udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-            tcp = socket.socket()
-            udp.bind(("127.0.0.1", first))
-            tcp.bind(("127.0.0.1", first + 1))
+            for port in range(first, first + count):
+                for kind in kinds:
+                    sockets.append(socket.socket(socket.AF_INET, kind))
+                    sockets[-1].bind(("127.0.0.1", port))
             return first
         except OSError:
             continue
         finally:
-            udp.close()
-            tcp.close()
-    raise CannotRun("no two free ports in a row")
+            for one in sockets:
+                one.close()
+    raise CannotRun("no %d free ports in a row" % count)
 
 
 async def read_head(reader):
@@ -398,8 +386,9 @@
 
     def __init__(self, record, folder, name, store_port, memory_mb=260):
         self.record, self.name, self.memory_mb = record, name, memory_mb
-        frontend, ready, control = free_ports(3)
-        internal = free_port_pair()
+        frontend = free_ports(3)
+        ready, control = frontend + 1, frontend + 2
+        internal = free_ports(2, (socket.SOCK_DGRAM, socket.SOCK_STREAM))
         self.frontend, self.ready = frontend, ready
         self.path = os.path.join(folder, name + ".json")
         self.log = os.path.join(folder, name + ".log")
