Take a trailer field of an upstream that is too long as a malformed answer

Cause: the HTTP library's parser inserts trailer fields into the message and throws std::length_error for a name or value of more than 65,533 bytes. The limit of the head does not count trailers, the limit of unparsed bytes was checked after the parser had been called, and nothing below main() catches the exception.

The parser is now one of ours on the library's basic_parser: a field that does not fit is an error, trailers are limited and dropped, and the limit of unparsed bytes is part of it. The call ends as malformed and only its attempt fails.

Found with it: with the library's parser, trailer fields counted as header fields of an answer that arrived in one read. A booking whose answer was whole was sent a second time because of an X-Not-Executed after its last chunk, and an unsigned answer was signed by its trailer (RFC 9110, 6.5.1 forbids merging them).

--- a/src/gateway/upstream_link.cpp
+++ b/src/gateway/upstream_link.cpp
@@ -1,13 +1,12 @@
 /** @file upstream_link.cpp HTTP/1.1 client of a gateway with a pool of connections to upstreams. */
 #include "gateway/upstream_link.h"
 
-#include "http/append_body.h"
 #include "http/header_func.h"
+#include "http/message_parser.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
 #include <netinet/tcp.h>
@@ -29,9 +28,6 @@
 // Limit of the bodies that one call reads without passing them on; beyond it, closing the
 // connection costs less than reading on.
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{ 256 } << 10;
-// Limit of received bytes that the parser cannot use yet, such as an incomplete chunk header or
-// trailer. It exceeds kMaxHeadBytes plus one read.
-constexpr std::size_t kMaxUnparsedBytes = std::size_t{ 64 } << 10;
 // Limit for each upstream; a further connection is closed when its answer is complete.
 constexpr std::size_t kMaxIdleConnections = 64;
 // Idle time after which a connection is not reused if the upstream sends no Keep-Alive timeout.
@@ -222,8 +218,7 @@
   {
     auto& buffer = connection_->buffer_;
     while (buffer.size() > 0 && !parser_->is_done()) {
-      BoostError error;
-      buffer.consume(parser_->put(buffer.data(), error));
+      const auto error = parser_->Parse(buffer);
       const bool needsMore = error == http::error::need_more;
       if (error && !needsMore) {
         Finish(CallEnd::Malformed);
@@ -236,10 +231,6 @@
         break;
       }
     }
-    if (!parser_->is_done() && buffer.size() > kMaxUnparsedBytes) {
-      Finish(CallEnd::Malformed);
-      return;
-    }
     Deliver();
   }
 
@@ -250,7 +241,7 @@
   bool OnHead()
   {
     isHeadSeen_ = true;
-    const auto& message = parser_->get();
+    const auto& message = parser_->Get();
     const auto hasStatusLine = [](boost::beast::string_view aText) {
       return ContainsStatusLine({ aText.data(), aText.size() });
     };
@@ -295,8 +286,7 @@
       return;
     }
     if (isHeadSeen_) {
-      std::string body = std::move(parser_->get().body());
-      parser_->get().body().clear();
+      const std::string body = parser_->TakeBody();
       discardedBytes_ += isDiscarding_ ? body.size() : 0;
       if (discardedBytes_ > kMaxDiscardedBytes) {
         Finish(CallEnd::Malformed);
@@ -337,7 +327,7 @@
     // A connection with an incompletely written request or with unexpected bytes is not reused.
     if (mayReuse_ && !isClosedByUpstream_ && !isWriting_ && parser_->keep_alive() &&
         connection_->buffer_.size() == 0) {
-      const auto field = parser_->get()[http::field::keep_alive];
+      const auto field = parser_->Get()[http::field::keep_alive];
       connection_->usableUntil_ =
         SteadyClock::now() + ParseIdleTimeout({ field.data(), field.size() });
       link_.PutIdle(endpoint_, std::move(connection_));
@@ -364,12 +354,12 @@
   UpstreamLink& link_;      ///< Outlives the call.
   const Endpoint endpoint_; ///< Address of the upstream.
   HttpRequest request_;
-  std::shared_ptr<CallHandler> handler_;                    ///< Empty after the end of the call.
-  std::shared_ptr<UpstreamConnection> connection_;          ///< Empty once back in the pool.
-  std::optional<http::response_parser<AppendBody>> parser_; ///< Parses the answer.
-  int skippedAnswers_ = 0;                                  ///< See kMaxSkippedAnswers.
-  std::size_t discardedBytes_ = 0;                          ///< See kMaxDiscardedBytes.
-  bool isWriting_ = false;          ///< The request has not been written completely.
+  std::shared_ptr<CallHandler> handler_;           ///< Empty after the end of the call.
+  std::shared_ptr<UpstreamConnection> connection_; ///< Empty once back in the pool.
+  std::optional<AnswerParser> parser_;             ///< Parses the answer.
+  int skippedAnswers_ = 0;                         ///< See kMaxSkippedAnswers.
+  std::size_t discardedBytes_ = 0;                 ///< See kMaxDiscardedBytes.
+  bool isWriting_ = false;                         ///< The request has not been written completely.
   bool isHeadSeen_ = false;         ///< OnHead() was called for the answer being read.
   bool isSkipping_ = false;         ///< The answer being read belongs to another request.
   bool isDiscarding_ = false;       ///< The body being read is not passed to the handler.
--- a/src/http/header_func.h
+++ b/src/http/header_func.h
@@ -4,11 +4,16 @@
 
 #include "core/request_type.h"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
 namespace laburnumweir {
 
+/** Longest name or value of a field that a message of the HTTP library can hold; it throws an
+ * exception for a longer one. */
+inline constexpr std::size_t kMaxFieldBytes = 65533;
+
 /** @return whether two field names or tokens are the same, ignoring the case of ASCII letters. */
 bool
 EqualsIgnoreCase(std::string_view aLeft, std::string_view aRight);
--- a/tests/gateway/request_flow_fault_test.cpp
+++ b/tests/gateway/request_flow_fault_test.cpp
@@ -163,6 +163,80 @@
                    RepeatRule::Stream }),
   [](const auto& aInfo) { return aInfo.param.name_; });
 
+/** Trailer fields after the last chunk of an answer. */
+struct Trailer
+{
+  const char* name_;
+  std::string fields_;
+};
+
+class LongTrailerTest
+  : public RequestFlowTest
+  , public testing::WithParamInterface<Trailer>
+{};
+
+// Guards against a process that ends with all its requests because one upstream sends a field after
+// the last chunk that is longer than a message can hold.
+TEST_P(LongTrailerTest, OnlyFailsTheAttempt)
+{
+  repeat_ = RepeatRule::Repeatable;
+  ScriptedServer faulty([](Peer& aPeer, int) {
+    aPeer.ReadRequest();
+    aPeer.Send(std::string(kGoodHead) + "Transfer-Encoding: chunked\r\n\r\n" + Chunk("spoilt") +
+               "0\r\n" + GetParam().fields_ + "\r\n");
+    aPeer.ReadSome(500ms);
+  });
+  ScriptedServer sound([](Peer& aPeer, int) {
+    aPeer.ReadRequest();
+    aPeer.Send(Answer("sound"));
+    aPeer.ReadSome(500ms);
+  });
+  SetUpstreams({ faulty.Address(), sound.Address() });
+  Start();
+  Finish();
+  EXPECT_EQ(faulty.Accepted(), 1);
+  EXPECT_EQ(answer_->status_, 200U);
+  EXPECT_EQ(answer_->body_, "sound");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Fields,
+  LongTrailerTest,
+  testing::Values(Trailer{ "Value", "X: " + std::string(65534, 'x') + "\r\n" },
+                  Trailer{ "Name", std::string(65534, 'x') + ": x\r\n" },
+                  Trailer{ "ValueOverTheUnparsedLimit", "X: " + std::string(80000, 'x') + "\r\n" },
+                  Trailer{ "Unended", "X: " + std::string(66000, 'x') }),
+  [](const auto& aInfo) { return aInfo.param.name_; });
+
+// Guards against an answer that is judged by its trailer: fields after the last chunk may neither
+// sign it nor state that the request was not run, and they do not reach the caller.
+TEST_F(RequestFlowFaultTest, TrailerFieldsAreNoHeaderFields)
+{
+  const auto answer = [](const std::string& aHead, const std::string& aTrailer) {
+    return aHead + "Transfer-Encoding: chunked\r\n\r\n" + Chunk("body") + "0\r\n" + aTrailer +
+           "\r\n";
+  };
+  const std::string unsignedHead = "HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\n";
+  std::vector<std::string> answers{ answer(kGoodHead, "X-Not-Executed: 1\r\nX-Late: 1\r\n"),
+                                    answer(unsignedHead, "X-Server-Stamp: s\r\n") };
+  ScriptedServer server([&](Peer& aPeer, int aNumber) {
+    aPeer.ReadRequest();
+    aPeer.Send(answers.at(aNumber));
+    aPeer.Close();
+  });
+  SetUpstreams({ server.Address() });
+  Start();
+  Finish();
+  EXPECT_EQ(answer_->status_, 200U);
+  EXPECT_EQ(answer_->body_, "body");
+  EXPECT_EQ(answer_->fields_.count("X-Late"), 0U);
+  EXPECT_EQ(server.Accepted(), 1) << "the request has run";
+  answer_ = std::make_shared<FakeAnswer>();
+  Start();
+  Finish();
+  EXPECT_EQ(answer_->status_, 502U);
+}
+
 class BrokenStreamTest
   : public RequestFlowTest
   , public testing::WithParamInterface<std::string>
