Take an event whose id cannot be sent back for a malformed event

Cause: the id of the last event becomes the Last-Event-Id field of the request that continues the stream, and events of up to 1 MiB were accepted whatever their id. Setting a field of more than 65,533 bytes throws, and nothing catches it. The same way led bytes that end a field, such as a lone CR, into a request to another upstream.

An id is now valid up to 1 KiB and without control bytes. Another one breaks the stream off before its event, so that it goes on after the last valid id at the next upstream; the caller gets all events once.

Tests: SpoiltEventTest.StreamContinuesAfterTheLastEventWithAValidId ends in the exception on the old code; EventSplitter.AnEventWithAnIdThatIsNoFieldValueIsNoEvent uses the new limit and was not run on it.

--- a/src/fleet/event_cutter.cpp
+++ b/src/fleet/event_cutter.cpp
@@ -1,6 +1,8 @@
 /** @file event_cutter.cpp Splits a server-sent event stream into complete events. */
 #include "fleet/event_cutter.h"
 
+#include "http/header_func.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -102,6 +104,9 @@
     }
   }
   if (id) {
+    if (id->size() > kMaxIdBytes || !IsFieldValue(*id)) {
+      return false;
+    }
     if (isResumed_ && !MayFollow(*id, lastId_)) {
       return false;
     }
--- a/src/fleet/event_cutter.h
+++ b/src/fleet/event_cutter.h
@@ -17,12 +17,16 @@
 public:
   /** Maximum size of one event; a stream that exceeds it is not a valid event stream. */
   static constexpr std::size_t kMaxEventBytes = std::size_t{ 1 } << 20;
+  /** Maximum size of the id of an event. Callers and this host send it back in a header field, next
+   * to others within the limit of a head. */
+  static constexpr std::size_t kMaxIdBytes = 1024;
 
   /**
    * Appends received bytes of the stream.
    * @param aComplete is set to the events that these bytes complete, perhaps none.
    * @return false if the incomplete event exceeds kMaxEventBytes, or if the bytes after those in
-   * aComplete are no event or do not continue the stream.
+   * aComplete are no event, have an id that cannot be the value of a header field, or do not
+   * continue the stream.
    */
   bool Add(std::string_view aBytes, std::string& aComplete);
   /**
--- a/src/http/header_func.cpp
+++ b/src/http/header_func.cpp
@@ -87,6 +87,15 @@
   return Contains(kHopByHop, aName) || ListContains(aConnection, aName);
 }
 
+bool
+IsFieldValue(std::string_view aText)
+{
+  return aText.size() <= kMaxFieldBytes && std::none_of(aText.begin(), aText.end(), [](char aByte) {
+           const auto byte = static_cast<unsigned char>(aByte);
+           return (byte < ' ' && byte != '\t') || byte == 0x7f;
+         });
+}
+
 bool
 ContainsStatusLine(std::string_view aText)
 {
--- a/src/http/header_func.h
+++ b/src/http/header_func.h
@@ -34,6 +34,13 @@
 bool
 IsHopByHop(std::string_view aName, std::string_view aConnection);
 
+/**
+ * @return whether a text can be sent as the value of a field: it is not too long and has no control
+ * bytes other than tabs, which could end the field (RFC 9110, 5.5).
+ */
+bool
+IsFieldValue(std::string_view aText);
+
 /**
  * @return whether a text contains a status line, as the value of a field does if its head was cut
  * and another answer follows on the connection.
--- a/tests/fleet/small_modules_test.cpp
+++ b/tests/fleet/small_modules_test.cpp
@@ -141,6 +141,28 @@
   EXPECT_FALSE(cutter.Add(std::string(EventSplitter::kMaxEventBytes + 1, 'x'), whole));
 }
 
+// Guards against an id that cannot be sent to the upstream that continues the stream: too long for
+// a header field, or with bytes that would end the field.
+TEST(EventSplitter, AnEventWithAnIdThatIsNoFieldValueIsNoEvent)
+{
+  for (const auto& id : { std::string(66000, '7'),
+                          std::string(EventSplitter::kMaxIdBytes + 1, '7'),
+                          std::string("7\rX-Field: 1"),
+                          std::string("7\0", 2),
+                          std::string("7\x7f") }) {
+    EventSplitter cutter;
+    std::string whole;
+    EXPECT_FALSE(cutter.Add("id: 1\ndata: a\n\nid: " + id + "\ndata: b\n\n", whole)) << id.size();
+    EXPECT_EQ(whole, "id: 1\ndata: a\n\n");
+    EXPECT_EQ(cutter.LastEventId(), "1");
+  }
+  EventSplitter cutter;
+  std::string whole;
+  const std::string longest(EventSplitter::kMaxIdBytes, '7');
+  EXPECT_TRUE(cutter.Add("id: " + longest + "\ndata: a\n\n", whole));
+  EXPECT_EQ(cutter.LastEventId(), longest);
+}
+
 class HolderLeaseTest : public testing::Test
 {
 protected:
--- a/tests/gateway/request_flow_resume_test.cpp
+++ b/tests/gateway/request_flow_resume_test.cpp
@@ -49,6 +49,37 @@
   *aStream << aAnswer.name_;
 }
 
+using SpoiltEventTest = RequestFlowTest;
+
+// Guards against a process that ends with all its requests when it continues a stream after an
+// event whose id is longer than a header field can be.
+TEST_F(SpoiltEventTest, StreamContinuesAfterTheLastEventWithAValidId)
+{
+  repeat_ = RepeatRule::Stream;
+  isResumable_ = true;
+  ScriptedServer faulty([](Peer& aPeer, int) {
+    aPeer.ReadRequest();
+    aPeer.Send(kChunkedHead + Chunk(kEvent1));
+    aPeer.Send(Chunk("id: " + std::string(66000, '2') + "\ndata: b\n\n") + Chunk("id: 3\nda"));
+    std::this_thread::sleep_for(50ms);
+    aPeer.Close();
+  });
+  std::string continuedAfter;
+  ScriptedServer sound([&](Peer& aPeer, int) {
+    if (const auto request = aPeer.ReadRequest()) {
+      continuedAfter = std::string((*request)["Last-Event-Id"]);
+    }
+    aPeer.Send(kChunkedHead + Chunk(kEvent2) + "0\r\n\r\n");
+    aPeer.ReadSome(100ms);
+  });
+  SetUpstreams({ faulty.Address(), sound.Address() });
+  Start();
+  Finish();
+  EXPECT_EQ(continuedAfter, "1");
+  EXPECT_EQ(answer_->body_, std::string(kEvent1) + kEvent2);
+  EXPECT_TRUE(answer_->isComplete_);
+}
+
 class ResumeTest
   : public RequestFlowTest
   , public testing::WithParamInterface<std::tuple<StreamStart, NoContinuation>>
