Take a trailer field that is too long for no answer of engines and of the store

The next holder would have asked the same engine.

Cause: that of the answers to requests, in the other HTTP client, which carries reports, orders and calls to the store. Its buffer holds 256 KiB, so that the library's parser met the field as a whole, and threw.

The client uses the new parser: such an answer is none, as if the connection had been lost, and trailer fields are dropped. On the old code they were also header fields: the era of the store could come from one.

Tests: LongTrailerTest.IsNoAnswer/0 and /1 end in the exception on the old code (/2 passes there: the buffer is full before), ClientTest.TrailerFieldsAreNoHeaderFields fails.

--- a/src/http/json_client.cpp
+++ b/src/http/json_client.cpp
@@ -1,6 +1,8 @@
 /** @file json_client.cpp Asynchronous HTTP client for short requests with whole answers. */
 #include "http/json_client.h"
 
+#include "http/message_parser.h"
+
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -79,12 +81,12 @@
 
   struct Operation
   {
-    http::request<http::string_body> request_;                       ///< What is sent.
-    std::optional<http::response_parser<http::string_body>> parser_; ///< What is read.
-    std::shared_ptr<Connection> connection_;                         ///< Connection in use.
-    std::chrono::milliseconds timeout_{}; ///< Limit for the whole exchange.
-    std::size_t maxAnswerBytes_ = 0;      ///< Limit of the body.
-    Callback callback_;                   ///< Receives the answer.
+    http::request<http::string_body> request_; ///< What is sent.
+    std::optional<AnswerParser> parser_;       ///< What is read.
+    std::shared_ptr<Connection> connection_;   ///< Connection in use.
+    std::chrono::milliseconds timeout_{};      ///< Limit for the whole exchange.
+    std::size_t maxAnswerBytes_ = 0;           ///< Limit of the body.
+    Callback callback_;                        ///< Receives the answer.
   };
 
   std::shared_ptr<Connection> TakeIdle()
@@ -175,7 +177,7 @@
 
   void Complete(const std::shared_ptr<Operation>& aOperation)
   {
-    auto response = aOperation->parser_->release();
+    auto response = aOperation->parser_->Release();
     HttpAnswer answer;
     answer.status_ = static_cast<int>(response.result_int());
     for (const auto& field : response) {
--- a/tests/wire/client_test.cpp
+++ b/tests/wire/client_test.cpp
@@ -457,5 +457,53 @@
   EXPECT_LT(sent, std::size_t{ 24 } << 20) << "buffers of both sockets hold some megabytes";
 }
 
+/** Trailer fields after the last chunk of an answer. */
+class LongTrailerTest
+  : public ClientTest
+  , public testing::WithParamInterface<std::string>
+{};
+
+// Guards against a process that ends with all its requests because an engine or the store sends a
+// field after the last chunk that is longer than a message can hold.
+TEST_P(LongTrailerTest, IsNoAnswer)
+{
+  const std::string answer = "HTTP/1.1 202 Accepted\r\nTransfer-Encoding: chunked\r\n\r\n"
+                             "2\r\n{}\r\n0\r\n" +
+                             GetParam() + "\r\n";
+  Serve({ answer, answer, answer });
+  EXPECT_EQ(Order(), OrderAnswer::NoAnswer);
+  EXPECT_EQ(ReadAll(ChangeStream::Upstreams).first, StoreError::Unreachable);
+  EngineClient engines(context_);
+  bool isDone = false;
+  engines.RequestReport(server_->Address(), [&](bool aIsRead, const EngineStateReport&) {
+    EXPECT_FALSE(aIsRead);
+    isDone = true;
+  });
+  RunUntil(isDone);
+}
+
+INSTANTIATE_TEST_SUITE_P(Fields,
+                         LongTrailerTest,
+                         testing::Values("X: " + std::string(65534, 'x') + "\r\n",
+                                         std::string(65534, 'x') + ": x\r\n",
+                                         "X: " + std::string(300000, 'x') + "\r\n"));
+
+// Guards against an answer of the store whose era is replaced by a field after its last chunk.
+TEST_F(ClientTest, TrailerFieldsAreNoHeaderFields)
+{
+  const auto answer = [](const std::string& aFields) {
+    const std::string body = R"({"items":[],"has_more":false,"end_offset":7 })";
+    EXPECT_EQ(body.size(), 0x2dU);
+    return "HTTP/1.1 200 OK\r\n" + aFields + "Transfer-Encoding: chunked\r\n\r\n2d\r\n" + body +
+           "\r\n0\r\n" + EraField("9") + "\r\n";
+  };
+  Serve({ answer(EraField("3")), answer("") });
+  const auto [error, batch] = ReadAll(ChangeStream::Operators);
+  EXPECT_FALSE(error) << error.message();
+  EXPECT_EQ(batch.era_, 3U);
+  EXPECT_EQ(ReadAll(ChangeStream::Operators).first, StoreError::Outdated)
+    << "an answer without the field has era 0";
+}
+
 } // namespace
 } // namespace laburnumweir::platform
