Refuse a request with a trailer field that is too long

Also, a head limit in the configuration above 65,533 bytes let such a field through in the head, by reading.

The server uses the new parser and answers 431; trailer fields are dropped. On the old code they were forwarded as header fields of the request, and chose its key and model if the head had none.

Tests: CallerSessionTest.FieldThatIsTooLongIsRefused ends the test program on the old code, .TrailerFieldsAreNoHeaderFields fails there. After: both pass.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -2,13 +2,13 @@
 #include "gateway/caller_session.h"
 
 #include "http/header_func.h"
+#include "http/message_parser.h"
 #include "logging/logging_func.h"
 
 #include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <poll.h>
 #include <vector>
 
@@ -27,9 +27,6 @@
 // Bytes of pipelined requests that are read while a request is answered; further bytes stay in the
 // kernel's receive buffer.
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{ 64 } << 10;
-// Received bytes of a request that the parser cannot use yet, such as an incomplete chunk header or
-// trailer, beyond which the request is refused. It exceeds the limit of the head plus one read.
-constexpr std::size_t kMaxUnparsedBytes = std::size_t{ 64 } << 10;
 // Unsent bytes below which the function of NotifyWhenSent() is called.
 constexpr std::size_t kUnsentLowWaterBytes = std::size_t{ 64 } << 10;
 // Interval of checks of the connections' time limits, which are several seconds long.
@@ -246,8 +243,6 @@
     Closed     ///< The socket is closed.
   };
 
-  using Parser = http::request_parser<http::string_body>;
-
   void Read()
   {
     const std::size_t room = phase_ == Phase::Body ? kBodyReadBytes : kHeadReadBytes;
@@ -300,8 +295,7 @@
   void Parse()
   {
     while (buffer_.size() > 0 && !parser_->is_done()) {
-      BoostError error;
-      buffer_.consume(parser_->put(buffer_.data(), error));
+      const auto error = parser_->Parse(buffer_);
       if (error == http::error::need_more) {
         break;
       }
@@ -312,15 +306,11 @@
         return;
       }
     }
-    if (!parser_->is_done() && buffer_.size() > kMaxUnparsedBytes) {
-      Refuse(400);
-      return;
-    }
     if (phase_ == Phase::Head && parser_->is_header_done()) {
       phase_ = Phase::Body;
       phaseStart_ = SteadyClock::now();
       if (!parser_->is_done() &&
-          EqualsIgnoreCase(std::string(parser_->get()[http::field::expect]), "100-continue")) {
+          EqualsIgnoreCase(std::string(parser_->Get()[http::field::expect]), "100-continue")) {
         queued_ += "HTTP/1.1 100 Continue\r\n\r\n";
         Write();
       }
@@ -346,7 +336,7 @@
   void OnRequest()
   {
     phase_ = Phase::Answering;
-    auto request = parser_->release();
+    auto request = parser_->Release();
     parser_.reset();
     isHttp11_ = request.version() >= 11;
     isHeadRequest_ = request.method() == http::verb::head;
@@ -405,7 +395,7 @@
   HttpListener& listener_; ///< Outlives the session.
   tcp::socket socket_;
   boost::beast::flat_buffer buffer_;       ///< Received bytes that have not been parsed.
-  std::optional<Parser> parser_;           ///< Request being read; empty in other phases.
+  std::optional<RequestParser> parser_;    ///< Request being read; empty in other phases.
   SteadyClock::time_point phaseStart_;     ///< When the phase started, for its time limit.
   std::string queued_;                     ///< Bytes to write once writing_ is written.
   std::string writing_;                    ///< Bytes of the running write.
--- a/tests/gateway/caller_session_test.cpp
+++ b/tests/gateway/caller_session_test.cpp
@@ -120,6 +120,68 @@
   EXPECT_TRUE(caller.WasReset());
 }
 
+/** A chunked request whose body ends with fields. */
+std::string
+RequestWithTrailer(const std::string& aFields)
+{
+  return "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n" +
+         aFields + "\r\n";
+}
+
+// Guards against a process that ends because a caller, even one without a key, sends a field that
+// is longer than a message can hold, after the last chunk or in a head whose limit is higher.
+TEST_F(CallerSessionTest, FieldThatIsTooLongIsRefused)
+{
+  SessionLimits limits;
+  limits.maxHeadBytes_ = 200000;
+  HttpListener listener(context_, handler_, limits);
+  const auto endpoint = testing_support::RefusingEndpoint();
+  ASSERT_FALSE(listener.Listen(endpoint));
+  const std::string longText(65534, 'x');
+  for (const auto& request : { RequestWithTrailer("X: " + longText + "\r\n"),
+                               RequestWithTrailer(longText + ": x\r\n"),
+                               "GET / HTTP/1.1\r\nHost: a\r\nX: " + longText + "\r\n\r\n",
+                               "GET / HTTP/1.1\r\nHost: a\r\n" + longText + ": x\r\n\r\n" }) {
+    Peer caller = ConnectTo(endpoint);
+    std::thread writer([&] { caller.Send(request); });
+    Run(100ms);
+    writer.join();
+    const auto answer = caller.ReadAnswer(100ms);
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->result_int(), 431U);
+  }
+  EXPECT_EQ(handler_.requests_, 0);
+}
+
+/** Keeps the last request. */
+class KeepingHandler : public EchoHandler
+{
+public:
+  void OnRequest(HttpRequest aRequest, std::shared_ptr<AnswerStream> aAnswer) override
+  {
+    last_ = aRequest;
+    EchoHandler::OnRequest(std::move(aRequest), std::move(aAnswer));
+  }
+  HttpRequest last_;
+};
+
+// Guards against a trailer that replaces or adds fields of a request, which choose its route, its
+// key and its model.
+TEST_F(CallerSessionTest, TrailerFieldsAreNoHeaderFields)
+{
+  KeepingHandler handler;
+  HttpListener listener(context_, handler, SessionLimits());
+  const auto endpoint = testing_support::RefusingEndpoint();
+  ASSERT_FALSE(listener.Listen(endpoint));
+  Peer caller = ConnectTo(endpoint);
+  caller.Send(RequestWithTrailer("Host: b\r\nX-Model: m\r\n"));
+  Run();
+  EXPECT_EQ(handler.requests_, 1);
+  EXPECT_EQ(handler.last_.body(), "a");
+  EXPECT_EQ(handler.last_.count("X-Model"), 0U);
+  EXPECT_EQ(handler.last_.count("Host"), 1U);
+}
+
 class EndlessRequestTest
   : public CallerSessionTest
   , public testing::WithParamInterface<std::pair<std::string, std::string>>
