Limit trailer fields and chunk headers in the client and the server of serve

Besides, neither side limited received bytes that the parser cannot use yet, so that a chunk header or extension without end was kept until a deadline.

Both use the parser of the gateway, which limits both. AppendBody has no user any more: the parser reserves nothing for an announced length either.

Tests: ServiceFaultTest.IsReported/LongTrailerField and RefusedTest.IsAnsweredAsNotRun/LongTrailerField end the test program on the old code by std::length_error; ServiceFaultTest.IsReported/ChunkSizeWithoutEnd and RefusedTest.IsAnsweredAsNotRun/ChunkExtensionWithoutEnd fail there. After: all pass.

--- a/src/caller/caller_connection.cpp
+++ b/src/caller/caller_connection.cpp
@@ -5,6 +5,7 @@
 #include "caller/request_head.h"
 #include "caller/request_lifecycle.h"
 #include "http/header_func.h"
+#include "http/message_parser.h"
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
@@ -209,8 +210,6 @@
     Closed     ///< The end.
   };
 
-  using ParserType = http::request_parser<http::string_body>;
-
   // Reading
 
   void BeginIdle()
@@ -306,8 +305,7 @@
   void Parse()
   {
     while (buffer_.size() > 0 && !parser_->is_done()) {
-      BoostError error;
-      buffer_.consume(parser_->put(buffer_.data(), error));
+      const auto error = parser_->Parse(buffer_);
       if (error == http::error::need_more) {
         break;
       }
@@ -320,7 +318,7 @@
       phase_ = Phase::Body;
       SetLimit(shared_->settings_.bodyTime_);
       if (!parser_->is_done() &&
-          beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
+          beast::iequals(parser_->Get()[http::field::expect], "100-continue")) {
         writer_.Enqueue("HTTP/1.1 100 Continue\r\n\r\n");
         Write();
       }
@@ -337,7 +335,7 @@
   /** @return false if all bodies being read together are too large. */
   bool AccountBody()
   {
-    const auto size = parser_->get().body().size();
+    const auto size = parser_->Get().body().size();
     const auto counted = size - std::min(size, kFreeBodyBytes);
     shared_->bodyBytes_ += counted - accounted_;
     accounted_ = counted;
@@ -369,7 +367,7 @@
       phase_ = Phase::Answering;
       ReleaseBody();
       const auto id =
-        parser_->is_header_done() ? parser_->get()["X-Request-Id"] : beast::string_view();
+        parser_->is_header_done() ? parser_->Get()["X-Request-Id"] : beast::string_view();
       id_ = RequestIdFrom({ id.data(), id.size() });
       EnqueueError(aError);
       FinishAnswer();
@@ -382,7 +380,7 @@
     readLimit_ = SteadyClock::time_point::max();
     ReleaseBody();
     buffer_.shrink_to_fit();
-    auto message = parser_->release();
+    auto message = parser_->Release();
     isHttp11_ = message.version() >= 11;
     isHead_ = message.method() == http::verb::head;
     mustClose_ = mustClose_ || !message.keep_alive();
@@ -603,7 +601,7 @@
   asio::steady_timer timer_;                   ///< Next limit.
   std::vector<char> input_;   ///< Receives a read, which may be under way while buffer_ is parsed.
   beast::flat_buffer buffer_; ///< Bytes read but not parsed.
-  std::optional<ParserType> parser_;        ///< Reads the request.
+  std::optional<RequestParser> parser_;     ///< Reads the request.
   RequestLifecycle lifecycle_;              ///< Stage of the request.
   std::shared_ptr<RunningRequest> running_; ///< Cancels the request.
   RequestId id_;                            ///< Identifier of the request.
--- a/src/http/upstream_exchange.cpp
+++ b/src/http/upstream_exchange.cpp
@@ -2,8 +2,8 @@
  */
 #include "http/upstream_exchange.h"
 
-#include "http/append_body.h"
 #include "http/header_func.h"
+#include "http/message_parser.h"
 
 #include <algorithm>
 #include <boost/asio/dispatch.hpp>
@@ -181,8 +181,6 @@
     Ended
   };
 
-  using ParserType = http::response_parser<AppendBody>;
-
   void Run()
   {
     if (phase_ == Phase::Ended) {
@@ -329,8 +327,7 @@
   {
     auto& buffer = connection_->buffer_;
     while (buffer.size() > 0 && !parser_->is_done()) {
-      BoostError error;
-      buffer.consume(parser_->put(buffer.data(), error));
+      const auto error = parser_->Parse(buffer);
       if (error == http::error::need_more) {
         break;
       }
@@ -355,12 +352,12 @@
     }
   }
 
-  bool IsInterim() const { return parser_->get().result_int() / 100 == 1; }
+  bool IsInterim() const { return parser_->Get().result_int() / 100 == 1; }
 
   /** Discards an interim (1xx) answer. @return false if the attempt ended. */
   bool SkipInterim()
   {
-    if (parser_->get().result_int() == 101 || ++interimAnswers_ > kMaxInterimAnswers) {
+    if (parser_->Get().result_int() == 101 || ++interimAnswers_ > kMaxInterimAnswers) {
       Finish(UpstreamError::InvalidAnswer);
       return false;
     }
@@ -371,7 +368,7 @@
   /** Checks the head. @return false if the attempt ended. */
   bool OnHead()
   {
-    const auto& message = parser_->get();
+    const auto& message = parser_->Get();
     status_ = static_cast<int>(message.result_int());
     const std::string connection(message[http::field::connection]);
     HeaderList fields;
@@ -424,8 +421,7 @@
 
   void DeliverHeldBody()
   {
-    auto& body = parser_->get().body();
-    if (body.size() > pool_->Settings().maxAnswerBytes_) {
+    if (parser_->Get().body().size() > pool_->Settings().maxAnswerBytes_) {
       Finish(UpstreamError::InvalidAnswer);
       return;
     }
@@ -433,6 +429,7 @@
       Read();
       return;
     }
+    std::string body = parser_->TakeBody();
     if (const auto error = exchange_.check_->CheckWhole(body, result_)) {
       FinishUsed(error);
       return;
@@ -446,8 +443,7 @@
 
   void DeliverPart()
   {
-    std::string part = std::move(parser_->get().body());
-    parser_->get().body().clear();
+    std::string part = parser_->TakeBody();
     if (const auto error = exchange_.check_->CheckPart(part, result_)) {
       Finish(error);
       return;
@@ -630,7 +626,7 @@
   const bool isPooled_;                         ///< Whether the connection was open before.
   std::optional<asio::steady_timer> timer_;     ///< Next time limit.
   http::request<http::string_body> message_;    ///< What is written.
-  std::optional<ParserType> parser_;            ///< What is read.
+  std::optional<AnswerParser> parser_;          ///< What is read.
   AttemptResult result_;                        ///< What is known so far.
   HeaderList headers_;                          ///< Fields to pass on.
   std::optional<std::error_code> pendingError_; ///< Set while the end waits for the write.
--- a/tests/caller/caller_limit_test.cpp
+++ b/tests/caller/caller_limit_test.cpp
@@ -55,6 +55,12 @@
       "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" +
         ChunkOf(std::string(kMegabyte + 1, 'x')),
       413 },
+    { "LongTrailerField",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: " + std::string(65534, 'x') +
+        "\r\n\r\n",
+      431 },
+    { "ChunkExtensionWithoutEnd",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;" + std::string(kMegabyte / 4, 'x') },
     { "TwoKeys", "GET / HTTP/1.1\r\nAuthorization: Bearer a\r\nAuthorization: Bearer b\r\n\r\n" },
     { "MalformedKey", "GET / HTTP/1.1\r\nAuthorization: Bearer a b\r\n\r\n", 401 },
     { "KeyInTarget", "GET /x?k=abcdef HTTP/1.1\r\nAuthorization: Bearer abcdef\r\n\r\n" },
--- a/tests/service/service_client_test.cpp
+++ b/tests/service/service_client_test.cpp
@@ -108,6 +108,16 @@
       Answer("503 Busy", notRun + "X-Request-Id: req-2\r\n", ""),
       WrongAnswer },
     { "MarkerOnASuccess", Answer("200 OK", notRun, "x"), InvalidAnswer },
+    { "LongTrailerField",
+      chunked + ChunkOf("abc") + "0\r\nX: " + std::string(65534, 'x') + "\r\n\r\n",
+      InvalidAnswer,
+      RunState::Unknown,
+      "abc" },
+    { "ChunkSizeWithoutEnd",
+      chunked + ChunkOf("abc") + std::string(200000, '0'),
+      InvalidAnswer,
+      RunState::Unknown,
+      "abc" },
   };
 }
 
