--- a/tests/wire/record_codec_test.cpp
+++ b/tests/wire/record_codec_test.cpp
@@ -75,6 +75,22 @@
   }
 }
 
+// Guards against a process that ends, or a request with a forged field, because the name of a
+// workspace is sent to an upstream that no header field can hold.
+TEST(RecordCodec, WorkspaceWithANameThatIsNoFieldValueIsNotUsed)
+{
+  for (const auto& name : { std::string(66000, 'w'),
+                            std::string("w\\r\\nX-Field: 1"),
+                            std::string("w\\u0000"),
+                            std::string("w\\u007f") }) {
+    const auto config = DecodeConfig(R"({"version":1,"routes":[],"tenants":[{"name":")" + name +
+                                     R"(","api_keys":["k1"]},{"name":"good","api_keys":["k2"]}]})");
+    ASSERT_TRUE(config);
+    ASSERT_EQ(config->workspaces_.size(), 1U) << name.size();
+    EXPECT_EQ(config->workspaces_[0].id_, WorkspaceId("good"));
+  }
+}
+
 constexpr const char* kEntry =
   R"({"service":"s1","address":"10.1.2.3:8080","zone":"z1","version":"v1","slots":64,"state":"ready",
   "cold_remaining_ms":1500,"phase":"both","models":[{"name":"m","version":1,"adapters":["a1@3","a2"]}],
@@ -120,6 +136,19 @@
   }
 }
 
+// Guards against a process that ends because the key of an entry, which a page of the store may
+// give with any length, is sent to its upstream in a header field.
+TEST(RecordCodec, KeyThatIsTooLongNamesNoUpstream)
+{
+  EXPECT_TRUE(DecodeUpstream(std::string(255, 'i'), kEntry));
+  for (const std::size_t size : { 256, 66000 }) {
+    EXPECT_FALSE(DecodeUpstream(std::string(size, 'i'), kEntry));
+    bool isMalformed = false;
+    DecodeUpstreamRecord({ std::string(size, 'i'), kEntry }, isMalformed);
+    EXPECT_TRUE(isMalformed);
+  }
+}
+
 TEST(RecordCodec, DecodesOperatorRecords)
 {
   const auto evacuated = DecodeOperatorRecord({ "evacuate/z1", "{}" });
