Limit the bytes that faulty upstreams make a host keep

Another operator's report: an upstream sent bytes without end that were no answer, and the host that had called it kept them until it ran out of memory. Here each call was limited, but not by what a host can bear: an incomplete event might be 1 MiB long, for each stream that a host serves, and an upstream has up to 64 slots.

An event may now have 64 KiB; the engines' hold a few hundred bytes. A stream with a longer one ends at that size as malformed.

--- a/src/fleet/event_cutter.h
+++ b/src/fleet/event_cutter.h
@@ -15,8 +15,10 @@
 class EventSplitter
 {
 public:
-  /** Maximum size of one event; a stream that exceeds it is not a valid event stream. */
-  static constexpr std::size_t kMaxEventBytes = std::size_t{ 1 } << 20;
+  /** Maximum size of one event; a stream that exceeds it is not a valid event stream. A host holds
+   * an incomplete event for each stream that it serves, so it must bear some hundred of this size.
+   */
+  static constexpr std::size_t kMaxEventBytes = std::size_t{ 64 } << 10;
   /** Maximum size of the id of an event. Callers and this host send it back in a header field, next
    * to others within the limit of a head. */
   static constexpr std::size_t kMaxIdBytes = 1024;
--- a/tests/caller/caller_support.h
+++ b/tests/caller/caller_support.h
@@ -4,13 +4,12 @@
 
 #include "caller/caller_server.h"
 #include "http/header_func.h"
+#include "support/memory_support.h"
 #include "support/net_support.h"
 
 #include <boost/json.hpp>
-#include <fstream>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
-#include <unistd.h>
 
 namespace laburnumweir::testing_support {
 
@@ -54,17 +53,6 @@
   return members.contains(aMember) ? std::string(members.at(aMember).as_string()) : "no member";
 }
 
-/** @return resident memory of this process in bytes. */
-inline std::size_t
-ResidentBytes()
-{
-  std::ifstream file("/proc/self/statm");
-  std::size_t total = 0;
-  std::size_t resident = 0;
-  file >> total >> resident;
-  return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
-}
-
 /** Runs a server with a mock handler. After each test, nothing may be left open. */
 struct CallerServerTest : testing::Test
 {
--- a/tests/gateway/request_flow_fault_test.cpp
+++ b/tests/gateway/request_flow_fault_test.cpp
@@ -2,6 +2,7 @@
  * or break off their answers.
  */
 #include "gateway/request_flow_support.h"
+#include "support/memory_support.h"
 
 namespace laburnumweir {
 namespace {
@@ -237,6 +238,52 @@
   EXPECT_EQ(answer_->status_, 502U);
 }
 
+// Guards against a host that runs out of memory because faulty upstreams send bytes without end
+// where events are due, on all of the requests that they run for it.
+TEST_F(RequestFlowFaultTest, EndlessEventsOfManyStreamsTakeLittleMemory)
+{
+  constexpr std::size_t kMaxBytes = std::size_t{ 80 } << 20; // half of the smallest host's
+  constexpr std::size_t kSentBytes = std::size_t{ 1000 } << 10;
+  const std::string block = Chunk(std::string(8000, 'x'));
+  std::atomic<int> begun = 0;
+  const auto script = [&](Peer& aPeer, int) {
+    const auto request = aPeer.ReadRequest();
+    aPeer.Send("HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nX-Attempt-Id: " +
+               std::string(request ? (*request)["X-Attempt-Id"] : "") +
+               "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    ++begun;
+    for (std::size_t sent = 0; sent < kSentBytes && aPeer.Send(block); sent += block.size()) {
+    }
+    aPeer.WaitClosed();
+  };
+  ScriptedServer first(script);
+  ScriptedServer second(script);
+  ScriptedServer third(script);
+  constexpr int kStreams = 64 + 32 + 16; // the slots of the three
+  repeat_ = RepeatRule::Stream;
+  timeout_ = 10s;
+  SetUpstreams({ first.Address(), second.Address(), third.Address() });
+  const auto before = testing_support::ResidentBytes();
+  std::vector<std::shared_ptr<FakeAnswer>> answers;
+  for (int i = 0; i < kStreams; ++i) {
+    answer_ = std::make_shared<FakeAnswer>();
+    answers.push_back(answer_);
+    id_ = "r" + std::to_string(i);
+    Start();
+  }
+  std::size_t most = 0;
+  for (int i = 0; i < 400; ++i) {
+    context_.run_for(5ms);
+    context_.restart();
+    most = std::max(most, testing_support::ResidentBytes());
+  }
+  EXPECT_EQ(begun, kStreams);
+  EXPECT_LT(most, before + kMaxBytes);
+  for (const auto& answer : answers) {
+    EXPECT_TRUE(answer->isAborted_ || answer->status_ == 502) << answer->status_;
+  }
+}
+
 class BrokenStreamTest
   : public RequestFlowTest
   , public testing::WithParamInterface<std::string>
--- a/tests/wire/client_test.cpp
+++ b/tests/wire/client_test.cpp
@@ -457,6 +457,24 @@
   EXPECT_LT(sent, std::size_t{ 24 } << 20) << "buffers of both sockets hold some megabytes";
 }
 
+// Guards against memory that a faulty answer without end takes in place of one of the store.
+TEST_F(ClientTest, AnAnswerWithoutEndIsNoAnswerOfTheStore)
+{
+  std::atomic<std::size_t> sent = 0;
+  ScriptedServer server([&](Peer& aPeer, int) {
+    constexpr std::size_t kMaxBytes = std::size_t{ 256 } << 20;
+    aPeer.ReadRequest();
+    aPeer.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const std::string block = "8000\r\n" + std::string(0x8000, 'x') + "\r\n";
+    while (sent < kMaxBytes && aPeer.Send(block)) {
+      sent += block.size();
+    }
+  });
+  store_ = std::make_unique<StoreClient>(context_, server.Address());
+  EXPECT_EQ(ReadAll(ChangeStream::Upstreams).first, StoreError::Unreachable);
+  EXPECT_LT(sent, std::size_t{ 24 } << 20) << "buffers of both sockets hold some megabytes";
+}
+
 /** Trailer fields after the last chunk of an answer. */
 class LongTrailerTest
   : public ClientTest
