Infer no software version that a host could not see

Hypotheses: (1) the host answers from an old state: excluded by the code, it reads the entries anew before it infers a version. (2) It misses a version that came and went between two states it read: its history counted only the entries of the present state, and took a gap of up to 5 s for none. (3) It relies on its own record of the stream: no host records a stream that it did not serve or was told of. The test shows (2): upstreams of v2 join, begin a stream at another host and leave within 3 s; the host that was cut off for that time and gets the state anew takes the stream to have begun on v1.

Cause: absence from the present state was taken for never having been there. Now the history gets all entries of a batch, also those that it replaces or removes itself; it knows whether a batch holds all records, the newest changes or only the present state, and takes the relayed removal of an upstream that it never knew, a state after 2 s and one of a new era for a gap. A host that reads all records has none any more, however long it was away. In a gap the origins of streams come from other hosts and from the store.

Tests: with the history and the gap of the old code, OutOfStepTest.HostInfersNothingThatItCouldNotSee/StateOnly and /AllRecords take the stream to have begun on v1; /AllRecordsAfterAnOutage passes there, since a host that takes itself to have been out of touch defers removals. All pass now. SoftwareHistoryTest.* use new functions and were not run on the old code.

--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -181,9 +181,34 @@
   }
 }
 
+void
+FleetState::SightSoftware(const ChangeBatch& aBatch)
+{
+  const bool isNewEra = hasUpstreams_ && aBatch.isSnapshot_ && aBatch.era_ != upstreamsEra_;
+  upstreamsEra_ = aBatch.era_;
+  sightings_.coverage_ = std::max(sightings_.coverage_,
+                                  aBatch.isSnapshot_  ? ChangeCoverage::NewestState
+                                  : aBatch.isGapless_ ? ChangeCoverage::AllRecords
+                                                      : ChangeCoverage::NewestChanges);
+  sightings_.hasUnseenUpstream_ = sightings_.hasUnseenUpstream_ || isNewEra;
+  for (const auto& change : aBatch.changes_) {
+    const auto* upstream = std::get_if<UpstreamChange>(&change);
+    if (upstream == nullptr || upstream->id_.IsEmpty()) {
+      continue;
+    }
+    if (upstream->entry_) {
+      sightings_.versions_.emplace(upstream->entry_->service_, upstream->entry_->software_);
+    } else if (!aBatch.isGapless_ && upstreams_.Find(upstream->id_) == nullptr &&
+               !removed_.contains(upstream->id_)) {
+      sightings_.hasUnseenUpstream_ = true;
+    }
+  }
+}
+
 void
 FleetState::ApplyUpstreams(const ChangeBatch& aBatch, bool aDeferRemovals)
 {
+  SightSoftware(aBatch);
   if (aBatch.isSnapshot_) {
     changes_.OnSnapshot(aBatch.Next());
   }
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -9,14 +9,34 @@
 #include "fleet/upstream_table.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace laburnumweir {
 
+/** What batches of the upstreams' stream leave out, the most complete first. */
+enum class ChangeCoverage : std::uint8_t
+{
+  AllRecords,    ///< Nothing.
+  NewestChanges, ///< Entries that were replaced or removed again; removals are named.
+  NewestState    ///< Also the removals.
+};
+
+/** What batches of the upstreams' stream show of the software versions of services. */
+struct SoftwareSightings
+{
+  std::set<std::pair<ServiceName, SoftwareVersion>> versions_; ///< Named by entries.
+  ChangeCoverage coverage_ = ChangeCoverage::AllRecords;       ///< Of all batches together.
+  /** Whether an upstream came and went without an entry in any batch, or may have, since the store
+   * has lost records. */
+  bool hasUnseenUpstream_ = false;
+};
+
 /** Configuration, releases and upstreams, applied from the store's streams. Not thread-safe. */
 class FleetState
 {
@@ -44,6 +64,8 @@
   void ApplyUpstreams(const ChangeBatch& aBatch, bool aDeferRemovals);
   /** Applies the deferred removals. */
   void ApplyDeferredRemovals();
+  /** @return what the batches since the last call show. */
+  SoftwareSightings TakeSoftwareSightings() { return std::exchange(sightings_, {}); }
   /** Records a confirmation by the store. @param aUpTo time up to which all changes are known. */
   void OnConfigConfirmed(TimePoint aUpTo)
   {
@@ -122,6 +144,8 @@
   /** @param aLastStamp of the last entry before, as far as known. */
   void Remove(const UpstreamId& aId, EntryStamp aLastStamp, std::string_view aReason);
   void ApplyUpstream(const UpstreamChange& aChange, LogOffset aNext, bool aDeferRemovals);
+  /** Updates sightings_ from a batch that is not applied yet. */
+  void SightSoftware(const ChangeBatch& aBatch);
 
   const Clock& clock_;
   std::shared_ptr<const RouteTable> routes_; ///< Configuration in force.
@@ -144,6 +168,8 @@
   /** Released versions by model and adapter. */
   std::map<std::pair<std::string, std::string>, ReleaseHistory> releases_;
   std::optional<TimePoint> confirmedAt_; ///< Time up to which all changes are known.
+  StoreEra upstreamsEra_ = 0;            ///< Of the last batch of the upstreams' stream.
+  SoftwareSightings sightings_;          ///< Since the last call of TakeSoftwareSightings().
   bool hasUpstreams_ = false;
 };
 
--- a/src/fleet/software_history.cpp
+++ b/src/fleet/software_history.cpp
@@ -7,6 +7,25 @@
 
 namespace laburnumweir {
 
+namespace {
+
+/** @return the longest time between two complete states in which no upstream is taken to have come
+ * and gone unseen. */
+Duration
+MaxGap(ChangeCoverage aCoverage)
+{
+  switch (aCoverage) {
+    case ChangeCoverage::AllRecords:
+      return Duration::max();
+    case ChangeCoverage::NewestChanges:
+      return kMaxChangesGap;
+    default:
+      return kMaxStateGap;
+  }
+}
+
+} // namespace
+
 std::optional<Duration>
 StreamPeriod(std::span<const Route> aRoutes)
 {
@@ -31,11 +50,21 @@
 }
 
 void
-SoftwareHistory::OnUpstreams(const UpstreamTable& aUpstreams, TimePoint aRequestedAt)
+SoftwareHistory::OnUpstreams(const UpstreamTable& aUpstreams,
+                             const SoftwareSightings& aSightings,
+                             TimePoint aRequestedAt)
 {
   const auto now = clock_.Now();
-  const bool isGap = requestedAt_ && aRequestedAt - *requestedAt_ > kMaxSoftwareGap;
-  requestedAt_ = std::max(requestedAt_.value_or(aRequestedAt), aRequestedAt);
+  const auto gap = requestedAt_ ? aRequestedAt - *requestedAt_ : Duration::zero();
+  coverage_ = std::max(coverage_, aSightings.coverage_);
+  const bool isGap = aSightings.hasUnseenUpstream_ || gap > MaxGap(coverage_);
+  if (!requestedAt_ || gap > Duration::zero()) {
+    requestedAt_ = aRequestedAt;
+    coverage_ = ChangeCoverage::AllRecords;
+  }
+  for (const auto& [service, software] : aSightings.versions_) {
+    lastSeen_[service][software] = now;
+  }
   for (const auto& [id, upstream] : aUpstreams.All()) {
     lastSeen_[upstream.entry_.service_][upstream.entry_.software_] = now;
   }
--- a/src/fleet/software_history.h
+++ b/src/fleet/software_history.h
@@ -3,6 +3,7 @@
 #define LABURNUMWEIR_FLEET_SOFTWARE_HISTORY_H
 
 #include "core/clock_base.h"
+#include "fleet/fleet_state.h"
 #include "fleet/fleet_store_base.h"
 #include "fleet/upstream_table.h"
 
@@ -35,9 +36,13 @@
 
   /**
    * Records the versions in the entries of the upstreams.
-   * @param aRequestedAt when these entries were requested from the store.
+   * @param aUpstreams the upstreams in their present state.
+   * @param aSightings what was read since the last call.
+   * @param aRequestedAt when the newest complete state was requested from the store.
    */
-  void OnUpstreams(const UpstreamTable& aUpstreams, TimePoint aRequestedAt);
+  void OnUpstreams(const UpstreamTable& aUpstreams,
+                   const SoftwareSightings& aSightings,
+                   TimePoint aRequestedAt);
   /** Applies what other hosts have stored. */
   void OnStored(std::span<const SoftwareRecord> aRecords);
   /** @return versions of a service that were seen within a period. */
@@ -51,7 +56,8 @@
   const TimePoint startedAt_; ///< Time from which the history of all services is complete.
   std::map<ServiceName, TimePoint> completeSince_; ///< If this is not startedAt_.
   std::map<ServiceName, std::map<SoftwareVersion, TimePoint>> lastSeen_;
-  std::optional<TimePoint> requestedAt_; ///< When the last entries were requested.
+  std::optional<TimePoint> requestedAt_; ///< When the last complete state was requested.
+  ChangeCoverage coverage_ = ChangeCoverage::AllRecords; ///< Of the batches since then.
 };
 
 } // namespace laburnumweir
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -451,7 +451,9 @@
   void OnFleetChange()
   {
     if (fleet_.HasUpstreams()) {
-      history_.OnUpstreams(fleet_.Upstreams(), clock_.Now() - watch_->Position().upstreamAge_);
+      history_.OnUpstreams(fleet_.Upstreams(),
+                           fleet_.TakeSoftwareSightings(),
+                           clock_.Now() - watch_->Position().upstreamAge_);
     }
     callers_.SetLimits(CallerSessionLimits());
     ScheduleStartQueued();
--- a/src/table/stream_const.h
+++ b/src/table/stream_const.h
@@ -39,8 +39,13 @@
 /** Time for which a host that is out of touch with the store may send requests to upstreams that
  * the others have removed. */
 constexpr Duration kSoftwareUseLag = std::chrono::seconds(10);
-/** If no entries were read for longer than this, a software version may have come and gone. */
-constexpr Duration kMaxSoftwareGap = std::chrono::seconds(5);
+/** If the last complete state of the upstreams is older than this, the next one may lack a software
+ * version that has come and gone. An upstream is in use for longer: it is removed after three
+ * missed heartbeats, or serves for the drain time after its entry is gone. */
+constexpr Duration kMaxStateGap = std::chrono::seconds(2);
+/** The same for changes, which name the removed upstreams; one may have been started twice in
+ * place, with another version the first time. */
+constexpr Duration kMaxChangesGap = std::chrono::seconds(5);
 
 } // namespace laburnumweir
 
--- a/tests/gateway/stream_origin_test.cpp
+++ b/tests/gateway/stream_origin_test.cpp
@@ -24,6 +24,8 @@
 struct SharedStore
 {
   std::map<UpstreamId, UpstreamEntry> upstreams_;
+  std::vector<UpstreamChange> changes_; ///< All changes of upstreams_.
+  bool keepsHistory_ = false; ///< Otherwise each read of the upstreams gets the whole state again.
   std::map<ServiceName, SoftwareRecord> software_;
   std::vector<StreamOriginRecord> origins_;
   StoreEra era_ = 0;
@@ -52,6 +54,7 @@
   PeerTable peers_;
   SoftwareHistory history_;
   bool isCutOff_ = false; ///< From the store.
+  bool isAlone_ = false;  ///< No messages about origins arrive here.
   std::shared_ptr<StoreWatch> watch_;
   std::shared_ptr<StreamOriginService> service_;
   std::shared_ptr<SoftwareRecorder> recorder_;
@@ -74,8 +77,13 @@
     auto entry = MakeEngine(aId);
     entry.software_ = SoftwareVersion(aVersion);
     store_.upstreams_[entry.id_] = entry;
+    store_.changes_.push_back({ entry.id_, entry });
+  }
+  void RemoveUpstream(const std::string& aId)
+  {
+    store_.upstreams_.erase(UpstreamId(aId));
+    store_.changes_.push_back({ UpstreamId(aId), std::nullopt });
   }
-  void RemoveUpstream(const std::string& aId) { store_.upstreams_.erase(UpstreamId(aId)); }
   /** Starts all hosts anew, as after they have been killed at once. */
   void StartHosts(bool aIsFirstStart = false)
   {
@@ -123,6 +131,7 @@
     store_, state_, fleet_.clock_, fleet_.scheduler_, settings, [this] {
       if (state_.HasUpstreams()) {
         history_.OnUpstreams(state_.Upstreams(),
+                             state_.TakeSoftwareSightings(),
                              fleet_.clock_.Now() - watch_->Position().upstreamAge_);
       }
     });
@@ -163,17 +172,27 @@
         for (const auto& [id, entry] : fleet_.store_.upstreams_) {
           batch.changes_.emplace_back(UpstreamChange{ id, entry });
         }
+        batch.next_ = fleet_.store_.changes_.size();
       }
       aCallback(isCutOff_ ? make_error_code(StoreError::Unreachable) : std::error_code(),
                 std::move(batch));
     });
-  // Each read of the upstreams gets the whole state again.
   ON_CALL(store_, ReadChanges)
-    .WillByDefault([](ChangeStream aStream, const auto&, const auto&, const auto& aCallback) {
-      if (aStream == ChangeStream::Upstreams) {
-        aCallback(StoreError::HistoryLost, {});
-      }
-    });
+    .WillByDefault(
+      [this](ChangeStream aStream, StorePosition aFrom, const auto&, const auto& aCallback) {
+        const auto& changes = fleet_.store_.changes_;
+        ChangeBatch batch;
+        if (aStream == ChangeStream::Upstreams && !fleet_.store_.keepsHistory_) {
+          aCallback(StoreError::HistoryLost, batch);
+        } else if (aStream == ChangeStream::Upstreams) {
+          batch.isGapless_ = true;
+          batch.next_ = changes.size();
+          batch.changes_.assign(changes.begin() + static_cast<std::ptrdiff_t>(aFrom.next_),
+                                changes.end());
+          aCallback(isCutOff_ ? make_error_code(StoreError::Unreachable) : std::error_code(),
+                    batch);
+        }
+      });
   ON_CALL(store_, WriteSoftware).WillByDefault([this](const auto& aRecord, const auto& aCallback) {
     fleet_.store_.software_[aRecord.service_] = aRecord;
     aCallback({});
@@ -194,7 +213,7 @@
 Host::SendOrigins(const Endpoint& aTo, const StreamOriginMessage& aMessage)
 {
   fleet_.scheduler_.After(2ms, [&fleet = fleet_, from = self_, aTo, aMessage] {
-    if (const auto& target = fleet.hosts_[aTo.port_]) {
+    if (const auto& target = fleet.hosts_[aTo.port_]; target && !target->isAlone_) {
       target->service_->OnMessage(from, aMessage);
     }
   });
@@ -305,6 +324,47 @@
   EXPECT_EQ(VersionAt(0, "a"), "");
 }
 
+/** How long a host is out of step. */
+struct Absence
+{
+  const char* name_;
+  bool keepsHistory_; ///< Whether the store keeps the records that the host has not read.
+  Duration step_;     ///< Time between two of the things that happen meanwhile.
+};
+
+class OutOfStepTest
+  : public StreamOriginTest
+  , public testing::WithParamInterface<Absence>
+{};
+
+// Guards against a joined stream at a host that stood still or was cut off for a few seconds, in
+// which upstreams of another version came, began streams at other hosts, and left.
+TEST_P(OutOfStepTest, HostInfersNothingThatItCouldNotSee)
+{
+  fleet_.store_.keepsHistory_ = GetParam().keepsHistory_;
+  fleet_.Run(2s);
+  auto& host = *fleet_.hosts_[7];
+  host.isCutOff_ = host.isAlone_ = true;
+  fleet_.Run(200ms);
+  fleet_.SetUpstream("e2", "v2");
+  fleet_.Run(GetParam().step_);
+  fleet_.hosts_[1]->Record("a", "v2");
+  fleet_.Run(GetParam().step_);
+  fleet_.RemoveUpstream("e2");
+  fleet_.Run(GetParam().step_);
+  host.isCutOff_ = false;
+  EXPECT_EQ(VersionAt(7, "a"), "v2") << "by the store";
+  EXPECT_EQ(VersionAt(7, "b"), "") << "may have begun on v2";
+}
+
+// In the shorter one, the host takes itself to have been in touch and defers no removals.
+INSTANTIATE_TEST_SUITE_P(Absences,
+                         OutOfStepTest,
+                         testing::Values(Absence{ "StateOnly", false, 1s },
+                                         Absence{ "AllRecords", true, 400ms },
+                                         Absence{ "AllRecordsAfterAnOutage", true, 1s }),
+                         [](const auto& aInfo) { return aInfo.param.name_; });
+
 // Guards against a joined stream where two callers use the same id, and against one whose id cannot
 // be told to other hosts.
 TEST_F(StreamOriginTest, AnIdOfTwoStreamsIsAmbiguous)
