Revert "Close idle connections to upstreams that are not reused"

More requests wait for adapters. The cause is not known: connections that are closed were never reused. Two leads: upstreams count as having an idle connection although they closed it, which the choice of an upstream prefers; or the close itself.

--- a/src/gateway/upstream_link.cpp
+++ b/src/gateway/upstream_link.cpp
@@ -10,7 +10,6 @@
 #include <boost/beast/http/write.hpp>
 #include <charconv>
 #include <netinet/tcp.h>
-#include <poll.h>
 
 namespace laburnumweir {
 
@@ -33,8 +32,6 @@
 constexpr std::size_t kMaxIdleConnections = 64;
 // Idle time after which a connection is not reused if the upstream sends no Keep-Alive timeout.
 constexpr std::chrono::seconds kDefaultIdleTimeout{ 4 };
-// Interval at which idle connections that are not reused are closed. Idle times are whole seconds.
-constexpr std::chrono::seconds kIdleCheckInterval{ 1 };
 // The upstream starts to measure the idle time earlier than this host does.
 constexpr std::chrono::milliseconds kIdleTimeoutMargin{ 800 };
 // Unacknowledged bytes end a connection after this time: the peer is down or unreachable.
@@ -374,7 +371,6 @@
 
 UpstreamLink::UpstreamLink(asio::io_context& aContext)
   : context_(aContext)
-  , timer_(aContext)
 {
 }
 
@@ -418,63 +414,9 @@
   auto& connections = idle_[aEndpoint];
   if (connections.size() < kMaxIdleConnections) {
     connections.push_back(std::move(aConnection));
-    ScheduleClose();
   }
 }
 
-void
-UpstreamLink::ScheduleClose()
-{
-  if (isClosePending_) {
-    return;
-  }
-  isClosePending_ = true;
-  timer_.expires_after(kIdleCheckInterval);
-  timer_.async_wait([this](BoostError aError) {
-    if (aError) {
-      return; // the link may be gone
-    }
-    isClosePending_ = false;
-    CloseUnusable();
-    if (!idle_.empty()) {
-      ScheduleClose();
-    }
-  });
-}
-
-void
-UpstreamLink::CloseUnusable()
-{
-  std::vector<pollfd> handles;
-  for (const auto& [endpoint, connections] : idle_) {
-    for (const auto& connection : connections) {
-      handles.push_back({ connection->socket_.native_handle(), POLLIN, 0 });
-    }
-  }
-  if (::poll(handles.data(), handles.size(), 0) < 0) {
-    handles.assign(handles.size(), {});
-  }
-  const auto now = SteadyClock::now();
-  auto handle = handles.begin();
-  for (auto& [endpoint, connections] : idle_) {
-    // Keeps the order, in which the connection that was added last comes last.
-    std::erase_if(connections, [&](const auto& aConnection) {
-      return (handle++)->revents != 0 || now >= aConnection->usableUntil_;
-    });
-  }
-  std::erase_if(idle_, [](const auto& aConnections) { return aConnections.second.empty(); });
-}
-
-std::size_t
-UpstreamLink::IdleConnections() const
-{
-  std::size_t count = 0;
-  for (const auto& [endpoint, connections] : idle_) {
-    count += connections.size();
-  }
-  return count;
-}
-
 bool
 UpstreamLink::HasIdle(const Endpoint& aEndpoint) const
 {
--- a/src/gateway/upstream_link.h
+++ b/src/gateway/upstream_link.h
@@ -6,8 +6,6 @@
 #include "gateway/caller_session.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -117,8 +115,6 @@
   void DropIdle(const Endpoint& aEndpoint);
   /** @return whether there is an idle connection to an upstream that may still be reused. */
   bool HasIdle(const Endpoint& aEndpoint) const;
-  /** @return number of idle connections. */
-  std::size_t IdleConnections() const;
   /** @return number of connections that were started since the start of the process. */
   std::uint64_t Connects() const { return connects_; }
 
@@ -127,17 +123,10 @@
 
   std::shared_ptr<UpstreamConnection> TakeIdle(const Endpoint& aEndpoint);
   void PutIdle(const Endpoint& aEndpoint, std::shared_ptr<UpstreamConnection> aConnection);
-  /** Calls CloseUnusable() later, unless a call is pending. */
-  void ScheduleClose();
-  /** Closes the idle connections that are not reused: their time has passed, the upstream closed
-   * them, or it sent bytes that nobody asked for. */
-  void CloseUnusable();
 
   boost::asio::io_context& context_;
   /** Idle connections by address; the one that was added last is reused first. */
   std::map<Endpoint, std::vector<std::shared_ptr<UpstreamConnection>>> idle_;
-  boost::asio::steady_timer timer_; ///< Expires at the next call of CloseUnusable().
-  bool isClosePending_ = false;
   std::uint64_t connects_ = 0;
 };
 
