--- a/src/fleet/retry_share.cpp
+++ b/src/fleet/retry_share.cpp
@@ -24,18 +24,25 @@
   window.requests_.push_back(clock_.Now());
 }
 
-bool
-RetryShare::TakeRetry(const ServiceName& aService)
+RetryUse
+RetryShare::Use(const ServiceName& aService)
 {
   auto& window = windows_[aService];
   Expire(window);
   const double allowed =
     kRetrySafetyFactor * (bounds_.ratio_ * static_cast<double>(window.requests_.size()) +
                           bounds_.slack_ / static_cast<double>(hostCount_));
-  if (static_cast<double>(window.retries_.size()) + 1 > allowed) {
+  return { window.retries_.size(), allowed, hostCount_ };
+}
+
+bool
+RetryShare::TakeRetry(const ServiceName& aService)
+{
+  const auto use = Use(aService);
+  if (static_cast<double>(use.used_) + 1 > use.allowed_) {
     return false;
   }
-  window.retries_.push_back(clock_.Now());
+  windows_[aService].retries_.push_back(clock_.Now());
   return true;
 }
 
--- a/src/fleet/retry_share.h
+++ b/src/fleet/retry_share.h
@@ -18,6 +18,14 @@
   Duration window_{};  ///< Length of the sliding window.
 };
 
+/** Retries of a service that a host has used in the window, and may use. */
+struct RetryUse
+{
+  std::size_t used_ = 0;
+  double allowed_ = 0;
+  std::size_t hostCount_ = 1; ///< Hosts among which the slack is divided.
+};
+
 /**
  * Limits the retries of this host for each service in a sliding window. The host may retry the
  * ratio of its own requests and has an equal share of the slack, so that hosts need not exchange
@@ -40,6 +48,8 @@
   void OnRequest(const ServiceName& aService);
   /** Counts one retry if this host's share allows it. @return whether it may be sent. */
   bool TakeRetry(const ServiceName& aService);
+  /** @return what is used and allowed now. */
+  RetryUse Use(const ServiceName& aService);
 
 private:
   struct Window
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -374,6 +374,14 @@
 RequestFlow::RefuseWaiting()
 {
   if (answer_) {
+    const auto estimate = context_.queue_.EstimateWait(admitted_.service_, Rank());
+    LogEvent(LogLevel::Info,
+             "wait_refused",
+             { { "id", admitted_.facts_.id_.Value() },
+               { "begun", isBegun_ ? "true" : "false" },
+               { "estimate_ms", estimate ? std::to_string(Milliseconds(*estimate)) : "" },
+               { "latest_start_ms",
+                 std::to_string(Milliseconds(LatestStart() - context_.clock_.Now())) } });
     Reply(runs_ > 0 ? 502 : 503,
           loadingEngine_ ? "adapter_not_loaded_in_time" : "cannot_start_in_time",
           loadingEngine_ ? kLoadRetryAfter : RetryDelay());
--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -397,10 +397,24 @@
 bool
 RequestFlow::AcquireRetry(bool aHasRun)
 {
-  if (TimeLeft() <= kMinAnswerTime || (aHasRun && runs_ >= admitted_.route_->maxUpstreams_)) {
-    return false;
-  }
-  return context_.retries_.TakeRetry(admitted_.service_);
+  const char* denial = TimeLeft() <= kMinAnswerTime                          ? "deadline"
+                       : aHasRun && runs_ >= admitted_.route_->maxUpstreams_ ? "upstream_limit"
+                       : !context_.retries_.TakeRetry(admitted_.service_)    ? "retry_budget"
+                                                                             : nullptr;
+  const auto use = context_.retries_.Use(admitted_.service_);
+  LogEvent(LogLevel::Info,
+           denial == nullptr ? "retry_taken" : "retry_denied",
+           { { "id", admitted_.facts_.id_.Value() },
+             { "cause", denial == nullptr ? "" : denial },
+             { "runs", std::to_string(runs_) },
+             { "retries_used", std::to_string(use.used_) },
+             { "retries_allowed", std::to_string(use.allowed_) },
+             { "hosts", std::to_string(use.hostCount_) } });
+  context_.metrics_
+    .GetCounter(
+      "laburnumweir_gateway_retries_total", "result", denial == nullptr ? "taken" : denial)
+    .Add();
+  return denial == nullptr;
 }
 
 void
