--- /dev/null
+++ b/tests/gateway/request_flow_silence_test.cpp
@@ -0,0 +1,240 @@
+/** @file request_flow_silence_test.cpp Tests of RequestFlow with upstreams that pause, and with
+ * streams that have begun while no other upstream takes them.
+ */
+#include "gateway/request_flow_support.h"
+
+namespace laburnumweir {
+namespace {
+
+using namespace std::chrono_literals;
+using testing_support::Answer;
+using testing_support::Chunk;
+using testing_support::Peer;
+using testing_support::RequestFlowTest;
+using testing_support::ScriptedServer;
+
+constexpr const char* kEvent1 = "id: 1\ndata: a\n\n";
+constexpr const char* kEvent2 = "id: 2\ndata: b\n\n";
+const std::string kSigned = "X-Attempt-Id: r1\r\nX-Server-Stamp: s\r\n";
+const std::string kStreamHead = "HTTP/1.1 200 OK\r\n" + kSigned +
+                                "Content-Type: text/event-stream\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n";
+const std::string kRefusal =
+  "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n" + kSigned + "Content-Length: 0\r\n\r\n";
+const std::string kLastChunk = "0\r\n\r\n";
+
+class SilenceTest : public RequestFlowTest
+{
+protected:
+  SilenceTest()
+  {
+    repeat_ = RepeatRule::Stream;
+    isResumable_ = true;
+    timeout_ = 6s;
+  }
+
+  /** Expects the whole stream of two events. */
+  void ExpectWhole() const
+  {
+    EXPECT_EQ(answer_->status_, 200U);
+    EXPECT_EQ(answer_->body_, std::string(kEvent1) + kEvent2);
+    EXPECT_TRUE(answer_->isComplete_);
+  }
+};
+
+// Sends the first event, and the second one after a pause that is longer than the limit of 1.2 s.
+void
+SendWithPause(Peer& aPeer)
+{
+  aPeer.ReadRequest();
+  aPeer.Send(kStreamHead + Chunk(kEvent1));
+  std::this_thread::sleep_for(1600ms);
+  aPeer.Send(Chunk(kEvent2) + kLastChunk);
+  aPeer.ReadSome(200ms);
+}
+
+void
+BreakOffAfterFirstEvent(Peer& aPeer)
+{
+  aPeer.ReadRequest();
+  aPeer.Send(kStreamHead + Chunk(kEvent1));
+  std::this_thread::sleep_for(50ms);
+  aPeer.Close();
+}
+
+void
+SendSecondEvent(Peer& aPeer)
+{
+  aPeer.Send(kStreamHead + Chunk(kEvent2) + kLastChunk);
+  aPeer.ReadSome(200ms);
+}
+
+// Guards against a stream that its host ends because its upstream pauses, while the other upstream
+// is full.
+TEST_F(SilenceTest, StreamGoesOnIfTheOtherUpstreamRefusesIt)
+{
+  ScriptedServer slow([](Peer& aPeer, int) { SendWithPause(aPeer); });
+  ScriptedServer full([](Peer& aPeer, int) {
+    aPeer.ReadRequest();
+    aPeer.Send(kRefusal);
+    aPeer.ReadSome(200ms);
+  });
+  SetUpstreams({ slow.Address(), full.Address() });
+  Start();
+  Finish(7s);
+  ExpectWhole();
+}
+
+// Guards against a stream that its host ends because its upstream pauses, while the retry budget is
+// used up.
+TEST_F(SilenceTest, StreamGoesOnWithoutRetryBudget)
+{
+  retries_.SetBounds({ 0, 0, 10s });
+  ScriptedServer slow([](Peer& aPeer, int) { SendWithPause(aPeer); });
+  ScriptedServer idle([](Peer& aPeer, int) { aPeer.ReadSome(200ms); });
+  SetUpstreams({ slow.Address(), idle.Address() });
+  Start();
+  Finish(7s);
+  ExpectWhole();
+  EXPECT_EQ(idle.Accepted(), 0);
+}
+
+// Guards against a stream that its host ends because its upstream pauses, while there is no other
+// upstream.
+TEST_F(SilenceTest, StreamGoesOnWithoutAnotherUpstream)
+{
+  ScriptedServer slow([](Peer& aPeer, int) { SendWithPause(aPeer); });
+  SetUpstreams({ slow.Address() });
+  Start();
+  Finish(7s);
+  ExpectWhole();
+}
+
+// Guards against a stream whose upstream has stopped for good and that is not continued.
+TEST_F(SilenceTest, StreamContinuesAtTheUpstreamThatTakesIt)
+{
+  ScriptedServer stopped([](Peer& aPeer, int) {
+    aPeer.ReadRequest();
+    aPeer.Send(kStreamHead + Chunk(kEvent1));
+    aPeer.WaitClosed(5s);
+  });
+  std::string continuedAfter;
+  ScriptedServer sound([&](Peer& aPeer, int) {
+    if (const auto request = aPeer.ReadRequest()) {
+      continuedAfter = std::string((*request)["Last-Event-Id"]);
+    }
+    SendSecondEvent(aPeer);
+  });
+  SetUpstreams({ stopped.Address(), sound.Address() });
+  Start();
+  Finish(4s);
+  ExpectWhole();
+  EXPECT_EQ(continuedAfter, "1");
+}
+
+// Guards against events that are missing or come twice when a paused upstream goes on while another
+// one has been asked to continue.
+TEST_F(SilenceTest, EventsOfTwoUpstreamsAreNotMixed)
+{
+  ScriptedServer slow([](Peer& aPeer, int) { SendWithPause(aPeer); });
+  ScriptedServer slower([](Peer& aPeer, int) {
+    aPeer.ReadRequest();
+    std::this_thread::sleep_for(600ms); // longer than the pause of the first upstream
+    SendSecondEvent(aPeer);
+  });
+  SetUpstreams({ slow.Address(), slower.Address() });
+  Start();
+  Finish(7s);
+  ExpectWhole();
+}
+
+// Guards against an error for a repeatable request whose upstream is slow, while the other one is
+// full.
+TEST_F(SilenceTest, SlowAnswerIsDeliveredIfTheOtherUpstreamRefuses)
+{
+  repeat_ = RepeatRule::Repeatable;
+  ScriptedServer slow([](Peer& aPeer, int) {
+    aPeer.ReadRequest();
+    std::this_thread::sleep_for(800ms); // the limit is 400 ms
+    aPeer.Send(Answer("late"));
+    aPeer.ReadSome(200ms);
+  });
+  ScriptedServer full([](Peer& aPeer, int) {
+    aPeer.ReadRequest();
+    aPeer.Send(kRefusal);
+    aPeer.ReadSome(200ms);
+  });
+  retries_.SetBounds({ 0, 1.5, 10s }); // a single retry
+  SetUpstreams({ slow.Address(), full.Address() });
+  Start();
+  Finish(7s);
+  EXPECT_EQ(answer_->status_, 200U);
+  EXPECT_EQ(answer_->body_, "late");
+}
+
+// Guards against a stream that its host ends since its upstream broke off while the retry budget is
+// used up, though units of it become free soon.
+TEST_F(SilenceTest, BrokenStreamWaitsForTheRetryBudget)
+{
+  retries_.SetBounds({ 1, 0, 10s });
+  ScriptedServer broken([](Peer& aPeer, int) { BreakOffAfterFirstEvent(aPeer); });
+  ScriptedServer sound([](Peer& aPeer, int) {
+    aPeer.ReadRequest();
+    SendSecondEvent(aPeer);
+  });
+  SetUpstreams({ broken.Address(), sound.Address() });
+  Start();
+  boost::asio::steady_timer timer(context_, 500ms);
+  timer.async_wait([this](auto) {
+    retries_.OnRequest(ServiceName("app"));
+    retries_.OnRequest(ServiceName("app"));
+  });
+  Finish(7s);
+  ExpectWhole();
+}
+
+// Guards against a stream that its host ends since its upstream broke off while the only other one
+// is full for a moment.
+TEST_F(SilenceTest, BrokenStreamWaitsForAFullUpstream)
+{
+  ScriptedServer broken([](Peer& aPeer, int) { BreakOffAfterFirstEvent(aPeer); });
+  ScriptedServer full([](Peer& aPeer, int aNumber) {
+    aPeer.ReadRequest();
+    if (aNumber < 2) {
+      aPeer.Send(kRefusal);
+      aPeer.ReadSome(200ms);
+    } else {
+      SendSecondEvent(aPeer);
+    }
+  });
+  SetUpstreams({ broken.Address(), full.Address() });
+  Start();
+  Finish(7s);
+  ExpectWhole();
+}
+
+// Guards against a stream that its host ends since its upstream broke off, because the queue of new
+// requests is long.
+TEST_F(SilenceTest, BrokenStreamIsNotRefusedForTheQueueOfNewRequests)
+{
+  ScriptedServer broken([](Peer& aPeer, int) { BreakOffAfterFirstEvent(aPeer); });
+  ScriptedServer sound([](Peer& aPeer, int) {
+    aPeer.ReadRequest();
+    SendSecondEvent(aPeer);
+  });
+  SetUpstreams({ broken.Address(), sound.Address() });
+  const UpstreamLoad full{ UpstreamId("u32"), 32, std::nullopt };
+  fleet_.Upstreams().OnPeerLoad(HostId("h2"), std::span(&full, 1));
+  for (int i = 0; i < 100; ++i) {
+    queue_.Push({ ServiceName("app"), 0, clock_.Now() + 10s, false });
+  }
+  std::this_thread::sleep_for(600ms); // the queue measures its rate of starts for 500 ms
+  Start();
+  boost::asio::steady_timer timer(context_, 600ms);
+  timer.async_wait([this](auto) { fleet_.Upstreams().OnPeerLoad(HostId("h2"), {}); });
+  Finish(7s);
+  ExpectWhole();
+}
+
+} // namespace
+} // namespace laburnumweir
--- a/tests/gateway/request_flow_support.h
+++ b/tests/gateway/request_flow_support.h
@@ -187,7 +187,9 @@
         flow->TryStart();
       }
       for (const auto ticket : queue_.CannotStartInTime()) {
-        waiting_.at(ticket)->RefuseWaiting();
+        if (const auto found = waiting_.find(ticket); found != waiting_.end()) {
+          found->second->RefuseWaiting();
+        }
       }
     }
     EXPECT_TRUE(answer_->IsDone());
