--- a/src/fleet/retry_share.h
+++ b/src/fleet/retry_share.h
@@ -42,6 +42,8 @@
   }
 
   void SetBounds(RetryBounds aBounds) { bounds_ = aBounds; }
+  /** Records that the process of this host starts now. */
+  void OnProcessStart() {}
   /** Sets the number of hosts that share the slack; 0 counts as 1. */
   void SetHostCount(std::size_t aHostCount) { hostCount_ = aHostCount == 0 ? 1 : aHostCount; }
   /** Counts a request, which adds to the allowed retries of its service. */
--- a/tests/fleet/retry_share_test.cpp
+++ b/tests/fleet/retry_share_test.cpp
@@ -56,5 +56,48 @@
   EXPECT_TRUE(share.TakeRetry(service));
 }
 
+// Guards against repeats that pile up beside series of restarts: a process that starts does not
+// know what the one before it has used in the window.
+TEST(RetryShare, RestartedHostsStayWithinTheBound)
+{
+  FakeClock clock;
+  const ServiceName service("s");
+  int retries = 0;
+  int requests = 0;
+  for (int restart = 0; restart < 4; ++restart) {
+    std::vector<std::unique_ptr<RetryShare>> hosts;
+    for (int i = 0; i < 6; ++i) {
+      hosts.push_back(std::make_unique<RetryShare>(clock, kBounds));
+      hosts.back()->OnProcessStart();
+      hosts.back()->SetHostCount(6);
+    }
+    for (int step = 0; step < 20; ++step) {
+      clock.Advance(100ms);
+      for (auto& host : hosts) {
+        host->OnRequest(service);
+        ++requests;
+        while (host->TakeRetry(service)) {
+          ++retries;
+        }
+      }
+    }
+  }
+  EXPECT_LE(retries, kBounds.ratio_ * requests + kBounds.slack_);
+  EXPECT_GT(retries, 0);
+}
+
+// Guards against hosts that repeat nothing beyond the ratio for good.
+TEST(RetryShare, SlackIsUsedAfterTheFirstWindow)
+{
+  FakeClock clock;
+  const ServiceName service("s");
+  RetryShare share(clock, kBounds);
+  share.OnProcessStart();
+  share.SetHostCount(6);
+  EXPECT_FALSE(share.TakeRetry(service));
+  clock.Advance(10s);
+  EXPECT_TRUE(share.TakeRetry(service));
+}
+
 } // namespace
 } // namespace laburnumweir
--- a/tests/gateway/gossip_service_test.cpp
+++ b/tests/gateway/gossip_service_test.cpp
@@ -783,6 +783,41 @@
   EXPECT_GE(retries, 40);
 }
 
+// Guards against repeats that pile up after all hosts were killed at once: a host that has not yet
+// heard of its peers takes the whole slack.
+TEST_F(GossipServiceTest, HostsThatStartAtOnceKeepTheSlackOfRetries)
+{
+  int retries = 0;
+  for (const auto& host : network_.hosts_) {
+    host->Start();
+  }
+  for (int step = 0; step < 95; ++step) {
+    for (const auto& host : network_.hosts_) {
+      retries += host->retries_.TakeRetry(ServiceName("llm")) ? 1 : 0;
+    }
+    network_.scheduler_.Run(100ms);
+  }
+  EXPECT_LE(retries, 100) << "in a window of 10 s";
+}
+
+// Guards against repeats that pile up beside a long network partition: a host that has not heard of
+// its peers for a while takes the whole slack.
+TEST_F(GossipServiceTest, HostsThatAreCutOffKeepTheSlackOfRetries)
+{
+  network_.Start();
+  for (std::size_t i = 0; i < 4; ++i) {
+    network_.hosts_[i]->isDead_ = true;
+  }
+  network_.scheduler_.Run(30s);
+  int retries = 0;
+  for (const auto& host : network_.hosts_) {
+    while (host->retries_.TakeRetry(ServiceName("llm"))) {
+      ++retries;
+    }
+  }
+  EXPECT_LE(retries, 100);
+}
+
 TEST_F(GossipServiceTest, EveryHostKnowsTheLoadOfAllOthers)
 {
   network_.Start();
