--- a/src/fleet/retry_share.cpp
+++ b/src/fleet/retry_share.cpp
@@ -3,6 +3,8 @@
 
 #include "table/fleet_const.h"
 
+#include <algorithm>
+
 namespace laburnumweir {
 
 void
@@ -24,14 +26,26 @@
   window.requests_.push_back(clock_.Now());
 }
 
+void
+RetryShare::SetHostCount(std::size_t aHostCount)
+{
+  const auto now = clock_.Now();
+  const auto count = std::max<std::size_t>(aHostCount, 1);
+  if (count >= hostCount_ || now - hostCountAt_ >= kHostCountTtl) {
+    hostCount_ = count;
+    hostCountAt_ = now;
+  }
+}
+
 RetryUse
 RetryShare::Use(const ServiceName& aService)
 {
   auto& window = windows_[aService];
   Expire(window);
+  const double slack =
+    clock_.Now() < slackFrom_ ? 0.0 : bounds_.slack_ / static_cast<double>(hostCount_);
   const double allowed =
-    kRetrySafetyFactor * (bounds_.ratio_ * static_cast<double>(window.requests_.size()) +
-                          bounds_.slack_ / static_cast<double>(hostCount_));
+    kRetrySafetyFactor * (bounds_.ratio_ * static_cast<double>(window.requests_.size()) + slack);
   return { window.retries_.size(), allowed, hostCount_ };
 }
 
--- a/src/fleet/retry_share.h
+++ b/src/fleet/retry_share.h
@@ -29,7 +29,10 @@
 /**
  * Limits the retries of this host for each service in a sliding window. The host may retry the
  * ratio of its own requests and has an equal share of the slack, so that hosts need not exchange
- * messages about retries. Not thread-safe.
+ * messages about retries. It has no share of the slack in the first window after its process has
+ * started: the process before it may have used it, and this one may not know its peers yet. A share
+ * does not grow because peers are silent: they may be cut off and go on using theirs. Not
+ * thread-safe.
  */
 class RetryShare
 {
@@ -43,9 +46,12 @@
 
   void SetBounds(RetryBounds aBounds) { bounds_ = aBounds; }
   /** Records that the process of this host starts now. */
-  void OnProcessStart() {}
-  /** Sets the number of hosts that share the slack; 0 counts as 1. */
-  void SetHostCount(std::size_t aHostCount) { hostCount_ = aHostCount == 0 ? 1 : aHostCount; }
+  void OnProcessStart() { slackFrom_ = clock_.Now() + bounds_.window_; }
+  /**
+   * Sets the number of hosts that this host knows; 0 counts as 1. The slack is shared by the most
+   * hosts that were known in the last kHostCountTtl.
+   */
+  void SetHostCount(std::size_t aHostCount);
   /** Counts a request, which adds to the allowed retries of its service. */
   void OnRequest(const ServiceName& aService);
   /** Counts one retry if this host's share allows it. @return whether it may be sent. */
@@ -65,6 +71,8 @@
   const Clock& clock_;
   RetryBounds bounds_;        ///< For all hosts together.
   std::size_t hostCount_ = 1; ///< Hosts that share the slack.
+  TimePoint hostCountAt_;     ///< When this many hosts were last known.
+  TimePoint slackFrom_;       ///< The host has a share of the slack from this time on.
   std::unordered_map<ServiceName, Window> windows_;
 };
 
--- a/src/gateway/gossip_service.cpp
+++ b/src/gateway/gossip_service.cpp
@@ -84,6 +84,7 @@
 void
 GossipService::Start()
 {
+  context_.retries_.OnProcessStart();
   RepeatWhileAlive(context_.scheduler_, kGossipInterval, weak_from_this(), [this] { SendRound(); });
 }
 
@@ -141,7 +142,7 @@
   }
   const auto hosts = context_.peers_.Hosts();
   context_.quota_.SetHostCount(hosts.size());
-  context_.retries_.SetHostCount(hosts.size());
+  context_.retries_.SetHostCount(context_.peers_.KnownHosts());
   holder_->SetHostCount(hosts.size());
   context_.fleet_.Upstreams().SetHosts(hosts);
   ApplyLoad();
--- a/src/table/fleet_const.h
+++ b/src/table/fleet_const.h
@@ -104,6 +104,11 @@
  * differently.
  */
 constexpr double kRetrySafetyFactor = 0.7;
+/**
+ * Time for which silent hosts still count when the slack of the retry budget is divided; longer
+ * than any partition of the network is left alone.
+ */
+constexpr Duration kHostCountTtl = std::chrono::minutes(10);
 /**
  * Fraction of the allowed rate of cold upstreams that is used; the rest covers requests that bunch
  * on the way.
--- a/tests/gateway/gossip_service_test.cpp
+++ b/tests/gateway/gossip_service_test.cpp
@@ -773,6 +773,7 @@
 TEST_F(GossipServiceTest, HostsDivideTheSlackOfRetries)
 {
   network_.Start();
+  network_.scheduler_.Run(10s); // a host has no share in its first window
   int retries = 0;
   for (const auto& host : network_.hosts_) {
     while (host->retries_.TakeRetry(ServiceName("llm"))) {
