--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -22,7 +22,6 @@
 // Connections are charged and take a round trip; between upstreams of about the same load, one with
 // an idle connection is preferred.
 constexpr double kNewConnectionPenalty = 0.05;
-constexpr double kLatencyWeight = 0.1; // weight of the newest sample in the moving average
 // An engine is busy if its running requests exceed kBusyFactor times the mean of its service plus
 // kBusySlack: processing prompts then takes so much of its time that the pauses between events
 // grow. An adapter whose engines are all busy is loaded at one more engine.
@@ -198,8 +197,8 @@
 UpstreamTable::IsUsableAt(const Upstream& aUpstream, TimePoint aNow) const
 {
   return !IsLeaving(aUpstream) && !aUpstream.isMisdirected_ &&
-         !evacuated_.contains(aUpstream.entry_.dataCentre_) && aUpstream.backoffUntil_ <= aNow &&
-         aUpstream.pausedUntil_ <= aNow;
+         !evacuated_.contains(aUpstream.entry_.dataCentre_) &&
+         aUpstream.attempts_.backoffUntil_ <= aNow && aUpstream.pausedUntil_ <= aNow;
 }
 
 bool
@@ -256,7 +255,8 @@
 {
   const double load =
     static_cast<double>(aUpstream.running_ + aUpstream.peersRunning_ + 1) / aUpstream.entry_.slots_;
-  return load * (1.0 + aUpstream.latencyAverage_) + kFailurePenalty * aUpstream.failureAverage_ +
+  return load * (1.0 + aUpstream.attempts_.latencyAverage_) +
+         kFailurePenalty * aUpstream.attempts_.failureAverage_ +
          (aUpstream.entry_.dataCentre_ == dataCentre_ ? 0.0 : kOtherCentrePenalty) +
          (!hasIdleConnection_ || hasIdleConnection_(aUpstream.entry_.endpoint_)
             ? 0.0
@@ -421,20 +421,14 @@
     return;
   }
   upstream->running_ -= upstream->running_ > 0 ? 1 : 0;
-  const bool isFailure = aHealth == AttemptHealth::Failed || aHealth == AttemptHealth::Unreachable;
-  upstream->failureAverage_ +=
-    kFailureAverageWeight * ((isFailure ? 1.0 : 0.0) - upstream->failureAverage_);
-  if (aFirstByte > Duration::zero()) {
-    upstream->latencyAverage_ += kLatencyWeight * (Seconds(aFirstByte) - upstream->latencyAverage_);
-  }
-  if (aHealth != AttemptHealth::Unreachable) {
-    upstream->failures_ = 0;
-    return;
-  }
-  if (++upstream->failures_ >= kFailuresBeforePause) {
-    const auto doublings = std::min<std::uint32_t>(upstream->failures_ - kFailuresBeforePause, 5);
-    upstream->backoffUntil_ =
-      clock_.Now() + std::min(kUpstreamBackoffInitial * (1 << doublings), kUpstreamBackoffMax);
+  upstream->attempts_.OnEnded(aHealth, aFirstByte, clock_.Now());
+}
+
+void
+UpstreamTable::OnSilent(const UpstreamId& aId)
+{
+  if (auto* upstream = Find(aId)) {
+    upstream->attempts_.OnFailure(AttemptHealth::Unreachable, clock_.Now());
   }
 }
 
@@ -578,21 +572,19 @@
       return std::nullopt; // its next entry may make it usable
     }
     isAnyPaused = isAnyPaused || upstream.pausedUntil_ > now;
-    const auto start = std::max({ now, upstream.backoffUntil_, upstream.pausedUntil_ });
+    const auto start = std::max({ now, upstream.attempts_.backoffUntil_, upstream.pausedUntil_ });
     earliest = std::min(earliest.value_or(start), start);
   }
   return isAnyPaused ? earliest : std::nullopt;
 }
 
 bool
-UpstreamTable::IsServed(const ServiceName& aService, const SoftwareVersion& aSoftware) const
+UpstreamTable::IsServed(const UpstreamNeed& aNeed) const
 {
-  UpstreamNeed need;
-  need.service_ = aService;
-  need.software_ = aSoftware;
   return std::any_of(upstreams_.begin(), upstreams_.end(), [&](const auto& aUpstream) {
-    return IsOfService(aUpstream.second, need) && !IsLeaving(aUpstream.second) &&
-           !evacuated_.contains(aUpstream.second.entry_.dataCentre_);
+    return IsOfService(aUpstream.second, aNeed) && !IsLeaving(aUpstream.second) &&
+           !evacuated_.contains(aUpstream.second.entry_.dataCentre_) &&
+           (aNeed.excluded_ == nullptr || !aNeed.excluded_->contains(aUpstream.first));
   });
 }
 
--- a/src/fleet/upstream_table.h
+++ b/src/fleet/upstream_table.h
@@ -5,6 +5,7 @@
 #define LABURNUMWEIR_FLEET_UPSTREAM_TABLE_H
 
 #include "core/clock_base.h"
+#include "fleet/attempt_record.h"
 #include "fleet/fleet_type.h"
 #include "fleet/permit_issuer.h"
 
@@ -37,15 +38,6 @@
   std::vector<ResidentModel> models_;
 };
 
-/** Outcome of an attempt, as it counts for the health of the upstream. */
-enum class AttemptHealth : std::uint8_t
-{
-  Good,        ///< A valid answer.
-  Failed,      ///< An error of the upstream or an invalid answer.
-  Unreachable, ///< No connection, or no answer in time.
-  Busy         ///< Refused because of overload.
-};
-
 /** A pause that an answer of an upstream asked for. */
 struct UpstreamPause
 {
@@ -70,10 +62,7 @@
   UpstreamEntry entry_;            ///< Its newest entry; the models may be its holder's.
   std::uint32_t running_ = 0;      ///< Running requests of this host.
   std::uint32_t peersRunning_ = 0; ///< Running requests of all peers.
-  std::uint32_t failures_ = 0;     ///< Consecutive unreachable attempts.
-  double failureAverage_ = 0;      ///< Moving average of the fraction of failures, 0 to 1.
-  double latencyAverage_ = 0;      ///< Moving average of the time to the first byte, s.
-  TimePoint backoffUntil_;         ///< It gets no requests before this time, after failures.
+  AttemptRecord attempts_;         ///< Outcome of its last attempts.
   TimePoint coldTokensAt_;         ///< When coldTokens_ was last refilled.
   double coldTokens_ = 0;          ///< Requests this host may send now while it is cold.
   std::uint64_t orderCount_ = 0;   ///< Orders accepted by an engine; from its holder.
@@ -153,6 +142,9 @@
    * nothing; the caller calls OnAttemptSent() if it sends the request.
    */
   UpstreamChoice Choose(const UpstreamNeed& aNeed);
+  /** Counts an attempt that has no answer in time as a failure, though it goes on. It ends with
+   * AttemptHealth::Silent if no answer comes. */
+  void OnSilent(const UpstreamId& aId);
   /** Counts a request that was sent, and its token if the upstream is cold. */
   void OnAttemptSent(const UpstreamId& aId);
   /**
@@ -195,8 +187,9 @@
    * paused, since new entries may come at any time.
    */
   std::optional<TimePoint> PauseEnd(const UpstreamNeed& aNeed) const;
-  /** @return whether an upstream of a service runs a software version and does not leave. */
-  bool IsServed(const ServiceName& aService, const SoftwareVersion& aSoftware) const;
+  /** @return whether an upstream meets the needed service and software, is not excluded and does
+   * not leave; it may be full, paused or unreachable now. */
+  bool IsServed(const UpstreamNeed& aNeed) const;
   /** @return requests/s that an upstream takes from all hosts; none if it has no limit. */
   std::optional<double> RequestLimit(const UpstreamId& aId) const;
   /** Applies the answer to a request for a permit. A permit is valid for kPermitTtl. */
--- a/src/fleet/wait_queue.cpp
+++ b/src/fleet/wait_queue.cpp
@@ -116,7 +116,7 @@
       // A blocked request starts when the load is complete or the pause ends, regardless of the
       // requests before it.
       const bool isBehind =
-        !request.isBlocked_ && rate &&
+        !request.isBlocked_ && !request.mayBeLate_ && rate &&
         now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(ahead / *rate)) >=
           request.latestStart_;
       if (isLate || isBehind) {
--- a/src/fleet/wait_queue.h
+++ b/src/fleet/wait_queue.h
@@ -22,6 +22,8 @@
   std::uint32_t rank_ = 0; ///< Priority; lower values are served first.
   TimePoint latestStart_;  ///< Deadline for the start; a later start is of no use to the caller.
   bool isBlocked_ = false; ///< Whether it waits for a load or the end of a pause, not for a slot.
+  /** Whether it waits until latestStart_, whatever the rate of starts is. */
+  bool mayBeLate_ = false;
 };
 
 /**
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -174,11 +174,11 @@
 }
 
 bool
-RequestFlow::IsVersionTooOld() const
+RequestFlow::IsVersionTooOld(const UpstreamAttempt& aAttempt) const
 {
   const auto* releases = Releases();
   const auto replaced =
-    releases == nullptr ? std::nullopt : releases->ReplacedAfter(demandedVersion_);
+    releases == nullptr ? std::nullopt : releases->ReplacedAfter(aAttempt.demandedVersion_);
   const auto period = std::chrono::duration_cast<Duration>(kOldVersionBeginFraction *
                                                            context_.bounds_.maxVersionDelay_);
   return replaced && *replaced + period <= context_.clock_.Now();
@@ -192,6 +192,9 @@
   const bool isEngine = service != nullptr && service->engine_.has_value();
   const auto now = context_.clock_.Now();
   excluded_ = failed_;
+  if (call_) {
+    excluded_.insert(attempt_.upstream_);
+  }
   for (const auto& [upstream, until] : refusedUntil_) {
     if (now < until) {
       excluded_.insert(upstream);
@@ -261,16 +264,40 @@
   return choice;
 }
 
+bool
+RequestFlow::IsSoftwareServed() const
+{
+  UpstreamNeed need;
+  need.service_ = origin_->service_;
+  need.software_ = origin_->software_;
+  return context_.fleet_.Upstreams().IsServed(need);
+}
+
+bool
+RequestFlow::MayStartLater() const
+{
+  UpstreamNeed need;
+  need.service_ = admitted_.service_;
+  need.excluded_ = &failed_;
+  if (origin_) {
+    need.software_ = origin_->software_;
+  }
+  return context_.fleet_.Upstreams().IsServed(need);
+}
+
 bool
 RequestFlow::TryStart()
 {
-  if (!answer_ || call_) {
+  if (!answer_ || call_ || hedge_) {
     return true;
   }
   if (isFindingOrigin_) {
     return false;
   }
   if (IsConfigTooOld()) {
+    if (isBegun_ && context_.clock_.Now() < LatestStart()) {
+      return false; // the store may confirm the configuration in time
+    }
     Reply(503, "configuration_not_proven", kDefaultRetryAfter);
     return true;
   }
@@ -290,7 +317,7 @@
   }
   const auto choice = ChooseUpstream();
   if (choice.upstream_ == nullptr) {
-    if (origin_ && !context_.fleet_.Upstreams().IsServed(origin_->service_, origin_->software_)) {
+    if (origin_ && !IsSoftwareServed()) {
       Reply(runs_ > 0 ? 502 : 503, "software_version_gone", std::nullopt);
       return true;
     }
@@ -299,7 +326,8 @@
       Reply(runs_ > 0 ? 502 : 503, "upstreams_paused", RetryDelay());
       return true;
     }
-    if (!choice.hasUntried_ && !pauseEnd && !failed_.empty()) {
+    const bool isHopeless = !choice.hasUntried_ && !pauseEnd && !failed_.empty();
+    if (isHopeless && !(isBegun_ && MayStartLater())) {
       RefuseWaiting();
       return true;
     }
@@ -309,6 +337,10 @@
     }
     return false;
   }
+  if (needsRetry_ && !context_.retries_.TakeRetry(admitted_.service_)) {
+    return false;
+  }
+  needsRetry_ = false;
   LeaveQueue(true);
   Send(choice);
   return true;
@@ -353,11 +385,15 @@
   const auto latest = LatestStart();
   const auto now = context_.clock_.Now();
   const auto estimate = context_.queue_.EstimateWait(admitted_.service_, Rank());
-  if (latest <= now || (estimate && now + *estimate >= latest && !isBlocked_)) {
+  const bool isBehind = estimate && now + *estimate >= latest && !isBlocked_;
+  if (latest <= now || (isBehind && !isBegun_)) {
     RefuseWaiting();
     return;
   }
-  ticket_ = context_.queue_.Push({ admitted_.service_, Rank(), latest, isBlocked_ });
+  // What has begun goes before new requests: ending it would waste the work that was done.
+  const auto rank = isBegun_ ? 0 : Rank();
+  ticket_ =
+    context_.queue_.Push({ admitted_.service_, rank, latest, isBlocked_, /*mayBeLate*/ isBegun_ });
   context_.onQueued_(*ticket_, shared_from_this());
 }
 
@@ -432,56 +468,62 @@
 void
 RequestFlow::Send(const UpstreamChoice& aChoice)
 {
-  auto& upstream = *aChoice.upstream_;
-  upstream_ = upstream.entry_.id_;
-  endpoint_ = upstream.entry_.endpoint_;
-  startedAt_ = upstream.entry_.startedAt_;
-  software_ = upstream.entry_.software_;
-  demandedVersion_ = aChoice.demandedVersion_;
   eventsBefore_ = events_.Events();
-  sent_ = context_.clock_.Now();
   firstByte_.reset();
-  hasSent_ = false;
   isSilenceHandled_ = false;
+  hasError_ = false;
   answerClass_ = AnswerClass::None;
   body_.clear();
+  call_ = StartCall(aChoice, shared_from_this(), attempt_);
+  ArmTimer();
+}
+
+std::shared_ptr<UpstreamCall>
+RequestFlow::StartCall(const UpstreamChoice& aChoice,
+                       const std::shared_ptr<CallHandler>& aHandler,
+                       UpstreamAttempt& aAttempt)
+{
+  auto& upstream = *aChoice.upstream_;
+  aAttempt = { upstream.entry_.id_,       upstream.entry_.endpoint_, upstream.entry_.startedAt_,
+               upstream.entry_.software_, aChoice.demandedVersion_,  context_.clock_.Now() };
   loadingEngine_.reset();
   ++attempts_;
   const auto* releases = Releases();
-  LogEvent(
-    LogLevel::Info,
-    "request_sent",
-    { { "id", admitted_.facts_.id_.Value() },
-      { "route", admitted_.route_->name_ },
-      { "upstream", upstream_.Value() },
-      { "software", upstream.entry_.software_.Value() },
-      { "attempt", std::to_string(attempts_) },
-      { "resumes", admitted_.facts_.resumes_.Value() },
-      { "after_event", isBegun_ ? events_.LastEventId() : admitted_.facts_.lastEventId_ },
-      { "prompt", boost::algorithm::join(admitted_.facts_.sharedParts_, ",") },
-      { "version", std::to_string(aChoice.adapterVersion_) },
-      { "demanded", std::to_string(aChoice.demandedVersion_) },
-      { "released", releases == nullptr ? "none" : std::to_string(releases->Newest()) },
-      { "oldest_usable",
-        releases == nullptr ? "none"
-                            : std::to_string(releases->OldestUsable(sent_, OldVersionPeriod())) },
-      { "waited_ms", std::to_string(Milliseconds(sent_ - admitted_.arrived_)) },
-      { "left_ms", std::to_string(Milliseconds(TimeLeft())) },
-      { "running", std::to_string(upstream.running_) },
-      { "peers_running", std::to_string(upstream.peersRunning_) },
-      { "config", std::to_string(admitted_.routes_->Config().version_) },
-      { "proof_ms", std::to_string(Milliseconds(context_.fleet_.ConfigAge())) } });
+  LogEvent(LogLevel::Info,
+           "request_sent",
+           { { "id", admitted_.facts_.id_.Value() },
+             { "route", admitted_.route_->name_ },
+             { "upstream", aAttempt.upstream_.Value() },
+             { "software", upstream.entry_.software_.Value() },
+             { "attempt", std::to_string(attempts_) },
+             { "resumes", admitted_.facts_.resumes_.Value() },
+             { "after_event", isBegun_ ? events_.LastEventId() : admitted_.facts_.lastEventId_ },
+             { "prompt", boost::algorithm::join(admitted_.facts_.sharedParts_, ",") },
+             { "version", std::to_string(aChoice.adapterVersion_) },
+             { "demanded", std::to_string(aChoice.demandedVersion_) },
+             { "released", releases == nullptr ? "none" : std::to_string(releases->Newest()) },
+             { "oldest_usable",
+               releases == nullptr
+                 ? "none"
+                 : std::to_string(releases->OldestUsable(aAttempt.sent_, OldVersionPeriod())) },
+             { "waited_ms", std::to_string(Milliseconds(aAttempt.sent_ - admitted_.arrived_)) },
+             { "left_ms", std::to_string(Milliseconds(TimeLeft())) },
+             { "running", std::to_string(upstream.running_) },
+             { "peers_running", std::to_string(upstream.peersRunning_) },
+             { "config", std::to_string(admitted_.routes_->Config().version_) },
+             { "proof_ms", std::to_string(Milliseconds(context_.fleet_.ConfigAge())) } });
   auto request = BuildRequest(upstream, aChoice.demandedVersion_);
-  context_.fleet_.Upstreams().OnAttemptSent(upstream_);
+  context_.fleet_.Upstreams().OnAttemptSent(aAttempt.upstream_);
   if (!admitted_.facts_.adapter_.empty()) {
-    context_.onUseStarted_({ upstream_, admitted_.facts_.model_, admitted_.facts_.adapter_ });
+    context_.onUseStarted_(
+      { aAttempt.upstream_, admitted_.facts_.model_, admitted_.facts_.adapter_ });
   }
   // A late copy of an earlier answer cannot be recognized if it has the id of this request or if
   // the request has no id.
-  const bool mayMistakeCopy = admitted_.facts_.id_.IsEmpty() || sentTo_.contains(endpoint_);
+  const bool mayMistakeCopy =
+    admitted_.facts_.id_.IsEmpty() || sentTo_.contains(aAttempt.endpoint_);
   const auto reuse = mayMistakeCopy ? ConnectionReuse::Forbidden : ConnectionReuse::Allowed;
-  call_ = context_.link_.Send(endpoint_, std::move(request), shared_from_this(), reuse);
-  ArmTimer();
+  return context_.link_.Send(aAttempt.endpoint_, std::move(request), aHandler, reuse);
 }
 
 } // namespace laburnumweir
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -83,10 +83,23 @@
   TimePoint arrived_;     ///< When its head and body had been read completely.
 };
 
+/** One attempt of a request at an upstream. */
+struct UpstreamAttempt
+{
+  UpstreamId upstream_;
+  Endpoint endpoint_;                ///< Address of upstream_.
+  std::int64_t startedAt_ = 0;       ///< Start time of its process, Unix ms.
+  SoftwareVersion software_;         ///< Software of upstream_, by its entry.
+  std::int64_t demandedVersion_ = 0; ///< Adapter version that it demands; 0 = any.
+  TimePoint sent_;                   ///< When it started.
+  bool hasSent_ = false;             ///< Bytes of it may have reached upstream_.
+};
+
 /**
  * Queues a request until an upstream has a free slot, sends it, checks the answer and forwards it
  * to the caller. A request that is not repeatable is sent again only if it is certain that no
- * upstream has run it. Not thread-safe.
+ * upstream has run it. An attempt of a repeatable request that is silent goes on until another
+ * upstream has begun to answer. Not thread-safe.
  */
 class RequestFlow
   : public CallHandler
@@ -125,6 +138,17 @@
     Invalid ///< Unsigned, for another request, content-encoded or corrupt; must not be forwarded.
   };
 
+  /** The second of two attempts that run at once. */
+  class Hedge;
+
+  /** What the head of an answer says. */
+  struct AnswerHead
+  {
+    AnswerFacts facts_;
+    AnswerClass class_ = AnswerClass::None;
+    bool isForeign_ = false; ///< It belongs to another request.
+  };
+
   bool IsStream() const { return admitted_.route_->repeat_ == RepeatRule::Stream; }
   bool MayRepeat() const;
   Duration TimeLeft() const { return deadline_ - context_.clock_.Now(); }
@@ -134,9 +158,9 @@
   Duration OldVersionPeriod() const;
   /** @return the released versions of the adapter; nullptr if there are none. */
   const ReleaseHistory* Releases() const;
-  /** @return whether a version with which the last attempt may run was replaced so long ago that
-   * the attempt must not begin any more. */
-  bool IsVersionTooOld() const;
+  /** @return whether a version with which an attempt may run was replaced so long ago that the
+   * attempt must not begin any more. */
+  bool IsVersionTooOld(const UpstreamAttempt& aAttempt) const;
   /** @return whether the caller resumes a stream that another attempt has begun. */
   bool IsResumption() const;
   void OnOrigin(const OriginResult& aResult);
@@ -153,14 +177,48 @@
   /** @return whether the last confirmation of the configuration is too old to trust the key. */
   bool IsConfigTooOld() const;
   UpstreamChoice ChooseUpstream();
+  /** @return whether upstreams still run the software that began the stream. */
+  bool IsSoftwareServed() const;
+  /** @return whether an upstream that has not failed this request may serve it later. */
+  bool MayStartLater() const;
   void Enqueue();
   void LeaveQueue(bool aHasStarted);
   void Send(const UpstreamChoice& aChoice);
+  /** Sends a request to the chosen upstream. @param aAttempt is set to the new attempt. */
+  std::shared_ptr<UpstreamCall> StartCall(const UpstreamChoice& aChoice,
+                                          const std::shared_ptr<CallHandler>& aHandler,
+                                          UpstreamAttempt& aAttempt);
   HttpRequest BuildRequest(const Upstream& aUpstream, std::int64_t aVersion) const;
+  /** Checks the head of an answer to an attempt, and records what it says of the upstream. */
+  AnswerHead ReadHead(const UpstreamAttempt& aAttempt,
+                      const UpstreamCall& aCall,
+                      unsigned aStatus,
+                      const boost::beast::http::fields& aFields);
   void ArmTimer();
   void OnTimer();
+  /** @return when the running attempt counts as silent; none while it cannot be silent. */
+  std::optional<TimePoint> SilentAt() const;
+  /** @return time without an answer after which an attempt counts as silent. */
+  Duration FirstByteLimit() const;
   void OnSilence();
+  /** @return whether a second attempt may run beside the silent one. */
+  bool MayHedge() const;
+  /** Starts a second attempt if an upstream and the retry budget allow it now. */
+  void TryHedge();
+  void OnHedgeSending();
+  HeadAction OnHedgeHead(unsigned aStatus, const boost::beast::http::fields& aFields);
+  void OnHedgeEnd(CallEnd aEnd);
+  /** Gives up the hedge, since it was not connected or not answered in time. */
+  void OnHedgeTimeout();
+  /** Goes on without the hedge, with another attempt if the first one has ended meanwhile. */
+  void OnHedgeGone();
+  /** Ends the silent attempt in favour of the hedge, whose answer has begun. */
+  void TakeHedge();
+  /** Cancels the hedge. @param aHealth health of its upstream. */
+  void DropHedge(AttemptHealth aHealth);
   void EndAttempt(AttemptHealth aHealth);
+  /** @param aFirstByte time to its first byte; zero if there was none. */
+  void EndAttempt(const UpstreamAttempt& aAttempt, AttemptHealth aHealth, Duration aFirstByte);
   /** @return Lost for a stream that was broken off although its framing is complete; else aEnd, or
    * Complete if that is Closed. */
   CallEnd EndOfContent(CallEnd aEnd) const;
@@ -172,15 +230,26 @@
    */
   void EndCall(AnswerClass aClass);
   void OnNotRun(std::string_view aReason);
+  /** Records that an upstream did not run an attempt, and for how long it is not used again. */
+  void RecordNotRun(const UpstreamAttempt& aAttempt,
+                    const AnswerFacts& aFacts,
+                    std::string_view aReason,
+                    unsigned aStatus);
+  /** @return whether another attempt can deliver the rest of the answer. */
+  bool CanContinue();
+  /** Sends the request again after an attempt that ended, or waits until that is possible. */
+  void Continue();
   /** @param aIsAnswerComplete whether the answer may be forwarded if there is no other attempt. */
   void OnFailed(std::string_view aReason, bool aIsAnswerComplete);
   /**
-   * Takes a retry from the retry budget.
+   * Takes a retry from the retry budget. If only the budget forbids it, a request whose answer has
+   * begun takes it when it is sent; see needsRetry_.
    * @param aHasRun whether the failed attempt may have run; if so, it counts towards
    * maxUpstreams_.
    * @return false if too little time, upstreams or budget is left.
    */
   bool AcquireRetry(bool aHasRun);
+  void LogRetry(std::string_view aDenial);
   void ForwardAnswer();
   void OnCallerGone();
   /** Answers a request whose answer has not begun, since the process stops. */
@@ -196,13 +265,10 @@
   TimePoint deadline_;                   ///< When the caller stops waiting.
   RequestContents contents_;             ///< What it may have in common with other requests.
   std::shared_ptr<UpstreamCall> call_;   ///< Running attempt; empty if none.
-  UpstreamId upstream_;                  ///< Upstream of the last attempt.
-  Endpoint endpoint_;                    ///< Address of upstream_.
-  std::int64_t startedAt_ = 0;           ///< Start time of its process, Unix ms.
-  SoftwareVersion software_;             ///< Software of upstream_, by its entry.
+  UpstreamAttempt attempt_;              ///< Last attempt, except a hedge.
+  std::shared_ptr<Hedge> hedge_;         ///< Second running attempt; empty if none.
   std::optional<StreamOrigin> origin_;   ///< What began the stream; none before its first event.
   bool isFindingOrigin_ = false; ///< The caller resumes a stream whose origin is not known yet.
-  TimePoint sent_;               ///< When the last attempt started.
   std::optional<TimePoint> firstByte_; ///< When the answer head of the last attempt was received.
   TimePoint lastByte_;                 ///< When bytes of the answer were last received.
   TimePoint lastEvent_; ///< When the head or the last complete event of the answer was received.
@@ -213,16 +279,17 @@
   std::set<UpstreamId> excluded_;     ///< failed_ and the refusing upstreams still in backoff.
   std::set<UpstreamId> loadTimedOut_; ///< Engines that did not load the adapter in time.
   std::optional<WaitTicket> ticket_;  ///< Ticket in the queue; empty if not queued.
-  std::int64_t demandedVersion_ = 0;  ///< Adapter version that the last attempt demands; 0 = any.
   bool isBlocked_ = false; ///< It waits for a load or the end of a pause, not for a slot.
   std::optional<UpstreamId> loadingEngine_; ///< Engine that has been requested to load the adapter.
   TimePoint loadRequestedAt_;               ///< When the load was first requested there.
   TimePoint loadLastRequestedAt_;           ///< When the load was last requested there.
   std::uint32_t runs_ = 0;                  ///< Attempts that ran or may have run.
   std::uint32_t attempts_ = 0;              ///< All attempts, including those that were not run.
-  bool hasSent_ = false;          ///< Bytes of the last attempt may have reached upstream_.
+  bool needsRetry_ = false;                 ///< The next attempt needs a retry of the budget.
+  bool isCallerSlow_ = false;     ///< Reading from the upstream pauses until the caller has read.
+  bool hasError_ = false;         ///< A complete error is held back while a hedge runs.
   std::size_t eventsBefore_ = 0;  ///< Events of the attempts before the last one.
-  bool isSilenceHandled_ = false; ///< OnSilence() has handled the silence of this attempt.
+  bool isSilenceHandled_ = false; ///< The silence of this attempt is recorded.
   AnswerClass answerClass_ = AnswerClass::None; ///< Result of the checks of the answer.
   AnswerFacts answerFacts_;                     ///< Values of the answer's header fields.
   unsigned status_ = 0;                         ///< HTTP status of the last answer.
--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -1,6 +1,7 @@
 /** @file request_flow_answer.cpp Answers of upstreams, time limits, and the end of a request. */
 #include "gateway/request_flow.h"
 
+#include "gateway/request_flow_hedge.h"
 #include "http/header_func.h"
 #include "logging/logging_func.h"
 #include "table/flow_const.h"
@@ -47,84 +48,106 @@
     call_->Cancel();
     call_.reset();
     EndAttempt(AttemptHealth::Good);
-    if (TimeLeft() <= Duration::zero()) {
+    if (isBegun_ && TimeLeft() > Duration::zero()) {
+      OnNotRun("configuration_not_proven"); // the store may confirm the configuration in time
+    } else if (TimeLeft() <= Duration::zero()) {
       Reply(runs_ > 0 ? 504 : 503, "deadline_before_send", kDefaultRetryAfter);
     } else {
       Reply(runs_ > 0 ? 502 : 503, "configuration_not_proven", kDefaultRetryAfter);
     }
     return;
   }
-  const auto* upstream = context_.fleet_.Upstreams().Find(upstream_);
+  const auto* upstream = context_.fleet_.Upstreams().Find(attempt_.upstream_);
   // It may have left or asked for a pause, or its data centre may have been evacuated, while the
   // connection was established.
   const bool hasLeft = upstream == nullptr || !context_.fleet_.Upstreams().IsUsable(*upstream);
-  if (hasLeft || IsVersionTooOld()) {
+  if (hasLeft || IsVersionTooOld(attempt_)) {
     call_->Cancel();
     call_.reset();
     EndAttempt(AttemptHealth::Good);
     OnNotRun(hasLeft ? "upstream_left" : "old_version_not_begun");
     return;
   }
-  hasSent_ = true;
-  sentTo_.insert(endpoint_);
+  attempt_.hasSent_ = true;
+  sentTo_.insert(attempt_.endpoint_);
   ArmTimer();
 }
 
-HeadAction
-RequestFlow::OnHead(unsigned aStatus,
-                    std::string_view aReason,
-                    const http::fields& aFields,
-                    std::optional<std::uint64_t> aLength)
+RequestFlow::AnswerHead
+RequestFlow::ReadHead(const UpstreamAttempt& aAttempt,
+                      const UpstreamCall& aCall,
+                      unsigned aStatus,
+                      const http::fields& aFields)
 {
-  const auto now = context_.clock_.Now();
-  answerFacts_ = context_.codec_.ReadAnswer(aStatus, aFields);
+  AnswerHead head;
+  head.facts_ = context_.codec_.ReadAnswer(aStatus, aFields);
+  const auto& facts = head.facts_;
   const auto& id = admitted_.facts_.id_;
-  if (!answerFacts_.id_.IsEmpty() && answerFacts_.id_ != id) {
+  if (!facts.id_.IsEmpty() && facts.id_ != id) {
     LogEvent(LogLevel::Warn,
              "foreign_answer_skipped",
              { { "id", id.Value() },
-               { "answer_id", answerFacts_.id_.Value() },
-               { "upstream", upstream_.Value() } });
-    return HeadAction::Skip;
+               { "answer_id", facts.id_.Value() },
+               { "upstream", aAttempt.upstream_.Value() } });
+    head.isForeign_ = true;
+    return head;
   }
-  firstByte_ = firstByte_.value_or(now);
-  lastByte_ = now;
-  lastEvent_ = now;
-  const bool isForThisRequest = id.IsEmpty() || answerFacts_.id_ == id;
-  const bool isGenuine =
-    answerFacts_.isSigned_ && isForThisRequest && !aFields.count("Content-Encoding");
+  const bool isForThisRequest = id.IsEmpty() || facts.id_ == id;
+  const bool isGenuine = facts.isSigned_ && isForThisRequest && !aFields.count("Content-Encoding");
   // A refusal without an id may be a late copy of one for an earlier request on the connection.
-  const bool isProvenRefusal =
-    answerFacts_.isNotRun_ && (isForThisRequest || !call_->IsOnKeptConnection());
+  const bool isProvenRefusal = facts.isNotRun_ && (isForThisRequest || !aCall.IsOnKeptConnection());
   if (isProvenRefusal) {
-    answerClass_ = AnswerClass::NotRun;
+    head.class_ = AnswerClass::NotRun;
   } else if (!isGenuine) {
-    answerClass_ = AnswerClass::Invalid;
+    head.class_ = AnswerClass::Invalid;
   } else {
-    answerClass_ = aStatus / 100 == 2 ? AnswerClass::Valid : AnswerClass::Error;
+    head.class_ = aStatus / 100 == 2 ? AnswerClass::Valid : AnswerClass::Error;
   }
   const bool isContinuation =
     aStatus == unsigned(http::status::ok) && MediaType(aFields) == MediaType(fields_);
-  if (isBegun_ && answerClass_ == AnswerClass::Valid && !isContinuation) {
-    answerClass_ = AnswerClass::Invalid;
+  if (isBegun_ && head.class_ == AnswerClass::Valid && !isContinuation) {
+    head.class_ = AnswerClass::Invalid;
   }
-  if (answerFacts_.coldTimeLeft_) {
-    context_.fleet_.Upstreams().OnColdTime(upstream_, startedAt_, *answerFacts_.coldTimeLeft_);
+  auto& upstreams = context_.fleet_.Upstreams();
+  if (facts.coldTimeLeft_) {
+    upstreams.OnColdTime(aAttempt.upstream_, aAttempt.startedAt_, *facts.coldTimeLeft_);
   }
   if (isGenuine || isProvenRefusal) {
-    context_.fleet_.Upstreams().OnRequestLimit(upstream_, startedAt_, answerFacts_.requestLimit_);
+    upstreams.OnRequestLimit(aAttempt.upstream_, aAttempt.startedAt_, facts.requestLimit_);
   }
   // After a restart, another upstream may refuse the request at the same address.
-  const bool isOfUpstream = answerFacts_.upstream_.IsEmpty() || answerFacts_.upstream_ == upstream_;
+  const bool isOfUpstream = facts.upstream_.IsEmpty() || facts.upstream_ == aAttempt.upstream_;
   if ((isGenuine || isProvenRefusal) && isOfUpstream) {
-    if (answerFacts_.isLeaving_) {
-      context_.fleet_.Upstreams().OnLeaving(upstream_, startedAt_);
+    if (facts.isLeaving_) {
+      upstreams.OnLeaving(aAttempt.upstream_, aAttempt.startedAt_);
     }
-    if (answerFacts_.pause_) {
-      context_.fleet_.Upstreams().OnPause(upstream_, startedAt_, *answerFacts_.pause_);
+    if (facts.pause_) {
+      upstreams.OnPause(aAttempt.upstream_, aAttempt.startedAt_, *facts.pause_);
     }
   }
+  return head;
+}
+
+HeadAction
+RequestFlow::OnHead(unsigned aStatus,
+                    std::string_view aReason,
+                    const http::fields& aFields,
+                    std::optional<std::uint64_t> aLength)
+{
+  const auto now = context_.clock_.Now();
+  const auto head = ReadHead(attempt_, *call_, aStatus, aFields);
+  answerFacts_ = head.facts_;
+  if (head.isForeign_) {
+    return HeadAction::Skip;
+  }
+  firstByte_ = firstByte_.value_or(now);
+  lastByte_ = now;
+  lastEvent_ = now;
+  answerClass_ = head.class_;
   isStreaming_ = IsStream() && answerClass_ == AnswerClass::Valid;
+  if (hedge_ && answerClass_ == AnswerClass::Valid && !isBegun_) {
+    DropHedge(AttemptHealth::Good);
+  }
   status_ = aStatus;
   if (!isBegun_) {
     reason_ = std::string(aReason);
@@ -169,6 +192,10 @@
     isValid = events_.Add(aBytes, output);
     if (events_.Events() > eventsBefore) {
       lastEvent_ = now;
+      isSilenceHandled_ = false;
+      if (hedge_) {
+        DropHedge(AttemptHealth::Good); // it was asked to continue after an earlier event
+      }
       const auto begunAt = eventsBefore_ + kBegunEvents;
       if (eventsBefore < begunAt && events_.Events() >= begunAt) {
         RecordBegun();
@@ -201,11 +228,13 @@
     return true;
   }
   if (answer_ && answer_->UnsentBytes() > kMaxUnsentBytes) {
+    isCallerSlow_ = true;
     answer_->NotifyWhenSent([weak = weak_from_this()] {
       const auto self = weak.lock();
       if (self && self->call_) {
         self->lastByte_ = self->context_.clock_.Now();
         self->lastEvent_ = self->lastByte_;
+        self->isCallerSlow_ = false;
         self->call_->Resume();
       }
     });
@@ -217,12 +246,12 @@
 bool
 RequestFlow::IsSoftwareUncertain() const
 {
-  const auto* upstream = context_.fleet_.Upstreams().Find(upstream_);
-  if (upstream == nullptr || upstream->entry_.startedAt_ <= startedAt_ ||
-      upstream->entry_.software_ == software_) {
+  const auto* upstream = context_.fleet_.Upstreams().Find(attempt_.upstream_);
+  if (upstream == nullptr || upstream->entry_.startedAt_ <= attempt_.startedAt_ ||
+      upstream->entry_.software_ == attempt_.software_) {
     return false;
   }
-  const auto sinceSent = context_.clock_.Now() - sent_;
+  const auto sinceSent = context_.clock_.Now() - attempt_.sent_;
   const auto sentAt = context_.clock_.WallNow().time_since_epoch() - sinceSent;
   return upstream->entry_.startedAt_ <=
          std::chrono::duration_cast<milliseconds>(sentAt + kMaxClockDifference).count();
@@ -235,7 +264,7 @@
     return;
   }
   if (!origin_) {
-    origin_ = StreamOrigin{ admitted_.service_, software_, IsSoftwareUncertain() };
+    origin_ = StreamOrigin{ admitted_.service_, attempt_.software_, IsSoftwareUncertain() };
   }
   ShareOrigin();
 }
@@ -260,7 +289,8 @@
 void
 RequestFlow::RecordBegun()
 {
-  context_.quarantine_.OnBegun({ upstream_, startedAt_ }, sent_, contents_);
+  context_.quarantine_.OnBegun(
+    { attempt_.upstream_, attempt_.startedAt_ }, attempt_.sent_, contents_);
 }
 
 void
@@ -268,25 +298,33 @@
 {
   if (answerClass_ == AnswerClass::Valid) {
     if (!isStreaming_ || events_.Events() < eventsBefore_ + kBegunEvents) {
-      context_.quarantine_.OnCut({ upstream_, startedAt_ }, contents_);
+      context_.quarantine_.OnCut({ attempt_.upstream_, attempt_.startedAt_ }, contents_);
     }
   } else if (answerClass_ == AnswerClass::None) {
     // Many requests may have waited at the upstream or run without an answer yet. Of these, only
     // one that is sent again is told from the others.
-    context_.quarantine_.OnCut({ upstream_, startedAt_ }, { {}, contents_.request_ });
+    context_.quarantine_.OnCut({ attempt_.upstream_, attempt_.startedAt_ },
+                               { {}, contents_.request_ });
   }
 }
 
 void
 RequestFlow::EndAttempt(AttemptHealth aHealth)
 {
-  const auto firstByte = firstByte_ ? *firstByte_ - sent_ : Duration::zero();
-  context_.fleet_.Upstreams().OnAttemptEnded(upstream_, aHealth, firstByte);
+  isCallerSlow_ = false;
+  EndAttempt(attempt_, aHealth, firstByte_ ? *firstByte_ - attempt_.sent_ : Duration::zero());
+}
+
+void
+RequestFlow::EndAttempt(const UpstreamAttempt& aAttempt, AttemptHealth aHealth, Duration aFirstByte)
+{
+  context_.fleet_.Upstreams().OnAttemptEnded(aAttempt.upstream_, aHealth, aFirstByte);
   if (!admitted_.facts_.adapter_.empty()) {
-    context_.onUseEnded_({ upstream_, admitted_.facts_.model_, admitted_.facts_.adapter_ });
+    context_.onUseEnded_(
+      { aAttempt.upstream_, admitted_.facts_.model_, admitted_.facts_.adapter_ });
   }
   if (aHealth == AttemptHealth::Unreachable) {
-    context_.link_.DropIdle(endpoint_);
+    context_.link_.DropIdle(aAttempt.endpoint_);
   }
   context_.onSlotFree_();
 }
@@ -311,7 +349,7 @@
   const auto self = shared_from_this();
   call_.reset();
   const auto end = EndOfContent(aEnd);
-  if (hasSent_ && end == CallEnd::Lost) {
+  if (attempt_.hasSent_ && end == CallEnd::Lost) {
     RecordCut();
   }
   if (!answer_) {
@@ -320,9 +358,8 @@
     Finish(0, "caller_gone");
     return;
   }
-  if (end == CallEnd::NotSent || !hasSent_) {
+  if (end == CallEnd::NotSent || !attempt_.hasSent_) {
     EndAttempt(AttemptHealth::Unreachable);
-    failed_.insert(upstream_);
     OnNotRun("no_connection");
     return;
   }
@@ -362,88 +399,130 @@
 }
 
 void
-RequestFlow::OnNotRun(std::string_view aReason)
+RequestFlow::RecordNotRun(const UpstreamAttempt& aAttempt,
+                          const AnswerFacts& aFacts,
+                          std::string_view aReason,
+                          unsigned aStatus)
 {
   auto& upstreams = context_.fleet_.Upstreams();
   const auto& facts = admitted_.facts_;
-  if (answerFacts_.isMisdirected_ && hasSent_) {
-    if (!answerFacts_.upstream_.IsEmpty() && answerFacts_.upstream_ != upstream_) {
-      upstreams.OnMisdirected(upstream_);
+  if (aFacts.isMisdirected_ && aAttempt.hasSent_) {
+    if (!aFacts.upstream_.IsEmpty() && aFacts.upstream_ != aAttempt.upstream_) {
+      upstreams.OnMisdirected(aAttempt.upstream_);
     } else {
-      upstreams.OnAdapterMissing(upstream_, facts.model_, facts.adapter_);
+      upstreams.OnAdapterMissing(aAttempt.upstream_, facts.model_, facts.adapter_);
     }
   }
   LogEvent(LogLevel::Info,
            "attempt_not_run",
            { { "id", facts.id_.Value() },
-             { "upstream", upstream_.Value() },
+             { "upstream", aAttempt.upstream_.Value() },
              { "reason", std::string(aReason) },
-             { "status", std::to_string(hasSent_ ? status_ : 0) },
+             { "status", std::to_string(aAttempt.hasSent_ ? aStatus : 0) },
              { "attempt", std::to_string(attempts_) } });
-  if (hasSent_) {
+  const bool isUnreachable = aReason == "no_connection" || aReason == "connect_timeout";
+  if (isUnreachable && !isBegun_) {
+    failed_.insert(aAttempt.upstream_);
+  } else if (isUnreachable || aAttempt.hasSent_) {
     const auto doublings = std::min<std::uint32_t>(attempts_ - 1, kMaxRefusalDoublings);
-    refusedUntil_[upstream_] = context_.clock_.Now() + kInitialRefusalPause * (1 << doublings);
+    refusedUntil_[aAttempt.upstream_] =
+      context_.clock_.Now() + kInitialRefusalPause * (1 << doublings);
   }
-  if (TimeLeft() <= kMinAnswerTime || (hasSent_ && !AcquireRetry(false))) {
+}
+
+void
+RequestFlow::OnNotRun(std::string_view aReason)
+{
+  RecordNotRun(attempt_, answerFacts_, aReason, status_);
+  if (hedge_) {
+    ArmTimer();
+    return;
+  }
+  if (TimeLeft() <= kMinAnswerTime || (attempt_.hasSent_ && !AcquireRetry(false))) {
     Reply(runs_ > 0 ? 502 : 503, aReason, RetryDelay());
     return;
   }
+  Continue();
+}
+
+void
+RequestFlow::Continue()
+{
   if (!TryStart() && answer_) {
     Enqueue();
   }
   ArmTimer();
 }
 
-bool
-RequestFlow::AcquireRetry(bool aHasRun)
+void
+RequestFlow::LogRetry(std::string_view aDenial)
 {
-  const char* denial = TimeLeft() <= kMinAnswerTime                          ? "deadline"
-                       : aHasRun && runs_ >= admitted_.route_->maxUpstreams_ ? "upstream_limit"
-                       : !context_.retries_.TakeRetry(admitted_.service_)    ? "retry_budget"
-                                                                             : nullptr;
   const auto use = context_.retries_.Use(admitted_.service_);
   LogEvent(LogLevel::Info,
-           denial == nullptr ? "retry_taken" : "retry_denied",
+           aDenial.empty() ? "retry_taken" : "retry_denied",
            { { "id", admitted_.facts_.id_.Value() },
-             { "cause", denial == nullptr ? "" : denial },
+             { "cause", std::string(aDenial) },
              { "runs", std::to_string(runs_) },
              { "retries_used", std::to_string(use.used_) },
              { "retries_allowed", std::to_string(use.allowed_) },
              { "hosts", std::to_string(use.hostCount_) } });
   context_.metrics_
-    .GetCounter(
-      "laburnumweir_gateway_retries_total", "result", denial == nullptr ? "taken" : denial)
+    .GetCounter("laburnumweir_gateway_retries_total", "result", aDenial.empty() ? "taken" : aDenial)
     .Add();
-  return denial == nullptr;
+}
+
+bool
+RequestFlow::AcquireRetry(bool aHasRun)
+{
+  const bool isLate = TimeLeft() <= kMinAnswerTime;
+  if (isLate || (aHasRun && runs_ >= admitted_.route_->maxUpstreams_)) {
+    LogRetry(isLate ? "deadline" : "upstream_limit");
+    return false;
+  }
+  if (context_.retries_.TakeRetry(admitted_.service_)) {
+    LogRetry({});
+    return true;
+  }
+  LogRetry("retry_budget");
+  needsRetry_ = isBegun_;
+  return isBegun_;
+}
+
+bool
+RequestFlow::CanContinue()
+{
+  if (origin_ && isBegun_ && IsSoftwareUncertain()) {
+    origin_->isAmbiguous_ = true;
+    ShareOrigin();
+  }
+  const bool isAmbiguous = origin_ && origin_->isAmbiguous_;
+  return MayRepeat() && (!isBegun_ || (!events_.LastEventId().empty() && !isAmbiguous));
 }
 
 void
 RequestFlow::OnFailed(std::string_view aReason, bool aIsAnswerComplete)
 {
   ++runs_;
-  failed_.insert(upstream_);
+  failed_.insert(attempt_.upstream_);
   LogEvent(LogLevel::Info,
            "attempt_failed",
            { { "id", admitted_.facts_.id_.Value() },
-             { "upstream", upstream_.Value() },
+             { "upstream", attempt_.upstream_.Value() },
              { "reason", std::string(aReason) },
              { "attempt", std::to_string(attempts_) },
              { "status", std::to_string(answerClass_ == AnswerClass::None ? 0 : status_) },
              { "events", std::to_string(events_.Events()) } });
-  if (origin_ && isBegun_ && IsSoftwareUncertain()) {
-    origin_->isAmbiguous_ = true;
-    ShareOrigin();
-  }
-  const bool canResume =
-    !isBegun_ || (!events_.LastEventId().empty() && !(origin_ && origin_->isAmbiguous_));
-  const bool isUpstreamError = aIsAnswerComplete && answerClass_ == AnswerClass::Error && !isBegun_;
-  if (MayRepeat() && canResume && AcquireRetry(true)) {
+  const bool canContinue = CanContinue();
+  hasError_ = aIsAnswerComplete && answerClass_ == AnswerClass::Error && !isBegun_;
+  if (hedge_ && canContinue) {
     events_.Resume();
-    if (!TryStart() && answer_) {
-      Enqueue();
-    }
     ArmTimer();
-  } else if (isUpstreamError) {
+    return;
+  }
+  if (canContinue && AcquireRetry(true)) {
+    events_.Resume();
+    Continue();
+  } else if (hasError_) {
     ForwardAnswer();
   } else {
     Reply(502, aReason, std::nullopt);
@@ -466,7 +545,8 @@
 {
   answer_.reset();
   LeaveQueue(false);
-  if (call_ && (admitted_.route_->repeat_ != RepeatRule::Once || !hasSent_)) {
+  DropHedge(AttemptHealth::Good);
+  if (call_ && (admitted_.route_->repeat_ != RepeatRule::Once || !attempt_.hasSent_)) {
     call_->Cancel();
     call_.reset();
     EndAttempt(AttemptHealth::Good);
@@ -484,8 +564,9 @@
   if (!answer_ || isBegun_) {
     return;
   }
+  DropHedge(AttemptHealth::Good);
   if (call_) {
-    runs_ += hasSent_ ? 1 : 0;
+    runs_ += attempt_.hasSent_ ? 1 : 0;
     call_->Cancel();
     call_.reset();
     EndAttempt(AttemptHealth::Good);
@@ -493,125 +574,6 @@
   Reply(runs_ > 0 ? 502 : 503, "stopping", std::chrono::milliseconds(0));
 }
 
-void
-RequestFlow::ArmTimer()
-{
-  if (!answer_ && !call_) {
-    timer_.cancel();
-    return;
-  }
-  const auto now = context_.clock_.Now();
-  auto next = deadline_;
-  if (call_) {
-    next += kDeadlineGrace;
-  }
-  if (call_ && !firstByte_ && !admitted_.facts_.adapter_.empty()) {
-    // A release may come at any time.
-    next = std::min(next,
-                    now + std::chrono::duration_cast<Duration>(kOldVersionCheckFraction *
-                                                               context_.bounds_.maxVersionDelay_));
-  }
-  if (call_ && answer_) {
-    if (!hasSent_) {
-      next = std::min(next, sent_ + kConnectTimeout);
-    } else if (!firstByte_ && !isSilenceHandled_) {
-      next = std::min<TimePoint>(
-        next,
-        sent_ + std::max<Duration>(kSilenceLatencyMultiple * admitted_.route_->targetLatency_,
-                                   kMinSilenceTimeout));
-    } else if (isStreaming_ && MayRepeat()) {
-      next = std::min<TimePoint>(next,
-                                 lastEvent_ + std::max<Duration>(kStreamSilencePauseMultiple *
-                                                                   admitted_.route_->targetPause_,
-                                                                 kMinStreamSilenceTimeout));
-    }
-  }
-  timer_.expires_after(std::max<Duration>(next - now, milliseconds(1)));
-  timer_.async_wait([weak = weak_from_this()](BoostError aError) {
-    const auto self = weak.lock();
-    if (!aError && self) {
-      self->OnTimer();
-    }
-  });
-}
-
-void
-RequestFlow::OnTimer()
-{
-  const auto now = context_.clock_.Now();
-  const bool isTooOld = call_ && hasSent_ && !firstByte_ && IsVersionTooOld();
-  if (!answer_) {
-    if (call_ && (isTooOld || now >= deadline_ + kDeadlineGrace)) {
-      call_->Cancel();
-      call_.reset();
-      EndAttempt(isTooOld ? AttemptHealth::Good : AttemptHealth::Unreachable);
-      Finish(0, "caller_gone");
-    } else if (call_) {
-      ArmTimer();
-    }
-    return;
-  }
-  if (now >= deadline_ + (call_ ? kDeadlineGrace : Duration::zero())) {
-    if (call_) {
-      const bool mayHaveRun = hasSent_;
-      call_->Cancel();
-      call_.reset();
-      EndAttempt(firstByte_ ? AttemptHealth::Good : AttemptHealth::Unreachable);
-      runs_ += mayHaveRun ? 1 : 0;
-    }
-    Reply(runs_ > 0 ? 504 : 503, "deadline", std::nullopt);
-    return;
-  }
-  if (call_ && !hasSent_ && now - sent_ >= kConnectTimeout) {
-    call_->Cancel();
-    call_.reset();
-    EndAttempt(AttemptHealth::Unreachable);
-    failed_.insert(upstream_);
-    OnNotRun("connect_timeout");
-    return;
-  }
-  if (isTooOld) {
-    call_->Cancel();
-    call_.reset();
-    EndAttempt(AttemptHealth::Good);
-    OnFailed("old_version_not_begun", false);
-    return;
-  }
-  if (call_ && hasSent_) {
-    OnSilence();
-  }
-  ArmTimer();
-}
-
-void
-RequestFlow::OnSilence()
-{
-  const auto now = context_.clock_.Now();
-  const auto& route = *admitted_.route_;
-  const Duration firstLimit =
-    std::max<Duration>(kSilenceLatencyMultiple * route.targetLatency_, kMinSilenceTimeout);
-  const Duration pauseLimit =
-    std::max<Duration>(kStreamSilencePauseMultiple * route.targetPause_, kMinStreamSilenceTimeout);
-  const bool isSilent = firstByte_ ? isStreaming_ && MayRepeat() && now - lastEvent_ >= pauseLimit
-                                   : !isSilenceHandled_ && now - sent_ >= firstLimit;
-  if (!isSilent) {
-    return;
-  }
-  isSilenceHandled_ = true;
-  if (!MayRepeat() || runs_ + 1 >= route.maxUpstreams_) {
-    LogEvent(LogLevel::Info,
-             "upstream_silent",
-             { { "id", admitted_.facts_.id_.Value() },
-               { "upstream", upstream_.Value() },
-               { "since_ms", std::to_string(Milliseconds(now - sent_)) } });
-    return;
-  }
-  call_->Cancel();
-  call_.reset();
-  EndAttempt(AttemptHealth::Unreachable);
-  OnFailed("silent", false);
-}
-
 /**
  * Ends the request with an answer of this host, or aborts the connection if the head of an answer
  * was already sent.
@@ -650,9 +612,11 @@
 RequestFlow::Finish(unsigned aStatus, std::string_view aReason)
 {
   LeaveQueue(false);
+  DropHedge(AttemptHealth::Good);
   timer_.cancel();
   const auto elapsed = context_.clock_.Now() - admitted_.arrived_;
-  const bool hasRun = runs_ > 0 || aReason == "answered" || (aReason == "caller_gone" && hasSent_);
+  const bool hasRun =
+    runs_ > 0 || aReason == "answered" || (aReason == "caller_gone" && attempt_.hasSent_);
   if (!hasRun && admitted_.workspace_ != nullptr) {
     context_.quota_.Return(admitted_.workspace_->id_, admitted_.tokens_);
   }
@@ -664,7 +628,7 @@
       { "workspace", admitted_.workspace_ == nullptr ? "" : admitted_.workspace_->id_.Value() },
       { "outcome", std::string(aReason) },
       { "status", std::to_string(aStatus) },
-      { "upstream", attempts_ > 0 ? upstream_.Value() : "" },
+      { "upstream", attempts_ > 0 ? attempt_.upstream_.Value() : "" },
       { "attempts", std::to_string(attempts_) },
       { "events", std::to_string(events_.Events()) },
       { "first_byte_ms",
--- a/src/table/flow_const.h
+++ b/src/table/flow_const.h
@@ -31,12 +31,14 @@
 constexpr int kSilenceLatencyMultiple = 3;
 /** Minimum time before an upstream without a first byte is considered silent. */
 constexpr Duration kMinSilenceTimeout = std::chrono::milliseconds(400);
+/** Interval at which a second attempt is tried while the first one is silent. */
+constexpr Duration kHedgeInterval = std::chrono::milliseconds(150);
 /**
- * A resumable stream is continued at another upstream after a pause of this multiple of the target
- * pause.
+ * A resumable stream is silent after a pause of this multiple of the target pause; another upstream
+ * is then asked to continue it.
  */
 constexpr int kStreamSilencePauseMultiple = 5;
-/** Minimum pause before a resumable stream is continued at another upstream. */
+/** Minimum pause after which a resumable stream is silent. */
 constexpr Duration kMinStreamSilenceTimeout = std::chrono::milliseconds(1200);
 /**
  * Callers abandon a stream without a first event after the longest of these three times: this one,
--- a/tests/gateway/request_flow_pause_test.cpp
+++ b/tests/gateway/request_flow_pause_test.cpp
@@ -89,7 +89,7 @@
   EXPECT_EQ(Ask(), "other");
   EXPECT_EQ(Ask(), "other");
   EXPECT_EQ(received_, 1);
-  EXPECT_EQ(fleet_.Upstreams().Find(UpstreamId("u64"))->failureAverage_, 0);
+  EXPECT_EQ(fleet_.Upstreams().Find(UpstreamId("u64"))->attempts_.failureAverage_, 0);
   std::this_thread::sleep_for(250ms);
   EXPECT_EQ(Ask(), "pausing");
 }
