--- a/src/fleet/peer_table.cpp
+++ b/src/fleet/peer_table.cpp
@@ -127,6 +127,16 @@
   return hosts;
 }
 
+std::vector<HostId>
+PeerTable::KnownHosts() const
+{
+  std::vector<HostId> hosts{ self_.id_ };
+  for (const auto& [id, peer] : peers_) {
+    hosts.push_back(id);
+  }
+  return hosts;
+}
+
 std::vector<HostPartitions>
 PeerTable::LivePeers() const
 {
--- a/src/fleet/peer_table.h
+++ b/src/fleet/peer_table.h
@@ -65,9 +65,9 @@
   std::optional<Endpoint> HolderOf(std::uint32_t aPartition) const;
   /** @return hosts among which quotas and other limits are divided, including this one. */
   std::vector<HostId> Hosts() const;
-  /** @return number of hosts that messages or the store have named of late, including this one and
-   * some that may be gone. */
-  std::size_t KnownHosts() const { return 1 + peers_.size(); }
+  /** @return hosts that messages or the store have named of late, including this one and some that
+   * may be gone. Limits that must hold over all hosts are divided among them. */
+  std::vector<HostId> KnownHosts() const;
   /** @return peers that were reported within kPeerLoadTtl, with their partitions. */
   std::vector<HostPartitions> LivePeers() const;
   /** @return whether this host is a store reader of its data centre. */
--- a/src/fleet/retry_share.cpp
+++ b/src/fleet/retry_share.cpp
@@ -31,6 +31,7 @@
 {
   const auto now = clock_.Now();
   const auto count = std::max<std::size_t>(aHostCount, 1);
+  isFleetKnown_ = isFleetKnown_ || count > 1;
   if (count >= hostCount_ || now - hostCountAt_ >= kHostCountTtl) {
     hostCount_ = count;
     hostCountAt_ = now;
@@ -42,18 +43,25 @@
 {
   auto& window = windows_[aService];
   Expire(window);
-  const double slack =
-    clock_.Now() < slackFrom_ ? 0.0 : bounds_.slack_ / static_cast<double>(hostCount_);
+  const double slack = isFleetKnown_ && clock_.Now() >= slackFrom_
+                         ? bounds_.slack_ / static_cast<double>(hostCount_)
+                         : 0.0;
   const double allowed =
     kRetrySafetyFactor * (bounds_.ratio_ * static_cast<double>(window.requests_.size()) + slack);
   return { window.retries_.size(), allowed, hostCount_ };
 }
 
 bool
-RetryShare::TakeRetry(const ServiceName& aService)
+RetryShare::CanTake(const ServiceName& aService)
 {
   const auto use = Use(aService);
-  if (static_cast<double>(use.used_) + 1 > use.allowed_) {
+  return static_cast<double>(use.used_) + 1 <= use.allowed_;
+}
+
+bool
+RetryShare::TakeRetry(const ServiceName& aService)
+{
+  if (!CanTake(aService)) {
     return false;
   }
   windows_[aService].retries_.push_back(clock_.Now());
--- a/src/fleet/retry_share.h
+++ b/src/fleet/retry_share.h
@@ -30,9 +30,9 @@
  * Limits the retries of this host for each service in a sliding window. The host may retry the
  * ratio of its own requests and has an equal share of the slack, so that hosts need not exchange
  * messages about retries. It has no share of the slack in the first window after its process has
- * started: the process before it may have used it, and this one may not know its peers yet. A share
- * does not grow because peers are silent: they may be cut off and go on using theirs. Not
- * thread-safe.
+ * started: the process before it may have used it, and none before it knows a peer or the hosts in
+ * the store. A share does not grow because peers are silent: they may be cut off and go on using
+ * theirs. Not thread-safe.
  */
 class RetryShare
 {
@@ -45,8 +45,14 @@
   }
 
   void SetBounds(RetryBounds aBounds) { bounds_ = aBounds; }
-  /** Records that the process of this host starts now. */
-  void OnProcessStart() { slackFrom_ = clock_.Now() + bounds_.window_; }
+  /** Records that the process of this host starts now, and knows no other host. */
+  void OnProcessStart()
+  {
+    slackFrom_ = clock_.Now() + bounds_.window_;
+    isFleetKnown_ = false;
+  }
+  /** Records that the hosts in the store were read; there may be no other one. */
+  void OnHostsRead() { isFleetKnown_ = true; }
   /**
    * Sets the number of hosts that this host knows; 0 counts as 1. The slack is shared by the most
    * hosts that were known in the last kHostCountTtl.
@@ -56,6 +62,8 @@
   void OnRequest(const ServiceName& aService);
   /** Counts one retry if this host's share allows it. @return whether it may be sent. */
   bool TakeRetry(const ServiceName& aService);
+  /** @return whether one retry may be taken now. */
+  bool CanTake(const ServiceName& aService);
   /** @return what is used and allowed now. */
   RetryUse Use(const ServiceName& aService);
 
@@ -72,6 +80,7 @@
   RetryBounds bounds_;        ///< For all hosts together.
   std::size_t hostCount_ = 1; ///< Hosts that share the slack.
   TimePoint hostCountAt_;     ///< When this many hosts were last known.
+  bool isFleetKnown_ = true;  ///< Another host is known, or the store names no other one.
   TimePoint slackFrom_;       ///< The host has a share of the slack from this time on.
   std::unordered_map<ServiceName, Window> windows_;
 };
--- a/src/fleet/upstream_table.cpp
+++ b/src/fleet/upstream_table.cpp
@@ -307,7 +307,7 @@
   const Upstream* best = nullptr;
   std::pair<int, std::uint64_t> bestRank{ -1, 0 };
   for (const auto& [id, upstream] : upstreams_) {
-    if (!IsOfService(upstream, aNeed) || !IsUsableAt(upstream, aNow) ||
+    if (!MeetsNeed(upstream, aNeed) || !IsUsableAt(upstream, aNow) ||
         (aNeed.excluded_ != nullptr && aNeed.excluded_->contains(id)) ||
         (aNeed.loadTimedOut_ != nullptr && aNeed.loadTimedOut_->contains(id))) {
       continue;
@@ -343,7 +343,7 @@
   bool isResident = false;
   double minResidentLoad = std::numeric_limits<double>::max();
   for (auto& [id, upstream] : upstreams_) {
-    if (!IsOfService(upstream, aNeed)) {
+    if (!MeetsNeed(upstream, aNeed)) {
       continue;
     }
     if (!IsUsableAt(upstream, now)) {
@@ -563,7 +563,7 @@
   std::optional<TimePoint> earliest;
   bool isAnyPaused = false;
   for (const auto& [id, upstream] : upstreams_) {
-    if (!IsOfService(upstream, aNeed) || IsLeaving(upstream) ||
+    if (!MeetsNeed(upstream, aNeed) || IsLeaving(upstream) ||
         evacuated_.contains(upstream.entry_.dataCentre_) ||
         (aNeed.excluded_ != nullptr && aNeed.excluded_->contains(id))) {
       continue;
@@ -582,7 +582,7 @@
 UpstreamTable::IsServed(const UpstreamNeed& aNeed) const
 {
   return std::any_of(upstreams_.begin(), upstreams_.end(), [&](const auto& aUpstream) {
-    return IsOfService(aUpstream.second, aNeed) && !IsLeaving(aUpstream.second) &&
+    return MeetsNeed(aUpstream.second, aNeed) && !IsLeaving(aUpstream.second) &&
            !evacuated_.contains(aUpstream.second.entry_.dataCentre_) &&
            (aNeed.excluded_ == nullptr || !aNeed.excluded_->contains(aUpstream.first));
   });
--- a/src/fleet/upstream_table.h
+++ b/src/fleet/upstream_table.h
@@ -83,6 +83,7 @@
   std::int64_t minVersion_ = 0;                            ///< Minimum version of the adapter.
   std::optional<SoftwareVersion> software_ = std::nullopt; ///< Only upstreams that run it.
   const std::set<UpstreamId>* excluded_ = nullptr;     ///< Upstreams that got the request already.
+  const std::set<UpstreamId>* allowed_ = nullptr;      ///< Only these upstreams; nullptr for all.
   const std::set<UpstreamId>* loadTimedOut_ = nullptr; ///< Engines that did not load it in time.
 };
 
@@ -234,10 +235,11 @@
     std::vector<UpstreamLoad> loads_;
   };
 
-  static bool IsOfService(const Upstream& aUpstream, const UpstreamNeed& aNeed)
+  static bool MeetsNeed(const Upstream& aUpstream, const UpstreamNeed& aNeed)
   {
     return aUpstream.entry_.service_ == aNeed.service_ &&
-           (!aNeed.software_ || aUpstream.entry_.software_ == *aNeed.software_);
+           (!aNeed.software_ || aUpstream.entry_.software_ == *aNeed.software_) &&
+           (aNeed.allowed_ == nullptr || aNeed.allowed_->contains(aUpstream.entry_.id_));
   }
 
   // These functions get the current time as a parameter, because reading the clock for each of some
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -185,6 +185,7 @@
         for (const auto& host : aRecords.hosts_) {
           peers_.OnStoreRecord(host);
         }
+        retries_.OnHostsRead();
         quarantineService_->OnStored(aRecords.quarantines_);
         softwareRecorder_->OnStored(aRecords);
       });
--- a/src/gateway/gossip_service.cpp
+++ b/src/gateway/gossip_service.cpp
@@ -142,9 +142,10 @@
   }
   const auto hosts = context_.peers_.Hosts();
   context_.quota_.SetHostCount(hosts.size());
-  context_.retries_.SetHostCount(context_.peers_.KnownHosts());
+  const auto knownHosts = context_.peers_.KnownHosts();
+  context_.retries_.SetHostCount(knownHosts.size());
   holder_->SetHostCount(hosts.size());
-  context_.fleet_.Upstreams().SetHosts(hosts);
+  context_.fleet_.Upstreams().SetHosts(knownHosts);
   ApplyLoad();
   if (const auto reader = context_.peers_.AssignedReader()) {
     CheckReader(*reader);
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -184,6 +184,16 @@
   return replaced && *replaced + period <= context_.clock_.Now();
 }
 
+std::set<UpstreamId>
+RequestFlow::UsedUpstreams() const
+{
+  auto used = ranAt_;
+  if (call_ && attempt_.hasSent_) {
+    used.insert(attempt_.upstream_);
+  }
+  return used;
+}
+
 UpstreamChoice
 RequestFlow::ChooseUpstream()
 {
@@ -191,7 +201,10 @@
   const auto* service = admitted_.routes_->FindService(admitted_.service_);
   const bool isEngine = service != nullptr && service->engine_.has_value();
   const auto now = context_.clock_.Now();
-  excluded_ = failed_;
+  usedUpstreams_ = UsedUpstreams();
+  const bool isLimited = usedUpstreams_.size() >= admitted_.route_->maxUpstreams_;
+  // At the limit, what has begun is continued where it has run, even after a failure there.
+  excluded_ = isLimited ? std::set<UpstreamId>() : failed_;
   if (call_) {
     excluded_.insert(attempt_.upstream_);
   }
@@ -210,6 +223,7 @@
     need.software_ = origin_->software_;
   }
   need.excluded_ = &excluded_;
+  need.allowed_ = isLimited ? &usedUpstreams_ : nullptr;
   need.loadTimedOut_ = &loadTimedOut_;
   const auto* releases = Releases();
   const auto newest = releases == nullptr ? 0 : releases->Newest();
@@ -276,6 +290,9 @@
 bool
 RequestFlow::MayStartLater() const
 {
+  if (ranAt_.size() >= admitted_.route_->maxUpstreams_) {
+    return true; // where it has run, even after a failure there
+  }
   UpstreamNeed need;
   need.service_ = admitted_.service_;
   need.excluded_ = &failed_;
@@ -285,6 +302,15 @@
   return context_.fleet_.Upstreams().IsServed(need);
 }
 
+void
+RequestFlow::SetBlocked(bool aIsBlocked)
+{
+  isBlocked_ = aIsBlocked;
+  if (ticket_) {
+    context_.queue_.SetBlocked(*ticket_, isBlocked_);
+  }
+}
+
 bool
 RequestFlow::TryStart()
 {
@@ -296,6 +322,7 @@
   }
   if (IsConfigTooOld()) {
     if (isBegun_ && context_.clock_.Now() < LatestStart()) {
+      SetBlocked(true);
       return false; // the store may confirm the configuration in time
     }
     Reply(503, "configuration_not_proven", kDefaultRetryAfter);
@@ -312,18 +339,27 @@
     return true;
   }
   if (const auto timeLeft = context_.quarantine_.TimeLeft(contents_)) {
-    Reply(runs_ > 0 ? 502 : 503, "quarantined", timeLeft);
+    Reply(HasRun() ? 502 : 503, "quarantined", timeLeft);
+    return true;
+  }
+  if (needsRetry_ && !context_.retries_.CanTake(admitted_.service_)) {
+    if (isBegun_) {
+      SetBlocked(true);
+      return false;
+    }
+    LogRetry("retry_budget");
+    Reply(HasRun() ? 502 : 503, "retry_budget", RetryDelay());
     return true;
   }
   const auto choice = ChooseUpstream();
   if (choice.upstream_ == nullptr) {
     if (origin_ && !IsSoftwareServed()) {
-      Reply(runs_ > 0 ? 502 : 503, "software_version_gone", std::nullopt);
+      Reply(HasRun() ? 502 : 503, "software_version_gone", std::nullopt);
       return true;
     }
     const auto pauseEnd = choice.hasUntried_ ? std::nullopt : PauseEnd();
     if (pauseEnd && *pauseEnd >= LatestStart()) {
-      Reply(runs_ > 0 ? 502 : 503, "upstreams_paused", RetryDelay());
+      Reply(HasRun() ? 502 : 503, "upstreams_paused", RetryDelay());
       return true;
     }
     const bool isHopeless = !choice.hasUntried_ && !pauseEnd && !failed_.empty();
@@ -331,16 +367,13 @@
       RefuseWaiting();
       return true;
     }
-    isBlocked_ = loadingEngine_ || pauseEnd;
-    if (ticket_) {
-      context_.queue_.SetBlocked(*ticket_, isBlocked_);
-    }
+    SetBlocked(loadingEngine_ || pauseEnd || !choice.hasUntried_);
     return false;
   }
-  if (needsRetry_ && !context_.retries_.TakeRetry(admitted_.service_)) {
-    return false;
+  if (std::exchange(needsRetry_, false)) {
+    context_.retries_.TakeRetry(admitted_.service_);
+    LogRetry({});
   }
-  needsRetry_ = false;
   LeaveQueue(true);
   Send(choice);
   return true;
@@ -418,7 +451,7 @@
                { "estimate_ms", estimate ? std::to_string(Milliseconds(*estimate)) : "" },
                { "latest_start_ms",
                  std::to_string(Milliseconds(LatestStart() - context_.clock_.Now())) } });
-    Reply(runs_ > 0 ? 502 : 503,
+    Reply(HasRun() ? 502 : 503,
           loadingEngine_ ? "adapter_not_loaded_in_time" : "cannot_start_in_time",
           loadingEngine_ ? kLoadRetryAfter : RetryDelay());
   }
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -149,6 +149,8 @@
     bool isForeign_ = false; ///< It belongs to another request.
   };
 
+  /** @return whether an attempt has run or may have run. */
+  bool HasRun() const { return !ranAt_.empty(); }
   bool IsStream() const { return admitted_.route_->repeat_ == RepeatRule::Stream; }
   bool MayRepeat() const;
   Duration TimeLeft() const { return deadline_ - context_.clock_.Now(); }
@@ -176,11 +178,15 @@
   std::uint32_t Rank() const;
   /** @return whether the last confirmation of the configuration is too old to trust the key. */
   bool IsConfigTooOld() const;
+  /** @return ranAt_ and the upstream of the running attempt, unless that is a hedge. */
+  std::set<UpstreamId> UsedUpstreams() const;
   UpstreamChoice ChooseUpstream();
   /** @return whether upstreams still run the software that began the stream. */
   bool IsSoftwareServed() const;
-  /** @return whether an upstream that has not failed this request may serve it later. */
+  /** @return whether an upstream may take a request that has begun later, though none can now. */
   bool MayStartLater() const;
+  /** Sets whether it waits for something else than a slot, also for its place in the queue. */
+  void SetBlocked(bool aIsBlocked);
   void Enqueue();
   void LeaveQueue(bool aHasStarted);
   void Send(const UpstreamChoice& aChoice);
@@ -206,14 +212,19 @@
   /** Starts a second attempt if an upstream and the retry budget allow it now. */
   void TryHedge();
   void OnHedgeSending();
-  HeadAction OnHedgeHead(unsigned aStatus, const boost::beast::http::fields& aFields);
+  HeadAction OnHedgeHead(unsigned aStatus,
+                         std::string_view aReason,
+                         const boost::beast::http::fields& aFields,
+                         std::optional<std::uint64_t> aLength);
   void OnHedgeEnd(CallEnd aEnd);
   /** Gives up the hedge, since it was not connected or not answered in time. */
   void OnHedgeTimeout();
   /** Goes on without the hedge, with another attempt if the first one has ended meanwhile. */
   void OnHedgeGone();
-  /** Ends the silent attempt in favour of the hedge, whose answer has begun. */
-  void TakeHedge();
+  bool OnHedgeBody(std::string_view aBytes);
+  /** Ends the silent attempt in favour of the hedge, whose answer has begun, and passes on what the
+   * hedge has received of its head. @return what to do with its answer. */
+  HeadAction TakeHedge();
   /** Cancels the hedge. @param aHealth health of its upstream. */
   void DropHedge(AttemptHealth aHealth);
   void EndAttempt(AttemptHealth aHealth);
@@ -235,20 +246,25 @@
                     const AnswerFacts& aFacts,
                     std::string_view aReason,
                     unsigned aStatus);
+  /** Excludes an upstream for a time that doubles with each attempt. */
+  void BackOff(const UpstreamId& aUpstream);
   /** @return whether another attempt can deliver the rest of the answer. */
   bool CanContinue();
   /** Sends the request again after an attempt that ended, or waits until that is possible. */
   void Continue();
   /** @param aIsAnswerComplete whether the answer may be forwarded if there is no other attempt. */
   void OnFailed(std::string_view aReason, bool aIsAnswerComplete);
+  /** @return whether an upstream is left at which another attempt may run. What has begun may run
+   * again at one where it has run. */
+  bool HasUpstreamLeft() const;
   /**
-   * Takes a retry from the retry budget. If only the budget forbids it, a request whose answer has
-   * begun takes it when it is sent; see needsRetry_.
+   * Decides whether the request is sent again; the retry is taken from the budget when it is sent.
+   * If only the budget forbids it, a request whose answer has begun waits for the budget.
    * @param aHasRun whether the failed attempt may have run; if so, it counts towards
    * maxUpstreams_.
    * @return false if too little time, upstreams or budget is left.
    */
-  bool AcquireRetry(bool aHasRun);
+  bool MayRetry(bool aHasRun);
   void LogRetry(std::string_view aDenial);
   void ForwardAnswer();
   void OnCallerGone();
@@ -276,6 +292,7 @@
   std::set<Endpoint> sentTo_;   ///< Addresses to which the request was sent.
   std::set<UpstreamId> failed_; ///< Upstreams at which an attempt failed; not used again.
   std::map<UpstreamId, TimePoint> refusedUntil_; ///< End of the backoff after a refusal.
+  std::set<UpstreamId> usedUpstreams_;           ///< Result of UsedUpstreams() at the last choice.
   std::set<UpstreamId> excluded_;     ///< failed_ and the refusing upstreams still in backoff.
   std::set<UpstreamId> loadTimedOut_; ///< Engines that did not load the adapter in time.
   std::optional<WaitTicket> ticket_;  ///< Ticket in the queue; empty if not queued.
@@ -283,7 +300,7 @@
   std::optional<UpstreamId> loadingEngine_; ///< Engine that has been requested to load the adapter.
   TimePoint loadRequestedAt_;               ///< When the load was first requested there.
   TimePoint loadLastRequestedAt_;           ///< When the load was last requested there.
-  std::uint32_t runs_ = 0;                  ///< Attempts that ran or may have run.
+  std::set<UpstreamId> ranAt_;              ///< Upstreams at which an attempt ran or may have run.
   std::uint32_t attempts_ = 0;              ///< All attempts, including those that were not run.
   bool needsRetry_ = false;                 ///< The next attempt needs a retry of the budget.
   bool isCallerSlow_ = false;     ///< Reading from the upstream pauses until the caller has read.
--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -51,9 +51,9 @@
     if (isBegun_ && TimeLeft() > Duration::zero()) {
       OnNotRun("configuration_not_proven"); // the store may confirm the configuration in time
     } else if (TimeLeft() <= Duration::zero()) {
-      Reply(runs_ > 0 ? 504 : 503, "deadline_before_send", kDefaultRetryAfter);
+      Reply(HasRun() ? 504 : 503, "deadline_before_send", kDefaultRetryAfter);
     } else {
-      Reply(runs_ > 0 ? 502 : 503, "configuration_not_proven", kDefaultRetryAfter);
+      Reply(HasRun() ? 502 : 503, "configuration_not_proven", kDefaultRetryAfter);
     }
     return;
   }
@@ -145,8 +145,8 @@
   lastEvent_ = now;
   answerClass_ = head.class_;
   isStreaming_ = IsStream() && answerClass_ == AnswerClass::Valid;
-  if (hedge_ && answerClass_ == AnswerClass::Valid && !isBegun_) {
-    DropHedge(AttemptHealth::Good);
+  if (hedge_ && answerClass_ == AnswerClass::Valid && !isStreaming_) {
+    DropHedge(AttemptHealth::Silent);
   }
   status_ = aStatus;
   if (!isBegun_) {
@@ -194,7 +194,8 @@
       lastEvent_ = now;
       isSilenceHandled_ = false;
       if (hedge_) {
-        DropHedge(AttemptHealth::Good); // it was asked to continue after an earlier event
+        DropHedge(AttemptHealth::Silent); // it was asked to continue after an earlier event
+        ArmTimer();
       }
       const auto begunAt = eventsBefore_ + kBegunEvents;
       if (eventsBefore < begunAt && events_.Events() >= begunAt) {
@@ -236,6 +237,7 @@
         self->lastEvent_ = self->lastByte_;
         self->isCallerSlow_ = false;
         self->call_->Resume();
+        self->ArmTimer();
       }
     });
     return false;
@@ -424,12 +426,17 @@
   if (isUnreachable && !isBegun_) {
     failed_.insert(aAttempt.upstream_);
   } else if (isUnreachable || aAttempt.hasSent_) {
-    const auto doublings = std::min<std::uint32_t>(attempts_ - 1, kMaxRefusalDoublings);
-    refusedUntil_[aAttempt.upstream_] =
-      context_.clock_.Now() + kInitialRefusalPause * (1 << doublings);
+    BackOff(aAttempt.upstream_);
   }
 }
 
+void
+RequestFlow::BackOff(const UpstreamId& aUpstream)
+{
+  const auto doublings = std::min<std::uint32_t>(attempts_ - 1, kMaxRefusalDoublings);
+  refusedUntil_[aUpstream] = context_.clock_.Now() + kInitialRefusalPause * (1 << doublings);
+}
+
 void
 RequestFlow::OnNotRun(std::string_view aReason)
 {
@@ -438,8 +445,8 @@
     ArmTimer();
     return;
   }
-  if (TimeLeft() <= kMinAnswerTime || (attempt_.hasSent_ && !AcquireRetry(false))) {
-    Reply(runs_ > 0 ? 502 : 503, aReason, RetryDelay());
+  if (TimeLeft() <= kMinAnswerTime || (attempt_.hasSent_ && !MayRetry(false))) {
+    Reply(HasRun() ? 502 : 503, aReason, RetryDelay());
     return;
   }
   Continue();
@@ -462,7 +469,7 @@
            aDenial.empty() ? "retry_taken" : "retry_denied",
            { { "id", admitted_.facts_.id_.Value() },
              { "cause", std::string(aDenial) },
-             { "runs", std::to_string(runs_) },
+             { "runs", std::to_string(ranAt_.size()) },
              { "retries_used", std::to_string(use.used_) },
              { "retries_allowed", std::to_string(use.allowed_) },
              { "hosts", std::to_string(use.hostCount_) } });
@@ -472,26 +479,30 @@
 }
 
 bool
-RequestFlow::AcquireRetry(bool aHasRun)
+RequestFlow::HasUpstreamLeft() const
+{
+  return ranAt_.size() < admitted_.route_->maxUpstreams_ || isBegun_;
+}
+
+bool
+RequestFlow::MayRetry(bool aHasRun)
 {
   const bool isLate = TimeLeft() <= kMinAnswerTime;
-  if (isLate || (aHasRun && runs_ >= admitted_.route_->maxUpstreams_)) {
+  if (isLate || (aHasRun && !HasUpstreamLeft())) {
     LogRetry(isLate ? "deadline" : "upstream_limit");
     return false;
   }
-  if (context_.retries_.TakeRetry(admitted_.service_)) {
-    LogRetry({});
-    return true;
+  needsRetry_ = isBegun_ || context_.retries_.CanTake(admitted_.service_);
+  if (!context_.retries_.CanTake(admitted_.service_)) {
+    LogRetry("retry_budget");
   }
-  LogRetry("retry_budget");
-  needsRetry_ = isBegun_;
-  return isBegun_;
+  return needsRetry_;
 }
 
 bool
 RequestFlow::CanContinue()
 {
-  if (origin_ && isBegun_ && IsSoftwareUncertain()) {
+  if (origin_ && isBegun_ && !origin_->isAmbiguous_ && IsSoftwareUncertain()) {
     origin_->isAmbiguous_ = true;
     ShareOrigin();
   }
@@ -502,8 +513,9 @@
 void
 RequestFlow::OnFailed(std::string_view aReason, bool aIsAnswerComplete)
 {
-  ++runs_;
+  ranAt_.insert(attempt_.upstream_);
   failed_.insert(attempt_.upstream_);
+  BackOff(attempt_.upstream_); // what has begun may return there, if no other upstream is left
   LogEvent(LogLevel::Info,
            "attempt_failed",
            { { "id", admitted_.facts_.id_.Value() },
@@ -519,7 +531,7 @@
     ArmTimer();
     return;
   }
-  if (canContinue && AcquireRetry(true)) {
+  if (canContinue && MayRetry(true)) {
     events_.Resume();
     Continue();
   } else if (hasError_) {
@@ -545,11 +557,11 @@
 {
   answer_.reset();
   LeaveQueue(false);
-  DropHedge(AttemptHealth::Good);
+  DropHedge(AttemptHealth::Silent);
   if (call_ && (admitted_.route_->repeat_ != RepeatRule::Once || !attempt_.hasSent_)) {
     call_->Cancel();
     call_.reset();
-    EndAttempt(AttemptHealth::Good);
+    EndAttempt(isSilenceHandled_ ? AttemptHealth::Silent : AttemptHealth::Good);
   }
   if (!call_) {
     Finish(0, "caller_gone");
@@ -564,14 +576,16 @@
   if (!answer_ || isBegun_) {
     return;
   }
-  DropHedge(AttemptHealth::Good);
+  DropHedge(AttemptHealth::Silent);
   if (call_) {
-    runs_ += attempt_.hasSent_ ? 1 : 0;
+    if (attempt_.hasSent_) {
+      ranAt_.insert(attempt_.upstream_);
+    }
     call_->Cancel();
     call_.reset();
     EndAttempt(AttemptHealth::Good);
   }
-  Reply(runs_ > 0 ? 502 : 503, "stopping", std::chrono::milliseconds(0));
+  Reply(HasRun() ? 502 : 503, "stopping", std::chrono::milliseconds(0));
 }
 
 /**
@@ -612,11 +626,11 @@
 RequestFlow::Finish(unsigned aStatus, std::string_view aReason)
 {
   LeaveQueue(false);
-  DropHedge(AttemptHealth::Good);
+  DropHedge(AttemptHealth::Silent);
   timer_.cancel();
   const auto elapsed = context_.clock_.Now() - admitted_.arrived_;
   const bool hasRun =
-    runs_ > 0 || aReason == "answered" || (aReason == "caller_gone" && attempt_.hasSent_);
+    HasRun() || aReason == "answered" || (aReason == "caller_gone" && attempt_.hasSent_);
   if (!hasRun && admitted_.workspace_ != nullptr) {
     context_.quota_.Return(admitted_.workspace_->id_, admitted_.tokens_);
   }
--- a/src/gateway/request_flow_hedge.cpp
+++ b/src/gateway/request_flow_hedge.cpp
@@ -6,34 +6,43 @@
 #include "logging/logging_func.h"
 #include "table/flow_const.h"
 
+#include <algorithm>
+
 namespace laburnumweir {
 
 TimePoint
 RequestFlow::Hedge::EndsAt() const
 {
-  return attempt_.sent_ + (attempt_.hasSent_ ? flow_->FirstByteLimit() : kConnectTimeout);
+  if (!attempt_.hasSent_) {
+    return attempt_.sent_ + kConnectTimeout;
+  }
+  // Two upstreams must not generate the same stream for long.
+  return attempt_.sent_ + (flow_->isBegun_ ? kContinuationHedgeTime : flow_->FirstByteLimit());
 }
 
 bool
 RequestFlow::MayHedge() const
 {
-  return MayRepeat() && call_ && !hedge_ && answer_ && runs_ + 1 < admitted_.route_->maxUpstreams_;
+  return MayRepeat() && call_ && !hedge_ && answer_ &&
+         (isBegun_ || UsedUpstreams().size() < admitted_.route_->maxUpstreams_);
 }
 
 void
 RequestFlow::TryHedge()
 {
   const auto& workspace = admitted_.workspace_;
-  if (!MayHedge() || context_.clock_.Now() >= LatestStart() || IsConfigTooOld() || !CanContinue() ||
+  if (!MayHedge() || !context_.retries_.CanTake(admitted_.service_) ||
+      context_.clock_.Now() >= LatestStart() || IsConfigTooOld() || !CanContinue() ||
       context_.quarantine_.TimeLeft(contents_) ||
       (workspace != nullptr &&
        context_.fleet_.Routes()->FindWorkspace(admitted_.facts_.key_) == nullptr)) {
     return;
   }
   const auto choice = ChooseUpstream();
-  if (choice.upstream_ == nullptr || !context_.retries_.TakeRetry(admitted_.service_)) {
+  if (choice.upstream_ == nullptr) {
     return;
   }
+  context_.retries_.TakeRetry(admitted_.service_);
   LogRetry({});
   hedge_ = std::make_shared<Hedge>(shared_from_this());
   hedge_->call_ = StartCall(choice, hedge_, hedge_->attempt_);
@@ -46,37 +55,65 @@
   const auto* upstream = context_.fleet_.Upstreams().Find(attempt.upstream_);
   if (IsConfigTooOld() || TimeLeft() <= Duration::zero() || upstream == nullptr ||
       !context_.fleet_.Upstreams().IsUsable(*upstream) || IsVersionTooOld(attempt)) {
-    DropHedge(AttemptHealth::Good);
+    DropHedge(AttemptHealth::Silent);
+    OnHedgeGone();
     return;
   }
+  attempt.sent_ = context_.clock_.Now();
   attempt.hasSent_ = true;
   sentTo_.insert(attempt.endpoint_);
   ArmTimer();
 }
 
 HeadAction
-RequestFlow::OnHedgeHead(unsigned aStatus, const boost::beast::http::fields& aFields)
+RequestFlow::OnHedgeHead(unsigned aStatus,
+                         std::string_view aReason,
+                         const boost::beast::http::fields& aFields,
+                         std::optional<std::uint64_t> aLength)
 {
-  auto head = ReadHead(hedge_->attempt_, *hedge_->call_, aStatus, aFields);
-  if (head.isForeign_) {
+  auto& hedge = *hedge_;
+  hedge.head_ = ReadHead(hedge.attempt_, *hedge.call_, aStatus, aFields);
+  if (hedge.head_.isForeign_) {
     return HeadAction::Skip;
   }
-  if (head.class_ == AnswerClass::Valid) {
-    TakeHedge();
-    return HeadAction::Accept;
+  hedge.status_ = aStatus;
+  hedge.reason_ = std::string(aReason);
+  hedge.fields_ = aFields;
+  hedge.length_ = aLength;
+  const bool isValid = hedge.head_.class_ == AnswerClass::Valid;
+  const bool isFinalError =
+    hedge.head_.class_ == AnswerClass::Error && aStatus / 100 == 4 && !isBegun_;
+  if (isValid && IsStream()) {
+    return HeadAction::Accept; // it may break off before its first event
+  }
+  if (isValid || isFinalError) {
+    return TakeHedge();
   }
-  hedge_->head_ = std::move(head);
-  hedge_->status_ = aStatus;
-  return hedge_->head_.class_ == AnswerClass::Invalid ? HeadAction::Reject : HeadAction::Discard;
+  return hedge.head_.class_ == AnswerClass::Invalid ? HeadAction::Reject : HeadAction::Discard;
 }
 
-void
+bool
+RequestFlow::OnHedgeBody(std::string_view aBytes)
+{
+  hedge_->body_.append(aBytes);
+  EventSplitter events;
+  std::string complete;
+  const bool isEventStream = events.Add(hedge_->body_, complete);
+  if (isEventStream && events.Events() == 0) {
+    return true;
+  }
+  const auto hedge = hedge_;
+  TakeHedge();
+  return OnBody(hedge->body_);
+}
+
+HeadAction
 RequestFlow::TakeHedge()
 {
   if (call_) {
     call_->Cancel();
     EndAttempt(AttemptHealth::Silent);
-    ++runs_;
+    ranAt_.insert(attempt_.upstream_);
     failed_.insert(attempt_.upstream_);
     LogEvent(LogLevel::Info,
              "attempt_failed",
@@ -96,6 +133,9 @@
   isSilenceHandled_ = false;
   hasError_ = false;
   body_.clear();
+  const auto action = OnHead(hedge->status_, hedge->reason_, hedge->fields_, hedge->length_);
+  ArmTimer();
+  return action;
 }
 
 void
@@ -103,7 +143,9 @@
 {
   if (const auto hedge = std::exchange(hedge_, nullptr)) {
     hedge->call_->Cancel();
-    runs_ += hedge->attempt_.hasSent_ ? 1 : 0;
+    if (hedge->attempt_.hasSent_) {
+      ranAt_.insert(hedge->attempt_.upstream_);
+    }
     EndAttempt(hedge->attempt_, aHealth, Duration::zero());
   }
 }
@@ -112,10 +154,11 @@
 RequestFlow::OnHedgeTimeout()
 {
   const auto attempt = hedge_->attempt_;
-  DropHedge(AttemptHealth::Unreachable);
   if (attempt.hasSent_) {
-    failed_.insert(attempt.upstream_);
+    DropHedge(AttemptHealth::Silent);
+    BackOff(attempt.upstream_);
   } else {
+    DropHedge(AttemptHealth::Unreachable);
     RecordNotRun(attempt, {}, "connect_timeout", 0);
   }
   OnHedgeGone();
@@ -141,9 +184,15 @@
                  head.facts_.isMisdirected_ ? "misdirected" : "refused_by_upstream",
                  hedge->status_);
   } else {
+    if (aEnd == CallEnd::Lost) {
+      // As in RecordCut(): many requests may have waited at the upstream.
+      context_.quarantine_.OnCut({ attempt.upstream_, attempt.startedAt_ },
+                                 { {}, contents_.request_ });
+    }
     EndAttempt(attempt, AttemptHealth::Failed, Duration::zero());
-    ++runs_;
+    ranAt_.insert(attempt.upstream_);
     failed_.insert(attempt.upstream_);
+    BackOff(attempt.upstream_);
   }
   OnHedgeGone();
 }
@@ -153,12 +202,12 @@
 {
   if (call_ || !answer_) {
     ArmTimer();
-  } else if (CanContinue() && AcquireRetry(true)) {
+  } else if (CanContinue() && MayRetry(HasRun())) {
     Continue();
   } else if (hasError_) {
     ForwardAnswer();
   } else {
-    Reply(502, "no_other_upstream", std::nullopt);
+    Reply(HasRun() ? 502 : 503, "no_other_upstream", RetryDelay());
   }
 }
 
--- a/src/gateway/request_flow_hedge.h
+++ b/src/gateway/request_flow_hedge.h
@@ -5,13 +5,15 @@
 #include "gateway/request_flow.h"
 
 #include <memory>
+#include <string>
 #include <string_view>
 
 namespace laburnumweir {
 
 /**
- * Handler of the call of a hedge. Until an answer begins, the flow decides between its attempts;
- * from then on the calls are those of the only attempt. Keeps its flow alive while the call runs.
+ * Handler of the call of a hedge. Until its answer has begun (a stream with its first event), the
+ * flow decides between its attempts; from then on the calls are those of the only attempt. Keeps
+ * its flow alive while the call runs.
  */
 class RequestFlow::Hedge : public CallHandler
 {
@@ -27,25 +29,27 @@
                     const boost::beast::http::fields& aFields,
                     std::optional<std::uint64_t> aLength) override
   {
-    if (!isTaken_) {
-      const auto action = flow_->OnHedgeHead(aStatus, aFields);
-      if (!isTaken_) {
-        return action;
-      }
-    }
-    return flow_->OnHead(aStatus, aReason, aFields, aLength);
+    return isTaken_ ? flow_->OnHead(aStatus, aReason, aFields, aLength)
+                    : flow_->OnHedgeHead(aStatus, aReason, aFields, aLength);
+  }
+  bool OnBody(std::string_view aBytes) override
+  {
+    return isTaken_ ? flow_->OnBody(aBytes) : flow_->OnHedgeBody(aBytes);
   }
-  bool OnBody(std::string_view aBytes) override { return !isTaken_ || flow_->OnBody(aBytes); }
   void OnEnd(CallEnd aEnd) override { isTaken_ ? flow_->OnEnd(aEnd) : flow_->OnHedgeEnd(aEnd); }
 
-  /** @return when the hedge is given up unless an answer begins. */
+  /** @return when the hedge is given up unless its answer begins. */
   TimePoint EndsAt() const;
 
   UpstreamAttempt attempt_;
-  AnswerHead head_;                    ///< Of an answer that does not continue the request.
-  unsigned status_ = 0;                ///< HTTP status of that answer.
-  std::shared_ptr<UpstreamCall> call_; ///< Empty once the call belongs to the flow.
-  bool isTaken_ = false;               ///< It is the only attempt of the flow.
+  AnswerHead head_;                     ///< Of its answer.
+  unsigned status_ = 0;                 ///< HTTP status of its answer.
+  std::string reason_;                  ///< HTTP reason phrase of its answer.
+  boost::beast::http::fields fields_;   ///< Header fields of its answer.
+  std::optional<std::uint64_t> length_; ///< Content-Length of its answer; none if not announced.
+  std::string body_;                    ///< Start of a stream without a complete event.
+  std::shared_ptr<UpstreamCall> call_;  ///< Empty once the call belongs to the flow.
+  bool isTaken_ = false;                ///< It is the only attempt of the flow.
 
 private:
   const std::shared_ptr<RequestFlow> flow_;
--- a/src/gateway/request_flow_timer.cpp
+++ b/src/gateway/request_flow_timer.cpp
@@ -25,7 +25,7 @@
   if (call_ || hedge_) {
     next += kDeadlineGrace;
   }
-  if (call_ && !firstByte_ && !admitted_.facts_.adapter_.empty()) {
+  if (((call_ && !firstByte_) || hedge_) && !admitted_.facts_.adapter_.empty()) {
     // A release may come at any time.
     next = std::min(next,
                     now + std::chrono::duration_cast<Duration>(kOldVersionCheckFraction *
@@ -70,15 +70,23 @@
     return;
   }
   if (now >= deadline_ + (call_ || hedge_ ? kDeadlineGrace : Duration::zero())) {
-    DropHedge(AttemptHealth::Good);
+    DropHedge(AttemptHealth::Silent);
     if (call_) {
       const bool mayHaveRun = attempt_.hasSent_;
       call_->Cancel();
       call_.reset();
-      EndAttempt(firstByte_ ? AttemptHealth::Good : AttemptHealth::Unreachable);
-      runs_ += mayHaveRun ? 1 : 0;
+      EndAttempt(isSilenceHandled_ ? AttemptHealth::Silent
+                 : firstByte_      ? AttemptHealth::Good
+                                   : AttemptHealth::Unreachable);
+      if (mayHaveRun) {
+        ranAt_.insert(attempt_.upstream_);
+      }
     }
-    Reply(runs_ > 0 ? 504 : 503, "deadline", std::nullopt);
+    if (hasError_) {
+      ForwardAnswer();
+      return;
+    }
+    Reply(HasRun() ? 504 : 503, "deadline", std::nullopt);
     return;
   }
   if (call_ && !attempt_.hasSent_ && now - attempt_.sent_ >= kConnectTimeout) {
@@ -95,7 +103,7 @@
     OnFailed("old_version_not_begun", false);
     return;
   }
-  if (hedge_ && now >= hedge_->EndsAt()) {
+  if (hedge_ && (now >= hedge_->EndsAt() || IsVersionTooOld(hedge_->attempt_))) {
     OnHedgeTimeout();
   }
   if (answer_) {
--- a/src/table/flow_const.h
+++ b/src/table/flow_const.h
@@ -31,6 +31,11 @@
 constexpr int kSilenceLatencyMultiple = 3;
 /** Minimum time before an upstream without a first byte is considered silent. */
 constexpr Duration kMinSilenceTimeout = std::chrono::milliseconds(400);
+/**
+ * Time within which the second attempt of a stream that has begun must deliver an event. After a
+ * longer time, the platform takes both upstreams to work on the same stream.
+ */
+constexpr Duration kContinuationHedgeTime = std::chrono::milliseconds(300);
 /** Interval at which a second attempt is tried while the first one is silent. */
 constexpr Duration kHedgeInterval = std::chrono::milliseconds(150);
 /**
--- a/tests/gateway/request_flow_silence_test.cpp
+++ b/tests/gateway/request_flow_silence_test.cpp
@@ -236,5 +236,153 @@
   ExpectWhole();
 }
 
+// Guards against a request that is lost without an answer: its first attempt ends while the second
+// one is being connected, and the second upstream leaves meanwhile.
+TEST_F(SilenceTest, StreamWaitsIfBothUpstreamsAreLostAtOnce)
+{
+  ScriptedServer broken([](Peer& aPeer, int) {
+    aPeer.ReadRequest();
+    aPeer.Send(kStreamHead + Chunk(kEvent1));
+    std::this_thread::sleep_for(1230ms); // the second attempt starts after 1.2 s
+    aPeer.Close();
+  });
+  ScriptedServer leaving([](Peer& aPeer, int) { aPeer.ReadSome(200ms); });
+  ScriptedServer sound([](Peer& aPeer, int) {
+    aPeer.ReadRequest();
+    SendSecondEvent(aPeer);
+  });
+  SetUpstreams({ broken.Address(), leaving.Address(), sound.Address() });
+  const UpstreamLoad full{ UpstreamId("u16"), 16, std::nullopt };
+  fleet_.Upstreams().OnPeerLoad(HostId("h2"), std::span(&full, 1));
+  Start();
+  while (fleet_.Upstreams().Find(UpstreamId("u32"))->running_ == 0) {
+    context_.run_for(1ms);
+    context_.restart();
+  }
+  fleet_.Upstreams().OnLeaving(UpstreamId("u32"), startedAt_);
+  std::this_thread::sleep_for(100ms); // the first attempt ends before the event loop runs again
+  fleet_.Upstreams().OnPeerLoad(HostId("h2"), {});
+  Finish(7s);
+  ExpectWhole();
+}
+
+// Guards against new requests that are refused because a stream that has begun waits for the retry
+// budget: it holds no slot and delays nobody.
+TEST_F(SilenceTest, WaitingStreamDoesNotMakeTheQueueLong)
+{
+  retries_.SetBounds({ 0, 0, 10s });
+  ScriptedServer broken([](Peer& aPeer, int) { BreakOffAfterFirstEvent(aPeer); });
+  ScriptedServer sound([](Peer& aPeer, int) { aPeer.ReadSome(200ms); });
+  timeout_ = 2s;
+  SetUpstreams({ broken.Address(), sound.Address() });
+  Start();
+  const auto end = std::chrono::steady_clock::now() + 1200ms;
+  while (std::chrono::steady_clock::now() < end) {
+    context_.run_for(5ms);
+    context_.restart();
+    for (const auto& [ticket, flow] : std::map(waiting_)) {
+      flow->TryStart();
+    }
+  }
+  EXPECT_EQ(queue_.Size(), 1U);
+  const auto estimate = queue_.EstimateWait(ServiceName("app"), 5);
+  EXPECT_TRUE(!estimate || *estimate == Duration::zero());
+}
+
+// Guards against a stream that its host ends since its upstream broke off after a second attempt
+// had been dropped: with it, the upstreams of the route are used up.
+TEST_F(SilenceTest, StreamContinuesWhereItsSecondAttemptWas)
+{
+  maxUpstreams_ = 2;
+  ScriptedServer pausing([](Peer& aPeer, int) {
+    aPeer.ReadRequest();
+    aPeer.Send(kStreamHead + Chunk(kEvent1));
+    std::this_thread::sleep_for(1300ms);
+    aPeer.Send(Chunk("id: 1a\ndata: x\n\n"));
+    std::this_thread::sleep_for(50ms);
+    aPeer.Close();
+  });
+  ScriptedServer second([](Peer& aPeer, int aNumber) {
+    aPeer.ReadRequest();
+    if (aNumber == 0) {
+      aPeer.WaitClosed(1s);
+    } else {
+      SendSecondEvent(aPeer);
+    }
+  });
+  ScriptedServer third([](Peer& aPeer, int) { aPeer.ReadSome(200ms); });
+  SetUpstreams({ pausing.Address(), second.Address(), third.Address() });
+  Start();
+  Finish(7s);
+  EXPECT_TRUE(answer_->isComplete_);
+  EXPECT_EQ(answer_->body_, std::string(kEvent1) + "id: 1a\ndata: x\n\n" + kEvent2);
+  EXPECT_EQ(third.Accepted(), 0) << "the route allows two upstreams";
+}
+
+// Guards against a stream that is given up for the head of another answer, which breaks off before
+// its first event.
+TEST_F(SilenceTest, HeadWithoutAnEventDoesNotEndTheFirstAttempt)
+{
+  ScriptedServer slow([](Peer& aPeer, int) { SendWithPause(aPeer); });
+  ScriptedServer headOnly([](Peer& aPeer, int) {
+    aPeer.ReadRequest();
+    aPeer.Send(kStreamHead);
+    std::this_thread::sleep_for(50ms);
+    aPeer.Close();
+  });
+  SetUpstreams({ slow.Address(), headOnly.Address() });
+  Start();
+  Finish(7s);
+  ExpectWhole();
+}
+
+// Guards against an answer that is thrown away because the first attempt is silent.
+TEST_F(SilenceTest, FinalErrorOfTheSecondAttemptIsDelivered)
+{
+  repeat_ = RepeatRule::Repeatable;
+  timeout_ = 2s;
+  ScriptedServer silent([](Peer& aPeer, int) {
+    aPeer.ReadRequest();
+    aPeer.WaitClosed(3s);
+  });
+  ScriptedServer unknown([](Peer& aPeer, int) {
+    aPeer.ReadRequest();
+    aPeer.Send(Answer("unknown", "HTTP/1.1 404 Not Found\r\n" + kSigned));
+    aPeer.ReadSome(200ms);
+  });
+  SetUpstreams({ silent.Address(), unknown.Address() });
+  Start();
+  Finish(4s);
+  EXPECT_EQ(answer_->status_, 404U);
+  EXPECT_EQ(answer_->body_, "unknown");
+}
+
+// Guards against a stream that is not continued because its upstream stopped while the caller did
+// not read.
+TEST_F(SilenceTest, SilenceAfterASlowCallerIsNoticed)
+{
+  answer_->unsentBytes_ = std::size_t{ 1 } << 20;
+  ScriptedServer stopped([](Peer& aPeer, int) {
+    aPeer.ReadRequest();
+    aPeer.Send(kStreamHead + Chunk(kEvent1));
+    aPeer.WaitClosed(5s);
+  });
+  ScriptedServer sound([](Peer& aPeer, int) {
+    aPeer.ReadRequest();
+    SendSecondEvent(aPeer);
+  });
+  SetUpstreams({ stopped.Address(), sound.Address() });
+  Start();
+  boost::asio::steady_timer timer(context_, 1500ms);
+  timer.async_wait([this](auto) {
+    EXPECT_EQ(fleet_.Upstreams().Find(UpstreamId("u32"))->running_, 0U)
+      << "the caller is slow, not the upstream";
+    answer_->unsentBytes_ = 0;
+    answer_->onSent_();
+  });
+  Finish(5s);
+  ExpectWhole();
+}
+
 } // namespace
 } // namespace laburnumweir
--- a/tests/gateway/request_flow_support.h
+++ b/tests/gateway/request_flow_support.h
@@ -32,8 +32,8 @@
   void Data(std::string_view aBytes) override { body_.append(aBytes); }
   void End() override { isComplete_ = true; }
   void Abort() override { isAborted_ = true; }
-  std::size_t UnsentBytes() const override { return 0; }
-  void NotifyWhenSent(std::function<void()>) override {}
+  std::size_t UnsentBytes() const override { return unsentBytes_; }
+  void NotifyWhenSent(std::function<void()> aFunction) override { onSent_ = std::move(aFunction); }
   void NotifyWhenGone(std::function<void()> aFunction) override
   {
     onDisconnect_ = std::move(aFunction);
@@ -51,6 +51,8 @@
   std::string body_;
   bool isComplete_ = false;
   bool isAborted_ = false;
+  std::size_t unsentBytes_ = 0; ///< That the caller has not read.
+  std::function<void()> onSent_;
   std::function<void()> onDisconnect_;
   std::function<void()> onStopping_;
 };
@@ -120,7 +122,7 @@
     route.timeout_ = timeout_;
     route.targetLatency_ = 100ms;
     route.targetPause_ = 100ms;
-    route.maxUpstreams_ = 3;
+    route.maxUpstreams_ = maxUpstreams_;
     route.services_ = { { service.name_, 1 } };
     config.routes_ = { route };
     if (hasKey_) {
@@ -243,6 +245,7 @@
   std::int64_t startedAt_ = 0;              ///< Start time of the processes of the upstreams.
   std::vector<ResidentModel> engineModels_; ///< If set, the upstreams are engines with these.
   RepeatRule repeat_ = RepeatRule::Once;
+  std::uint32_t maxUpstreams_ = 3; ///< Of the route.
   bool isResumable_ = false;
   bool hasKey_ = false;
 };
