--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -1,6 +1,7 @@
 /** @file caller_session.cpp HTTP/1.1 server of a gateway: listener, connections and answers. */
 #include "gateway/caller_session.h"
 
+#include "gateway/answer_head.h"
 #include "http/header_func.h"
 #include "http/message_parser.h"
 #include "logging/logging_func.h"
@@ -36,25 +37,6 @@
 
 } // namespace
 
-std::string
-AnswerHeadText(unsigned aStatus, std::string_view aReason, const http::fields& aFields)
-{
-  std::string text = "HTTP/1.1 " + std::to_string(aStatus) + " ";
-  if (aReason.empty()) {
-    const auto reason = http::obsolete_reason(http::int_to_status(aStatus));
-    text.append(reason.data(), reason.size());
-  } else {
-    text.append(aReason);
-  }
-  text += "\r\n";
-  for (const auto& field : aFields) {
-    text.append(field.name_string().data(), field.name_string().size()).append(": ");
-    text.append(field.value().data(), field.value().size()).append("\r\n");
-  }
-  text += "\r\n";
-  return text;
-}
-
 /** One connection of a caller. Answers one request at a time, in the order of their arrival. */
 class CallerSession
   : public AnswerStream
@@ -132,14 +114,7 @@
     mustClose_ = mustClose_ || (!isBodiless && !aLength && !isHttp11_);
     isBodiless_ = isBodiless;
     remaining_ = aLength;
-    http::fields fields;
-    const std::string connection(aFields[http::field::connection]);
-    for (const auto& field : aFields) {
-      const std::string_view name(field.name_string().data(), field.name_string().size());
-      if (!IsHopByHop(name, connection) && field.name() != http::field::content_length) {
-        fields.insert(field.name_string(), field.value());
-      }
-    }
+    auto fields = EndToEndFields(aFields);
     if (isChunked_) {
       fields.set(http::field::transfer_encoding, "chunked");
     } else if (aLength) {
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -131,15 +131,6 @@
   bool isStopped_ = false;
 };
 
-/**
- * @param aReason reason phrase; the standard phrase of the status if empty.
- * @return status line and header fields of an HTTP/1.1 answer, with the empty line after them.
- */
-std::string
-AnswerHeadText(unsigned aStatus,
-               std::string_view aReason,
-               const boost::beast::http::fields& aFields);
-
 } // namespace laburnumweir
 
 #endif
