--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -311,8 +311,10 @@
   void OnRequest()
   {
     phase_ = Phase::Answering;
-    auto request = parser_->Release();
+    auto message = parser_->Release();
     parser_.reset();
+    HttpRequest request(std::move(message.base()));
+    request.body() = SharedText(std::move(message.body()));
     isHttp11_ = request.version() >= 11;
     isHeadRequest_ = request.method() == http::verb::head;
     mustClose_ = !request.keep_alive();
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -3,13 +3,13 @@
 #define LABURNUMWEIR_GATEWAY_CALLER_SESSION_H
 
 #include "core/upstream_client_base.h"
+#include "http/shared_body.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -22,8 +22,8 @@
 
 namespace laburnumweir {
 
-/** A request with its complete body. */
-using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
+/** A request with its complete body, which all copies of the request share. */
+using HttpRequest = boost::beast::http::request<SharedBody>;
 
 /** Receives the answer to one request. Calls after End(), Abort() or a disconnect do nothing. */
 class AnswerStream
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -33,7 +33,7 @@
     head.append(text.data(), text.size()).push_back('\n');
   }
   head += aRequest.workspace_ == nullptr ? "" : aRequest.workspace_->id_.Value();
-  return ContentId("request:" + std::to_string(RendezvousWeight(head, message.body())));
+  return ContentId("request:" + std::to_string(RendezvousWeight(head, message.body().View())));
 }
 
 RequestContents
@@ -458,9 +458,9 @@
   context_.codec_.PrepareForward(request, facts);
   request.version(11);
   request.keep_alive(true);
-  const bool hasBody = !request.body().empty() || request.method() == http::verb::post ||
+  const bool hasBody = !request.body().View().empty() || request.method() == http::verb::post ||
                        request.method() == http::verb::put;
-  request.content_length(hasBody ? boost::optional<std::uint64_t>(request.body().size())
+  request.content_length(hasBody ? boost::optional<std::uint64_t>(request.body().View().size())
                                  : boost::none);
   return request;
 }
