--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -4,7 +4,6 @@
 #include "gateway/answer_head.h"
 #include "http/header_func.h"
 #include "http/message_parser.h"
-#include "logging/logging_func.h"
 
 #include <algorithm>
 #include <array>
@@ -34,18 +33,50 @@
 constexpr std::chrono::milliseconds kTimeoutCheckInterval{ 250 };
 // Accepting fails while no file descriptor is free; immediate retries would be a busy loop.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{ 50 };
+// Copies of a request's head: the one that was read and those of two attempts at once.
+constexpr std::size_t kHeadCopies = 3;
+// Receive buffer of a connection, which the kernel doubles. Without it, the buffer of a connection
+// that sends more than is read can grow to several MB.
+constexpr int kReceiveBufferBytes = 128 << 10;
+// Time and bytes (beside those of a body) for which a connection is read after a rejection. A close
+// with unread bytes would be a reset, which can destroy the answer before the caller has read it.
+constexpr std::chrono::milliseconds kLingerTime{ 1000 };
+constexpr std::size_t kLingerBytes = std::size_t{ 64 } << 10;
+// Time after which a caller may repeat a request that was rejected for lack of memory.
+constexpr const char* kMemoryRetryAfter = "0.500";
+
+// Reasons in the log and the metrics of rejections.
+constexpr std::string_view kReasonMemory = "memory";
+constexpr std::string_view kReasonSessions = "too_many_connections";
+
+std::string_view
+ReasonOf(unsigned aStatus)
+{
+  switch (aStatus) {
+    case 408:
+      return "request_timeout";
+    case 413:
+      return "body_too_large";
+    case 431:
+      return "head_too_large";
+    default:
+      return "malformed";
+  }
+}
 
 } // namespace
 
 /** One connection of a caller. Answers one request at a time, in the order of their arrival. */
 class CallerSession
   : public AnswerStream
+  , private EvictableRequest
   , public std::enable_shared_from_this<CallerSession>
 {
 public:
   CallerSession(HttpListener& aListener, tcp::socket aSocket)
     : listener_(aListener)
     , socket_(std::move(aSocket))
+    , bufferCharge_(aListener.services_.memory_)
     , phaseStart_(SteadyClock::now())
   {
   }
@@ -57,24 +88,28 @@
     Read();
   }
 
-  bool IsBusy() const { return phase_ != Phase::Idle && phase_ != Phase::Closed; }
+  bool IsBusy() const
+  {
+    return phase_ == Phase::Head || phase_ == Phase::Body || phase_ == Phase::Answering;
+  }
 
   /** @return whether bytes have been received that were not read yet. */
   bool HasUnreadInput() const
   {
     BoostError error;
-    return phase_ != Phase::Closed && socket_.available(error) > 0;
+    return phase_ != Phase::Lingering && phase_ != Phase::Closed && socket_.available(error) > 0;
   }
 
   /** Closes an idle connection, or refuses an incomplete request, whose time limit has passed. */
   void CheckTimeout(SteadyClock::time_point aNow)
   {
     const auto& limits = listener_.limits_;
-    if (phase_ == Phase::Idle && aNow - phaseStart_ > limits.idleTimeout_) {
+    const auto waited = aNow - phaseStart_;
+    if ((phase_ == Phase::Idle && waited > limits.idleTimeout_) ||
+        (phase_ == Phase::Lingering && waited > kLingerTime)) {
       Close();
-    } else if ((phase_ == Phase::Head || phase_ == Phase::Body) &&
-               aNow - phaseStart_ > limits.headTimeout_) {
-      Refuse(408);
+    } else if ((phase_ == Phase::Head || phase_ == Phase::Body) && waited > limits.headTimeout_) {
+      Refuse(408, ReasonOf(408));
     }
   }
 
@@ -90,6 +125,8 @@
       socket_.shutdown(tcp::socket::shutdown_send, ignored);
     }
     socket_.close(ignored);
+    parser_.reset();
+    charge_.reset();
     onSent_ = nullptr;
     onStopping_ = nullptr;
     auto onDisconnect = std::exchange(onDisconnect_, nullptr);
@@ -215,6 +252,7 @@
     Head,      ///< Reads the request line and header fields.
     Body,      ///< Reads the request body.
     Answering, ///< Waits for the handler or writes the answer.
+    Lingering, ///< Discards what follows a rejected request.
     Closed     ///< The socket is closed.
   };
 
@@ -222,26 +260,40 @@
   {
     const std::size_t room = phase_ == Phase::Body ? kBodyReadBytes : kHeadReadBytes;
     if (isReading_ || phase_ == Phase::Closed ||
-        (phase_ == Phase::Answering && buffer_.size() >= kMaxPipelinedBytes)) {
+        (phase_ == Phase::Answering &&
+         (buffer_.size() >= kMaxPipelinedBytes ||
+          (buffer_.size() > 0 && listener_.services_.memory_->IsFull())))) {
       return;
     }
     isReading_ = true;
-    socket_.async_read_some(buffer_.prepare(room),
-                            [self = shared_from_this()](BoostError aError, std::size_t aBytes) {
-                              self->isReading_ = false;
-                              self->buffer_.commit(aBytes);
-                              if (aError) {
-                                self->Close();
-                                return;
-                              }
-                              self->OnInput();
-                            });
+    if (buffer_.size() == 0 && buffer_.capacity() > room) {
+      buffer_ = {}; // idle and answering connections keep no large buffer
+    }
+    socket_.async_read_some(
+      buffer_.prepare(room), [self = shared_from_this()](BoostError aError, std::size_t aBytes) {
+        self->isReading_ = false;
+        self->buffer_.commit(aBytes);
+        if (aError == asio::error::operation_aborted && self->phase_ != Phase::Closed) {
+          self->Read(); // after ReleaseBuffer()
+          return;
+        }
+        if (aError) {
+          self->Close();
+          return;
+        }
+        self->OnInput();
+      });
   }
 
   void OnInput()
   {
+    if (phase_ == Phase::Lingering) {
+      Discard();
+      return;
+    }
     if (phase_ == Phase::Answering || phase_ == Phase::Closed) {
       Read();
+      ChargeBuffer();
       return;
     }
     if (phase_ == Phase::Idle && buffer_.size() > 0) {
@@ -261,7 +313,10 @@
     parser_.emplace();
     parser_->eager(true);
     parser_->header_limit(static_cast<std::uint32_t>(listener_.limits_.maxHeadBytes_));
-    parser_->body_limit(listener_.limits_.maxBodyBytes_);
+    parser_->SetBodyLimit(listener_.limits_.maxBodyBytes_);
+    bufferCharge_.Set(0);
+    charge_ = std::make_shared<MemoryCharge>(listener_.services_.memory_,
+                                             static_cast<EvictableRequest*>(this));
     isBegun_ = isEnded_ = isHeadRequest_ = isChunked_ = isBodiless_ = mustClose_ = false;
     isHttp11_ = true;
     remaining_.reset();
@@ -275,12 +330,16 @@
         break;
       }
       if (error) {
-        Refuse(error == http::error::header_limit ? 431
-               : error == http::error::body_limit ? 413
-                                                  : 400);
+        const unsigned status = error == http::error::header_limit ? 431
+                                : error == http::error::body_limit ? 413
+                                                                   : 400;
+        Refuse(status, ReasonOf(status));
         return;
       }
     }
+    if (!Charge()) {
+      return;
+    }
     if (phase_ == Phase::Head && parser_->is_header_done()) {
       phase_ = Phase::Body;
       phaseStart_ = SteadyClock::now();
@@ -297,28 +356,80 @@
     }
   }
 
-  /** Answers an invalid, too large or late request with an error, then closes the connection. */
-  void Refuse(unsigned aStatus)
+  /**
+   * Charges the bytes of the request that is being read.
+   * @return false if it was rejected because all requests together hold too many bytes.
+   */
+  bool Charge()
+  {
+    const auto charge = charge_; // a rejection drops it from this session
+    return charge->Set(buffer_.capacity() + kHeadCopies * parser_->HeadBytes() +
+                       parser_->BodyBytes());
+  }
+
+  /** Charges the bytes that were received behind a complete request. */
+  void ChargeBuffer() { bufferCharge_.Set(phase_ == Phase::Answering ? buffer_.capacity() : 0); }
+
+  void OnEvicted() override { Refuse(503, kReasonMemory); }
+
+  /** Answers a request that was not read completely with an error, then closes the connection. */
+  void Refuse(unsigned aStatus, std::string_view aReason)
   {
-    LogEvent(LogLevel::Info, "request_unreadable", { { "status", std::to_string(aStatus) } });
+    listener_.services_.rejections_->Record(aReason, SteadyClock::now());
     phase_ = Phase::Answering;
     mustClose_ = true;
+    isRefused_ = true;
     http::fields fields;
+    if (aStatus == 503) {
+      fields.set(http::field::retry_after, kMemoryRetryAfter);
+    }
+    if (parser_->is_header_done()) {
+      listener_.handler_.OnRejected(parser_->Get().base(), fields);
+    }
+    parser_.reset();
+    charge_.reset();
+    buffer_.consume(buffer_.size());
+    ReleaseBuffer();
     Begin(aStatus, {}, fields, 0);
     End();
   }
 
+  /** Ends the connection after a rejection, so that the caller can still read the answer. */
+  void Linger()
+  {
+    phase_ = Phase::Lingering;
+    phaseStart_ = SteadyClock::now();
+    lingerBytes_ = listener_.limits_.maxBodyBytes_ + kLingerBytes;
+    BoostError ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    Discard();
+  }
+
+  void Discard()
+  {
+    lingerBytes_ -= std::min(lingerBytes_, buffer_.size());
+    buffer_.consume(buffer_.size());
+    if (lingerBytes_ == 0) {
+      Close();
+      return;
+    }
+    Read();
+  }
+
   void OnRequest()
   {
     phase_ = Phase::Answering;
+    charge_->Complete();
+    charge_->Set(kHeadCopies * parser_->HeadBytes() + parser_->BodyBytes());
     auto message = parser_->Release();
     parser_.reset();
     HttpRequest request(std::move(message.base()));
-    request.body() = SharedText(std::move(message.body()));
+    request.body() = SharedText(std::move(message.body()), std::exchange(charge_, nullptr));
     isHttp11_ = request.version() >= 11;
     isHeadRequest_ = request.method() == http::verb::head;
     mustClose_ = !request.keep_alive();
     Read(); // a pending read reports when the caller closes the connection
+    ChargeBuffer();
     listener_.handler_.OnRequest(std::move(request), shared_from_this());
   }
 
@@ -360,19 +471,40 @@
   void FinishAnswer()
   {
     isEnded_ = false;
+    if (std::exchange(isRefused_, false)) {
+      Linger();
+      return;
+    }
     if (mustClose_) {
       Close();
       return;
     }
     phase_ = Phase::Idle;
     phaseStart_ = SteadyClock::now();
+    ReleaseBuffer();
+    queued_ = {};
+    writing_ = {};
     OnInput();
   }
 
+  /** Frees a large read buffer, since the connection is idle or was rejected. */
+  void ReleaseBuffer()
+  {
+    bufferCharge_.Set(0);
+    if (isReading_ && buffer_.size() == 0 && buffer_.capacity() > kHeadReadBytes) {
+      // The pending read uses the buffer; the next one gets a small buffer.
+      BoostError ignored;
+      socket_.cancel(ignored);
+    }
+  }
+
   HttpListener& listener_; ///< Outlives the session.
   tcp::socket socket_;
   boost::beast::flat_buffer buffer_;       ///< Received bytes that have not been parsed.
   std::optional<RequestParser> parser_;    ///< Request being read; empty in other phases.
+  std::shared_ptr<MemoryCharge> charge_;   ///< Of the request being read.
+  MemoryCharge bufferCharge_;              ///< Of buffer_ while no request is read.
+  std::size_t lingerBytes_ = 0;            ///< Bytes that are discarded before the close.
   SteadyClock::time_point phaseStart_;     ///< When the phase started, for its time limit.
   std::string queued_;                     ///< Bytes to write once writing_ is written.
   std::string writing_;                    ///< Bytes of the running write.
@@ -390,13 +522,18 @@
   bool isChunked_ = false;     ///< The body of the answer is sent chunked.
   bool isBodiless_ = false;    ///< The answer has no body: HEAD, 204 or 304.
   bool mustClose_ = false;     ///< The connection is closed after this answer.
+  bool isRefused_ = false;     ///< The answer rejects a request that was not read completely.
   bool mustReset_ = false;     ///< The connection is closed by a reset.
 };
 
-HttpListener::HttpListener(asio::io_context& aContext, HttpHandler& aHandler, SessionLimits aLimits)
+HttpListener::HttpListener(asio::io_context& aContext,
+                           HttpHandler& aHandler,
+                           SessionLimits aLimits,
+                           ListenerServices aServices)
   : context_(aContext)
   , handler_(aHandler)
   , limits_(aLimits)
+  , services_(std::move(aServices))
   , acceptor_(aContext)
   , timer_(aContext)
 {
@@ -418,6 +555,10 @@
   if (!error) {
     acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
   }
+  if (!error) {
+    // Accepted connections inherit it.
+    acceptor_.set_option(asio::socket_base::receive_buffer_size(kReceiveBufferBytes), error);
+  }
   if (!error) {
     acceptor_.bind(endpoint, error);
   }
@@ -453,8 +594,7 @@
       sessions_.insert(session);
       session->Start();
     } else {
-      LogEvent(
-        LogLevel::Warn, "connection_refused", { { "sessions", std::to_string(sessions_.size()) } });
+      services_.rejections_->Record(kReasonSessions, SteadyClock::now());
     }
     Accept();
   });
@@ -469,6 +609,7 @@
       return;
     }
     const auto now = SteadyClock::now();
+    services_.rejections_->Flush(now);
     const std::vector<std::shared_ptr<CallerSession>> sessions(sessions_.begin(), sessions_.end());
     for (const auto& session : sessions) {
       session->CheckTimeout(now);
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -3,6 +3,8 @@
 #define LABURNUMWEIR_GATEWAY_CALLER_SESSION_H
 
 #include "core/upstream_client_base.h"
+#include "gateway/rejection_log.h"
+#include "gateway/request_memory.h"
 #include "http/shared_body.h"
 
 #include <boost/asio/io_context.hpp>
@@ -66,6 +68,15 @@
   virtual ~HttpHandler() = default;
   /** @param aAnswer receives the answer, during this call or later. */
   virtual void OnRequest(HttpRequest aRequest, std::shared_ptr<AnswerStream> aAnswer) = 0;
+  /**
+   * Completes the answer to a request that is rejected before OnRequest().
+   * @param aRequest head of the request.
+   * @param aAnswer fields of the answer.
+   */
+  virtual void OnRejected(const boost::beast::http::fields& /*aRequest*/,
+                          boost::beast::http::fields& /*aAnswer*/)
+  {
+  }
 };
 
 /** Limits of a listener and its connections. */
@@ -80,6 +91,13 @@
   std::size_t maxSessions_ = 2000; ///< Further connections are closed immediately.
 };
 
+/** What the listeners of a process share. */
+struct ListenerServices
+{
+  std::shared_ptr<RequestMemory> memory_ = std::make_shared<RequestMemory>();
+  std::shared_ptr<RejectionLog> rejections_ = std::make_shared<RejectionLog>();
+};
+
 class CallerSession;
 
 /** Accepts connections and owns their sessions. Not thread-safe. */
@@ -87,7 +105,10 @@
 {
 public:
   /** @param aContext must outlive the listener. @param aHandler must outlive the listener. */
-  HttpListener(boost::asio::io_context& aContext, HttpHandler& aHandler, SessionLimits aLimits);
+  HttpListener(boost::asio::io_context& aContext,
+               HttpHandler& aHandler,
+               SessionLimits aLimits,
+               ListenerServices aServices = {});
   ~HttpListener();
   HttpListener(const HttpListener&) = delete;
   HttpListener& operator=(const HttpListener&) = delete;
@@ -124,6 +145,7 @@
   boost::asio::io_context& context_;
   HttpHandler& handler_;
   SessionLimits limits_;
+  ListenerServices services_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer timer_; ///< Next check of the connections' time limits.
   std::unordered_set<std::shared_ptr<CallerSession>> sessions_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -133,9 +133,16 @@
     , gossipLink_(aContext, [this](std::string_view aPayload) { gossip_->OnPayload(aPayload); })
     , readyPage_([this](std::string_view) { return ReadyPage(); })
     , metricsPage_([this](std::string_view) { return std::pair(200U, metrics_.Print()); })
-    , callers_(aContext, *this, CallerSessionLimits())
-    , readiness_(aContext, readyPage_, SessionLimits())
-    , metricsServer_(aContext, metricsPage_, SessionLimits())
+    , listenerServices_{ std::make_shared<RequestMemory>(RequestMemoryLimit(settings_.memoryMb_)),
+                         std::make_shared<RejectionLog>([this](std::string_view aReason) {
+                           metrics_
+                             .GetCounter(
+                               "laburnumweir_gateway_callers_rejected_total", "reason", aReason)
+                             .Add();
+                         }) }
+    , callers_(aContext, *this, CallerSessionLimits(), listenerServices_)
+    , readiness_(aContext, readyPage_, SessionLimits(), listenerServices_)
+    , metricsServer_(aContext, metricsPage_, SessionLimits(), listenerServices_)
     , signals_(aContext, SIGTERM, SIGHUP, SIGINT)
   {
     gossip_ = std::make_shared<GossipService>(
@@ -212,6 +219,10 @@
     }
     metrics_.SetGauge("laburnumweir_gateway_sessions",
                       [this] { return static_cast<double>(callers_.Sessions()); });
+    metrics_.SetGauge("laburnumweir_gateway_request_bytes",
+                      [this] { return static_cast<double>(listenerServices_.memory_->Held()); });
+    metrics_.SetGauge("laburnumweir_gateway_request_bytes_limit",
+                      [this] { return static_cast<double>(listenerServices_.memory_->Limit()); });
     metrics_.SetGauge("laburnumweir_gateway_waiting_requests",
                       [this] { return static_cast<double>(queue_.Size()); });
     metrics_.SetGauge("laburnumweir_gateway_proof_age_seconds", [this] {
@@ -303,6 +314,11 @@
     std::make_shared<RequestFlow>(flowContext_, std::move(admitted), std::move(aAnswer))->Start();
   }
 
+  void OnRejected(const http::fields& aRequest, http::fields& aAnswer) override
+  {
+    ports_.codec_.MarkOwnAnswer(aAnswer, ports_.codec_.ReadRequest(aRequest).id_);
+  }
+
 private:
   static constexpr std::uint64_t kRandomRange = std::uint64_t{ 1 } << 32;
 
@@ -619,6 +635,7 @@
   GossipLink gossipLink_;
   PageHandler readyPage_;
   PageHandler metricsPage_;
+  ListenerServices listenerServices_;
   HttpListener callers_;   ///< Serves callers.
   HttpListener readiness_; ///< Serves readiness checks of the balancer.
   HttpListener metricsServer_;
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -4,6 +4,7 @@
 
 #include "http/header_func.h"
 
+#include <algorithm>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
@@ -11,6 +12,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/optional.hpp>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -23,7 +25,8 @@
  * - A field that is too long for the message is an error, not an exception.
  * - Trailer fields are checked and dropped. Merged into the head, they could replace a field on
  *   which a decision has been made (RFC 9110, 6.5.1).
- * - Nothing is reserved for an announced length.
+ * - Nothing is reserved for an announced length. The memory of a body at most doubles as it grows,
+ *   and it does not exceed the announced length or the limit of SetBodyLimit().
  */
 template<bool IsRequest>
 class MessageParser : public boost::beast::http::basic_parser<IsRequest>
@@ -37,6 +40,19 @@
    * header. It exceeds kMaxTrailerBytes plus one read, since a trailer is used as a whole. */
   static constexpr std::size_t kMaxUnparsedBytes = std::size_t{ 64 } << 10;
 
+  /** Bytes that a field of a head takes beside its name and value: its list node and allocation. */
+  static constexpr std::size_t kFieldOverheadBytes = 96;
+
+  /** Sets the limit of the body in bytes. */
+  void SetBodyLimit(std::size_t aBytes)
+  {
+    this->body_limit(aBytes);
+    maxBodyBytes_ = aBytes;
+  }
+  /** @return bytes of memory of the head as far as it was parsed. */
+  std::size_t HeadBytes() const { return headBytes_; }
+  /** @return bytes of memory of the body as far as it was parsed. */
+  std::size_t BodyBytes() const { return message_.body().capacity(); }
   /** @return the message as far as it was parsed. */
   const Message& Get() const { return message_; }
   /** @return the message; the parser must not be used afterwards. */
@@ -73,6 +89,7 @@
   {
     if constexpr (IsRequest) {
       message_.target(aTarget);
+      headBytes_ += aTarget.size() + aMethodText.size();
       if (aMethod != boost::beast::http::verb::unknown) {
         message_.method(aMethod);
       } else {
@@ -111,6 +128,7 @@
       return;
     }
     message_.insert(aField, aName, aValue);
+    headBytes_ += aName.size() + aValue.size() + kFieldOverheadBytes;
   }
 
   void on_header_impl(Error& aError) override { aError = {}; }
@@ -122,7 +140,15 @@
 
   std::size_t on_body_impl(Text aBytes, Error& aError) override
   {
-    message_.body().append(aBytes.data(), aBytes.size());
+    auto& body = message_.body();
+    const auto size = body.size() + aBytes.size();
+    if (size > body.capacity()) {
+      const auto announced = this->content_length();
+      const auto end =
+        announced ? std::min<std::uint64_t>(*announced, maxBodyBytes_) : maxBodyBytes_;
+      body.reserve(std::max<std::size_t>(size, std::min<std::uint64_t>(2 * body.capacity(), end)));
+    }
+    body.append(aBytes.data(), aBytes.size());
     aError = {};
     return aBytes.size();
   }
@@ -141,7 +167,9 @@
   // NOLINTEND(readability-identifier-naming)
 
   Message message_;
-  std::size_t trailerBytes_ = 0; ///< See kMaxTrailerBytes.
+  std::size_t trailerBytes_ = 0;                                         ///< See kMaxTrailerBytes.
+  std::size_t headBytes_ = 0;                                            ///< See HeadBytes().
+  std::uint64_t maxBodyBytes_ = std::numeric_limits<std::size_t>::max(); ///< See SetBodyLimit().
 };
 
 using RequestParser = MessageParser<true>;
--- a/tests/gateway/caller_session_test.cpp
+++ b/tests/gateway/caller_session_test.cpp
@@ -3,6 +3,7 @@
  */
 #include "gateway/caller_session.h"
 
+#include "http/message_parser.h"
 #include "support/net_support.h"
 
 #include <gtest/gtest.h>
@@ -224,5 +225,165 @@
       "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n",
       "X-Field: value\r\n")));
 
+/** Takes requests without answering them, and marks rejections. */
+class WaitingHandler : public HttpHandler
+{
+public:
+  void OnRequest(HttpRequest aRequest, std::shared_ptr<AnswerStream> aAnswer) override
+  {
+    requests_.push_back(std::move(aRequest));
+    answers_.push_back(std::move(aAnswer));
+  }
+  void OnRejected(const boost::beast::http::fields& aRequest,
+                  boost::beast::http::fields& aAnswer) override
+  {
+    aAnswer.set("X-Host", aRequest[boost::beast::http::field::host]);
+  }
+  std::vector<HttpRequest> requests_;
+  std::vector<std::shared_ptr<AnswerStream>> answers_;
+};
+
+std::string
+RequestWithBody(std::size_t aLength, std::size_t aSent)
+{
+  return "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(aLength) + "\r\n\r\n" +
+         std::string(aSent, 'x');
+}
+
+class SessionMemoryTest : public CallerSessionTest
+{
+protected:
+  static constexpr std::size_t kBody = 300000;
+  static constexpr std::size_t kLimit = 1000000;
+
+  SessionMemoryTest()
+  {
+    endpoint_ = testing_support::RefusingEndpoint();
+    EXPECT_FALSE(limited_.Listen(endpoint_));
+  }
+  /** Sends while the listener runs. */
+  void Send(Peer& aPeer, const std::string& aText)
+  {
+    std::thread writer([&] { aPeer.Send(aText); });
+    Run();
+    writer.join();
+  }
+
+  std::shared_ptr<RequestMemory> memory_ = std::make_shared<RequestMemory>(kLimit);
+  WaitingHandler waiting_;
+  HttpListener limited_{ context_,
+                         waiting_,
+                         { .headTimeout_ = 20s },
+                         { memory_, std::make_shared<RejectionLog>() } };
+};
+
+// Guards against memory that stalled bodies take together, against a rejection that the caller
+// cannot read or not repeat, and against small requests that suffer for large ones.
+TEST_F(SessionMemoryTest, StalledBodiesAreRejectedAndSmallRequestsServed)
+{
+  Peer small = ConnectTo(endpoint_);
+  Send(small, RequestWithBody(1000, 900));
+  std::vector<Peer> callers;
+  for (int i = 0; i < 4; ++i) {
+    callers.push_back(ConnectTo(endpoint_));
+    Send(callers.back(), RequestWithBody(kBody, kBody - 10 + i));
+    EXPECT_LE(memory_->Held(), kLimit);
+  }
+  int rejected = 0;
+  for (auto& caller : callers) {
+    if (const auto answer = caller.ReadAnswer(50ms)) {
+      ++rejected;
+      EXPECT_EQ(answer->result_int(), 503U);
+      EXPECT_EQ((*answer)[boost::beast::http::field::retry_after], "0.500");
+      EXPECT_EQ((*answer)[boost::beast::http::field::connection], "close");
+      EXPECT_EQ((*answer)["X-Host"], "a");
+      EXPECT_TRUE(caller.WaitClosed(100ms));
+    }
+  }
+  EXPECT_GE(rejected, 1);
+  EXPECT_LE(rejected, 3);
+  Send(small, std::string(100, 'x'));
+  ASSERT_EQ(waiting_.requests_.size(), 1U);
+  EXPECT_EQ(waiting_.requests_[0].body().View().size(), 1000U);
+}
+
+// Guards against bytes that are freed in the account while a copy of the request still holds them,
+// and against copies of the text of a body.
+TEST_F(SessionMemoryTest, RequestIsChargedUntilItsLastCopyIsGone)
+{
+  {
+    Peer caller = ConnectTo(endpoint_);
+    Send(caller, RequestWithBody(kBody, kBody));
+    ASSERT_EQ(waiting_.requests_.size(), 1U);
+  }
+  Run();
+  EXPECT_EQ(limited_.Sessions(), 0U) << "the caller has gone";
+  EXPECT_GE(memory_->Held(), kBody);
+  EXPECT_LT(memory_->Held(), 2 * kBody);
+  HttpRequest copy = waiting_.requests_[0];
+  EXPECT_EQ(copy.body().View().data(), waiting_.requests_[0].body().View().data());
+  waiting_.requests_.clear();
+  EXPECT_GE(memory_->Held(), kBody);
+  copy = {};
+  waiting_.answers_.clear();
+  EXPECT_EQ(memory_->Held(), 0U);
+}
+
+// Guards against the many small fields of a head, each of which takes more memory than it has
+// bytes, and against idle connections that stay charged.
+TEST_F(SessionMemoryTest, HeadsAreChargedWithTheirFieldsAndIdleConnectionsAreNot)
+{
+  std::string head = "GET / HTTP/1.1\r\n";
+  for (int i = 0; i < 1000; ++i) {
+    head += "a:\r\n";
+  }
+  Peer caller = ConnectTo(endpoint_);
+  Send(caller, head + "\r\n");
+  ASSERT_EQ(waiting_.answers_.size(), 1U);
+  EXPECT_GE(memory_->Held(), 1000 * RequestParser::kFieldOverheadBytes);
+  waiting_.requests_.clear();
+  waiting_.answers_[0]->Begin(204, {}, {}, 0);
+  waiting_.answers_[0]->End();
+  Run();
+  EXPECT_EQ(limited_.BusySessions(), 0U);
+  EXPECT_EQ(memory_->Held(), 0U);
+}
+
+// Guards against a rejection that frees nothing, so that all others are rejected too: a trailer
+// without end is not parsed, but stays in the buffer of a read that is pending.
+TEST_F(SessionMemoryTest, RejectionFreesTheReadBuffer)
+{
+  Peer small = ConnectTo(endpoint_);
+  Send(small, RequestWithBody(1000, 900));
+  std::vector<Peer> callers;
+  for (int i = 0; i < 30; ++i) {
+    callers.push_back(ConnectTo(endpoint_));
+    auto request = RequestWithTrailer("X: " + std::string(50000, 'x'));
+    request.resize(request.size() - 4);
+    Send(callers.back(), request);
+  }
+  EXPECT_LE(memory_->Held(), kLimit);
+  Send(small, std::string(100, 'x'));
+  EXPECT_EQ(waiting_.requests_.size(), 1U);
+}
+
+// Guards against a connection that is cut when its large read buffer is replaced while it is idle.
+TEST_F(SessionMemoryTest, ConnectionIsServedAfterItsBufferWasReleased)
+{
+  Peer caller = ConnectTo(endpoint_);
+  Send(caller, RequestWithBody(kBody, kBody) + RequestWithBody(10000, 10000));
+  for (int i = 0; i < 2; ++i) {
+    ASSERT_EQ(waiting_.answers_.size(), i + 1U);
+    waiting_.answers_[i]->Begin(204, {}, {}, 0);
+    waiting_.answers_[i]->End();
+    Run();
+    EXPECT_TRUE(caller.ReadAnswer(100ms));
+  }
+  waiting_.requests_.clear();
+  EXPECT_EQ(memory_->Held(), 0U);
+  Send(caller, kRequest);
+  EXPECT_EQ(waiting_.requests_.size(), 1U);
+}
+
 } // namespace
 } // namespace laburnumweir
