--- a/src/fleet/wait_queue.cpp
+++ b/src/fleet/wait_queue.cpp
@@ -1,6 +1,10 @@
 /** @file wait_queue.cpp Queue of requests that wait for a free slot or for an adapter. */
 #include "fleet/wait_queue.h"
 
+#include "table/overload_const.h"
+
+#include <algorithm>
+
 namespace laburnumweir {
 
 namespace {
@@ -20,6 +24,15 @@
   return std::chrono::duration<double>(aDuration).count();
 }
 
+/** Removes the times before the window over which rates are measured. */
+void
+DropOld(std::deque<TimePoint>& aTimes, TimePoint aNow)
+{
+  while (!aTimes.empty() && aTimes.front() < aNow - kRateWindow) {
+    aTimes.pop_front();
+  }
+}
+
 } // namespace
 
 WaitTicket
@@ -30,9 +43,16 @@
   if (queue.requests_.empty()) {
     queue.waitingSince_ = clock_.Now();
     queue.starts_.clear();
+    for (auto& [rank, data] : queue.ranks_) {
+      data.arrivals_.clear();
+    }
   }
+  auto& arrivals = queue.ranks_[aRequest.rank_].arrivals_;
+  arrivals.push_back(clock_.Now());
+  DropOld(arrivals, clock_.Now());
   const Position position{ aRequest.rank_, ticket };
-  queue.requests_.emplace(position, aRequest);
+  queue.requests_.emplace(position, Entry{ aRequest, std::nullopt });
+  queue.isOrdered_ = false;
   positions_.emplace(ticket, std::pair(aRequest.service_, position));
   return ticket;
 }
@@ -51,31 +71,102 @@
   if (aHasStarted) {
     queue.starts_.push_back(now);
   }
-  while (!queue.starts_.empty() && queue.starts_.front() < now - kRateWindow) {
-    queue.starts_.pop_front();
-  }
+  DropOld(queue.starts_, now);
 }
 
 void
 WaitQueue::SetBlocked(WaitTicket aTicket, bool aIsBlocked)
 {
   if (const auto found = positions_.find(aTicket); found != positions_.end()) {
-    queues_[found->second.first].requests_[found->second.second].isBlocked_ = aIsBlocked;
+    queues_[found->second.first].requests_[found->second.second].request_.isBlocked_ = aIsBlocked;
   }
 }
 
+void
+WaitQueue::SetHasFreeSlot(const ServiceName& aService, bool aHasFreeSlot)
+{
+  if (const auto queue = queues_.find(aService); queue != queues_.end()) {
+    queue->second.hasFreeSlot_ = aHasFreeSlot;
+  }
+}
+
+void
+WaitQueue::RecordAnswer(const ServiceName& aService, std::uint32_t aRank, Duration aTime)
+{
+  auto& mean = queues_[aService].ranks_[aRank].answerTime_;
+  const double weight = mean == Duration::zero() ? 1 : kAnswerTimeWeight;
+  mean += std::chrono::duration_cast<Duration>(weight * (aTime - mean));
+}
+
+OverloadState
+WaitQueue::StateOf(const Queue& aQueue) const
+{
+  OverloadState state;
+  state.now_ = clock_.Now();
+  state.startRate_ = RateOf(aQueue);
+  state.hasFreeSlot_ = aQueue.hasFreeSlot_;
+  const auto waited = std::min<Duration>(state.now_ - aQueue.waitingSince_, kRateWindow);
+  for (const auto& [rank, data] : aQueue.ranks_) {
+    RankRecord record;
+    record.answerTime_ = data.answerTime_;
+    if (waited >= kMinRateTime) {
+      const auto recent =
+        std::count_if(data.arrivals_.begin(), data.arrivals_.end(), [&](TimePoint aTime) {
+          return aTime >= state.now_ - kRateWindow;
+        });
+      record.arrivalRate_ = static_cast<double>(recent) / Seconds(waited);
+    }
+    state.ranks_.emplace(rank, record);
+  }
+  return state;
+}
+
+void
+WaitQueue::Order(Queue& aQueue) const
+{
+  std::vector<Position> positions;
+  std::vector<WaitingRequest> requests;
+  positions.reserve(aQueue.requests_.size());
+  requests.reserve(aQueue.requests_.size());
+  for (const auto& [position, entry] : aQueue.requests_) {
+    positions.push_back(position);
+    requests.push_back(entry.request_);
+  }
+  auto state = StateOf(aQueue);
+  state.requests_ = requests;
+  aQueue.order_.clear();
+  for (const auto& place : policy_->Order(state)) {
+    aQueue.order_.emplace_back(positions[place.index_], place);
+    aQueue.requests_.find(positions[place.index_])->second.group_ = place.group_;
+  }
+  aQueue.isOrdered_ = true;
+}
+
 std::vector<WaitTicket>
-WaitQueue::TicketsInOrder(const ServiceName& aService) const
+WaitQueue::TicketsInOrder(const ServiceName& aService)
 {
   std::vector<WaitTicket> result;
   if (const auto queue = queues_.find(aService); queue != queues_.end()) {
-    for (const auto& [position, request] : queue->second.requests_) {
+    Order(queue->second);
+    for (const auto& [position, place] : queue->second.order_) {
       result.push_back(position.second);
     }
   }
   return result;
 }
 
+std::size_t
+WaitQueue::Size(std::uint32_t aFirst, std::uint32_t aLast) const
+{
+  std::size_t result = 0;
+  for (const auto& [service, queue] : queues_) {
+    const auto begin = queue.requests_.lower_bound({ aFirst, 0 });
+    const auto end = queue.requests_.upper_bound({ aLast, ~WaitTicket{ 0 } });
+    result += static_cast<std::size_t>(std::distance(begin, end));
+  }
+  return result;
+}
+
 std::vector<ServiceName>
 WaitQueue::Services() const
 {
@@ -104,27 +195,34 @@
 }
 
 std::vector<WaitTicket>
-WaitQueue::CannotStartInTime() const
+WaitQueue::CannotStartInTime()
 {
   std::vector<WaitTicket> result;
-  const auto now = clock_.Now();
-  for (const auto& [service, queue] : queues_) {
-    const auto rate = RateOf(queue);
-    double ahead = 0;
-    for (const auto& [position, request] : queue.requests_) {
-      const bool isLate = request.latestStart_ <= now;
-      // A blocked request starts when the load is complete or the pause ends, regardless of the
-      // requests before it.
-      const bool isBehind =
-        !request.isBlocked_ && !request.mayBeLate_ && rate &&
-        now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(ahead / *rate)) >=
-          request.latestStart_;
-      if (isLate || isBehind) {
-        result.push_back(position.second);
-      } else if (!request.isBlocked_) {
-        ++ahead;
+  for (auto& [service, queue] : queues_) {
+    if (queue.requests_.empty()) {
+      continue;
+    }
+    if (!queue.isOrdered_) {
+      Order(queue);
+    }
+    // Requests that have started since the last order are left out; the others keep their places.
+    std::vector<WaitingRequest> requests;
+    std::vector<ServicePlace> places;
+    std::vector<WaitTicket> tickets;
+    for (const auto& [position, place] : queue.order_) {
+      const auto entry = queue.requests_.find(position);
+      if (entry != queue.requests_.end()) {
+        places.push_back(place);
+        places.back().index_ = requests.size();
+        requests.push_back(entry->second.request_);
+        tickets.push_back(position.second);
       }
     }
+    auto state = StateOf(queue);
+    state.requests_ = requests;
+    for (const auto index : FindHopeless(state, places, policy_->KeepsWhileSlotsAreFree())) {
+      result.push_back(tickets[index]);
+    }
   }
   return result;
 }
@@ -136,13 +234,16 @@
   if (found == queues_.end()) {
     return std::nullopt;
   }
-  const auto rate = RateOf(found->second);
-  if (!rate) {
+  const auto& queue = found->second;
+  const auto rate = RateOf(queue);
+  if (!rate || (queue.hasFreeSlot_ && policy_->KeepsWhileSlotsAreFree())) {
     return std::nullopt;
   }
+  const auto group = policy_->GroupOfNew(aRank);
   double ahead = 0;
-  for (const auto& [position, request] : found->second.requests_) {
-    ahead += position.first <= aRank && !request.isBlocked_ ? 1 : 0;
+  for (const auto& [position, entry] : queue.requests_) {
+    const auto other = entry.group_.value_or(policy_->GroupOfNew(position.first));
+    ahead += other <= group && !entry.request_.isBlocked_ ? 1 : 0;
   }
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(ahead / *rate));
 }
--- a/src/fleet/wait_queue.h
+++ b/src/fleet/wait_queue.h
@@ -4,10 +4,12 @@
 
 #include "core/clock_base.h"
 #include "core/id_type.h"
+#include "fleet/overload_policy.h"
 
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -16,18 +18,8 @@
 /** Identifies a waiting request. */
 using WaitTicket = std::uint64_t;
 
-struct WaitingRequest
-{
-  ServiceName service_;
-  std::uint32_t rank_ = 0; ///< Priority; lower values are served first.
-  TimePoint latestStart_;  ///< Deadline for the start; a later start is of no use to the caller.
-  bool isBlocked_ = false; ///< Whether it waits for a load or the end of a pause, not for a slot.
-  /** Whether it waits until latestStart_, whatever the rate of starts is. */
-  bool mayBeLate_ = false;
-};
-
 /**
- * Waiting requests, ordered by rank and then by arrival. Measures the rate at which requests of a
+ * Waiting requests in the order of a policy. Measures the rate at which requests of a
  * service start while others wait, and estimates from it which requests cannot start in time. Those
  * are refused early, while their callers can still retry elsewhere, instead of at their
  * deadline. Not thread-safe.
@@ -35,9 +27,15 @@
 class WaitQueue
 {
 public:
-  /** @param aClock must outlive this object. */
-  explicit WaitQueue(const Clock& aClock)
+  /**
+   * @param aClock must outlive this object.
+   * @param aPolicy order of service; must not be nullptr.
+   */
+  explicit WaitQueue(
+    const Clock& aClock,
+    std::unique_ptr<const OverloadPolicy> aPolicy = std::make_unique<ArrivalPolicy>())
     : clock_(aClock)
+    , policy_(std::move(aPolicy))
   {
   }
 
@@ -47,13 +45,20 @@
   void Remove(WaitTicket aTicket, bool aHasStarted);
   /** Sets whether a request waits for a load or the end of a pause rather than for a free slot. */
   void SetBlocked(WaitTicket aTicket, bool aIsBlocked);
-  /** @return tickets of the waiting requests of a service, in the order of service. */
-  std::vector<WaitTicket> TicketsInOrder(const ServiceName& aService) const;
+  /** Sets whether a usable upstream of a service has a free slot. */
+  void SetHasFreeSlot(const ServiceName& aService, bool aHasFreeSlot);
+  /**
+   * Records the begin of an answer.
+   * @param aTime from the start of the request to its answer or the first event of its stream.
+   */
+  void RecordAnswer(const ServiceName& aService, std::uint32_t aRank, Duration aTime);
+  /** Orders the waiting requests of a service. @return their tickets, in the order of service. */
+  std::vector<WaitTicket> TicketsInOrder(const ServiceName& aService);
   /** @return services with waiting requests. */
   std::vector<ServiceName> Services() const;
   /** @return requests whose latest start has passed or cannot be met at the current rate of starts.
    */
-  std::vector<WaitTicket> CannotStartInTime() const;
+  std::vector<WaitTicket> CannotStartInTime();
   /**
    * Estimates the wait of a request that is added now.
    * @return the estimate; none while the rate of starts is not known.
@@ -62,20 +67,42 @@
   /** @return whether a request still waits. */
   bool Contains(WaitTicket aTicket) const { return positions_.contains(aTicket); }
   std::size_t Size() const { return positions_.size(); }
+  /** @return number of waiting requests with a rank from aFirst up to aLast. */
+  std::size_t Size(std::uint32_t aFirst, std::uint32_t aLast) const;
+  /** @return whether early refusals depend on SetHasFreeSlot(). */
+  bool NeedsFreeSlots() const { return policy_->KeepsWhileSlotsAreFree(); }
 
 private:
   /** Rank and ticket; tickets increase with arrival. */
   using Position = std::pair<std::uint32_t, WaitTicket>;
+  struct Rank
+  {
+    Duration answerTime_{};          ///< See RankRecord.
+    std::deque<TimePoint> arrivals_; ///< Times of recent arrivals while requests waited.
+  };
+  struct Entry
+  {
+    WaitingRequest request_;
+    std::optional<std::uint64_t> group_; ///< As of the last order; none before it.
+  };
   struct Queue
   {
-    std::map<Position, WaitingRequest> requests_;
+    std::map<Position, Entry> requests_;
+    std::map<std::uint32_t, Rank> ranks_;
+    std::vector<std::pair<Position, ServicePlace>> order_; ///< Last order; may have gaps.
+    bool isOrdered_ = false;                               ///< No request was added since.
+    bool hasFreeSlot_ = false;
     std::deque<TimePoint> starts_; ///< Times of recent starts while requests waited.
     TimePoint waitingSince_;       ///< Start of the current period with waiting requests.
   };
 
   std::optional<double> RateOf(const Queue& aQueue) const;
+  /** @return the state of a queue without its requests. */
+  OverloadState StateOf(const Queue& aQueue) const;
+  void Order(Queue& aQueue) const;
 
   const Clock& clock_;
+  std::unique_ptr<const OverloadPolicy> policy_;
   std::map<ServiceName, Queue> queues_;
   std::map<WaitTicket, std::pair<ServiceName, Position>> positions_; ///< By ticket.
   WaitTicket nextTicket_ = 1;
