--- a/src/cli/gateway_cmd.cpp
+++ b/src/cli/gateway_cmd.cpp
@@ -2,6 +2,7 @@
 #include "cli/gateway_cmd.h"
 
 #include "cli/command_options.h"
+#include "fleet/overload_policy.h"
 #include "gateway/gateway.h"
 #include "logging/logging_func.h"
 #include "platform/engine_client.h"
@@ -46,6 +47,9 @@
     "graceful shutdown, SIGHUP reads the settings again.");
   options.Add()("config", po::value<std::string>(), "settings file")(
     "log-level", po::value<std::string>(), "debug, info, warn or error; info by default")(
+    "overload-policy",
+    po::value<std::string>(),
+    "arrival or worth; instead of overload_policy of the settings file")(
     "check", "check the settings and exit");
   if (const auto code = options.Parse(aArguments)) {
     return *code;
@@ -56,10 +60,17 @@
     std::cerr << "laburnumweir gateway: no settings file; use --config FILE\n";
     return ExitCode::Usage;
   }
-  const auto settings = LoadSettings(path);
+  auto settings = LoadSettings(path);
   if (!settings) {
     return ExitCode::Error;
   }
+  if (options.Has("overload-policy")) {
+    settings->overloadPolicy_ = options.Text("overload-policy");
+    if (!MakeOverloadPolicy(settings->overloadPolicy_)) {
+      std::cerr << "laburnumweir gateway: --overload-policy: expected arrival or worth\n";
+      return ExitCode::Usage;
+    }
+  }
   if (options.Has("check")) {
     std::cout << path << ": no errors\n";
     return ExitCode::Ok;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -21,6 +21,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <cmath>
 #include <csignal>
+#include <limits>
 #include <random>
 #include <unordered_map>
 
@@ -100,7 +101,7 @@
     , fleet_(clock_, settings_.host_, settings_.dataCentre_)
     , quota_(clock_, std::random_device()())
     , retries_(clock_, RetryBoundsOf(settings_.bounds_))
-    , queue_(clock_)
+    , queue_(clock_, MakeOverloadPolicy(settings_.overloadPolicy_))
     , self_{ settings_.host_, settings_.gossipEndpoint_, settings_.dataCentre_ }
     , peers_(clock_, self_)
     , quarantine_(clock_)
@@ -197,6 +198,7 @@
              "start",
              { { "data_centre", settings_.dataCentre_.Value() },
                { "life", std::to_string(life_) },
+               { "overload_policy", settings_.overloadPolicy_ },
                { "callers", std::to_string(settings_.callerEndpoint_.port_) } });
     for (const auto& [error, name] : {
            std::pair(callers_.Listen(settings_.callerEndpoint_), "callers"),
@@ -214,6 +216,12 @@
                       [this] { return static_cast<double>(callers_.Sessions()); });
     metrics_.SetGauge("laburnumweir_gateway_waiting_requests",
                       [this] { return static_cast<double>(queue_.Size()); });
+    for (std::uint32_t rank = 0; rank <= kMaxEngineRank; ++rank) {
+      const auto last = rank < kMaxEngineRank ? rank : std::numeric_limits<std::uint32_t>::max();
+      metrics_.SetGauge(
+        "laburnumweir_gateway_waiting_rank_" + std::to_string(rank),
+        [this, rank, last] { return static_cast<double>(queue_.Size(rank, last)); });
+    }
     metrics_.SetGauge("laburnumweir_gateway_proof_age_seconds", [this] {
       return std::chrono::duration<double>(
                std::min<Duration>(fleet_.ConfigAge(), std::chrono::hours(1)))
@@ -494,6 +502,11 @@
   void StartQueued()
   {
     for (const auto& service : queue_.Services()) {
+      if (queue_.NeedsFreeSlots()) {
+        UpstreamNeed need;
+        need.service_ = service;
+        queue_.SetHasFreeSlot(service, fleet_.Upstreams().Choose(need).upstream_ != nullptr);
+      }
       for (const auto ticket : queue_.TicketsInOrder(service)) {
         // Requests further back may need another adapter, so every request is tried.
         if (const auto flow = FindWaiting(ticket)) {
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -61,6 +61,9 @@
   bool isFirstStart_ = false;          ///< The whole system starts for the first time.
   std::uint32_t groupPartitions_ = 12; ///< Partitions of the group's topic, divided among members.
   GatewayBounds bounds_;
+  /** Order of service while requests exceed the capacity; see MakeOverloadPolicy(). Fixed for the
+   * lifetime of the process. */
+  std::string overloadPolicy_ = "arrival";
 };
 
 } // namespace laburnumweir
--- a/src/gateway/message_codec_base.h
+++ b/src/gateway/message_codec_base.h
@@ -23,6 +23,7 @@
   std::string model_;                ///< Model; empty for plain services.
   std::string adapter_;              ///< Adapter; empty for the base model.
   std::optional<TokenCount> tokens_; ///< Prompt plus maximum output tokens; none if not given.
+  double work_ = 0;                  ///< Work at an engine, in prompt tokens; 0 if not given.
   /** Ids of the parts of the prompt that other requests may share, in order. The last part of a
    * prompt is left out: it belongs to the request or its session alone. */
   std::vector<std::string> sharedParts_;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -392,8 +392,16 @@
   }
   // What has begun goes before new requests: ending it would waste the work that was done.
   const auto rank = isBegun_ ? 0 : Rank();
-  ticket_ =
-    context_.queue_.Push({ admitted_.service_, rank, latest, isBlocked_, /*mayBeLate*/ isBegun_ });
+  const auto target = admitted_.route_->targetLatency_;
+  const bool hasTarget = target.count() > 0;
+  ticket_ = context_.queue_.Push({ admitted_.service_,
+                                   rank,
+                                   latest,
+                                   isBlocked_,
+                                   /*mayBeLate*/ isBegun_,
+                                   admitted_.arrived_,
+                                   hasTarget ? admitted_.arrived_ + target : latest,
+                                   admitted_.facts_.work_ });
   context_.onQueued_(*ticket_, shared_from_this());
 }
 
@@ -411,16 +419,26 @@
 {
   if (answer_) {
     const auto estimate = context_.queue_.EstimateWait(admitted_.service_, Rank());
-    LogEvent(LogLevel::Info,
-             "wait_refused",
-             { { "id", admitted_.facts_.id_.Value() },
-               { "begun", isBegun_ ? "true" : "false" },
-               { "estimate_ms", estimate ? std::to_string(Milliseconds(*estimate)) : "" },
-               { "latest_start_ms",
-                 std::to_string(Milliseconds(LatestStart() - context_.clock_.Now())) } });
-    Reply(runs_ > 0 ? 502 : 503,
-          loadingEngine_ ? "adapter_not_loaded_in_time" : "cannot_start_in_time",
-          loadingEngine_ ? kLoadRetryAfter : RetryDelay());
+    LogEvent(
+      LogLevel::Info,
+      "wait_refused",
+      { { "id", admitted_.facts_.id_.Value() },
+        { "rank", std::to_string(Rank()) },
+        { "begun", isBegun_ ? "true" : "false" },
+        { "past_target",
+          context_.clock_.Now() - admitted_.arrived_ > admitted_.route_->targetLatency_ ? "true"
+                                                                                        : "false" },
+        { "estimate_ms", estimate ? std::to_string(Milliseconds(*estimate)) : "" },
+        { "latest_start_ms",
+          std::to_string(Milliseconds(LatestStart() - context_.clock_.Now())) } });
+    const std::string_view reason =
+      loadingEngine_ ? "adapter_not_loaded_in_time" : "cannot_start_in_time";
+    context_.metrics_
+      .GetCounter("laburnumweir_gateway_wait_refusals_total",
+                  "rank_reason",
+                  std::to_string(Rank()).append(":").append(reason))
+      .Add();
+    Reply(runs_ > 0 ? 502 : 503, reason, loadingEngine_ ? kLoadRetryAfter : RetryDelay());
   }
 }
 
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -170,6 +170,8 @@
   /** Records what began the stream when its first events go to the caller, for the case that the
    * caller resumes it at another host. */
   void RecordOrigin();
+  /** Records whether the answer, which begins now, is within the target latency. */
+  void RecordServed();
   void ShareOrigin();
   /** @return see UpstreamTable::PauseEnd(). */
   std::optional<TimePoint> PauseEnd() const;
--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -218,6 +218,7 @@
     if (!isBegun_) {
       isBegun_ = true;
       RecordOrigin();
+      RecordServed();
       answer_->Begin(
         status_, reason_, fields_, isStreaming_ ? std::optional<std::uint64_t>() : length_);
     }
@@ -269,6 +270,24 @@
   ShareOrigin();
 }
 
+void
+RequestFlow::RecordServed()
+{
+  // The target counts from the caller's first attempt, which a resumption does not tell.
+  if (answerClass_ != AnswerClass::Valid || IsResumption()) {
+    return;
+  }
+  const auto now = context_.clock_.Now();
+  const auto target = admitted_.route_->targetLatency_;
+  const bool isInTime = target.count() == 0 || now - admitted_.arrived_ <= target;
+  context_.queue_.RecordAnswer(admitted_.service_, Rank(), now - attempt_.sent_);
+  context_.metrics_
+    .GetCounter("laburnumweir_gateway_answers_total",
+                "rank_result",
+                std::to_string(Rank()) + (isInTime ? ":in_time" : ":late"))
+    .Add();
+}
+
 void
 RequestFlow::ShareOrigin()
 {
@@ -533,6 +552,7 @@
 RequestFlow::ForwardAnswer()
 {
   if (!isBegun_) {
+    RecordServed();
     answer_->Begin(status_, reason_, fields_, body_.size());
     answer_->Data(body_);
   }
--- a/tests/fleet/overload_policy_test.cpp
+++ b/tests/fleet/overload_policy_test.cpp
@@ -53,7 +53,7 @@
     return result;
   }
 
-  std::vector<std::size_t> Hopeless(OverloadState aState)
+  std::vector<std::size_t> Hopeless(const OverloadState& aState)
   {
     return FindHopeless(aState, policy_.Order(aState), policy_.KeepsWhileSlotsAreFree());
   }
--- a/tests/gateway/request_flow_test.cpp
+++ b/tests/gateway/request_flow_test.cpp
@@ -1,6 +1,8 @@
 /** @file request_flow_test.cpp Tests of RequestFlow against scripted and faulty upstreams. */
 #include "gateway/request_flow_support.h"
 
+#include <thread>
+
 namespace laburnumweir {
 namespace {
 
@@ -94,6 +96,27 @@
   EXPECT_LE(requests, 6) << "attempts in 1.5 s with backoff of 0.1, 0.2, 0.4 and 0.8 s";
 }
 
+// Guards against metrics that do not show how many answers miss their target, from which an
+// operator judges the order of service.
+TEST_F(RequestFlowTest, CountsAnswersInTimeAndLate)
+{
+  ScriptedServer server([](Peer& aPeer, int) {
+    aPeer.ReadRequest();
+    std::this_thread::sleep_for(200ms); // the target is 100 ms
+    aPeer.Send(Answer("late"));
+    aPeer.ReadSome(200ms);
+  });
+  SetUpstreams({ server.Address() });
+  Start();
+  Finish();
+  const auto count = [this](std::string_view aResult) {
+    return metrics_.GetCounter("laburnumweir_gateway_answers_total", "rank_result", aResult)
+      .Value();
+  };
+  EXPECT_EQ(count("0:late"), 1U);
+  EXPECT_EQ(count("0:in_time"), 0U);
+}
+
 // Guards against a failed request when an upstream refuses the connection.
 TEST_F(RequestFlowTest, TriesAnotherUpstreamWhenThereIsNoConnection)
 {
--- a/tests/wire/message_codec_test.cpp
+++ b/tests/wire/message_codec_test.cpp
@@ -26,6 +26,7 @@
   EXPECT_EQ(facts.model_, "m");
   EXPECT_EQ(facts.adapter_, "a1");
   EXPECT_EQ(facts.tokens_, 1540);
+  EXPECT_EQ(facts.work_, 2260) << "an output token takes ten times the work of a prompt token";
   EXPECT_EQ(facts.callerTimeout_->count(), 12000);
   EXPECT_EQ(facts.resumes_, RequestId("8b30"));
   EXPECT_EQ(facts.lastEventId_, "17");
--- a/tests/wire/record_codec_test.cpp
+++ b/tests/wire/record_codec_test.cpp
@@ -226,7 +226,12 @@
   EXPECT_EQ(settings.bounds_.retrySlack_, 52);
   EXPECT_EQ(settings.groupPartitions_, 5U);
   EXPECT_EQ(settings.maxDescriptors_, 4200U);
+  EXPECT_EQ(settings.overloadPolicy_, "arrival");
   EXPECT_EQ(DecodeSettings("{}", settings).size(), 7U);
+  EXPECT_EQ(DecodeSettings(R"({"overload_policy":"worst"})", settings).size(), 8U)
+    << "an unknown policy is refused";
+  EXPECT_EQ(DecodeSettings(R"({"overload_policy":"worth"})", settings).size(), 7U);
+  EXPECT_EQ(settings.overloadPolicy_, "worth");
   EXPECT_EQ(DecodeSettings("not json", settings).size(), 1U);
 }
 
