--- a/bench/gateway_benchmark.cpp
+++ b/bench/gateway_benchmark.cpp
@@ -4,6 +4,7 @@
 #include "fleet/event_cutter.h"
 #include "fleet/quota_share.h"
 #include "fleet/upstream_table.h"
+#include "fleet/wait_queue.h"
 #include "gateway/gossip_message.h"
 #include "logging/logging_func.h"
 
@@ -54,6 +55,33 @@
   return message;
 }
 
+/** One pass over a queue of the given length: the order of service and the search for refusals. */
+void
+OrderQueue(benchmark::State& aState, const char* aPolicy)
+{
+  const SystemClock clock;
+  WaitQueue queue(clock, MakeOverloadPolicy(aPolicy));
+  const ServiceName service("llm");
+  const auto now = clock.Now();
+  for (std::int64_t i = 0; i < aState.range(0); ++i) {
+    const auto arrived = now - std::chrono::milliseconds(i % 700);
+    queue.Push({ service,
+                 static_cast<std::uint32_t>(i % 3),
+                 now + std::chrono::hours(1),
+                 i % 3 != 0,
+                 false,
+                 arrived,
+                 arrived + std::chrono::milliseconds(500),
+                 static_cast<double>(100 + i * 37 % 5000) });
+  }
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(queue.TicketsInOrder(service));
+    benchmark::DoNotOptimize(queue.CannotStartInTime());
+  }
+}
+BENCHMARK_CAPTURE(OrderQueue, arrival, "arrival")->Arg(100)->Arg(400);
+BENCHMARK_CAPTURE(OrderQueue, worth, "worth")->Arg(100)->Arg(400);
+
 void
 ParseRequest(benchmark::State& aState)
 {
