--- a/src/table/overload_const.h
+++ b/src/table/overload_const.h
@@ -11,8 +11,8 @@
 /**
  * Fraction of the target latency by which a request with little work may overtake an earlier one of
  * its kind, so that a large request waits little longer than in order of arrival. With 0.25, the
- * largest tenth of a kind was served 0.63 times as often as the kind at twice the capacity, with
- * 0.1 0.69 to 0.79 times, for 0.5% less worth; see docs/design/overload-policy.md.
+ * largest tenth of a kind was served 0.62 times as often as the kind at twice the capacity; with
+ * 0.1, at least 0.73 times, for 0.5% less worth. See docs/design/overload-policy.md.
  */
 constexpr double kOvertakeFraction = 0.1;
 /** Part of the worth of a request that does not depend on its work; the rest is proportional. */
