--- a/src/fleet/fleet_store_base.h
+++ b/src/fleet/fleet_store_base.h
@@ -25,7 +25,8 @@
   HistoryLost,     ///< The requested records are deleted; the caller must read all again.
   Unreadable,      ///< The answer violates the protocol.
   NotMember,       ///< This host is not a member of the group.
-  Outdated         ///< The answer is of an earlier era than one that this host has seen.
+  Outdated,        ///< The answer is of an earlier era than one that this host has seen.
+  Conflict         ///< A conditional append had no effect: the stream ends elsewhere.
 };
 
 const std::error_category&
--- a/src/fleet/store_error.cpp
+++ b/src/fleet/store_error.cpp
@@ -24,6 +24,8 @@
         return "this host is not a member of the group";
       case StoreError::Outdated:
         return "the answer is of an earlier era of the store";
+      case StoreError::Conflict:
+        return "the stream does not end at the expected offset";
     }
     return "unknown store error";
   }
