--- a/src/http/json_client.cpp
+++ b/src/http/json_client.cpp
@@ -86,6 +86,7 @@
     std::shared_ptr<Connection> connection_;   ///< Connection in use.
     std::chrono::milliseconds timeout_{};      ///< Limit for the whole exchange.
     std::size_t maxAnswerBytes_ = 0;           ///< Limit of the body.
+    std::function<bool()> maySend_;            ///< Asked before writing, if not empty.
     Callback callback_;                        ///< Receives the answer.
   };
 
@@ -146,6 +147,10 @@
 
   void Write(const std::shared_ptr<Operation>& aOperation)
   {
+    if (aOperation->maySend_ && !aOperation->maySend_()) {
+      Finish(aOperation, HttpError::ConnectFailed);
+      return;
+    }
     http::async_write(
       aOperation->connection_->stream_,
       aOperation->request_,
@@ -235,6 +240,7 @@
   request.prepare_payload();
   operation->timeout_ = aExchange.timeout_;
   operation->maxAnswerBytes_ = aExchange.maxAnswerBytes_;
+  operation->maySend_ = std::move(aExchange.maySend_);
   operation->callback_ = std::move(aCallback);
   asio::post(impl_->context_, [impl = impl_, operation] { impl->Start(operation); });
 }
--- a/src/http/json_client.h
+++ b/src/http/json_client.h
@@ -20,7 +20,7 @@
 /** Errors of the HTTP client. */
 enum class HttpError
 {
-  ConnectFailed = 1, ///< No connection; nothing was sent.
+  ConnectFailed = 1, ///< No connection, or withdrawn; nothing was sent.
   AnswerLost,        ///< Sent, but no whole answer came in time; it may have taken effect.
 };
 
@@ -40,6 +40,9 @@
   std::string body_;                          ///< Body; JSON text where there is one.
   std::chrono::milliseconds timeout_{ 2000 }; ///< Longest time from start to whole answer.
   std::size_t maxAnswerBytes_ = std::size_t{ 64 } << 20; ///< A longer body counts as lost.
+  /** Asked when there is a connection, right before the request is written. If it returns false,
+   * nothing is sent and the exchange ends with ConnectFailed. May be empty. */
+  std::function<bool()> maySend_;
 };
 
 /** A whole answer. */
