--- a/src/gateway/gossip_message.cpp
+++ b/src/gateway/gossip_message.cpp
@@ -22,7 +22,8 @@
 // o partitions, e engines with their adapters, u uses that started, k uses that still run,
 // w load requests, q query, s answer, x changed upstreams, m live hosts, f crash suspects,
 // b contents that have begun, y quarantines, j permit requests, i permit answers, v configuration
-// in force, t restore of the store, R origins of streams, Q queries for such, U unknown ones.
+// in force, t restore of the store, R origins of streams, Q queries for such, U unknown ones,
+// N number and time of a message with usage counts, C these counts, A their confirmation.
 
 /** @return text of a cell; empty if the cell is missing or of another type. */
 std::string
@@ -432,6 +433,66 @@
   return origins;
 }
 
+void
+EncodeUsage(const UsageMessage& aUsage, json::object& aObject)
+{
+  if (aUsage.number_ > 0) {
+    const auto time = std::chrono::floor<std::chrono::milliseconds>(aUsage.wallTime_);
+    json::array head{ aUsage.number_, time.time_since_epoch().count() };
+    if (aUsage.isBackup_ || aUsage.origin_) {
+      head.emplace_back(aUsage.isBackup_ ? 1 : 0);
+    }
+    if (const auto& origin = aUsage.origin_) {
+      head.emplace_back(origin->host_.Value());
+      head.emplace_back(origin->startedAt_);
+    }
+    aObject["N"] = std::move(head);
+    // Each row is a window with its workspaces and counts.
+    json::array rows;
+    for (const auto& cell : aUsage.cells_) {
+      if (rows.empty() || rows.back().get_array()[0] != cell.window_) {
+        rows.emplace_back(json::array{ cell.window_ });
+      }
+      rows.back().get_array().emplace_back(cell.workspace_.Value());
+      rows.back().get_array().emplace_back(cell.count_);
+    }
+    aObject["C"] = std::move(rows);
+  }
+  if (const auto& confirmation = aUsage.confirmation_) {
+    aObject["A"] =
+      json::array{ confirmation->number_, confirmation->term_, confirmation->firstOpen_ };
+  }
+}
+
+std::optional<UsageMessage>
+DecodeUsage(const json::object& aObject)
+{
+  UsageMessage usage;
+  if (const auto* value = aObject.if_contains("N"); value != nullptr && value->is_array()) {
+    const auto& row = value->get_array();
+    usage.number_ = NumberAt<std::uint64_t>(row, 0);
+    usage.wallTime_ = WallTime(MillisecondsAt(row, 1));
+    usage.isBackup_ = NumberAt<int>(row, 2) != 0;
+    if (auto origin = HostId(TextAt(row, 3)); !origin.IsEmpty()) {
+      usage.origin_ = UsageProcess{ std::move(origin), NumberAt<std::int64_t>(row, 4) };
+    }
+    ForRows(aObject, "C", [&](const json::array& aRow) {
+      const auto window = NumberAt<WindowId>(aRow, 0);
+      for (std::size_t i = 1; i + 1 < aRow.size(); i += 2) {
+        usage.cells_.push_back(
+          { window, WorkspaceId(TextAt(aRow, i)), NumberAt<std::uint64_t>(aRow, i + 1) });
+      }
+    });
+  }
+  if (const auto* value = aObject.if_contains("A"); value != nullptr && value->is_array()) {
+    const auto& row = value->get_array();
+    usage.confirmation_ = UsageConfirmation{ NumberAt<std::uint64_t>(row, 0),
+                                             NumberAt<std::uint64_t>(row, 1),
+                                             NumberAt<WindowId>(row, 2) };
+  }
+  return usage.number_ > 0 || usage.confirmation_ ? std::optional(std::move(usage)) : std::nullopt;
+}
+
 } // namespace
 
 std::uint64_t
@@ -464,6 +525,9 @@
   }
   EncodeQuarantine(aMessage.quarantine_, object);
   EncodeOrigins(aMessage.origins_, object);
+  if (aMessage.usage_) {
+    EncodeUsage(*aMessage.usage_, object);
+  }
   if (const auto& query = aMessage.query_) {
     object["q"] =
       json::array{ query->upstreams_.next_, query->hostsDigest_, query->upstreams_.era_ };
@@ -563,6 +627,7 @@
     object, "m", [&](const json::array& aRow) { message.hosts_.push_back(DecodeHost(aRow)); });
   message.quarantine_ = DecodeQuarantine(object);
   message.origins_ = DecodeOrigins(object);
+  message.usage_ = DecodeUsage(object);
   ForRows(object, "o", [&](const json::array& aRow) {
     message.partitions_.push_back(NumberAt<std::uint32_t>(aRow, 0));
   });
--- a/src/gateway/gossip_message.h
+++ b/src/gateway/gossip_message.h
@@ -8,6 +8,7 @@
 #include "fleet/permit_issuer.h"
 #include "fleet/quarantine.h"
 #include "fleet/stream_origin.h"
+#include "fleet/usage_type.h"
 
 #include <chrono>
 #include <optional>
@@ -89,6 +90,26 @@
   std::vector<RequestId> unknown_;          ///< Answer to queries: the sender does not know these.
 };
 
+/** Confirmation that the holder of the usage reports has received a message with counts. */
+struct UsageConfirmation
+{
+  std::uint64_t number_ = 0; ///< UsageMessage::number_ of the message.
+  std::uint64_t term_ = 0;   ///< Changes when the holder has lost the counts received before.
+  WindowId firstOpen_ = 0;   ///< First window whose counts the holder still needs.
+};
+
+/** Counts of requests for the holder of the usage reports, or its confirmation. */
+struct UsageMessage
+{
+  std::uint64_t number_ = 0; ///< Increases with each message with counts; 0 if there are none.
+  WallTime wallTime_;        ///< Wall clock of the sender, if there are counts.
+  std::vector<UsageCell> cells_;
+  /** The sender is the holder, and the receiver is to keep its counts for the next holder. */
+  bool isBackup_ = false;
+  std::optional<UsageProcess> origin_; ///< Process whose counts they are; none for the sender.
+  std::optional<UsageConfirmation> confirmation_;
+};
+
 /** One gossip datagram. All lists may be empty. */
 struct GossipMessage
 {
@@ -109,6 +130,7 @@
   std::vector<PermitRequest> permitRequests_;
   std::vector<PermitAnswer> permitAnswers_;
   StreamOriginMessage origins_;
+  std::optional<UsageMessage> usage_;
 };
 
 /** @return digest of the hosts and their partitions; depends on the order of the hosts. */
--- a/src/gateway/gossip_service.cpp
+++ b/src/gateway/gossip_service.cpp
@@ -367,6 +367,9 @@
   if (onOrigins_) {
     onOrigins_(message->host_, message->origins_);
   }
+  if (onUsage_ && message->usage_) {
+    onUsage_(message->host_, message->startedAt_, *message->usage_);
+  }
   bool hasChanged = false;
   for (const auto& residency : message->residency_) {
     hasChanged = context_.fleet_.Upstreams().OnResidency(residency) || hasChanged;
@@ -507,6 +510,14 @@
   Send(aTo, message);
 }
 
+void
+GossipService::SendUsage(const Endpoint& aTo, const UsageMessage& aMessage)
+{
+  auto message = NewMessage();
+  message.usage_ = aMessage;
+  Send(aTo, message);
+}
+
 void
 GossipService::OnUseStarted(const AdapterUse& aUse)
 {
--- a/src/gateway/gossip_service.h
+++ b/src/gateway/gossip_service.h
@@ -14,6 +14,7 @@
 #include "gateway/holder_service.h"
 #include "gateway/store_watch.h"
 #include "gateway/stream_origin_service.h"
+#include "gateway/usage_service.h"
 
 #include <functional>
 #include <map>
@@ -44,6 +45,7 @@
  */
 class GossipService
   : public StreamOriginSender
+  , public UsageSender
   , public std::enable_shared_from_this<GossipService>
 {
 public:
@@ -67,6 +69,11 @@
     onOrigins_ = std::move(aFunction);
   }
   void SendOrigins(const Endpoint& aTo, const StreamOriginMessage& aMessage) override;
+  /** Function that receives the messages on usage, with their sender and its start time. */
+  using UsageFunction = std::function<void(const HostRecord&, std::int64_t, const UsageMessage&)>;
+  /** Sets the function that receives the messages on usage. */
+  void SetOnUsage(UsageFunction aFunction) { onUsage_ = std::move(aFunction); }
+  void SendUsage(const Endpoint& aTo, const UsageMessage& aMessage) override;
   /** Starts to send at each gossip interval. */
   void Start();
   /** Processes the payload of a received datagram. */
@@ -128,6 +135,7 @@
   const std::int64_t startTime_;   ///< Start time of this process, Unix ms.
   std::function<void()> onChange_; ///< Called when requests that wait may be able to start.
   std::function<void(const HostRecord&, const StreamOriginMessage&)> onOrigins_;
+  UsageFunction onUsage_;
   DatagramSender* link_ = nullptr;
   HolderService* holder_ = nullptr;
   StoreWatch* watch_ = nullptr;
--- a/tests/gateway/gossip_message_test.cpp
+++ b/tests/gateway/gossip_message_test.cpp
@@ -94,6 +94,35 @@
   EXPECT_EQ(decoded->loadRequests_.at(0).request_.priority_, LoadPriority::Late);
 }
 
+// Guards against counts that the receiver adds to those of another process.
+TEST(GossipMessage, PreservesCountsAndConfirmationsOfUsage)
+{
+  GossipMessage message;
+  message.host_ = { HostId("h"), { "127.0.0.1", 7 }, DataCentreId("dc") };
+  EXPECT_FALSE(DecodeGossip(EncodeGossip(message))->usage_);
+  UsageMessage usage;
+  usage.number_ = 3;
+  usage.wallTime_ = WallTime(1700s);
+  usage.cells_ = { { 5, WorkspaceId("a"), 2 },
+                   { 5, WorkspaceId("b"), 1 },
+                   { 6, WorkspaceId("a"), 9 } };
+  message.usage_ = usage;
+  auto decoded = DecodeGossip(EncodeGossip(message))->usage_;
+  EXPECT_EQ(decoded->number_, 3U);
+  EXPECT_EQ(decoded->wallTime_, WallTime(1700s));
+  EXPECT_EQ(decoded->cells_, usage.cells_);
+  EXPECT_FALSE(decoded->isBackup_ || decoded->origin_ || decoded->confirmation_);
+  message.usage_->isBackup_ = true;
+  message.usage_->origin_ = UsageProcess{ HostId("g"), 11 };
+  message.usage_->confirmation_ = UsageConfirmation{ 8, 2, 353445120 };
+  decoded = DecodeGossip(EncodeGossip(message))->usage_;
+  EXPECT_TRUE(decoded->isBackup_);
+  EXPECT_EQ(decoded->origin_, (UsageProcess{ HostId("g"), 11 }));
+  EXPECT_EQ(decoded->confirmation_->number_, 8U);
+  EXPECT_EQ(decoded->confirmation_->term_, 2U);
+  EXPECT_EQ(decoded->confirmation_->firstOpen_, 353445120);
+}
+
 // Guards against a missing load report that is taken as zero demand.
 // Guards against load reports that hosts of a build without restores cannot read, or the reverse.
 TEST(GossipMessage, ALoadReportWithoutARestoreHasNone)
