--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -68,6 +68,9 @@
   std::function<void()> onSlotFree_;
   /** Called when a request was queued, with its ticket in the queue. */
   std::function<void(WaitTicket, const std::shared_ptr<RequestFlow>&)> onQueued_;
+  /** Called for each attempt that began to run for a workspace: with the first event of a stream,
+   * or the head of an answer. May be empty. */
+  std::function<void(const WorkspaceId&)> onBegun_ = nullptr;
 };
 
 /** A request that passed the checks of route, key and quota. */
@@ -93,6 +96,7 @@
   std::int64_t demandedVersion_ = 0; ///< Adapter version that it demands; 0 = any.
   TimePoint sent_;                   ///< When it started.
   bool hasSent_ = false;             ///< Bytes of it may have reached upstream_.
+  bool isCounted_ = false;           ///< It was counted as begun.
 };
 
 /**
@@ -222,6 +226,8 @@
   /** @return Lost for a stream that was broken off although its framing is complete; else aEnd, or
    * Complete if that is Closed. */
   CallEnd EndOfContent(CallEnd aEnd) const;
+  /** Counts an attempt that began to run, once. */
+  void CountBegun(UpstreamAttempt& aAttempt);
   /** Records that the answer of the last attempt shows no crash. */
   void RecordBegun();
   /** Records that the last attempt may have crashed its upstream, unless its answer had begun. */
--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace laburnumweir {
 
@@ -145,6 +146,9 @@
   lastEvent_ = now;
   answerClass_ = head.class_;
   isStreaming_ = IsStream() && answerClass_ == AnswerClass::Valid;
+  if (answerClass_ == AnswerClass::Error || (answerClass_ == AnswerClass::Valid && !isStreaming_)) {
+    CountBegun(attempt_);
+  }
   if (hedge_ && answerClass_ == AnswerClass::Valid && !isBegun_) {
     DropHedge(AttemptHealth::Good);
   }
@@ -178,6 +182,9 @@
 RequestFlow::OnBody(std::string_view aBytes)
 {
   if (!answer_) {
+    if (isStreaming_) {
+      CountBegun(attempt_); // its events are not read any more
+    }
     return true;
   }
   const auto now = context_.clock_.Now();
@@ -193,6 +200,7 @@
     if (events_.Events() > eventsBefore) {
       lastEvent_ = now;
       isSilenceHandled_ = false;
+      CountBegun(attempt_);
       if (hedge_) {
         DropHedge(AttemptHealth::Good); // it was asked to continue after an earlier event
       }
@@ -286,6 +294,15 @@
   OnEnd(CallEnd::Malformed);
 }
 
+void
+RequestFlow::CountBegun(UpstreamAttempt& aAttempt)
+{
+  if (admitted_.workspace_ != nullptr && context_.onBegun_ &&
+      !std::exchange(aAttempt.isCounted_, true)) {
+    context_.onBegun_(admitted_.workspace_->id_);
+  }
+}
+
 void
 RequestFlow::RecordBegun()
 {
--- a/src/gateway/request_flow_hedge.cpp
+++ b/src/gateway/request_flow_hedge.cpp
@@ -67,6 +67,9 @@
   }
   hedge_->head_ = std::move(head);
   hedge_->status_ = aStatus;
+  if (hedge_->head_.class_ == AnswerClass::Error) {
+    CountBegun(hedge_->attempt_);
+  }
   return hedge_->head_.class_ == AnswerClass::Invalid ? HeadAction::Reject : HeadAction::Discard;
 }
 
