--- a/src/cli/gateway_cmd.cpp
+++ b/src/cli/gateway_cmd.cpp
@@ -4,6 +4,7 @@
 #include "cli/command_options.h"
 #include "gateway/gateway.h"
 #include "logging/logging_func.h"
+#include "platform/duty_client.h"
 #include "platform/engine_client.h"
 #include "platform/message_codec.h"
 #include "platform/node_settings.h"
@@ -71,7 +72,12 @@
   platform::StoreClient store(context, settings->storeEndpoint_);
   platform::EngineClient engines(context);
   const platform::PlatformMessageCodec codec;
-  const GatewayPorts ports{ store, engines, codec, [path] { return LoadSettings(path); } };
+  GatewayPorts ports{ store, engines, codec, [path] { return LoadSettings(path); } };
+  std::optional<platform::HttpDutyClient> duties;
+  if (settings->reportsUsage_) {
+    ports.usageLog_ = &store;
+    ports.duties_ = &duties.emplace(context, settings->dutyEndpoint_);
+  }
   return RunGateway(context, *settings, ports) ? ExitCode::Ok : ExitCode::Error;
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -11,6 +11,7 @@
 #include "gateway/software_recorder.h"
 #include "gateway/store_watch.h"
 #include "gateway/stream_origin_service.h"
+#include "gateway/usage_duty.h"
 #include "http/strand_scheduler.h"
 #include "logging/logging_func.h"
 #include "table/fleet_const.h"
@@ -129,6 +130,11 @@
                     [this] { ScheduleStartQueued(); },
                     [this](WaitTicket aTicket, const std::shared_ptr<RequestFlow>& aFlow) {
                       waiting_[aTicket] = aFlow;
+                    },
+                    [this](const WorkspaceId& aWorkspace) {
+                      if (usage_) {
+                        usage_->OnBegun(aWorkspace);
+                      }
                     } }
     , gossipLink_(aContext, [this](std::string_view aPayload) { gossip_->OnPayload(aPayload); })
     , readyPage_([this](std::string_view) { return ReadyPage(); })
@@ -189,6 +195,22 @@
         softwareRecorder_->OnStored(aRecords);
       });
     gossip_->Connect(gossipLink_, *holder_, *watch_);
+    if (settings_.reportsUsage_ && ports_.usageLog_ != nullptr && ports_.duties_ != nullptr) {
+      usage_ = std::make_unique<UsageDuty>(UsageDutyContext{ clock_,
+                                                             scheduler_,
+                                                             *ports_.usageLog_,
+                                                             *ports_.duties_,
+                                                             peers_,
+                                                             *holder_,
+                                                             *gossip_,
+                                                             metrics_ },
+                                           UsageProcess{ settings_.host_, life_ },
+                                           UsageSettings{ settings_.host_,
+                                                          settings_.bounds_.reportWindow_,
+                                                          settings_.bounds_.usageDueTime_,
+                                                          settings_.dutyCallsPerSecond_,
+                                                          settings_.bounds_.isFencingEnforced_ });
+    }
   }
 
   bool Start()
@@ -235,6 +257,9 @@
     origins_->Start();
     softwareRecorder_->Start();
     registration_->Start();
+    if (usage_) {
+      usage_->Start();
+    }
     RepeatWhileAlive(scheduler_, kQueueCheckInterval, gossip_, [this] { OnTick(); });
     RepeatWhileAlive(scheduler_, kReloadInterval, gossip_, [this] { Reload("interval"); });
     return true;
@@ -583,6 +608,9 @@
              "stop",
              { { "reason", std::string(aReason) },
                { "cut_requests", std::to_string(callers_.BusySessions()) } });
+    if (usage_) {
+      usage_->Stop();
+    }
     callers_.Stop();
     readiness_.Stop();
     metricsServer_.Stop();
@@ -616,6 +644,7 @@
   std::shared_ptr<HostRegistration> registration_;
   std::shared_ptr<HolderService> holder_; ///< Sends orders to engines.
   std::shared_ptr<StoreWatch> watch_;     ///< Reads changes of the store.
+  std::unique_ptr<UsageDuty> usage_;      ///< Only where the settings enable it.
   GossipLink gossipLink_;
   PageHandler readyPage_;
   PageHandler metricsPage_;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -2,8 +2,10 @@
 #ifndef LABURNUMWEIR_GATEWAY_GATEWAY_H
 #define LABURNUMWEIR_GATEWAY_GATEWAY_H
 
+#include "fleet/duty_client_base.h"
 #include "fleet/engine_control_base.h"
 #include "fleet/fleet_store_base.h"
+#include "fleet/usage_log_base.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/message_codec_base.h"
 
@@ -21,6 +23,8 @@
   const MessageCodec& codec_;
   /** Reads the settings again. Returns none if they are invalid or cannot be read. */
   std::function<std::optional<GatewaySettings>()> reload_;
+  UsageLog* usageLog_ = nullptr; ///< Stream of usage reports; nullptr if they are not enabled.
+  DutyClient* duties_ = nullptr; ///< The platform's API for duties; nullptr if it is not enabled.
 };
 
 /**
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -42,6 +42,12 @@
   double retrySlack_ = 50;
   /** Length of the sliding window in which requests and retries are counted. */
   std::chrono::milliseconds retryWindow_{ 10000 };
+  /** Length of the windows for which the usage is reported. Not changed by a reload. */
+  std::chrono::milliseconds reportWindow_{ 5000 };
+  /** Time from the end of a window until its usage report is due. Not changed by a reload. */
+  std::chrono::milliseconds usageDueTime_{ 10000 };
+  /** Whether the platform checks the fencing tokens of duties. Not changed by a reload. */
+  bool isFencingEnforced_ = true;
 };
 
 /** Settings of a gateway. */
@@ -60,6 +66,9 @@
   std::chrono::milliseconds minMemberTimeout_{ 1000 };
   bool isFirstStart_ = false;          ///< The whole system starts for the first time.
   std::uint32_t groupPartitions_ = 12; ///< Partitions of the group's topic, divided among members.
+  bool reportsUsage_ = false;          ///< Whether this host takes part in the usage reports.
+  Endpoint dutyEndpoint_;              ///< Address of the platform's API for duties.
+  double dutyCallsPerSecond_ = 50; ///< Calls of duties that the platform accepts from all hosts.
   GatewayBounds bounds_;
 };
 
--- a/src/gateway/holder_service.h
+++ b/src/gateway/holder_service.h
@@ -75,6 +75,11 @@
    * weight loads. */
   void SetHostCount(std::size_t aHostCount) { hostCount_ = aHostCount == 0 ? 1 : aHostCount; }
   const HolderLease& Lease() const { return lease_; }
+  /** Records that a token of a partition was refused as outdated. */
+  void OnFenced(std::uint32_t aPartition, std::uint64_t aToken)
+  {
+    lease_.OnFenced(aPartition, aToken);
+  }
   std::uint32_t PartitionOfEngine(const UpstreamId& aEngine) const;
 
 private:
