--- a/src/gateway/usage_reporter.cpp
+++ b/src/gateway/usage_reporter.cpp
@@ -129,6 +129,7 @@
     Apply(record);
   }
   isLogKnown_ = aBatch.isComplete_;
+  logReadAt_ = context_.clock_.Now();
   if (!isLogKnown_) {
     ReadLog();
   } else if (*end_ == StorePosition()) {
@@ -160,19 +161,21 @@
 }
 
 WindowId
-UsageReporter::LatestWindow() const
+UsageReporter::WindowAtRead() const
 {
+  const auto elapsed =
+    std::chrono::duration_cast<WallTime::duration>(context_.clock_.Now() - logReadAt_);
   const auto time = context_.time_.Now();
   const auto latest = time + std::chrono::duration_cast<WallTime::duration>(kUsageMaxClockLead);
-  return scale_.WindowAt(std::max(time, std::min(context_.clock_.WallNow(), latest)));
+  return scale_.WindowAt(std::max(time, std::min(context_.clock_.WallNow(), latest)) - elapsed);
 }
 
 void
 UsageReporter::PassOver()
 {
-  // The earlier decisions concern windows that ended at least decideDelay_ ago by the clocks of the
-  // hosts. One more window covers differences of these clocks.
-  const auto next = std::max(next_, LatestWindow() + 1);
+  // The earlier decisions were made before the stream was read, on windows that had ended
+  // decideDelay_ before by the clocks of the hosts. One more window covers differences of these.
+  const auto next = std::max(next_, WindowAtRead() + 1);
   LogEvent(LogLevel::Warn,
            "usage_windows_passed_over",
            { { "before", std::to_string(next) }, { "era", std::to_string(end_->era_) } });
--- a/src/gateway/usage_reporter.h
+++ b/src/gateway/usage_reporter.h
@@ -88,8 +88,8 @@
   void OnRead(std::error_code aError, const UsageLogBatch& aBatch);
   /** Applies a record of the stream, in the order of the stream. */
   void Apply(const UsageLogRecord& aRecord);
-  /** @return the window of this time; the later one if the clocks differ. */
-  WindowId LatestWindow() const;
+  /** @return the window in which the stream was read; the later one if the clocks differ. */
+  WindowId WindowAtRead() const;
   /** Passes over the windows that records which this host cannot read may have decided. */
   void PassOver();
   void DecideNext();
@@ -113,6 +113,7 @@
   std::optional<TimePoint> heldSince_; ///< DutyLease::HeldSince() at the last tick.
   std::optional<StorePosition> end_;   ///< Position up to which the stream was read.
   bool isLogKnown_ = false;            ///< The stream was read to its end.
+  TimePoint logReadAt_;                ///< When the last read was answered.
   bool hasEraRecord_ = false;          ///< A record of the era of end_ was read or written.
   bool isLogCallPending_ = false;
   Backoff logBackoff_;
--- a/tests/gateway/usage_reporter_test.cpp
+++ b/tests/gateway/usage_reporter_test.cpp
@@ -423,7 +423,7 @@
     EXPECT_GT(platform_.reports_.rbegin()->first, last);
     holder.reset();
   }
-  EXPECT_LE(MissingReports(), 12U);
+  EXPECT_LE(MissingReports(), 5U); // three, where the holder notices with its next append, and two
 }
 
 // Guards against a report that another holder of the earlier era decided otherwise: an append of
