--- a/tests/gateway/usage_reporter_test.cpp
+++ b/tests/gateway/usage_reporter_test.cpp
@@ -368,8 +368,7 @@
   EXPECT_EQ(MissingReports(), 0U);
 }
 
-// Guards against a holder that sends after its lease has expired while it was suspended, also if
-// the call had been started before.
+// Guards against a holder that sends after its lease has expired while it was suspended.
 TEST_F(UsageReporterTest, SuspendedHolderSendsNothing)
 {
   const auto holder = NewHolder();
