--- a/src/gateway/request_flow_hedge.cpp
+++ b/src/gateway/request_flow_hedge.cpp
@@ -89,6 +89,9 @@
   if (isValid || isFinalError) {
     return TakeHedge();
   }
+  if (hedge.head_.class_ == AnswerClass::Error) {
+    CountBegun(hedge.attempt_);
+  }
   return hedge.head_.class_ == AnswerClass::Invalid ? HeadAction::Reject : HeadAction::Discard;
 }
 
--- a/tests/gateway/request_flow_silence_test.cpp
+++ b/tests/gateway/request_flow_silence_test.cpp
@@ -240,10 +240,11 @@
 // one is being connected, and the second upstream leaves meanwhile.
 TEST_F(SilenceTest, StreamWaitsIfBothUpstreamsAreLostAtOnce)
 {
-  ScriptedServer broken([](Peer& aPeer, int) {
+  std::atomic<bool> hasSecond = false;
+  ScriptedServer broken([&](Peer& aPeer, int) {
     aPeer.ReadRequest();
     aPeer.Send(kStreamHead + Chunk(kEvent1));
-    std::this_thread::sleep_for(1230ms); // the second attempt starts after 1.2 s
+    testing_support::WaitUntil([&] { return hasSecond.load(); });
     aPeer.Close();
   });
   ScriptedServer leaving([](Peer& aPeer, int) { aPeer.ReadSome(200ms); });
@@ -255,10 +256,14 @@
   const UpstreamLoad full{ UpstreamId("u16"), 16, std::nullopt };
   fleet_.Upstreams().OnPeerLoad(HostId("h2"), std::span(&full, 1));
   Start();
-  while (fleet_.Upstreams().Find(UpstreamId("u32"))->running_ == 0) {
-    context_.run_for(1ms);
+  const auto end = std::chrono::steady_clock::now() + 4s;
+  const auto* second = fleet_.Upstreams().Find(UpstreamId("u32"));
+  while (second->running_ == 0 && std::chrono::steady_clock::now() < end) {
+    context_.run_one_for(10ms); // one handler, so that the connection is not yet established
     context_.restart();
   }
+  ASSERT_EQ(second->running_, 1U);
+  hasSecond = true;
   fleet_.Upstreams().OnLeaving(UpstreamId("u32"), startedAt_);
   std::this_thread::sleep_for(100ms); // the first attempt ends before the event loop runs again
   fleet_.Upstreams().OnPeerLoad(HostId("h2"), {});
