--- a/src/fleet/wait_queue.cpp
+++ b/src/fleet/wait_queue.cpp
@@ -155,6 +155,22 @@
   return result;
 }
 
+std::vector<WaitingRequest>
+WaitQueue::FirstInOrder(const ServiceName& aService, std::size_t aMax)
+{
+  std::vector<WaitingRequest> result;
+  if (const auto queue = queues_.find(aService); queue != queues_.end()) {
+    Order(queue->second);
+    for (const auto& [position, place] : queue->second.order_) {
+      const auto found = queue->second.requests_.find(position);
+      if (found != queue->second.requests_.end() && result.size() < aMax) {
+        result.push_back(found->second.request_);
+      }
+    }
+  }
+  return result;
+}
+
 std::size_t
 WaitQueue::Size(std::uint32_t aFirst, std::uint32_t aLast) const
 {
--- a/src/fleet/wait_queue.h
+++ b/src/fleet/wait_queue.h
@@ -54,6 +54,8 @@
   void RecordAnswer(const ServiceName& aService, std::uint32_t aRank, Duration aTime);
   /** Orders the waiting requests of a service. @return their tickets, in the order of service. */
   std::vector<WaitTicket> TicketsInOrder(const ServiceName& aService);
+  /** @return the first waiting requests of a service in the order of service, at most aMax. */
+  std::vector<WaitingRequest> FirstInOrder(const ServiceName& aService, std::size_t aMax);
   /** @return services with waiting requests. */
   std::vector<ServiceName> Services() const;
   /** @return requests whose latest start has passed or cannot be met at the current rate of starts.
@@ -64,6 +66,12 @@
    * @return the estimate; none while the rate of starts is not known.
    */
   std::optional<Duration> EstimateWait(const ServiceName& aService, std::uint32_t aRank) const;
+  /** @return the service of a waiting request; empty if it does not wait. */
+  ServiceName ServiceOf(WaitTicket aTicket) const
+  {
+    const auto found = positions_.find(aTicket);
+    return found == positions_.end() ? ServiceName() : found->second.first;
+  }
   /** @return whether a request still waits. */
   bool Contains(WaitTicket aTicket) const { return positions_.contains(aTicket); }
   std::size_t Size() const { return positions_.size(); }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -8,6 +8,7 @@
 #include "gateway/host_registration.h"
 #include "gateway/quarantine_service.h"
 #include "gateway/request_flow.h"
+#include "gateway/shared_slots.h"
 #include "gateway/software_recorder.h"
 #include "gateway/store_watch.h"
 #include "gateway/stream_origin_service.h"
@@ -90,6 +91,7 @@
 class Gateway
   : public HttpHandler
   , private StreamOrigins
+  , private SlotSource
 {
 public:
   Gateway(asio::io_context& aContext, const GatewaySettings& aSettings, const GatewayPorts& aPorts)
@@ -117,6 +119,7 @@
                     queue_,
                     quarantine_,
                     *this,
+                    *this,
                     link_,
                     metrics_,
                     settings_.bounds_,
@@ -131,6 +134,7 @@
                     [this] { ScheduleStartQueued(); },
                     [this](WaitTicket aTicket, const std::shared_ptr<RequestFlow>& aFlow) {
                       waiting_[aTicket] = aFlow;
+                      slots_->OnQueued(queue_.ServiceOf(aTicket));
                     },
                     [this](const WorkspaceId& aWorkspace) {
                       if (usage_) {
@@ -204,6 +208,19 @@
         softwareRecorder_->OnStored(aRecords);
       });
     gossip_->Connect(gossipLink_, *holder_, *watch_);
+    slots_ = std::make_shared<SharedSlots>(
+      SharedSlotsContext{
+        clock_,
+        scheduler_,
+        fleet_,
+        queue_,
+        metrics_,
+        *gossip_,
+        [this] { ScheduleStartQueued(); },
+        [this](const ServiceName& aService, std::size_t aCount) { RefuseLast(aService, aCount); } },
+      self_,
+      life_);
+    gossip_->SetSlots(slots_);
     if (settings_.reportsUsage_ && ports_.usageLog_ != nullptr && ports_.duties_ != nullptr) {
       usage_ = std::make_unique<UsageDuty>(UsageDutyContext{ clock_,
                                                              scheduler_,
@@ -277,6 +294,7 @@
     origins_->Start();
     softwareRecorder_->Start();
     registration_->Start();
+    slots_->Start();
     if (usage_) {
       usage_->Start();
     }
@@ -492,6 +510,30 @@
     origins_->Find(aAttempt, aService, std::move(aCallback));
   }
 
+  bool IsShared(const ServiceName& aService) const override { return slots_->IsShared(aService); }
+  std::optional<SlotGrant> Take(const ServiceName& aService,
+                                const std::set<UpstreamId>& aExcluded) override
+  {
+    return slots_->Take(aService, aExcluded);
+  }
+  void Return(const ServiceName& aService, SlotReturn aReturn) override
+  {
+    slots_->Return(aService, aReturn);
+  }
+
+  /** Refuses the last waiting requests of a service, which cannot start in time. */
+  void RefuseLast(const ServiceName& aService, std::size_t aCount)
+  {
+    const auto tickets = queue_.TicketsInOrder(aService);
+    const auto count = std::min(aCount, tickets.size());
+    for (auto ticket = tickets.rbegin(); ticket != tickets.rbegin() + std::ptrdiff_t(count);
+         ++ticket) {
+      if (const auto flow = FindWaiting(*ticket)) {
+        flow->RefuseWaiting();
+      }
+    }
+  }
+
   void OnStoreRestored()
   {
     metrics_.GetCounter("laburnumweir_gateway_store_restores_total").Add();
@@ -672,6 +714,7 @@
   std::shared_ptr<StreamOriginService> origins_;
   std::shared_ptr<SoftwareRecorder> softwareRecorder_; ///< Keeps history_ in the store.
   std::shared_ptr<HostRegistration> registration_;
+  std::shared_ptr<SharedSlots> slots_;    ///< Slots that the hosts share.
   std::shared_ptr<HolderService> holder_; ///< Sends orders to engines.
   std::shared_ptr<StoreWatch> watch_;     ///< Reads changes of the store.
   std::unique_ptr<UsageDuty> usage_;      ///< Only where the settings enable it.
--- a/src/gateway/gossip_message.cpp
+++ b/src/gateway/gossip_message.cpp
@@ -1,6 +1,8 @@
 /** @file gossip_message.cpp Messages between hosts, and their encoding. */
 #include "gateway/gossip_message.h"
 
+#include "gateway/slot_message.h"
+
 #include "core/hash_func.h"
 #include "http/json_field.h"
 #include "table/fleet_const.h"
@@ -23,7 +25,8 @@
 // w load requests, q query, s answer, x changed upstreams, m live hosts, f crash suspects,
 // b contents that have begun, y quarantines, j permit requests, i permit answers, v configuration
 // in force, t restore of the store, R origins of streams, Q queries for such, U unknown ones,
-// N number and time of a message with usage counts, C these counts, A their confirmation.
+// N number and time of a message with usage counts, C these counts, A their confirmation,
+// D demands of slots, O offers of slots.
 
 /** @return text of a cell; empty if the cell is missing or of another type. */
 std::string
@@ -525,6 +528,12 @@
   }
   EncodeQuarantine(aMessage.quarantine_, object);
   EncodeOrigins(aMessage.origins_, object);
+  if (!aMessage.slotDemands_.empty()) {
+    object["D"] = EncodeSlotDemands(aMessage.slotDemands_);
+  }
+  if (!aMessage.slotOffers_.empty()) {
+    object["O"] = EncodeSlotOffers(aMessage.slotOffers_);
+  }
   if (aMessage.usage_) {
     EncodeUsage(*aMessage.usage_, object);
   }
@@ -628,6 +637,12 @@
   message.quarantine_ = DecodeQuarantine(object);
   message.origins_ = DecodeOrigins(object);
   message.usage_ = DecodeUsage(object);
+  if (const auto* demands = object.if_contains("D"); demands != nullptr && demands->is_array()) {
+    message.slotDemands_ = DecodeSlotDemands(demands->get_array());
+  }
+  if (const auto* offers = object.if_contains("O"); offers != nullptr && offers->is_array()) {
+    message.slotOffers_ = DecodeSlotOffers(offers->get_array());
+  }
   ForRows(object, "o", [&](const json::array& aRow) {
     message.partitions_.push_back(NumberAt<std::uint32_t>(aRow, 0));
   });
--- a/src/gateway/gossip_message.h
+++ b/src/gateway/gossip_message.h
@@ -7,6 +7,7 @@
 #include "fleet/peer_table.h"
 #include "fleet/permit_issuer.h"
 #include "fleet/quarantine.h"
+#include "fleet/slot_type.h"
 #include "fleet/stream_origin.h"
 #include "fleet/usage_type.h"
 
@@ -131,6 +132,8 @@
   std::vector<PermitAnswer> permitAnswers_;
   StreamOriginMessage origins_;
   std::optional<UsageMessage> usage_;
+  std::vector<SlotDemand> slotDemands_;
+  std::vector<SlotOffer> slotOffers_;
 };
 
 /** @return digest of the hosts and their partitions; depends on the order of the hosts. */
--- a/src/gateway/gossip_service.cpp
+++ b/src/gateway/gossip_service.cpp
@@ -365,6 +365,7 @@
   }
   context_.quarantine_.Merge(message->quarantine_);
   OnPermitMessage(*message);
+  OnSlotMessage(*message);
   if (onOrigins_) {
     onOrigins_(message->host_, message->origins_);
   }
@@ -433,12 +434,11 @@
 }
 
 HostRecord
-GossipService::IssuerOf(const UpstreamId& aUpstream) const
+GossipService::IssuerOf(std::string_view aKey) const
 {
   return *std::max_element(
     issuers_.begin(), issuers_.end(), [&](const HostRecord& aLeft, const HostRecord& aRight) {
-      return RendezvousWeight(aLeft.id_.Value(), aUpstream.Value()) <
-             RendezvousWeight(aRight.id_.Value(), aUpstream.Value());
+      return RendezvousWeight(aLeft.id_.Value(), aKey) < RendezvousWeight(aRight.id_.Value(), aKey);
     });
 }
 
@@ -455,7 +455,7 @@
   if (open.sentAt_ && now - *open.sentAt_ < kPermitTimeout) {
     return false;
   }
-  const auto issuer = IssuerOf(aUpstream);
+  const auto issuer = IssuerOf(aUpstream.Value());
   if (open.issuer_ != issuer.id_) {
     open.issuer_ = issuer.id_;
     LogEvent(LogLevel::Info,
@@ -519,6 +519,42 @@
   Send(aTo, message);
 }
 
+HostRecord
+GossipService::SlotIssuerOf(const ServiceName& aService) const
+{
+  return IssuerOf(aService.Value());
+}
+
+void
+GossipService::SendSlots(const Endpoint& aTo, const SlotDemand& aDemand)
+{
+  auto message = NewMessage();
+  message.slotDemands_.push_back(aDemand);
+  Send(aTo, message);
+}
+
+void
+GossipService::SendSlots(const Endpoint& aTo, const SlotOffer& aOffer)
+{
+  auto message = NewMessage();
+  message.slotOffers_.push_back(aOffer);
+  Send(aTo, message);
+}
+
+void
+GossipService::OnSlotMessage(const GossipMessage& aMessage)
+{
+  if (!slots_) {
+    return;
+  }
+  for (const auto& demand : aMessage.slotDemands_) {
+    slots_->OnDemand(aMessage.host_, aMessage.number_, demand);
+  }
+  for (const auto& offer : aMessage.slotOffers_) {
+    slots_->OnOffer(offer);
+  }
+}
+
 void
 GossipService::OnUseStarted(const AdapterUse& aUse)
 {
--- a/src/gateway/gossip_service.h
+++ b/src/gateway/gossip_service.h
@@ -12,6 +12,7 @@
 #include "gateway/gossip_link.h"
 #include "gateway/gossip_message.h"
 #include "gateway/holder_service.h"
+#include "gateway/shared_slots.h"
 #include "gateway/store_watch.h"
 #include "gateway/stream_origin_service.h"
 #include "gateway/usage_service.h"
@@ -46,6 +47,7 @@
 class GossipService
   : public StreamOriginSender
   , public UsageSender
+  , public SlotSender
   , public std::enable_shared_from_this<GossipService>
 {
 public:
@@ -74,6 +76,12 @@
   /** Sets the function that receives the messages on usage. */
   void SetOnUsage(UsageFunction aFunction) { onUsage_ = std::move(aFunction); }
   void SendUsage(const Endpoint& aTo, const UsageMessage& aMessage) override;
+  /** Sets the slots that messages of other hosts are passed to; nullptr for none. */
+  void SetSlots(std::shared_ptr<SharedSlots> aSlots) { slots_ = std::move(aSlots); }
+  HostRecord SlotIssuerOf(const ServiceName& aService) const override;
+  bool HasLivePeers() const override { return issuers_.size() > 1; }
+  void SendSlots(const Endpoint& aTo, const SlotDemand& aDemand) override;
+  void SendSlots(const Endpoint& aTo, const SlotOffer& aOffer) override;
   /** Starts to send at each gossip interval. */
   void Start();
   /** Processes the payload of a received datagram. */
@@ -111,8 +119,9 @@
 
   /** @return the host that issues the permits of an upstream; all hosts that know the same hosts
    * agree. */
-  HostRecord IssuerOf(const UpstreamId& aUpstream) const;
+  HostRecord IssuerOf(std::string_view aKey) const;
   void OnPermitMessage(const GossipMessage& aMessage);
+  void OnSlotMessage(const GossipMessage& aMessage);
   GossipMessage NewMessage();
   GossipMessage NewLoadMessage(HostLoad aLoad);
   HostLoad OwnLoad() const;
@@ -135,6 +144,7 @@
   const std::int64_t startTime_;   ///< Start time of this process, Unix ms.
   std::function<void()> onChange_; ///< Called when requests that wait may be able to start.
   std::function<void(const HostRecord&, const StreamOriginMessage&)> onOrigins_;
+  std::shared_ptr<SharedSlots> slots_; ///< May be empty.
   UsageFunction onUsage_;
   DatagramSender* link_ = nullptr;
   HolderService* holder_ = nullptr;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -213,6 +213,9 @@
       excluded_.insert(upstream);
     }
   }
+  if (NeedsSlot()) {
+    return ChooseSlot();
+  }
   UpstreamNeed need;
   need.service_ = admitted_.service_;
   if (isEngine) {
@@ -278,6 +281,18 @@
   return choice;
 }
 
+UpstreamChoice
+RequestFlow::ChooseSlot()
+{
+  UpstreamChoice choice;
+  choice.hasUntried_ = true;
+  slot_ = context_.slots_.Take(admitted_.service_, excluded_);
+  if (slot_) {
+    choice.upstream_ = context_.fleet_.Upstreams().Find(slot_->upstream_);
+  }
+  return choice;
+}
+
 bool
 RequestFlow::IsSoftwareServed() const
 {
@@ -367,7 +382,7 @@
       RefuseWaiting();
       return true;
     }
-    SetBlocked(loadingEngine_ || pauseEnd || !choice.hasUntried_);
+    SetBlocked(loadingEngine_ || pauseEnd || !choice.hasUntried_ || NeedsSlot());
     return false;
   }
   if (std::exchange(needsRetry_, false)) {
@@ -535,8 +550,14 @@
                        UpstreamAttempt& aAttempt)
 {
   auto& upstream = *aChoice.upstream_;
-  aAttempt = { upstream.entry_.id_,       upstream.entry_.endpoint_, upstream.entry_.startedAt_,
-               upstream.entry_.software_, aChoice.demandedVersion_,  context_.clock_.Now() };
+  aAttempt = {};
+  aAttempt.upstream_ = upstream.entry_.id_;
+  aAttempt.endpoint_ = upstream.entry_.endpoint_;
+  aAttempt.startedAt_ = upstream.entry_.startedAt_;
+  aAttempt.software_ = upstream.entry_.software_;
+  aAttempt.demandedVersion_ = aChoice.demandedVersion_;
+  aAttempt.sent_ = context_.clock_.Now();
+  aAttempt.slot_ = std::exchange(slot_, std::nullopt);
   loadingEngine_.reset();
   ++attempts_;
   const auto* releases = Releases();
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -13,6 +13,7 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/gossip_message.h"
 #include "gateway/message_codec_base.h"
+#include "gateway/slot_source_base.h"
 #include "gateway/stream_origin_base.h"
 #include "gateway/upstream_link.h"
 #include "metrics/metrics.h"
@@ -51,6 +52,7 @@
   RetryShare& retries_;    ///< This host's share of the retry budget.
   WaitQueue& queue_;       ///< Order of the requests that wait for a free slot.
   Quarantine& quarantine_; ///< Requests that crash upstreams.
+  SlotSource& slots_;      ///< Slots that are assigned to this host.
   StreamOrigins& origins_; ///< What began the streams that callers resume.
   UpstreamLink& link_;
   Metrics& metrics_;
@@ -96,6 +98,7 @@
   std::int64_t demandedVersion_ = 0; ///< Adapter version that it demands; 0 = any.
   TimePoint sent_;                   ///< When it started.
   bool hasSent_ = false;             ///< Bytes of it may have reached upstream_.
+  std::optional<SlotGrant> slot_;    ///< Assigned slot that it uses; none if it needs none.
   bool isCounted_ = false;           ///< It was counted as begun.
 };
 
@@ -187,6 +190,10 @@
   /** @return ranAt_ and the upstream of the running attempt, unless that is a hedge. */
   std::set<UpstreamId> UsedUpstreams() const;
   UpstreamChoice ChooseUpstream();
+  /** @return whether the next attempt needs an assigned slot. */
+  bool NeedsSlot() const { return !call_ && context_.slots_.IsShared(admitted_.service_); }
+  /** @return the upstream of an assigned slot, which is kept in slot_; none if there is none. */
+  UpstreamChoice ChooseSlot();
   /** @return whether upstreams still run the software that began the stream. */
   bool IsSoftwareServed() const;
   /** @return whether an upstream may take a request that has begun later, though none can now. */
@@ -310,6 +317,7 @@
   TimePoint loadLastRequestedAt_;           ///< When the load was last requested there.
   std::set<UpstreamId> ranAt_;              ///< Upstreams at which an attempt ran or may have run.
   std::uint32_t attempts_ = 0;              ///< All attempts, including those that were not run.
+  std::optional<SlotGrant> slot_;           ///< Slot of the last choice, for the next attempt.
   bool needsRetry_ = false;                 ///< The next attempt needs a retry of the budget.
   bool isCallerSlow_ = false;     ///< Reading from the upstream pauses until the caller has read.
   bool hasError_ = false;         ///< A complete error is held back while a hedge runs.
--- a/src/gateway/request_flow_answer.cpp
+++ b/src/gateway/request_flow_answer.cpp
@@ -364,6 +364,15 @@
   if (aHealth == AttemptHealth::Unreachable) {
     context_.link_.DropIdle(aAttempt.endpoint_);
   }
+  if (aAttempt.slot_) {
+    const bool isFailure =
+      aHealth == AttemptHealth::Failed || aHealth == AttemptHealth::Unreachable;
+    context_.slots_.Return(admitted_.service_,
+                           { aAttempt.slot_->id_,
+                             aHealth == AttemptHealth::Busy ? SlotOutcome::Refused
+                             : isFailure                    ? SlotOutcome::Failed
+                                                            : SlotOutcome::Done });
+  }
   context_.onSlotFree_();
 }
 
--- /dev/null
+++ b/src/gateway/slot_message.cpp
@@ -0,0 +1,139 @@
+/** @file slot_message.cpp Encoding of messages about shared slots. */
+#include "gateway/slot_message.h"
+
+#include <boost/json.hpp>
+#include <string>
+
+namespace laburnumweir {
+
+namespace {
+
+namespace json = boost::json;
+using std::chrono::milliseconds;
+
+/** @return an integer in a cell; 0 if it is missing, not an integer or out of range. */
+template<typename Number>
+Number
+NumberAt(const json::array& aRow, std::size_t aIndex)
+{
+  json::error_code error;
+  const auto number =
+    aIndex < aRow.size() ? aRow[aIndex].to_number<Number>(error) : static_cast<Number>(0);
+  return error ? static_cast<Number>(0) : number;
+}
+
+std::string
+TextAt(const json::array& aRow, std::size_t aIndex)
+{
+  const auto* text = aIndex < aRow.size() ? aRow[aIndex].if_string() : nullptr;
+  return text == nullptr ? std::string() : std::string(*text);
+}
+
+/** Calls a function for each row of the array in a cell. */
+template<typename Function>
+void
+ForEachRow(const json::array& aRow, std::size_t aIndex, Function aFunction)
+{
+  const auto* rows = aIndex < aRow.size() ? aRow[aIndex].if_array() : nullptr;
+  if (rows == nullptr) {
+    return;
+  }
+  for (const auto& value : *rows) {
+    if (const auto* row = value.if_array()) {
+      aFunction(*row);
+    }
+  }
+}
+
+} // namespace
+
+json::array
+EncodeSlotDemands(std::span<const SlotDemand> aDemands)
+{
+  json::array rows;
+  for (const auto& demand : aDemands) {
+    json::array wishes;
+    for (const auto& wish : demand.wishes_) {
+      wishes.emplace_back(
+        json::array{ wish.rank_, wish.toTarget_.count(), wish.toLatest_.count() });
+    }
+    json::array returned;
+    for (const auto& slot : demand.returned_) {
+      returned.emplace_back(json::array{ slot.id_, static_cast<int>(slot.outcome_) });
+    }
+    rows.emplace_back(json::array{ demand.service_.Value(),
+                                   std::move(wishes),
+                                   json::array(demand.held_.begin(), demand.held_.end()),
+                                   std::move(returned) });
+  }
+  return rows;
+}
+
+std::vector<SlotDemand>
+DecodeSlotDemands(const json::array& aRows)
+{
+  std::vector<SlotDemand> demands;
+  for (const auto& value : aRows) {
+    const auto* row = value.if_array();
+    if (row == nullptr || TextAt(*row, 0).empty()) {
+      continue;
+    }
+    SlotDemand demand;
+    demand.service_ = ServiceName(TextAt(*row, 0));
+    ForEachRow(*row, 1, [&](const json::array& aWish) {
+      demand.wishes_.push_back({ NumberAt<std::uint32_t>(aWish, 0),
+                                 milliseconds(NumberAt<std::int32_t>(aWish, 1)),
+                                 milliseconds(NumberAt<std::int32_t>(aWish, 2)) });
+    });
+    if (const auto* held = row->size() > 2 ? (*row)[2].if_array() : nullptr) {
+      for (std::size_t i = 0; i < held->size(); ++i) {
+        demand.held_.push_back(NumberAt<SlotGrantId>(*held, i));
+      }
+    }
+    ForEachRow(*row, 3, [&](const json::array& aSlot) {
+      const auto outcome = NumberAt<int>(aSlot, 1);
+      demand.returned_.push_back({ NumberAt<SlotGrantId>(aSlot, 0),
+                                   outcome == 1   ? SlotOutcome::Refused
+                                   : outcome == 2 ? SlotOutcome::Failed
+                                                  : SlotOutcome::Done });
+    });
+    demands.push_back(std::move(demand));
+  }
+  return demands;
+}
+
+json::array
+EncodeSlotOffers(std::span<const SlotOffer> aOffers)
+{
+  json::array rows;
+  for (const auto& offer : aOffers) {
+    json::array grants;
+    for (const auto& grant : offer.grants_) {
+      grants.emplace_back(json::array{ grant.id_, grant.upstream_.Value() });
+    }
+    rows.emplace_back(json::array{ offer.service_.Value(), std::move(grants), offer.hopeless_ });
+  }
+  return rows;
+}
+
+std::vector<SlotOffer>
+DecodeSlotOffers(const json::array& aRows)
+{
+  std::vector<SlotOffer> offers;
+  for (const auto& value : aRows) {
+    const auto* row = value.if_array();
+    if (row == nullptr || TextAt(*row, 0).empty()) {
+      continue;
+    }
+    SlotOffer offer;
+    offer.service_ = ServiceName(TextAt(*row, 0));
+    ForEachRow(*row, 1, [&](const json::array& aGrant) {
+      offer.grants_.push_back({ NumberAt<SlotGrantId>(aGrant, 0), UpstreamId(TextAt(aGrant, 1)) });
+    });
+    offer.hopeless_ = NumberAt<std::uint32_t>(*row, 2);
+    offers.push_back(std::move(offer));
+  }
+  return offers;
+}
+
+} // namespace laburnumweir
--- a/tests/gateway/request_flow_support.h
+++ b/tests/gateway/request_flow_support.h
@@ -83,6 +83,18 @@
   std::function<void(std::function<void()>)> defer_; ///< If set, calls the callbacks.
 };
 
+/** Assigns no slots: upstreams are chosen by the host itself. */
+class FakeSlots : public SlotSource
+{
+public:
+  bool IsShared(const ServiceName&) const override { return false; }
+  std::optional<SlotGrant> Take(const ServiceName&, const std::set<UpstreamId>&) override
+  {
+    return std::nullopt;
+  }
+  void Return(const ServiceName&, SlotReturn) override {}
+};
+
 inline constexpr const char* kGoodHead =
   "HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nX-Server-Stamp: s\r\n";
 
@@ -207,6 +219,7 @@
   Quarantine quarantine_{ clock_ };
   PermitIssuer issuer_{ clock_ }; ///< This host issues all permits.
   FakeOrigins origins_;
+  FakeSlots slots_;
   UpstreamLink link_{ context_ };
   Metrics metrics_;
   GatewayBounds bounds_;
@@ -219,6 +232,7 @@
                      retries_,
                      queue_,
                      quarantine_,
+                     slots_,
                      origins_,
                      link_,
                      metrics_,
