--- a/tests/fleet/slot_issuer_test.cpp
+++ b/tests/fleet/slot_issuer_test.cpp
@@ -156,6 +156,7 @@
   std::vector<SlotGrantId> held;
   for (int i = 0; i < 10; ++i) { // 80 slots are assigned in a second
     std::vector<SlotReturn> returned;
+    returned.reserve(held.size());
     for (const auto id : held) {
       returned.push_back({ id, SlotOutcome::Done });
     }
