--- a/src/fleet/slot_issuer.cpp
+++ b/src/fleet/slot_issuer.cpp
@@ -35,15 +35,20 @@
   aService.grants_.erase(found);
 }
 
-void
-SlotIssuer::OnDemand(const HostId& aHost, std::uint64_t aNumber, const SlotDemand& aDemand)
+bool
+SlotIssuer::OnDemand(const HostId& aHost,
+                     std::int64_t aStartedAt,
+                     std::uint64_t aNumber,
+                     const SlotDemand& aDemand)
 {
   auto& service = services_[aDemand.service_];
   auto& host = service.hosts_[aHost];
-  if (aNumber <= host.number_) {
-    return;
+  if (std::pair(aStartedAt, aNumber) <= std::pair(host.startedAt_, host.number_)) {
+    return false;
   }
   const auto now = clock_.Now();
+  const bool isNewProcess = aStartedAt != host.startedAt_;
+  host.startedAt_ = aStartedAt;
   host.number_ = aNumber;
   host.heardAt_ = now;
   for (const auto& returned : aDemand.returned_) {
@@ -59,15 +64,23 @@
     }
     Free(service, returned.id_);
   }
+  for (const auto& held : aDemand.held_) {
+    // A slot of an earlier issuer, or one that was taken for lost.
+    if (service.grants_.try_emplace(held.id_, Grant{ aHost, held.upstream_, now }).second) {
+      ++service.upstreams_[held.upstream_].used_;
+    }
+  }
   // A grant that the host does not name is lost or was returned, unless it may be on its way.
   std::size_t onTheirWay = 0;
   std::vector<SlotGrantId> lost;
   for (const auto& [id, grant] : service.grants_) {
-    if (grant.host_ != aHost ||
-        std::find(aDemand.held_.begin(), aDemand.held_.end(), id) != aDemand.held_.end()) {
+    const bool isHeld = std::any_of(aDemand.held_.begin(),
+                                    aDemand.held_.end(),
+                                    [id = id](const SlotGrant& aHeld) { return aHeld.id_ == id; });
+    if (grant.host_ != aHost || isHeld) {
       continue;
     }
-    if (now - grant.grantedAt_ < kSlotDeliveryTime) {
+    if (now - grant.grantedAt_ < kSlotDeliveryTime && !isNewProcess) {
       ++onTheirWay;
     } else {
       lost.push_back(id);
@@ -77,10 +90,12 @@
     Free(service, id);
   }
   host.wishes_.clear();
-  for (std::size_t i = onTheirWay; i < aDemand.wishes_.size(); ++i) {
+  const auto count = std::min(aDemand.wishes_.size(), kMaxSlotWishes);
+  for (std::size_t i = onTheirWay; i < count; ++i) {
     const auto& wish = aDemand.wishes_[i];
     host.wishes_.push_back({ wish.rank_, now + wish.toTarget_, now + wish.toLatest_ });
   }
+  return true;
 }
 
 std::vector<SlotIssuer::Place>
@@ -127,18 +142,6 @@
   return best;
 }
 
-double
-SlotIssuer::Rate(Service& aService) const
-{
-  const auto now = clock_.Now();
-  auto& recent = aService.recentGrants_;
-  while (!recent.empty() && now - recent.front() > kSlotRateWindow) {
-    recent.pop_front();
-  }
-  return static_cast<double>(recent.size()) /
-         std::chrono::duration<double>(kSlotRateWindow).count();
-}
-
 std::map<HostId, SlotOffer>
 SlotIssuer::Assign(const ServiceName& aService)
 {
@@ -147,26 +150,16 @@
   const auto now = clock_.Now();
   const auto places = Order(service);
   std::map<HostId, std::vector<std::size_t>> served;
-  std::size_t next = 0;
   UpstreamId upstream;
-  for (; next < places.size(); ++next) {
+  for (const auto& place : places) {
     auto* use = FindFree(service, upstream);
     if (use == nullptr) {
       break;
     }
     ++use->used_;
-    const auto& host = *places[next].host_;
-    service.grants_[nextId_] = { host, upstream, now };
-    service.recentGrants_.push_back(now);
-    offers[host].grants_.push_back({ nextId_++, upstream });
-    served[host].push_back(places[next].index_);
-  }
-  const double rate = Rate(service);
-  for (std::size_t i = next; i < places.size() && rate > 0; ++i) {
-    const std::chrono::duration<double> wait(static_cast<double>(i - next) / rate);
-    if (now + std::chrono::duration_cast<Duration>(wait) >= places[i].wish_.latest_) {
-      ++offers[*places[i].host_].hopeless_;
-    }
+    service.grants_[nextId_] = { *place.host_, upstream, now };
+    offers[*place.host_].grants_.push_back({ nextId_++, upstream });
+    served[*place.host_].push_back(place.index_);
   }
   for (auto& [host, indexes] : served) {
     auto& wishes = service.hosts_[host].wishes_;
--- a/src/fleet/slot_issuer.h
+++ b/src/fleet/slot_issuer.h
@@ -5,7 +5,6 @@
 #include "core/clock_base.h"
 #include "fleet/slot_type.h"
 
-#include <deque>
 #include <map>
 #include <span>
 #include <vector>
@@ -39,9 +38,17 @@
 
   /** Sets the upstreams that may get requests of a service. */
   void SetUpstreams(const ServiceName& aService, std::span<const SlotUpstream> aUpstreams);
-  /** Applies the state of a host. @param aNumber increases with each message of the host. */
-  void OnDemand(const HostId& aHost, std::uint64_t aNumber, const SlotDemand& aDemand);
-  /** Assigns free slots. @return offers with grants or hopeless wishes, by host. */
+  /**
+   * Applies the state of a host, which may use slots of an earlier issuer.
+   * @param aStartedAt start time of the host's process, Unix ms; a newer process uses no slots.
+   * @param aNumber increases with each message of the process.
+   * @return false if a newer message was applied before.
+   */
+  bool OnDemand(const HostId& aHost,
+                std::int64_t aStartedAt,
+                std::uint64_t aNumber,
+                const SlotDemand& aDemand);
+  /** Assigns free slots. @return offers with grants, by host. */
   std::map<HostId, SlotOffer> Assign(const ServiceName& aService);
   /** Frees the slots of silent hosts. @return services with state. */
   std::vector<ServiceName> Expire();
@@ -61,7 +68,8 @@
   };
   struct Host
   {
-    std::uint64_t number_ = 0; ///< Of its newest message.
+    std::int64_t startedAt_ = 0; ///< Of its process.
+    std::uint64_t number_ = 0;   ///< Of its newest message.
     TimePoint heardAt_;
     std::vector<Wish> wishes_;
   };
@@ -77,7 +85,6 @@
     std::map<UpstreamId, Use> upstreams_;
     std::map<SlotGrantId, Grant> grants_;
     std::map<HostId, Host> hosts_;
-    std::deque<TimePoint> recentGrants_;
   };
   /** A wish with its place in the host's list. */
   struct Place
@@ -91,8 +98,6 @@
   std::vector<Place> Order(const Service& aService) const;
   /** @return the upstream with the smallest part of its slots in use; nullptr if all are full. */
   Use* FindFree(Service& aService, UpstreamId& aId) const;
-  /** @return assigned slots per second; 0 if none was assigned of late. */
-  double Rate(Service& aService) const;
 
   const Clock& clock_;
   SlotGrantId nextId_;
--- a/src/fleet/slot_type.h
+++ b/src/fleet/slot_type.h
@@ -48,7 +48,7 @@
 {
   ServiceName service_;
   std::vector<SlotWish> wishes_;     ///< In the order in which the host would use slots.
-  std::vector<SlotGrantId> held_;    ///< Slots that it uses or is about to use.
+  std::vector<SlotGrant> held_;      ///< Slots that it uses or is about to use.
   std::vector<SlotReturn> returned_; ///< Slots that it has returned since the last message.
 };
 
@@ -57,7 +57,6 @@
 {
   ServiceName service_;
   std::vector<SlotGrant> grants_;
-  std::uint32_t hopeless_ = 0; ///< Wishes, from the last one on, that cannot be met in time.
 };
 
 } // namespace laburnumweir
--- a/src/fleet/upstream_table.h
+++ b/src/fleet/upstream_table.h
@@ -198,6 +198,12 @@
 
   /** @return the upstream, or nullptr if it is unknown. */
   Upstream* Find(const UpstreamId& aId);
+  /** @return whether an upstream takes new requests, whatever this host has seen of its health. */
+  bool IsMember(const Upstream& aUpstream) const
+  {
+    return !IsLeaving(aUpstream) && !aUpstream.isMisdirected_ &&
+           !evacuated_.contains(aUpstream.entry_.dataCentre_);
+  }
   const std::map<UpstreamId, Upstream>& All() const { return upstreams_; }
   /**
    * @return the load report of this host: upstreams with running requests or a limit that was named
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -210,14 +210,7 @@
     gossip_->Connect(gossipLink_, *holder_, *watch_);
     slots_ = std::make_shared<SharedSlots>(
       SharedSlotsContext{
-        clock_,
-        scheduler_,
-        fleet_,
-        queue_,
-        metrics_,
-        *gossip_,
-        [this] { ScheduleStartQueued(); },
-        [this](const ServiceName& aService, std::size_t aCount) { RefuseLast(aService, aCount); } },
+        clock_, scheduler_, fleet_, queue_, metrics_, *gossip_, [this] { ScheduleStartQueued(); } },
       self_,
       life_);
     gossip_->SetSlots(slots_);
@@ -521,19 +514,6 @@
     slots_->Return(aService, aReturn);
   }
 
-  /** Refuses the last waiting requests of a service, which cannot start in time. */
-  void RefuseLast(const ServiceName& aService, std::size_t aCount)
-  {
-    const auto tickets = queue_.TicketsInOrder(aService);
-    const auto count = std::min(aCount, tickets.size());
-    for (auto ticket = tickets.rbegin(); ticket != tickets.rbegin() + std::ptrdiff_t(count);
-         ++ticket) {
-      if (const auto flow = FindWaiting(*ticket)) {
-        flow->RefuseWaiting();
-      }
-    }
-  }
-
   void OnStoreRestored()
   {
     metrics_.GetCounter("laburnumweir_gateway_store_restores_total").Add();
--- a/src/gateway/gossip_service.cpp
+++ b/src/gateway/gossip_service.cpp
@@ -548,7 +548,7 @@
     return;
   }
   for (const auto& demand : aMessage.slotDemands_) {
-    slots_->OnDemand(aMessage.host_, aMessage.number_, demand);
+    slots_->OnDemand(aMessage.host_, aMessage.startedAt_, aMessage.number_, demand);
   }
   for (const auto& offer : aMessage.slotOffers_) {
     slots_->OnOffer(offer);
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -285,10 +285,13 @@
 RequestFlow::ChooseSlot()
 {
   UpstreamChoice choice;
-  choice.hasUntried_ = true;
   slot_ = context_.slots_.Take(admitted_.service_, excluded_);
   if (slot_) {
     choice.upstream_ = context_.fleet_.Upstreams().Find(slot_->upstream_);
+  } else {
+    UpstreamNeed need;
+    need.service_ = admitted_.service_;
+    choice.hasUntried_ = context_.fleet_.Upstreams().Choose(need).hasUntried_;
   }
   return choice;
 }
@@ -382,7 +385,7 @@
       RefuseWaiting();
       return true;
     }
-    SetBlocked(loadingEngine_ || pauseEnd || !choice.hasUntried_ || NeedsSlot());
+    SetBlocked(loadingEngine_ || pauseEnd || !choice.hasUntried_);
     return false;
   }
   if (std::exchange(needsRetry_, false)) {
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -190,8 +190,12 @@
   /** @return ranAt_ and the upstream of the running attempt, unless that is a hedge. */
   std::set<UpstreamId> UsedUpstreams() const;
   UpstreamChoice ChooseUpstream();
-  /** @return whether the next attempt needs an assigned slot. */
-  bool NeedsSlot() const { return !call_ && context_.slots_.IsShared(admitted_.service_); }
+  /** @return whether the next attempt needs an assigned slot. A repeat chooses by itself, since it
+   * must avoid upstreams. */
+  bool NeedsSlot() const
+  {
+    return attempts_ == 0 && !origin_ && context_.slots_.IsShared(admitted_.service_);
+  }
   /** @return the upstream of an assigned slot, which is kept in slot_; none if there is none. */
   UpstreamChoice ChooseSlot();
   /** @return whether upstreams still run the software that began the stream. */
--- a/src/gateway/shared_slots.cpp
+++ b/src/gateway/shared_slots.cpp
@@ -1,6 +1,7 @@
 /** @file shared_slots.cpp Use of the slots that the issuer of a service assigns to this host. */
 #include "gateway/shared_slots.h"
 
+#include "core/hash_func.h"
 #include "logging/logging_func.h"
 #include "table/slot_const.h"
 
@@ -13,6 +14,8 @@
 namespace {
 
 constexpr Duration kTickInterval = milliseconds(50);
+// First ids of grants of different processes are below this; JSON numbers stay exact.
+constexpr SlotGrantId kFirstIdRange = SlotGrantId{ 1 } << 52;
 
 milliseconds
 Left(TimePoint aUntil, TimePoint aNow)
@@ -25,7 +28,9 @@
 SharedSlots::SharedSlots(SharedSlotsContext aContext, HostRecord aSelf, std::int64_t aStartTime)
   : context_(std::move(aContext))
   , self_(std::move(aSelf))
-  , issuer_(context_.clock_, static_cast<SlotGrantId>(aStartTime) << 20)
+  , startTime_(aStartTime)
+  , issuer_(context_.clock_,
+            RendezvousWeight(self_.id_.Value(), std::to_string(aStartTime)) % kFirstIdRange)
 {
 }
 
@@ -46,26 +51,30 @@
     return false;
   }
   const auto found = services_.find(aService);
-  return found == services_.end() || context_.clock_.Now() >= found->second.fallbackUntil_;
+  return found == services_.end() ||
+         (!found->second.hasRequestLimit_ && context_.clock_.Now() >= found->second.fallbackUntil_);
 }
 
 std::optional<SlotGrant>
 SharedSlots::Take(const ServiceName& aService, const std::set<UpstreamId>& aExcluded)
 {
   auto& state = services_[aService];
-  const auto found =
-    std::find_if(state.unused_.begin(), state.unused_.end(), [&](const Unused& aUnused) {
-      const auto* upstream = context_.fleet_.Upstreams().Find(aUnused.grant_.upstream_);
-      return upstream != nullptr && !aExcluded.contains(aUnused.grant_.upstream_) &&
-             context_.fleet_.Upstreams().IsUsable(*upstream);
-    });
-  if (found == state.unused_.end()) {
-    return std::nullopt;
+  const auto isUsable = [&](const Unused& aUnused) {
+    const auto* upstream = context_.fleet_.Upstreams().Find(aUnused.grant_.upstream_);
+    return upstream != nullptr && !aExcluded.contains(aUnused.grant_.upstream_) &&
+           context_.fleet_.Upstreams().IsUsable(*upstream);
+  };
+  while (!state.unused_.empty()) {
+    const auto unused = state.unused_.front();
+    state.unused_.erase(state.unused_.begin());
+    if (isUsable(unused)) {
+      state.used_[unused.grant_.id_] = unused.grant_.upstream_;
+      return unused.grant_;
+    }
+    // As if it had refused, so that the issuer prefers another upstream next.
+    Return(aService, { unused.grant_.id_, SlotOutcome::Refused });
   }
-  const auto grant = found->grant_;
-  state.unused_.erase(found);
-  state.used_.insert(grant.id_);
-  return grant;
+  return std::nullopt;
 }
 
 void
@@ -101,8 +110,10 @@
   demand.service_ = aService;
   if (IsShared(aService)) {
     for (const auto& request : context_.queue_.FirstInOrder(aService, kMaxSlotWishes)) {
-      demand.wishes_.push_back(
-        { request.rank_, Left(request.target_, now), Left(request.latestStart_, now) });
+      if (!request.isBlocked_) {
+        demand.wishes_.push_back(
+          { request.rank_, Left(request.target_, now), Left(request.latestStart_, now) });
+      }
     }
     // Slots that are here already serve the first wishes.
     const auto covered = std::min(aState.unused_.size(), demand.wishes_.size());
@@ -110,46 +121,50 @@
                          demand.wishes_.begin() + static_cast<std::ptrdiff_t>(covered));
   }
   for (const auto& unused : aState.unused_) {
-    demand.held_.push_back(unused.grant_.id_);
+    demand.held_.push_back(unused.grant_);
+  }
+  for (const auto& [id, upstream] : aState.used_) {
+    demand.held_.push_back({ id, upstream });
   }
-  demand.held_.insert(demand.held_.end(), aState.used_.begin(), aState.used_.end());
   demand.returned_ = std::exchange(aState.returned_, {});
   aState.sentAt_ = now;
-  if (!demand.wishes_.empty()) {
+  if (demand.wishes_.empty()) {
+    aState.unansweredAt_.reset();
+  } else {
     aState.unansweredAt_ = aState.unansweredAt_.value_or(now);
   }
   const auto issuer = context_.sender_.SlotIssuerOf(aService);
   if (issuer.id_ == self_.id_) {
-    OnDemand(self_, ++number_, demand);
+    OnDemand(self_, startTime_, ++number_, demand);
   } else {
     context_.sender_.SendSlots(issuer.gossip_, demand);
   }
 }
 
 void
-SharedSlots::OnDemand(const HostRecord& aFrom, std::uint64_t aNumber, const SlotDemand& aDemand)
+SharedSlots::OnDemand(const HostRecord& aFrom,
+                      std::int64_t aStartedAt,
+                      std::uint64_t aNumber,
+                      const SlotDemand& aDemand)
 {
   clients_[aFrom.id_] = aFrom.gossip_;
+  const auto& table = context_.fleet_.Upstreams();
   std::vector<SlotUpstream> upstreams;
-  for (const auto& [id, upstream] : context_.fleet_.Upstreams().All()) {
-    if (upstream.entry_.service_ == aDemand.service_ &&
-        context_.fleet_.Upstreams().IsUsable(upstream)) {
+  for (const auto& [id, upstream] : table.All()) {
+    // Failures and pauses that only this host has seen do not count for the others.
+    if (upstream.entry_.service_ == aDemand.service_ && table.IsMember(upstream)) {
       upstreams.push_back({ id, upstream.entry_.slots_ });
     }
   }
   issuer_.SetUpstreams(aDemand.service_, upstreams);
-  issuer_.OnDemand(aFrom.id_, aNumber, aDemand);
+  if (!issuer_.OnDemand(aFrom.id_, aStartedAt, aNumber, aDemand)) {
+    return;
+  }
   auto offers = issuer_.Assign(aDemand.service_);
-  if (!aDemand.wishes_.empty()) {
+  if (!aDemand.wishes_.empty() && !upstreams.empty()) {
     offers[aFrom.id_].service_ = aDemand.service_; // shows that the issuer lives
   }
-  for (const auto& [host, offer] : offers) {
-    if (host == self_.id_) {
-      OnOffer(offer);
-    } else if (const auto client = clients_.find(host); client != clients_.end()) {
-      context_.sender_.SendSlots(client->second, offer);
-    }
-  }
+  SendOffers(offers);
 }
 
 void
@@ -157,24 +172,29 @@
 {
   auto& state = services_[aOffer.service_];
   state.unansweredAt_.reset();
+  state.fallbackTime_ = Duration::zero();
+  std::uint64_t added = 0;
   for (const auto& grant : aOffer.grants_) {
-    state.unused_.push_back({ grant, context_.clock_.Now() });
+    const bool isKnown =
+      state.used_.contains(grant.id_) ||
+      std::any_of(state.unused_.begin(), state.unused_.end(), [&](const Unused& aUnused) {
+        return aUnused.grant_.id_ == grant.id_;
+      });
+    if (!isKnown) { // a datagram may come twice
+      state.unused_.push_back({ grant, context_.clock_.Now() });
+      ++added;
+    }
   }
-  if (!aOffer.grants_.empty()) {
-    context_.metrics_.GetCounter("laburnumweir_gateway_slots_granted_total")
-      .Add(aOffer.grants_.size());
+  if (added > 0) {
+    context_.metrics_.GetCounter("laburnumweir_gateway_slots_granted_total").Add(added);
     context_.onSlots_();
   }
-  if (aOffer.hopeless_ > 0) {
-    context_.metrics_.GetCounter("laburnumweir_gateway_slots_hopeless_total").Add(aOffer.hopeless_);
-    context_.refuseLast_(aOffer.service_, aOffer.hopeless_);
-  }
 }
 
 void
-SharedSlots::Assign(const ServiceName& aService)
+SharedSlots::SendOffers(const std::map<HostId, SlotOffer>& aOffers)
 {
-  for (const auto& [host, offer] : issuer_.Assign(aService)) {
+  for (const auto& [host, offer] : aOffers) {
     if (host == self_.id_) {
       OnOffer(offer);
     } else if (const auto client = clients_.find(host); client != clients_.end()) {
@@ -183,13 +203,28 @@
   }
 }
 
+void
+SharedSlots::UpdateRequestLimits()
+{
+  for (auto& [service, state] : services_) {
+    state.hasRequestLimit_ = false;
+  }
+  for (const auto& [id, upstream] : context_.fleet_.Upstreams().All()) {
+    if (const auto found = services_.find(upstream.entry_.service_); found != services_.end()) {
+      found->second.hasRequestLimit_ =
+        found->second.hasRequestLimit_ || context_.fleet_.Upstreams().RequestLimit(id).has_value();
+    }
+  }
+}
+
 void
 SharedSlots::Tick()
 {
   const auto now = context_.clock_.Now();
   for (const auto& service : issuer_.Expire()) {
-    Assign(service);
+    SendOffers(issuer_.Assign(service));
   }
+  UpdateRequestLimits();
   for (auto& [service, state] : services_) {
     for (const auto& unused : state.unused_) {
       if (now - unused.receivedAt_ > kUnusedSlotTime) {
@@ -201,7 +236,9 @@
     });
     if (state.unansweredAt_ && now - *state.unansweredAt_ > kSlotIssuerTimeout) {
       state.unansweredAt_.reset();
-      state.fallbackUntil_ = now + kSlotFallbackTime;
+      state.fallbackTime_ =
+        std::clamp<Duration>(2 * state.fallbackTime_, kSlotFallbackTime, kMaxSlotFallbackTime);
+      state.fallbackUntil_ = now + state.fallbackTime_;
       LogEvent(LogLevel::Warn,
                "slot_issuer_silent",
                { { "service", service.Value() },
--- a/src/gateway/shared_slots.h
+++ b/src/gateway/shared_slots.h
@@ -40,8 +40,6 @@
   Metrics& metrics_;
   SlotSender& sender_;
   std::function<void()> onSlots_; ///< Called when requests that wait may be able to start.
-  /** Refuses the last ones of the waiting requests of a service. */
-  std::function<void(const ServiceName&, std::size_t)> refuseLast_;
 };
 
 /**
@@ -65,8 +63,11 @@
       ScheduleDemand(aService);
     }
   }
-  /** Applies a message of another host. @param aNumber increases with each message of a host. */
-  void OnDemand(const HostRecord& aFrom, std::uint64_t aNumber, const SlotDemand& aDemand);
+  /** Applies a message of a host; see SlotIssuer::OnDemand(). */
+  void OnDemand(const HostRecord& aFrom,
+                std::int64_t aStartedAt,
+                std::uint64_t aNumber,
+                const SlotDemand& aDemand);
   void OnOffer(const SlotOffer& aOffer);
 
   bool IsShared(const ServiceName& aService) const override;
@@ -83,21 +84,26 @@
   struct ServiceState
   {
     std::vector<Unused> unused_;
-    std::set<SlotGrantId> used_;
+    std::map<SlotGrantId, UpstreamId> used_;
     std::vector<SlotReturn> returned_;      ///< Not yet told to the issuer.
     std::optional<TimePoint> unansweredAt_; ///< When the first unanswered demand was sent.
     TimePoint sentAt_;
     TimePoint fallbackUntil_; ///< Upstreams are chosen locally until then.
+    Duration fallbackTime_{}; ///< Length of the last such period; zero after an offer.
+    /** An upstream limits its requests, for which it needs permits. */
+    bool hasRequestLimit_ = false;
     bool isScheduled_ = false;
   };
 
   void ScheduleDemand(const ServiceName& aService);
   void SendDemand(const ServiceName& aService, ServiceState& aState);
   void Tick();
-  void Assign(const ServiceName& aService);
+  void UpdateRequestLimits();
+  void SendOffers(const std::map<HostId, SlotOffer>& aOffers);
 
   SharedSlotsContext context_;
   const HostRecord self_;
+  const std::int64_t startTime_;
   SlotIssuer issuer_;
   std::map<HostId, Endpoint> clients_; ///< Hosts that have sent a demand.
   std::uint64_t number_ = 0;           ///< Of the last demand of this host to itself.
--- a/src/gateway/slot_message.cpp
+++ b/src/gateway/slot_message.cpp
@@ -45,6 +45,26 @@
   }
 }
 
+json::array
+EncodeGrants(std::span<const SlotGrant> aGrants)
+{
+  json::array rows;
+  for (const auto& grant : aGrants) {
+    rows.emplace_back(json::array{ grant.id_, grant.upstream_.Value() });
+  }
+  return rows;
+}
+
+std::vector<SlotGrant>
+DecodeGrants(const json::array& aRow, std::size_t aIndex)
+{
+  std::vector<SlotGrant> grants;
+  ForEachRow(aRow, aIndex, [&](const json::array& aGrant) {
+    grants.push_back({ NumberAt<SlotGrantId>(aGrant, 0), UpstreamId(TextAt(aGrant, 1)) });
+  });
+  return grants;
+}
+
 } // namespace
 
 json::array
@@ -63,7 +83,7 @@
     }
     rows.emplace_back(json::array{ demand.service_.Value(),
                                    std::move(wishes),
-                                   json::array(demand.held_.begin(), demand.held_.end()),
+                                   EncodeGrants(demand.held_),
                                    std::move(returned) });
   }
   return rows;
@@ -85,11 +105,7 @@
                                  milliseconds(NumberAt<std::int32_t>(aWish, 1)),
                                  milliseconds(NumberAt<std::int32_t>(aWish, 2)) });
     });
-    if (const auto* held = row->size() > 2 ? (*row)[2].if_array() : nullptr) {
-      for (std::size_t i = 0; i < held->size(); ++i) {
-        demand.held_.push_back(NumberAt<SlotGrantId>(*held, i));
-      }
-    }
+    demand.held_ = DecodeGrants(*row, 2);
     ForEachRow(*row, 3, [&](const json::array& aSlot) {
       const auto outcome = NumberAt<int>(aSlot, 1);
       demand.returned_.push_back({ NumberAt<SlotGrantId>(aSlot, 0),
@@ -107,11 +123,7 @@
 {
   json::array rows;
   for (const auto& offer : aOffers) {
-    json::array grants;
-    for (const auto& grant : offer.grants_) {
-      grants.emplace_back(json::array{ grant.id_, grant.upstream_.Value() });
-    }
-    rows.emplace_back(json::array{ offer.service_.Value(), std::move(grants), offer.hopeless_ });
+    rows.emplace_back(json::array{ offer.service_.Value(), EncodeGrants(offer.grants_) });
   }
   return rows;
 }
@@ -127,10 +139,7 @@
     }
     SlotOffer offer;
     offer.service_ = ServiceName(TextAt(*row, 0));
-    ForEachRow(*row, 1, [&](const json::array& aGrant) {
-      offer.grants_.push_back({ NumberAt<SlotGrantId>(aGrant, 0), UpstreamId(TextAt(aGrant, 1)) });
-    });
-    offer.hopeless_ = NumberAt<std::uint32_t>(*row, 2);
+    offer.grants_ = DecodeGrants(*row, 1);
     offers.push_back(std::move(offer));
   }
   return offers;
--- a/src/gateway/slot_message.h
+++ b/src/gateway/slot_message.h
@@ -10,14 +10,14 @@
 
 namespace laburnumweir {
 
-/** @return rows of service, wishes (rank, ms to the target, ms to the latest start), slots in use,
- * and returned slots (id, outcome). */
+/** @return rows of service, wishes (rank, ms to the target, ms to the latest start), slots in use
+ * (id, upstream), and returned slots (id, outcome). */
 boost::json::array
 EncodeSlotDemands(std::span<const SlotDemand> aDemands);
 /** @return the demands in well-formed rows. */
 std::vector<SlotDemand>
 DecodeSlotDemands(const boost::json::array& aRows);
-/** @return rows of service, assigned slots (id, upstream) and number of hopeless wishes. */
+/** @return rows of service, and assigned slots (id, upstream). */
 boost::json::array
 EncodeSlotOffers(std::span<const SlotOffer> aOffers);
 /** @return the offers in well-formed rows. */
--- a/src/http/json_client.h
+++ b/src/http/json_client.h
@@ -42,7 +42,7 @@
   std::size_t maxAnswerBytes_ = std::size_t{ 64 } << 20; ///< A longer body counts as lost.
   /** Asked when there is a connection, right before the request is written. If it returns false,
    * nothing is sent and the exchange ends with ConnectFailed. May be empty. */
-  std::function<bool()> maySend_;
+  std::function<bool()> maySend_ = {};
 };
 
 /** A whole answer. */
--- a/src/table/slot_const.h
+++ b/src/table/slot_const.h
@@ -24,12 +24,12 @@
 constexpr Duration kUnusedSlotTime = std::chrono::milliseconds(100);
 /** Time without an answer of the issuer after which a host chooses upstreams by itself. */
 constexpr Duration kSlotIssuerTimeout = std::chrono::milliseconds(250);
-/** Time for which it does so before it asks the issuer again. */
+/** Time for which it does so before it asks the issuer again; doubled while it stays silent. */
 constexpr Duration kSlotFallbackTime = std::chrono::seconds(1);
+/** Limit of the doubled time; an older program may run at the issuer for long. */
+constexpr Duration kMaxSlotFallbackTime = std::chrono::seconds(16);
 /** Time for which a slot counts as used after an upstream that should have had one refused. */
 constexpr Duration kRefusedSlotTime = std::chrono::milliseconds(50);
-/** Time over which the rate of assignments is measured. */
-constexpr Duration kSlotRateWindow = std::chrono::seconds(1);
 /** Time from a grant to the answer, within which a request can still be in time. */
 constexpr Duration kSlotAnswerTime = std::chrono::milliseconds(80);
 /** Weight of the newest outcome in the moving average of failures. */
