--- a/review/common-2/platform2.py
+++ b/review/common-2/platform2.py
@@ -646,9 +646,9 @@
     reply.complete = True
 
 
-def main(case):
-    """Runs a case: 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+def main(case, trouble):
+    """Runs a case with or without its disruption: 1 if the rule was broken, 0 if it held, 2 if the
+    case could not run."""
     try:
         sys.exit(asyncio.run(asyncio.wait_for(case(trouble), 115)))
     except SystemExit:
