--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -2,6 +2,7 @@
 #ifndef LABURNUMWEIR_HTTP_MESSAGE_PARSER_H
 #define LABURNUMWEIR_HTTP_MESSAGE_PARSER_H
 
+#include "http/answer_rule_func.h"
 #include "http/header_func.h"
 
 #include <algorithm>
@@ -21,7 +22,8 @@
 
 /**
  * Parser of a request or an answer whose body is appended as it is received. It differs from
- * boost::beast::http::parser in three ways:
+ * boost::beast::http::parser in four ways:
+ * - The head of an answer is checked by the rules of answer_rule_func.h.
  * - A field that is too long for the message is an error, not an exception.
  * - Trailer fields are checked and dropped. Merged into the head, they could replace a field on
  *   which a decision has been made (RFC 9110, 6.5.1).
@@ -103,6 +105,10 @@
   void on_response_impl(int aStatus, Text aReason, int aVersion, Error& aError) override
   {
     if constexpr (!IsRequest) {
+      aError = CheckStatusLine(aStatus);
+      if (aError) {
+        return;
+      }
       message_.result(static_cast<unsigned>(aStatus));
       message_.version(static_cast<unsigned>(aVersion));
       message_.reason(aReason);
--- a/tests/engine/engine_client_test.cpp
+++ b/tests/engine/engine_client_test.cpp
@@ -1,6 +1,7 @@
 /** @file engine_client_test.cpp Contract of the client for model engines. */
 #include "engine/engine_client.h"
 
+#include "support/answer_support.h"
 #include "support/upstream_support.h"
 
 #include <gtest/gtest.h>
@@ -339,6 +340,24 @@
                          testing::ValuesIn(FaultCases()),
                          [](const auto& aInfo) { return aInfo.param.name_; });
 
+struct EngineHeadTest
+  : EngineClientTest
+  , testing::WithParamInterface<HeadCase>
+{};
+
+/** Guards against a broken answer of an engine that reaches the caller. */
+TEST_P(EngineHeadTest, IsNoAnswer)
+{
+  const auto result = Exchange(GetParam().Answer(kId + kJson, kGoodBody), false);
+  EXPECT_EQ(make_error_code(UpstreamError::InvalidAnswer), result.error_);
+  EXPECT_EQ(0, sink_->status_);
+}
+
+INSTANTIATE_TEST_SUITE_P(StatusLines,
+                         EngineHeadTest,
+                         testing::ValuesIn(InvalidStatusLines()),
+                         [](const auto& aInfo) { return aInfo.param.name_; });
+
 /** Guards against a refused connection counting as sent. */
 TEST_F(EngineClientTest, RefusedConnectionIsNotRun)
 {
--- /dev/null
+++ b/tests/gateway/request_flow_head_test.cpp
@@ -0,0 +1,93 @@
+/** @file request_flow_head_test.cpp Tests of RequestFlow with answers whose heads are invalid or
+ * unusual.
+ */
+#include "gateway/request_flow_support.h"
+#include "support/answer_support.h"
+
+namespace laburnumweir {
+namespace {
+
+using namespace testing_support;
+
+constexpr const char* kEvent = "id: 1\ndata: a\n\n";
+
+class HeadTest
+  : public RequestFlowTest
+  , public testing::WithParamInterface<HeadCase>
+{
+protected:
+  /** Sends a request over a new connection, or one that has carried another request. */
+  void Exchange(RouteKind aKind, bool aIsKept)
+  {
+    const auto fields = [](const std::string& aId) {
+      return "X-Attempt-Id: " + aId + "\r\nX-Server-Stamp: s\r\n";
+    };
+    ScriptedServer server([&](Peer& aPeer, int) {
+      if (aIsKept) {
+        aPeer.ReadRequest();
+        aPeer.Send(HeadCase{ "" }.Answer(fields("r0"), kEvent));
+      }
+      if (aPeer.ReadRequest()) {
+        aPeer.Send(GetParam().Answer(fields("r1"), kEvent));
+        aPeer.WaitClosed(100ms);
+      }
+    });
+    SetRoute(aKind);
+    SetUpstreams({ server.Address() });
+    if (aIsKept) {
+      answer_ = std::make_shared<FakeAnswer>();
+      id_ = "r0";
+      Start();
+      Finish();
+      ASSERT_EQ(answer_->body_, kEvent);
+    }
+    answer_ = std::make_shared<FakeAnswer>();
+    id_ = "r1";
+    Start();
+    Finish();
+    EXPECT_EQ(server.Accepted(), 1);
+    ++startedAt_;
+  }
+};
+
+class InvalidHeadTest : public HeadTest
+{};
+
+// Guards against an answer that is none in the protocol and reaches the caller: an upstream in
+// trouble sent a head with status 000.
+TEST_P(InvalidHeadTest, IsNoAnswer)
+{
+  for (const auto kind : kRouteKinds) {
+    for (const bool isKept : { false, true }) {
+      Exchange(kind, isKept);
+      EXPECT_TRUE(HasFailed()) << int(kind) << isKept << " " << answer_->status_;
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(StatusLines,
+                         InvalidHeadTest,
+                         testing::ValuesIn(InvalidStatusLines()),
+                         [](const auto& aInfo) { return aInfo.param.name_; });
+
+class UnusualHeadTest : public HeadTest
+{};
+
+// Guards against a sound answer that is refused for its unusual head.
+TEST_P(UnusualHeadTest, IsServed)
+{
+  for (const auto kind : kRouteKinds) {
+    Exchange(kind, false);
+    EXPECT_EQ(answer_->status_ / 100, 2U);
+    EXPECT_EQ(answer_->body_, kEvent);
+    EXPECT_TRUE(answer_->isComplete_);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         UnusualHeadTest,
+                         testing::ValuesIn(UnusualHeads()),
+                         [](const auto& aInfo) { return aInfo.param.name_; });
+
+} // namespace
+} // namespace laburnumweir
--- a/tests/gateway/request_flow_support.h
+++ b/tests/gateway/request_flow_support.h
@@ -9,6 +9,7 @@
 #include "platform/message_codec.h"
 #include "support/net_support.h"
 
+#include <array>
 #include <gtest/gtest.h>
 #include <map>
 #include <memory>
@@ -127,9 +128,43 @@
   return size.str() + "\r\n" + aBody + "\r\n";
 }
 
+/** Kinds of routes, which differ in what becomes of a request after a failed attempt. */
+enum class RouteKind : std::uint8_t
+{
+  Unsafe,
+  Safe,
+  Stream,
+  EngineStream,
+};
+
+inline constexpr std::array kRouteKinds{ RouteKind::Unsafe,
+                                         RouteKind::Safe,
+                                         RouteKind::Stream,
+                                         RouteKind::EngineStream };
+
 class RequestFlowTest : public testing::Test
 {
 protected:
+  /** Configures the route, before SetUpstreams(). */
+  void SetRoute(RouteKind aKind)
+  {
+    const bool isEngine = aKind == RouteKind::EngineStream;
+    repeat_ = aKind == RouteKind::Unsafe ? RepeatRule::Once
+              : aKind == RouteKind::Safe ? RepeatRule::Repeatable
+                                         : RepeatRule::Stream;
+    isResumable_ = aKind == RouteKind::Stream || isEngine;
+    engineModels_.clear();
+    if (isEngine) {
+      engineModels_ = { { "m", { { "a1", 1 } } } };
+    }
+  }
+
+  /** @return whether the caller got an error, or an answer that visibly breaks off. */
+  bool HasFailed() const
+  {
+    return answer_->isAborted_ ? !answer_->isComplete_ : answer_->status_ == 502;
+  }
+
   /** Configures upstreams with decreasing numbers of slots, so that the first is preferred. */
   void SetUpstreams(const std::vector<Endpoint>& aEndpoints)
   {
--- a/tests/http/json_client_test.cpp
+++ b/tests/http/json_client_test.cpp
@@ -1,7 +1,7 @@
-/** @file json_client_test.cpp Tests of JsonClient with connections that deliver nothing any more.
- */
+/** @file json_client_test.cpp Tests of JsonClient with silent connections and invalid answers. */
 #include "http/json_client.h"
 
+#include "support/answer_support.h"
 #include "support/net_support.h"
 
 #include <future>
@@ -57,5 +57,56 @@
   io.Stop();
 }
 
+class JsonClientHeadTest : public testing::TestWithParam<HeadCase>
+{
+protected:
+  /** Sends a request that is answered with a head and a body. @return how it ended. */
+  static std::error_code Exchange()
+  {
+    ScriptedServer server([](Peer& aPeer, int) {
+      aPeer.ReadRequest();
+      aPeer.Send(GetParam().Answer("X-B: 1\r\n", "{}"));
+      aPeer.WaitClosed(kTimeout);
+    });
+    IoThreads io(1);
+    JsonClient client(io.Context(), server.Address());
+    std::promise<std::error_code> result;
+    HttpExchange exchange;
+    exchange.target_ = "/";
+    client.Send(std::move(exchange),
+                [&](std::error_code aError, const HttpAnswer&) { result.set_value(aError); });
+    const auto error = result.get_future().get();
+    io.Stop();
+    return error;
+  }
+};
+
+class JsonClientInvalidHeadTest : public JsonClientHeadTest
+{};
+
+// Guards against a broken answer of the store or an engine that is read as a refusal or a success.
+TEST_P(JsonClientInvalidHeadTest, IsNoAnswer)
+{
+  EXPECT_EQ(Exchange(), make_error_code(HttpError::AnswerLost));
+}
+
+INSTANTIATE_TEST_SUITE_P(StatusLines,
+                         JsonClientInvalidHeadTest,
+                         testing::ValuesIn(InvalidStatusLines()),
+                         [](const auto& aInfo) { return aInfo.param.name_; });
+
+class JsonClientUnusualHeadTest : public JsonClientHeadTest
+{};
+
+TEST_P(JsonClientUnusualHeadTest, IsAnAnswer)
+{
+  EXPECT_FALSE(Exchange());
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         JsonClientUnusualHeadTest,
+                         testing::ValuesIn(UnusualHeads()),
+                         [](const auto& aInfo) { return aInfo.param.name_; });
+
 } // namespace
 } // namespace laburnumweir
--- a/tests/service/service_client_test.cpp
+++ b/tests/service/service_client_test.cpp
@@ -1,6 +1,7 @@
 /** @file service_client_test.cpp Contract of the client for plain services. */
 #include "service/service_client.h"
 
+#include "support/answer_support.h"
 #include "support/upstream_support.h"
 
 #include <gtest/gtest.h>
@@ -151,6 +152,51 @@
                          testing::ValuesIn(FaultCases()),
                          [](const auto& aInfo) { return aInfo.param.name_; });
 
+struct ServiceHeadTest
+  : ServiceClientTest
+  , testing::WithParamInterface<HeadCase>
+{
+  AttemptResult Exchange()
+  {
+    ScriptedServer server([](Peer& aPeer, int) {
+      aPeer.ReadRequest();
+      aPeer.Send(GetParam().Answer("X-B: 1\r\n", "body"));
+    });
+    client_.Send(server.Address(), MakeRequest(clock_), sink_);
+    return sink_->Wait();
+  }
+};
+
+struct ServiceInvalidHeadTest : ServiceHeadTest
+{};
+
+/** Guards against a broken answer of a service that reaches the caller. */
+TEST_P(ServiceInvalidHeadTest, IsNoAnswer)
+{
+  EXPECT_EQ(make_error_code(UpstreamError::InvalidAnswer), Exchange().error_);
+  EXPECT_EQ(0, sink_->status_);
+}
+
+INSTANTIATE_TEST_SUITE_P(StatusLines,
+                         ServiceInvalidHeadTest,
+                         testing::ValuesIn(InvalidStatusLines()),
+                         [](const auto& aInfo) { return aInfo.param.name_; });
+
+struct ServiceUnusualHeadTest : ServiceHeadTest
+{};
+
+/** Guards against a sound answer that is refused for its unusual head. */
+TEST_P(ServiceUnusualHeadTest, IsPassedOn)
+{
+  EXPECT_FALSE(Exchange().error_);
+  EXPECT_EQ("body", sink_->body_);
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         ServiceUnusualHeadTest,
+                         testing::ValuesIn(UnusualHeads()),
+                         [](const auto& aInfo) { return aInfo.param.name_; });
+
 /** Guards against a booking that runs twice: a copy of an earlier refusal without an id arrives on
  * a kept connection, after the next request was received. */
 TEST_F(ServiceClientTest, RefusalWithoutAnIdOnAKeptConnectionProvesNothing)
--- a/tests/wire/client_test.cpp
+++ b/tests/wire/client_test.cpp
@@ -551,6 +551,23 @@
                                          std::string(65534, 'x') + ": x\r\n",
                                          "X: " + std::string(300000, 'x') + "\r\n"));
 
+// Guards against a broken answer of an engine or the store that is read as a refusal: the order or
+// the call may have taken effect.
+TEST_F(ClientTest, AnInvalidStatusIsNoAnswer)
+{
+  const std::string answer = "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}";
+  Serve({ answer, answer, answer });
+  EXPECT_EQ(Order(), OrderAnswer::NoAnswer);
+  EXPECT_EQ(ReadAll(ChangeStream::Upstreams).first, StoreError::Unreachable);
+  EngineClient engines(context_);
+  bool isDone = false;
+  engines.RequestReport(server_->Address(), [&](bool aIsRead, const EngineStateReport&) {
+    EXPECT_FALSE(aIsRead);
+    isDone = true;
+  });
+  RunUntil(isDone);
+}
+
 // Guards against an answer of the store whose era is replaced by a field after its last chunk.
 TEST_F(ClientTest, TrailerFieldsAreNoHeaderFields)
 {
--- a/tests/wire/usage_wire_test.cpp
+++ b/tests/wire/usage_wire_test.cpp
@@ -108,6 +108,14 @@
   EXPECT_EQ(Call(client, always), DutyAnswer::NoAnswer);
 }
 
+// Guards against a report that is dropped as refused because of a broken answer to it.
+TEST_F(UsageWireTest, AnInvalidStatusIsNoAnswer)
+{
+  Serve({ "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n" });
+  HttpDutyClient client(context_, server_->Address());
+  EXPECT_EQ(Call(client, [] { return true; }), DutyAnswer::NoAnswer);
+}
+
 // Guards against a call of a process that was suspended between the start of the call and the
 // connection.
 TEST_F(UsageWireTest, WithdrawnCallIsNotSent)
