--- a/src/gateway/upstream_link.cpp
+++ b/src/gateway/upstream_link.cpp
@@ -2,6 +2,7 @@
 #include "gateway/upstream_link.h"
 
 #include "gateway/direct_connector.h"
+#include "http/answer_rule_func.h"
 #include "http/header_func.h"
 #include "http/message_parser.h"
 
@@ -147,6 +148,7 @@
       connection_->socket_, request_, [self = shared_from_this()](BoostError aError, std::size_t) {
         // After a failed write, the pending read reports the failure or an early answer.
         self->isWriting_ = aError.failed();
+        self->writeError_ = aError;
       });
     Read();
   }
@@ -176,10 +178,10 @@
 
   void OnRead(BoostError aError)
   {
-    if (aError == asio::error::eof && isHeadSeen_ && !parser_->is_done() &&
+    // The end of a relayed connection may be that of the host that relays it.
+    if (IsOrderlyEnd(aError, writeError_) && isHeadSeen_ && !parser_->is_done() &&
         !connection_->isRelayed_) {
-      // The end of the connection completes a body without a length and truncates any other. It may
-      // also be that of the host that relays it.
+      // It completes a body without a length and truncates any other.
       BoostError parseError;
       parser_->put_eof(parseError);
       if (!parseError && parser_->is_done()) {
@@ -342,6 +344,7 @@
   int skippedAnswers_ = 0;                         ///< See kMaxSkippedAnswers.
   std::size_t discardedBytes_ = 0;                 ///< See kMaxDiscardedBytes.
   bool isWriting_ = false;                         ///< The request has not been written completely.
+  BoostError writeError_;                          ///< Why the write failed, once it has.
   bool isHeadSeen_ = false;         ///< OnHead() was called for the answer being read.
   bool isSkipping_ = false;         ///< The answer being read belongs to another request.
   bool isDiscarding_ = false;       ///< The body being read is not passed to the handler.
--- a/src/http/answer_rule_func.cpp
+++ b/src/http/answer_rule_func.cpp
@@ -2,6 +2,7 @@
  */
 #include "http/answer_rule_func.h"
 
+#include <boost/asio/error.hpp>
 #include <boost/beast/http/error.hpp>
 
 namespace laburnumweir {
@@ -23,4 +24,11 @@
   return {};
 }
 
+bool
+IsOrderlyEnd(const boost::system::error_code& aRead, const boost::system::error_code& aWrite)
+{
+  namespace error = boost::asio::error;
+  return aRead == error::eof && (!aWrite || aWrite == error::broken_pipe);
+}
+
 } // namespace laburnumweir
--- a/src/http/answer_rule_func.h
+++ b/src/http/answer_rule_func.h
@@ -18,6 +18,17 @@
 boost::system::error_code
 CheckStatusLine(int aStatus);
 
+/**
+ * Tells an end of a connection that can complete a body without a length from a lost connection.
+ * Linux reports the loss to one call only: if that is the write of the request, the read that
+ * follows finds an end without an error. A write fails with broken_pipe if the peer had ended its
+ * output before the connection was reset.
+ * @param aRead result of the read. @param aWrite result of the write as far as it is known.
+ * @return whether the peer ended its output in order.
+ */
+bool
+IsOrderlyEnd(const boost::system::error_code& aRead, const boost::system::error_code& aWrite);
+
 } // namespace laburnumweir
 
 #endif
