--- a/tests/engine/engine_client_test.cpp
+++ b/tests/engine/engine_client_test.cpp
@@ -358,6 +358,11 @@
                          testing::ValuesIn(InvalidStatusLines()),
                          [](const auto& aInfo) { return aInfo.param.name_; });
 
+INSTANTIATE_TEST_SUITE_P(Fields,
+                         EngineHeadTest,
+                         testing::ValuesIn(InvalidFields()),
+                         [](const auto& aInfo) { return aInfo.param.name_; });
+
 /** Guards against a refused connection counting as sent. */
 TEST_F(EngineClientTest, RefusedConnectionIsNotRun)
 {
--- a/tests/gateway/relay_test.cpp
+++ b/tests/gateway/relay_test.cpp
@@ -321,6 +321,22 @@
     return Call(aEndpoint);
   }
 
+  /** Asks the relaying host for a connection, again if it is too busy to make one in time.
+   * @return the connection; none if it is refused. */
+  std::optional<Peer> ConnectThroughRelay(const Endpoint& aEndpoint) const
+  {
+    for (int i = 0; i < kTries; ++i) {
+      auto peer = ConnectTo({ "127.0.0.1", port_ });
+      peer.Send("CONNECT 127.0.0.1:" + std::to_string(aEndpoint.port_) +
+                " HTTP/1.1\r\nHost: u\r\n\r\n");
+      peer.ReadUntil("\r\n\r\n");
+      if (peer.Input().find("200") != std::string::npos) {
+        return peer;
+      }
+    }
+    return std::nullopt;
+  }
+
   static constexpr std::size_t kMaxRelayed = 2;
   static constexpr int kTries = 4;
 
@@ -401,6 +417,27 @@
   EXPECT_EQ(CallUntilSent(upstream.Address()).second, CallEnd::Lost);
 }
 
+// Guards against a reset that the relaying host passes on as an orderly end, since its write of the
+// upload noticed it first.
+TEST_F(RelayTest, AResetDuringAnUploadIsPassedOn)
+{
+  ScriptedServer upstream([](Peer& aPeer, int) {
+    aPeer.ReadUntil("\r\n\r\n");
+    aPeer.Send("HTTP/1.1 200 OK\r\n\r\npart");
+    std::this_thread::sleep_for(50ms);
+    aPeer.Reset();
+  });
+  upstreams_ = { upstream.Address() };
+  auto peer = ConnectThroughRelay(upstream.Address());
+  ASSERT_TRUE(peer);
+  const std::string upload = "POST / HTTP/1.1\r\nHost: u\r\nContent-Length: 33554432\r\n\r\n" +
+                             std::string(std::size_t{ 32 } << 20, 'x');
+  boost::system::error_code error;
+  boost::asio::write(peer->Socket(), boost::asio::buffer(upload), error);
+  // After an end in order it would be broken_pipe.
+  EXPECT_EQ(error, boost::asio::error::connection_reset);
+}
+
 TEST_F(RelayTest, ACancelledCallReachesTheUpstream)
 {
   std::atomic<bool> hasArrived = false;
@@ -462,17 +499,9 @@
                            " HTTP/1.1\r\nHost: u\r\n\r\n";
   std::vector<Peer> peers;
   for (std::size_t i = 0; i < kMaxRelayed; ++i) {
-    bool isRelayed = false;
-    for (int j = 0; j < kTries && !isRelayed; ++j) {
-      auto peer = ConnectTo({ "127.0.0.1", port_ });
-      peer.Send(head);
-      peer.ReadUntil("\r\n\r\n");
-      isRelayed = peer.Input().find("200") != std::string::npos;
-      if (isRelayed) {
-        peers.push_back(std::move(peer));
-      }
-    }
-    EXPECT_TRUE(isRelayed);
+    auto peer = ConnectThroughRelay(upstream.Address());
+    ASSERT_TRUE(peer);
+    peers.push_back(std::move(*peer));
   }
   auto last = ConnectTo({ "127.0.0.1", port_ });
   last.Send(head);
--- a/tests/gateway/request_flow_head_test.cpp
+++ b/tests/gateway/request_flow_head_test.cpp
@@ -70,6 +70,53 @@
                          testing::ValuesIn(InvalidStatusLines()),
                          [](const auto& aInfo) { return aInfo.param.name_; });
 
+INSTANTIATE_TEST_SUITE_P(Fields,
+                         InvalidHeadTest,
+                         testing::ValuesIn(InvalidFields()),
+                         [](const auto& aInfo) { return aInfo.param.name_; });
+
+class InvalidFieldTest : public HeadTest
+{};
+
+// Guards against a broken field of a trailer or an interim answer that passes unnoticed.
+TEST_P(InvalidFieldTest, OutsideTheHeadSpoilsTheAnswer)
+{
+  const auto& line = GetParam().field_;
+  const std::string chunked = std::string(kGoodHead) + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string trailer = chunked + Chunk(kEvent) + "0\r\n" + line + "\r\n";
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n";
+  for (const auto& text : { trailer, interim + Answer(kEvent) }) {
+    for (const auto kind : { RouteKind::Unsafe, RouteKind::Stream }) {
+      ScriptedServer server([&](Peer& aPeer, int) {
+        aPeer.ReadRequest();
+        aPeer.Send(text);
+        aPeer.WaitClosed(100ms);
+      });
+      SetRoute(kind);
+      SetUpstreams({ server.Address() });
+      answer_ = std::make_shared<FakeAnswer>();
+      Start();
+      Finish();
+      EXPECT_TRUE(HasFailed()) << int(kind) << " " << answer_->status_ << " after\n" << text;
+      ++startedAt_;
+    }
+  }
+}
+
+/** @return the cases that are a line of their own. */
+std::vector<HeadCase>
+InvalidLines()
+{
+  auto cases = InvalidFields();
+  std::erase_if(cases, [](const auto& aCase) { return aCase.field_.empty(); });
+  return cases;
+}
+
+INSTANTIATE_TEST_SUITE_P(Fields,
+                         InvalidFieldTest,
+                         testing::ValuesIn(InvalidLines()),
+                         [](const auto& aInfo) { return aInfo.param.name_; });
+
 class UnusualHeadTest : public HeadTest
 {};
 
--- a/tests/http/json_client_test.cpp
+++ b/tests/http/json_client_test.cpp
@@ -57,6 +57,31 @@
   io.Stop();
 }
 
+// Guards against a part of an answer that is read as a whole one: the connection is reset after it,
+// before or after the request was written.
+TEST(JsonClientTest, AResetAfterAPartIsNoAnswer)
+{
+  for (const std::size_t size : { std::size_t{ 2 }, std::size_t{ 16 } << 20 }) {
+    ScriptedServer server([](Peer& aPeer, int) {
+      aPeer.ReadUntil("\r\n\r\n");
+      aPeer.Send("HTTP/1.1 200 OK\r\n\r\n{}");
+      std::this_thread::sleep_for(50ms);
+      aPeer.Reset();
+    });
+    IoThreads io(1);
+    JsonClient client(io.Context(), server.Address());
+    std::promise<std::error_code> result;
+    HttpExchange exchange;
+    exchange.method_ = "POST";
+    exchange.target_ = "/";
+    exchange.body_ = std::string(size, ' ');
+    client.Send(std::move(exchange),
+                [&](std::error_code aError, const HttpAnswer&) { result.set_value(aError); });
+    EXPECT_EQ(result.get_future().get(), make_error_code(HttpError::AnswerLost)) << size;
+    io.Stop();
+  }
+}
+
 class JsonClientHeadTest : public testing::TestWithParam<HeadCase>
 {
 protected:
@@ -95,6 +120,11 @@
                          testing::ValuesIn(InvalidStatusLines()),
                          [](const auto& aInfo) { return aInfo.param.name_; });
 
+INSTANTIATE_TEST_SUITE_P(Fields,
+                         JsonClientInvalidHeadTest,
+                         testing::ValuesIn(InvalidFields()),
+                         [](const auto& aInfo) { return aInfo.param.name_; });
+
 class JsonClientUnusualHeadTest : public JsonClientHeadTest
 {};
 
--- a/tests/service/service_client_test.cpp
+++ b/tests/service/service_client_test.cpp
@@ -182,6 +182,11 @@
                          testing::ValuesIn(InvalidStatusLines()),
                          [](const auto& aInfo) { return aInfo.param.name_; });
 
+INSTANTIATE_TEST_SUITE_P(Fields,
+                         ServiceInvalidHeadTest,
+                         testing::ValuesIn(InvalidFields()),
+                         [](const auto& aInfo) { return aInfo.param.name_; });
+
 struct ServiceUnusualHeadTest : ServiceHeadTest
 {};
 
@@ -357,6 +362,23 @@
   EXPECT_LT(std::chrono::steady_clock::now() - start, kTestTimeout);
 }
 
+/** Guards against a part of a body without a length that counts as a whole one since the connection
+ * is reset while the request is written. */
+TEST_F(EarlyAnswerTest, ResetAfterAPartIsNoAnswer)
+{
+  ScriptedServer server([](Peer& aPeer, int) {
+    aPeer.ReadUntil("\r\n\r\n");
+    aPeer.Send("HTTP/1.1 200 OK\r\n\r\npart");
+    std::this_thread::sleep_for(50ms);
+    aPeer.Reset();
+  });
+  client_.Send(server.Address(), request_, sink_);
+  const auto result = sink_->Wait();
+  EXPECT_TRUE(result.error_);
+  EXPECT_EQ(RunState::Unknown, result.run_);
+  EXPECT_EQ(0, sink_->status_);
+}
+
 /** Guards against a refused connection counting as sent: a booking could not be tried elsewhere. */
 TEST_F(ServiceClientTest, RefusedConnectionIsNotRun)
 {
--- a/tests/support/answer_support.h
+++ b/tests/support/answer_support.h
@@ -51,6 +51,31 @@
   };
 }
 
+/** @return heads with a line that is no field. */
+inline std::vector<HeadCase>
+InvalidFields()
+{
+  const std::string ok = "HTTP/1.1 200 OK";
+  return {
+    { "BlankInAName", ok, "X A: b\r\n" },
+    { "BlankAfterAName", ok, "X-A : b\r\n" },
+    { "BlankBeforeTheFirstName", ok + "\r\n X-A: b" },
+    { "TabInAName", ok, "X\tA: b\r\n" },
+    { "TabAfterAName", ok, "X-A\t: b\r\n" },
+    { "ControlByteInAName", ok, "X-\x01: b\r\n" },
+    { "ControlByteBeforeAName", ok, "\x1bX-A: b\r\n" },
+    { "NulInAName", ok, std::string("X-\0A: b\r\n", 9) },
+    { "DeleteInAName", ok, "X-\x7f: b\r\n" },
+    { "HighByteInAName", ok, "X-\xe9: b\r\n" },
+    { "SeparatorInAName", ok, "X(A): b\r\n" },
+    { "EmptyName", ok, ": b\r\n" },
+    { "NoColon", ok, "X-A\r\n" },
+    { "ControlByteInAValue", ok, "X-A: \x01\r\n" },
+    { "LengthWithABlank", ok, "Content-Length : 2\r\n" },
+    { "ChunkedWithABlank", ok, "Transfer-Encoding : chunked\r\n" },
+  };
+}
+
 /** @return heads that are unusual and valid. */
 inline std::vector<HeadCase>
 UnusualHeads()
@@ -59,6 +84,10 @@
     { "EmptyReason", "HTTP/1.1 200 " },
     { "LongReason", "HTTP/1.1 200 all\tis w\xe9ll, 0" },
     { "UnassignedStatus", "HTTP/1.1 299 OK" },
+    { "UnusualName", "HTTP/1.1 200 OK", "!#$%&'*+-.^_`|~9: b\r\n" },
+    { "EmptyValue", "HTTP/1.1 200 OK", "X-A:\r\n" },
+    { "BlankValue", "HTTP/1.1 200 OK", "X-A: \t \r\n" },
+    { "UnusualValue", "HTTP/1.1 200 OK", "X-A:a:\tb: \xe9\r\n" },
   };
 }
 
