--- a/src/gateway/upstream_link.cpp
+++ b/src/gateway/upstream_link.cpp
@@ -6,7 +6,6 @@
 #include "http/header_func.h"
 #include "http/message_parser.h"
 
-#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/write.hpp>
@@ -225,16 +224,6 @@
   {
     isHeadSeen_ = true;
     const auto& message = parser_->Get();
-    const auto hasStatusLine = [](boost::beast::string_view aText) {
-      return ContainsStatusLine({ aText.data(), aText.size() });
-    };
-    if (hasStatusLine(message.reason()) ||
-        std::any_of(message.begin(), message.end(), [&](const auto& aField) {
-          return hasStatusLine(aField.value());
-        })) {
-      Finish(CallEnd::Malformed);
-      return false;
-    }
     auto action = HeadAction::Skip;
     if (message.result_int() / 100 != 1) {
       std::optional<std::uint64_t> length;
--- a/src/http/answer_rule_func.h
+++ b/src/http/answer_rule_func.h
@@ -4,6 +4,7 @@
 #define LABURNUMWEIR_HTTP_ANSWER_RULE_FUNC_H
 
 #include <boost/system/error_code.hpp>
+#include <string_view>
 
 namespace laburnumweir {
 
@@ -12,11 +13,18 @@
 // Boost.Beast.
 
 /**
- * @param aStatus number of three digits.
+ * @param aStatus number of three digits. @param aReason reason phrase; may be empty.
  * @return why the line is none of an answer; no error if it is.
  */
 boost::system::error_code
-CheckStatusLine(int aStatus);
+CheckStatusLine(int aStatus, std::string_view aReason);
+
+/**
+ * @param aValue value of a field of a head or a trailer.
+ * @return why the field is none of an answer; no error if it is.
+ */
+boost::system::error_code
+CheckAnswerField(std::string_view aValue);
 
 /**
  * Tells an end of a connection that can complete a body without a length from a lost connection.
--- a/src/http/header_func.cpp
+++ b/src/http/header_func.cpp
@@ -96,24 +96,6 @@
          });
 }
 
-bool
-ContainsStatusLine(std::string_view aText)
-{
-  constexpr std::string_view kVersion = "HTTP/1.";
-  const auto isDigit = [aText](std::size_t aAt) {
-    return aAt < aText.size() && aText[aAt] >= '0' && aText[aAt] <= '9';
-  };
-  for (auto at = aText.find(kVersion); at != std::string_view::npos;
-       at = aText.find(kVersion, at + 1)) {
-    const auto minor = at + kVersion.size();
-    if (isDigit(minor) && minor + 1 < aText.size() && aText[minor + 1] == ' ' &&
-        isDigit(minor + 2) && isDigit(minor + 3) && isDigit(minor + 4)) {
-      return true;
-    }
-  }
-  return false;
-}
-
 bool
 IsCallerSecret(std::string_view aName)
 {
--- a/src/http/header_func.h
+++ b/src/http/header_func.h
@@ -41,13 +41,6 @@
 bool
 IsFieldValue(std::string_view aText);
 
-/**
- * @return whether a text contains a status line, as the value of a field does if its head was cut
- * and another answer follows on the connection.
- */
-bool
-ContainsStatusLine(std::string_view aText);
-
 /**
  * @return whether a field holds a secret between the caller and this host: credentials of any form,
  * and cookies, in which browsers may keep a key.
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -23,7 +23,7 @@
 /**
  * Parser of a request or an answer whose body is appended as it is received. It differs from
  * boost::beast::http::parser in four ways:
- * - The head of an answer is checked by the rules of answer_rule_func.h.
+ * - Status lines and fields of answers are checked by the rules of answer_rule_func.h.
  * - A field that is too long for the message is an error, not an exception.
  * - Trailer fields are checked and dropped. Merged into the head, they could replace a field on
  *   which a decision has been made (RFC 9110, 6.5.1).
@@ -105,7 +105,7 @@
   void on_response_impl(int aStatus, Text aReason, int aVersion, Error& aError) override
   {
     if constexpr (!IsRequest) {
-      aError = CheckStatusLine(aStatus);
+      aError = CheckStatusLine(aStatus, { aReason.data(), aReason.size() });
       if (aError) {
         return;
       }
@@ -122,6 +122,12 @@
                      Error& aError) override
   {
     aError = {};
+    if constexpr (!IsRequest) {
+      aError = CheckAnswerField({ aValue.data(), aValue.size() });
+      if (aError) {
+        return;
+      }
+    }
     if (this->is_header_done()) {
       trailerBytes_ += aName.size() + aValue.size();
       if (trailerBytes_ > kMaxTrailerBytes) {
--- a/src/http/upstream_exchange.cpp
+++ b/src/http/upstream_exchange.cpp
@@ -372,14 +372,8 @@
     status_ = static_cast<int>(message.result_int());
     const std::string connection(message[http::field::connection]);
     HeaderList fields;
-    bool isMixed = ContainsStatusLine(message.reason());
     for (const auto& field : message) {
       fields.emplace_back(ToLower(std::string_view(field.name_string())), field.value());
-      isMixed = isMixed || ContainsStatusLine(field.value());
-    }
-    if (isMixed) {
-      Finish(UpstreamError::InvalidAnswer);
-      return false;
     }
     auto verdict = exchange_.check_->CheckHead(status_, fields, result_);
     if (verdict.notRun_ && !verdict.hasId_ && isPooled_) {
--- a/tests/support/answer_support.h
+++ b/tests/support/answer_support.h
@@ -48,6 +48,7 @@
     { "EarlierVersion", "HTTP/0.9 200 OK" },
     { "LowerCaseVersion", "http/1.1 200 OK" },
     { "ControlByteInTheReason", "HTTP/1.1 200 O\x01K" },
+    { "AnswerInTheReason", "HTTP/1.1 200 HTTP/1.1 500 Error" },
   };
 }
 
@@ -71,6 +72,7 @@
     { "EmptyName", ok, ": b\r\n" },
     { "NoColon", ok, "X-A\r\n" },
     { "ControlByteInAValue", ok, "X-A: \x01\r\n" },
+    { "AnswerInAField", ok, "X-A: bHTTP/1.1 500 Error\r\n" },
     { "LengthWithABlank", ok, "Content-Length : 2\r\n" },
     { "ChunkedWithABlank", ok, "Transfer-Encoding : chunked\r\n" },
   };
