--- a/src/gateway/upstream_link.cpp
+++ b/src/gateway/upstream_link.cpp
@@ -225,7 +225,7 @@
     isHeadSeen_ = true;
     const auto& message = parser_->Get();
     auto action = HeadAction::Skip;
-    if (message.result_int() / 100 != 1) {
+    if (!IsInterimStatus(static_cast<int>(message.result_int()))) {
       std::optional<std::uint64_t> length;
       if (const auto announced = parser_->content_length()) {
         length = *announced;
--- a/src/http/answer_rule_func.cpp
+++ b/src/http/answer_rule_func.cpp
@@ -12,6 +12,8 @@
 // Other values of three digits are invalid (RFC 9110, 15).
 constexpr int kMinStatus = 100;
 constexpr int kMaxStatus = 599;
+// Answers a request to switch the protocol, and no request asks for that.
+constexpr int kSwitchingProtocols = 101;
 
 /**
  * @return whether a text contains a status line, as a field or a reason phrase does if its head was
@@ -40,7 +42,7 @@
 boost::system::error_code
 CheckStatusLine(int aStatus, std::string_view aReason)
 {
-  if (aStatus < kMinStatus || aStatus > kMaxStatus) {
+  if (aStatus < kMinStatus || aStatus > kMaxStatus || aStatus == kSwitchingProtocols) {
     return boost::beast::http::error::bad_status;
   }
   if (ContainsStatusLine(aReason)) {
@@ -49,6 +51,12 @@
   return {};
 }
 
+bool
+IsInterimStatus(int aStatus)
+{
+  return aStatus / 100 == 1;
+}
+
 boost::system::error_code
 CheckAnswerField(std::string_view aValue)
 {
--- a/src/http/answer_rule_func.h
+++ b/src/http/answer_rule_func.h
@@ -8,6 +8,9 @@
 
 namespace laburnumweir {
 
+/** Interim answers that a reader skips; a peer that sends more of them sends no answer. */
+inline constexpr int kMaxInterimAnswers = 8;
+
 // AnswerParser applies the rules for status lines and fields, and so every reader of answers does.
 // The syntax itself, such as the bytes of names and values, is checked by the parser of
 // Boost.Beast.
@@ -19,6 +22,10 @@
 boost::system::error_code
 CheckStatusLine(int aStatus, std::string_view aReason);
 
+/** @return whether a valid status is one of an interim answer, after which the answer follows. */
+bool
+IsInterimStatus(int aStatus);
+
 /**
  * @param aValue value of a field of a head or a trailer.
  * @return why the field is none of an answer; no error if it is.
--- a/src/http/json_client.cpp
+++ b/src/http/json_client.cpp
@@ -1,6 +1,7 @@
 /** @file json_client.cpp Asynchronous HTTP client for short requests with whole answers. */
 #include "http/json_client.h"
 
+#include "http/answer_rule_func.h"
 #include "http/message_parser.h"
 #include "http/socket_option_func.h"
 
@@ -86,6 +87,7 @@
     std::shared_ptr<Connection> connection_;          ///< Connection in use.
     std::chrono::milliseconds timeout_{};             ///< Limit for the whole exchange.
     std::size_t maxAnswerBytes_ = 0;                  ///< Limit of the body.
+    int interimAnswers_ = 0;                          ///< See kMaxInterimAnswers.
     std::function<bool()> maySend_;                   ///< Asked before writing, if not empty.
     std::chrono::steady_clock::time_point startedAt_; ///< Without an answer, older ones are closed.
     Callback callback_;                               ///< Receives the answer.
@@ -175,12 +177,23 @@
       [self = shared_from_this(), aOperation](boost::system::error_code aError, std::size_t) {
         if (aError) {
           self->Finish(aOperation, HttpError::AnswerLost);
-          return;
+        } else if (IsInterimStatus(static_cast<int>(aOperation->parser_->Get().result_int()))) {
+          self->SkipInterim(aOperation);
+        } else {
+          self->Complete(aOperation);
         }
-        self->Complete(aOperation);
       });
   }
 
+  void SkipInterim(const std::shared_ptr<Operation>& aOperation)
+  {
+    if (++aOperation->interimAnswers_ > kMaxInterimAnswers) {
+      Finish(aOperation, HttpError::AnswerLost);
+    } else {
+      Read(aOperation);
+    }
+  }
+
   void Complete(const std::shared_ptr<Operation>& aOperation)
   {
     auto response = aOperation->parser_->Release();
--- a/src/http/upstream_exchange.cpp
+++ b/src/http/upstream_exchange.cpp
@@ -2,6 +2,7 @@
  */
 #include "http/upstream_exchange.h"
 
+#include "http/answer_rule_func.h"
 #include "http/header_func.h"
 #include "http/message_parser.h"
 
@@ -31,8 +32,6 @@
 using SteadyTime = std::chrono::steady_clock::time_point;
 
 constexpr std::size_t kReadBytes = std::size_t{ 64 } << 10;
-// An upstream that sends interim answers without end must not hold an attempt for ever.
-constexpr int kMaxInterimAnswers = 8;
 constexpr std::chrono::seconds kSweepInterval{ 5 };
 
 struct Connection
@@ -352,12 +351,12 @@
     }
   }
 
-  bool IsInterim() const { return parser_->Get().result_int() / 100 == 1; }
+  bool IsInterim() const { return IsInterimStatus(static_cast<int>(parser_->Get().result_int())); }
 
   /** Discards an interim (1xx) answer. @return false if the attempt ended. */
   bool SkipInterim()
   {
-    if (parser_->Get().result_int() == 101 || ++interimAnswers_ > kMaxInterimAnswers) {
+    if (++interimAnswers_ > kMaxInterimAnswers) {
       Finish(UpstreamError::InvalidAnswer);
       return false;
     }
--- a/tests/gateway/request_flow_head_test.cpp
+++ b/tests/gateway/request_flow_head_test.cpp
@@ -136,5 +136,43 @@
                          testing::ValuesIn(UnusualHeads()),
                          [](const auto& aInfo) { return aInfo.param.name_; });
 
+class InterimAnswerTest : public RequestFlowTest
+{
+protected:
+  /** Sends a request that is answered with an interim head and then a whole answer. */
+  void Exchange(RouteKind aKind, const std::string& aInterim)
+  {
+    ScriptedServer server([&](Peer& aPeer, int) {
+      aPeer.ReadRequest();
+      aPeer.Send(aInterim + Answer(kEvent));
+      aPeer.WaitClosed(100ms);
+    });
+    SetRoute(aKind);
+    SetUpstreams({ server.Address() });
+    answer_ = std::make_shared<FakeAnswer>();
+    Start();
+    Finish();
+    ++startedAt_;
+  }
+};
+
+TEST_F(InterimAnswerTest, AnswerAfterItIsServed)
+{
+  for (const auto kind : kRouteKinds) {
+    Exchange(kind, "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n");
+    EXPECT_EQ(answer_->body_, kEvent) << int(kind);
+    EXPECT_TRUE(answer_->isComplete_);
+  }
+}
+
+// Guards against bytes of another protocol that are read as an answer.
+TEST_F(InterimAnswerTest, SwitchOfProtocolIsNoAnswer)
+{
+  for (const auto kind : kRouteKinds) {
+    Exchange(kind, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: a\r\n\r\n");
+    EXPECT_TRUE(HasFailed()) << int(kind) << " " << answer_->status_;
+  }
+}
+
 } // namespace
 } // namespace laburnumweir
--- a/tests/http/json_client_test.cpp
+++ b/tests/http/json_client_test.cpp
@@ -82,6 +82,61 @@
   }
 }
 
+class JsonClientInterimTest : public testing::Test
+{
+protected:
+  /** Sends a request that is answered with interim heads and then a whole answer, in two writes.
+   * @return how it ended, and the status. */
+  std::pair<std::error_code, int> Exchange(const std::string& aInterim)
+  {
+    ScriptedServer server([&](Peer& aPeer, int) {
+      while (aPeer.ReadRequest()) {
+        aPeer.Send(aInterim);
+        std::this_thread::sleep_for(5ms);
+        aPeer.Send("HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n");
+      }
+    });
+    IoThreads io(1);
+    JsonClient client(io.Context(), server.Address());
+    std::promise<std::pair<std::error_code, int>> result;
+    HttpExchange exchange;
+    exchange.target_ = "/";
+    client.Send(std::move(exchange), [&](std::error_code aError, const HttpAnswer& aAnswer) {
+      result.set_value({ aError, aAnswer.status_ });
+    });
+    const auto pair = result.get_future().get();
+    io.Stop();
+    return pair;
+  }
+
+  const std::string processing_ = "HTTP/1.1 102 Processing\r\n\r\n";
+};
+
+// Guards against an interim answer that is read as the answer: a report of usage counted as refused
+// for good, and an order as invalid.
+TEST_F(JsonClientInterimTest, AnswerAfterItIsRead)
+{
+  for (const auto& interim :
+       { processing_, processing_ + "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" }) {
+    EXPECT_EQ(Exchange(interim), std::pair(std::error_code(), 409)) << interim;
+  }
+}
+
+TEST_F(JsonClientInterimTest, TooManyAreNoAnswer)
+{
+  std::string interim;
+  for (int i = 0; i < 100; ++i) {
+    interim += processing_;
+  }
+  EXPECT_EQ(Exchange(interim).first, make_error_code(HttpError::AnswerLost));
+}
+
+TEST_F(JsonClientInterimTest, SwitchOfProtocolIsNoAnswer)
+{
+  EXPECT_EQ(Exchange("HTTP/1.1 101 Switching Protocols\r\n\r\n").first,
+            make_error_code(HttpError::AnswerLost));
+}
+
 class JsonClientHeadTest : public testing::TestWithParam<HeadCase>
 {
 protected:
