--- a/src/gateway/relay_attempt.cpp
+++ b/src/gateway/relay_attempt.cpp
@@ -1,28 +1,22 @@
 /** @file relay_attempt.cpp Asks other hosts for a connection to an upstream. */
 #include "gateway/relay_attempt.h"
 
+#include "http/message_parser.h"
 #include "http/socket_option_func.h"
 #include "table/relay_const.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/status.hpp>
 
 namespace laburnumweir {
 
 namespace asio = boost::asio;
+namespace http = boost::beast::http;
 using asio::ip::tcp;
 using BoostError = boost::system::error_code;
 
-namespace {
-
-constexpr std::string_view kRelayedStatus = "HTTP/1.1 200";
-constexpr std::string_view kUnreachableStatus = "HTTP/1.1 502";
-constexpr std::string_view kUnknownStatus = "HTTP/1.1 403";
-constexpr std::string_view kHeadEnd = "\r\n\r\n";
-
-} // namespace
-
 void
 detail::TimedConnectAttempt::Report(BoostError aError,
                                     std::unique_ptr<OpenedConnection> aConnection)
@@ -41,8 +35,9 @@
   }
   const HostId host_;
   tcp::socket socket_;
-  std::string head_;   ///< Request to the host.
-  std::string answer_; ///< Head of its answer, and bytes of the upstream that follow it.
+  std::string head_;                                      ///< Request to the host.
+  boost::beast::flat_buffer buffer_{ kRelayBufferBytes }; ///< Received and not parsed.
+  AnswerParser answer_;
 };
 
 void
@@ -103,41 +98,49 @@
                         self->OnRefused(aQuery);
                       }
                     });
-  asio::async_read_until(aQuery->socket_,
-                         asio::dynamic_buffer(aQuery->answer_, kRelayBufferBytes),
-                         kHeadEnd,
-                         [self = shared_from_this(), aQuery](BoostError aError, std::size_t aSize) {
-                           self->OnHead(aQuery, aError ? 0 : aSize);
-                         });
+  http::async_read_header(aQuery->socket_,
+                          aQuery->buffer_,
+                          aQuery->answer_,
+                          [self = shared_from_this(), aQuery](BoostError aError, std::size_t) {
+                            if (aError) {
+                              self->OnRefused(aQuery);
+                            } else {
+                              self->OnHead(aQuery);
+                            }
+                          });
 }
 
 void
-RelayAttempt::OnHead(const QueryPointer& aQuery, std::size_t aSize)
+RelayAttempt::OnHead(const QueryPointer& aQuery)
 {
   if (IsPast(aQuery)) {
     return;
   }
-  const auto head = std::string_view(aQuery->answer_).substr(0, aSize);
-  if (head.starts_with(kRelayedStatus)) {
-    timer_.cancel();
-    context_.hosts_.OnRelayed(aQuery->host_);
-    auto connection =
-      std::make_unique<OpenedConnection>(OpenedConnection{ std::move(aQuery->socket_), {}, true });
-    const auto rest = std::string_view(aQuery->answer_).substr(aSize);
-    auto& buffer = connection->buffer_;
-    buffer.commit(
-      asio::buffer_copy(buffer.prepare(rest.size()), asio::buffer(rest.data(), rest.size())));
-    Report({}, std::move(connection));
-  } else if (head.starts_with(kUnreachableStatus)) {
-    if (++failures_ >= kMinRelayFailures) {
-      Fail(asio::error::host_unreachable);
-    } else {
-      Next();
+  switch (aQuery->answer_.Get().result()) {
+    case http::status::ok: {
+      timer_.cancel();
+      context_.hosts_.OnRelayed(aQuery->host_);
+      auto connection = std::make_unique<OpenedConnection>(
+        OpenedConnection{ std::move(aQuery->socket_), {}, true });
+      // Bytes after the head are those of the upstream.
+      const auto rest = aQuery->buffer_.data();
+      auto& buffer = connection->buffer_;
+      buffer.commit(asio::buffer_copy(buffer.prepare(rest.size()), rest));
+      Report({}, std::move(connection));
+      break;
     }
-  } else if (head.starts_with(kUnknownStatus)) {
-    Next(); // the host has not read the entry of the upstream yet
-  } else {
-    OnRefused(aQuery);
+    case http::status::bad_gateway:
+      if (++failures_ >= kMinRelayFailures) {
+        Fail(asio::error::host_unreachable);
+      } else {
+        Next();
+      }
+      break;
+    case http::status::forbidden:
+      Next(); // the host has not read the entry of the upstream yet
+      break;
+    default:
+      OnRefused(aQuery);
   }
 }
 
--- a/src/gateway/relay_attempt.h
+++ b/src/gateway/relay_attempt.h
@@ -84,8 +84,8 @@
   /** @return whether another host is asked by now, or none. */
   bool IsPast(const QueryPointer& aQuery) const { return IsOver() || query_ != aQuery; }
   void SendHead(const QueryPointer& aQuery);
-  /** @param aSize length of the head of the answer; 0 if there is none. */
-  void OnHead(const QueryPointer& aQuery, std::size_t aSize);
+  /** Called with the head of the host's answer. */
+  void OnHead(const QueryPointer& aQuery);
   void OnRefused(const QueryPointer& aQuery);
   void Next();
   void Fail(boost::system::error_code aError);
--- a/tests/gateway/relay_test.cpp
+++ b/tests/gateway/relay_test.cpp
@@ -509,6 +509,35 @@
   OnLoop([&] { server_.Stop(); });
 }
 
+// Guards against a request that is sent to a host in trouble as if that had connected to the
+// upstream.
+TEST_F(RelayTest, AnInvalidAnswerIsNoConnection)
+{
+  for (const std::string head : { "HTTP/1.1 2000 Connected",
+                                  "HTTP/1.1 200Connected",
+                                  "HTTP/1.1 200 Connected\r\nX A: b",
+                                  "HTTP/1.1 200 Connected\r\nX-\x01: b",
+                                  "HTTP/1.1 200 Conn\x01",
+                                  "HTTP/1.1 200 HTTP/1.1 503 Busy",
+                                  "HTTP/1.1 000 Connected" }) {
+    ScriptedServer host([&head](Peer& aPeer, int) {
+      aPeer.ReadUntil("\r\n\r\n");
+      aPeer.Send(head + "\r\n\r\n");
+      aPeer.WaitClosed();
+    });
+    RelayHosts hosts(clock_, { HostId("h1"), {}, {} }, [this] { return peers_; });
+    RelayContext context{ io_.Context(), clock_, own_, paths_, hosts, host.Address().port_ };
+    std::promise<bool> isConnected;
+    OnLoop([&] {
+      std::make_shared<RelayAttempt>(context, RefusingEndpoint(), [&](auto aError, auto) {
+        isConnected.set_value(!aError);
+      })->Start();
+    });
+    EXPECT_FALSE(isConnected.get_future().get()) << head;
+    OnLoop([] {}); // ends the attempt before what it refers to
+  }
+}
+
 TEST_F(RelayTest, MalformedRequestsAreRefused)
 {
   for (const std::string head : { "GET / HTTP/1.1\r\n\r\n",
