--- a/src/http/answer_rule_func.h
+++ b/src/http/answer_rule_func.h
@@ -27,11 +27,11 @@
 IsInterimStatus(int aStatus);
 
 /**
- * @param aValue value of a field of a head or a trailer.
+ * @param aName name of a field of a head or a trailer. @param aValue its value.
  * @return why the field is none of an answer; no error if it is.
  */
 boost::system::error_code
-CheckAnswerField(std::string_view aValue);
+CheckAnswerField(std::string_view aName, std::string_view aValue);
 
 /**
  * Tells an end of a connection that can complete a body without a length from a lost connection.
--- a/src/http/header_func.cpp
+++ b/src/http/header_func.cpp
@@ -37,15 +37,7 @@
 ListContains(std::string_view aList, std::string_view aToken)
 {
   while (!aList.empty()) {
-    const auto comma = std::min(aList.find(','), aList.size());
-    auto item = aList.substr(0, comma);
-    aList.remove_prefix(std::min(comma + 1, aList.size()));
-    const auto first = item.find_first_not_of(" \t");
-    if (first == std::string_view::npos) {
-      continue;
-    }
-    item = item.substr(first, item.find_last_not_of(" \t") - first + 1);
-    if (EqualsIgnoreCase(item, aToken)) {
+    if (EqualsIgnoreCase(TakeListItem(aList), aToken)) {
       return true;
     }
   }
@@ -70,6 +62,18 @@
   return result;
 }
 
+std::string_view
+TakeListItem(std::string_view& aList)
+{
+  const auto comma = std::min(aList.find(','), aList.size());
+  const auto item = aList.substr(0, comma);
+  aList.remove_prefix(std::min(comma + 1, aList.size()));
+  const auto first = item.find_first_not_of(" \t");
+  return first == std::string_view::npos
+           ? std::string_view()
+           : item.substr(first, item.find_last_not_of(" \t") - first + 1);
+}
+
 std::string_view
 FindField(const HeaderList& aHeaders, std::string_view aName)
 {
--- a/src/http/header_func.h
+++ b/src/http/header_func.h
@@ -22,6 +22,14 @@
 std::string
 ToLower(std::string_view aText);
 
+/**
+ * Removes the first item of a comma-separated list.
+ * @param aList the list; on return, the items after it.
+ * @return the item without blanks around it; may be empty.
+ */
+std::string_view
+TakeListItem(std::string_view& aList);
+
 /** @return the value of the first field with this name (any case); empty if there is none. */
 std::string_view
 FindField(const HeaderList& aHeaders, std::string_view aName);
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -123,7 +123,7 @@
   {
     aError = {};
     if constexpr (!IsRequest) {
-      aError = CheckAnswerField({ aValue.data(), aValue.size() });
+      aError = CheckAnswerField({ aName.data(), aName.size() }, { aValue.data(), aValue.size() });
       if (aError) {
         return;
       }
--- a/tests/gateway/request_flow_leftover_test.cpp
+++ b/tests/gateway/request_flow_leftover_test.cpp
@@ -8,6 +8,7 @@
 
 using namespace std::chrono_literals;
 using testing_support::Answer;
+using testing_support::Chunk;
 using testing_support::FakeAnswer;
 using testing_support::kGoodHead;
 using testing_support::Peer;
@@ -338,7 +339,18 @@
                 std::string(kGoodHead) + "Content-Length: 0\r\nContent-Length: 6\r\n\r\n" },
     BrokenHead{ "LengthAndChunks",
                 std::string(kGoodHead) +
-                  "Content-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" }),
+                  "Content-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" },
+    BrokenHead{ "CodedBody",
+                std::string(kGoodHead) + "Transfer-Encoding: gzip\r\n\r\ndata: coded\n\n" },
+    BrokenHead{ "CodedChunks",
+                std::string(kGoodHead) + "Transfer-Encoding: gzip, chunked\r\n\r\n" +
+                  Chunk("data: coded\n\n") + "0\r\n\r\n" },
+    BrokenHead{ "CodedAfterChunks",
+                std::string(kGoodHead) + "Transfer-Encoding: chunked, gzip\r\n\r\n" +
+                  Chunk("data: coded\n\n") + "0\r\n\r\n" },
+    BrokenHead{ "ChunkedTwice",
+                std::string(kGoodHead) + "Transfer-Encoding: chunked, chunked\r\n\r\n" +
+                  Chunk("data: coded\n\n") + "0\r\n\r\n" }),
   [](const auto& aInfo) { return aInfo.param.name_; });
 
 // Guards against a refusal that is put together from the start of one head and the rest of another
--- a/tests/http/message_parser_test.cpp
+++ b/tests/http/message_parser_test.cpp
@@ -99,6 +99,31 @@
   }
 }
 
+// Guards against a body that is passed on in a coding that its reader does not know, since the
+// field is not passed on.
+TEST(MessageParser, OnlyChunksAreDecoded)
+{
+  const auto parse = [](const std::string& aCodings) {
+    return Parse<false>("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + aCodings +
+                        "\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+  };
+  for (const auto* codings : { "gzip",
+                               "gzip, chunked",
+                               "chunked, gzip",
+                               "chunked, chunked",
+                               "identity, gzip",
+                               "x;a=b",
+                               "chunked;a=b, gzip",
+                               "@" }) {
+    EXPECT_EQ(parse(codings).error_, Error(http::error::bad_transfer_encoding)) << codings;
+  }
+  for (const auto* codings :
+       { "chunked", "Chunked", " chunked\t", ", chunked", "identity, chunked" }) {
+    EXPECT_EQ(parse(codings).body_, "abc") << codings;
+  }
+  EXPECT_EQ(parse("identity").body_, "3\r\nabc\r\n0\r\n\r\n");
+}
+
 // Guards against memory that a peer takes after the head by a chunk header or trailer without end.
 TEST(MessageParser, BytesThatCannotBeUsedYetAreLimited)
 {
