--- a/tests/gateway/request_flow_early_answer_test.cpp
+++ b/tests/gateway/request_flow_early_answer_test.cpp
@@ -42,36 +42,32 @@
   /** Sends a request over a new connection, or one that has carried another request. */
   void Exchange(RouteKind aKind, bool aIsKept)
   {
-    const auto fields = [](const std::string& aId) {
-      return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + aId + "\r\nX-Server-Stamp: s\r\n";
+    const auto head = [](const std::string& aStatus, const std::string& aId) {
+      return "HTTP/1.1 " + aStatus + "\r\nX-Attempt-Id: " + aId + "\r\nX-Server-Stamp: s\r\n";
     };
     ScriptedServer server([&](Peer& aPeer, int aNumber) {
       if (aIsKept && aNumber == 0) {
         aPeer.ReadRequest();
-        aPeer.Send(Answer(kEvent, fields("r0")));
+        aPeer.Send(Answer(kEvent, head("200 OK", "r0")));
       }
       if (aPeer.ReadUntil("\r\n\r\n")) {
-        aPeer.Send(fields("r1") + "\r\n" + kEvent);
+        aPeer.Send(head(status_, "r1") + "\r\n" + kEvent);
         GetParam().end_(aPeer);
       }
     });
     SetRoute(aKind);
     SetUpstreams({ server.Address() });
     if (aIsKept) {
-      answer_ = std::make_shared<FakeAnswer>();
-      id_ = "r0";
       body_ = "question";
-      Start();
-      Finish();
+      Call("r0");
       ASSERT_EQ(answer_->body_, kEvent);
     }
-    answer_ = std::make_shared<FakeAnswer>();
-    id_ = "r1";
     body_ = std::string(kUploadBytes, 'x');
-    Start();
-    Finish(7s);
+    Call("r1", 7s);
     ++startedAt_;
   }
+
+  std::string status_ = "200 OK"; ///< Of the early answer.
 };
 
 class LostEarlyAnswerTest : public EarlyAnswerTest
@@ -90,6 +86,17 @@
   }
 }
 
+// Guards against the same with the part of an error, which the caller would take for all of it.
+TEST_P(LostEarlyAnswerTest, IsNoCompleteError)
+{
+  timeout_ = 6s;
+  for (const std::string status : { "404 None", "500 Error" }) {
+    status_ = status;
+    Exchange(RouteKind::Unsafe, false);
+    EXPECT_EQ(answer_->status_, 502U) << status;
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Ends,
                          LostEarlyAnswerTest,
                          testing::Values(EarlyEnd{ "ResetAtOnce", ResetAfter(0ms) },
--- a/tests/gateway/request_flow_head_test.cpp
+++ b/tests/gateway/request_flow_head_test.cpp
@@ -35,16 +35,10 @@
     SetRoute(aKind);
     SetUpstreams({ server.Address() });
     if (aIsKept) {
-      answer_ = std::make_shared<FakeAnswer>();
-      id_ = "r0";
-      Start();
-      Finish();
+      Call("r0");
       ASSERT_EQ(answer_->body_, kEvent);
     }
-    answer_ = std::make_shared<FakeAnswer>();
-    id_ = "r1";
-    Start();
-    Finish();
+    Call("r1");
     EXPECT_EQ(server.Accepted(), 1);
     ++startedAt_;
   }
@@ -94,9 +88,7 @@
       });
       SetRoute(kind);
       SetUpstreams({ server.Address() });
-      answer_ = std::make_shared<FakeAnswer>();
-      Start();
-      Finish();
+      Call("r1");
       EXPECT_TRUE(HasFailed()) << int(kind) << " " << answer_->status_ << " after\n" << text;
       ++startedAt_;
     }
@@ -149,9 +141,7 @@
     });
     SetRoute(aKind);
     SetUpstreams({ server.Address() });
-    answer_ = std::make_shared<FakeAnswer>();
-    Start();
-    Finish();
+    Call("r1");
     ++startedAt_;
   }
 };
--- a/tests/gateway/request_flow_support.h
+++ b/tests/gateway/request_flow_support.h
@@ -240,6 +240,15 @@
     std::make_shared<RequestFlow>(flow_, std::move(admitted), answer_)->Start();
   }
 
+  /** Sends a request with an id and waits for its answer. */
+  void Call(const std::string& aId, std::chrono::milliseconds aTime = 3s)
+  {
+    answer_ = std::make_shared<FakeAnswer>();
+    id_ = aId;
+    Start();
+    Finish(aTime);
+  }
+
   /** Runs the event loop and queued requests until the answer is complete or aborted. */
   void Finish(std::chrono::milliseconds aTime = 3s)
   {
--- a/tests/wire/client_test.cpp
+++ b/tests/wire/client_test.cpp
@@ -127,6 +127,20 @@
     return result;
   }
 
+  /** @return whether a report of an engine could be read. */
+  bool ReadReport()
+  {
+    EngineClient engines(context_);
+    bool isDone = false;
+    bool result = false;
+    engines.RequestReport(server_->Address(), [&](bool aIsRead, const EngineStateReport&) {
+      result = aIsRead;
+      isDone = true;
+    });
+    RunUntil(isDone);
+    return result;
+  }
+
   std::mutex mutex_;
   std::vector<std::string> answers_;
   std::vector<std::string> targets_;
@@ -536,13 +550,7 @@
   Serve({ answer, answer, answer });
   EXPECT_EQ(Order(), OrderAnswer::NoAnswer);
   EXPECT_EQ(ReadAll(ChangeStream::Upstreams).first, StoreError::Unreachable);
-  EngineClient engines(context_);
-  bool isDone = false;
-  engines.RequestReport(server_->Address(), [&](bool aIsRead, const EngineStateReport&) {
-    EXPECT_FALSE(aIsRead);
-    isDone = true;
-  });
-  RunUntil(isDone);
+  EXPECT_FALSE(ReadReport());
 }
 
 INSTANTIATE_TEST_SUITE_P(Fields,
@@ -559,13 +567,7 @@
   Serve({ answer, answer, answer });
   EXPECT_EQ(Order(), OrderAnswer::NoAnswer);
   EXPECT_EQ(ReadAll(ChangeStream::Upstreams).first, StoreError::Unreachable);
-  EngineClient engines(context_);
-  bool isDone = false;
-  engines.RequestReport(server_->Address(), [&](bool aIsRead, const EngineStateReport&) {
-    EXPECT_FALSE(aIsRead);
-    isDone = true;
-  });
-  RunUntil(isDone);
+  EXPECT_FALSE(ReadReport());
 }
 
 // Guards against an answer of the store whose era is replaced by a field after its last chunk.
