--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -48,8 +48,22 @@
             "tls": False, "cold_start_s": 0.0, "cold_per_s": 0.0}
 
 
-def free_ports(count):
-    """Returns the first of a row of ports that are free on loopback."""
+def stream_route(name, prefix, service_name, timeout_ms, max_attempts):
+    return {**route(name, prefix, "streaming", service_name, timeout_ms, max_attempts),
+            "target_latency_ms": 600, "gap_target_ms": 250, "sticky": True, "resumable": False}
+
+
+def engine_service(name, model):
+    return {**service(name), "max_connections": 360, "cold_start_s": 3.0, "cold_per_s": 20.0,
+            "engine": {"slots": 64, "kv_capacity": 145001, "token_kv_bytes": 163840,
+                       "link_mbps": 1100000.0, "weights_mb": 45400.0, "adapter_slots": 28,
+                       "loads_per_s": 3.7,
+                       "models": [{"name": model, "weights_mb": 42700.0, "load_s": 1.7,
+                                   "adapters": 3000, "adapter_mb": 66.0}]}}
+
+
+def free_ports(count, addresses=("127.0.0.1",)):
+    """Returns the first of a row of ports that are free on loopback addresses."""
     while True:
         with socket.socket() as probe:
             probe.bind(("127.0.0.1", 0))
@@ -57,10 +71,11 @@
         if first + count >= 65535:
             continue
         try:
-            for port in range(first, first + count):
-                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                    with socket.socket(socket.AF_INET, kind) as probe:
-                        probe.bind(("127.0.0.1", port))
+            for address in addresses:
+                for port in range(first, first + count):
+                    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                        with socket.socket(socket.AF_INET, kind) as probe:
+                            probe.bind((address, port))
             return first
         except OSError:
             continue
@@ -69,9 +84,10 @@
 class Host:
     """One process of the system."""
 
-    def __init__(self, name, zone, store_port, folder, ip="127.0.0.1"):
+    def __init__(self, name, zone, store_port, folder, ip="127.0.0.1", first=None, bounds=None):
+        """The hosts of one deployment have different addresses and the same ports."""
         self.name, self.zone, self.ip, self.folder = name, zone, ip, folder
-        first = free_ports(8)
+        first = first or free_ports(8)
         self.frontend, self.ready_port = first, first + 1
         settings = {
             "node_name": name, "role": "gateway", "machine_class": "edge",
@@ -85,7 +101,7 @@
             "data_dir": None, "discovery": "platform", "entrypoint": "vip", "heartbeat_ms": 1200,
             "contracts": ["base", "drain", "config", "cost", "retry", "recover", "fleet", "stream",
                           "engine", "tenants", "quota", "places", "platform"],
-            "fault_tolerance": {"machines": 2, "zones": 1, "regions": 0}, "bounds": BOUNDS,
+            "fault_tolerance": {"machines": 2, "zones": 1, "regions": 0}, "bounds": {**BOUNDS, **(bounds or {})},
             "platform": {"address": "127.0.0.1:%d" % store_port, "form": "log",
                          "writes_per_s": 400, "reads_per_s": 2000, "parts": 12, "append_ms": 2.0,
                          "partition_mb_s": 20.0, "read_mb_s": 80.0, "record_bytes": 262144,
@@ -112,6 +128,17 @@
         except OSError:
             return False
 
+    def memory_mb(self, field):
+        """Returns VmRSS or VmHWM (its peak) of the process, MB; 0 if it has ended."""
+        try:
+            with open("/proc/%d/status" % self.process.pid, encoding="ascii") as file:
+                for line in file:
+                    if line.startswith(field + ":"):
+                        return int(line.split()[1]) * 1024 / 1e6
+        except OSError:
+            pass
+        return 0.0
+
     def stop(self):
         """Ends the process. Returns its exit status before that; None if it ran."""
         status = self.process.poll()
--- a/review/common-3/platform_standin.py
+++ b/review/common-3/platform_standin.py
@@ -186,6 +186,9 @@
 class Runner:
     """A runner of a plain service. Answers each request with a body that names it."""
 
+    slots = 6
+    models = None  # list of the models that an engine holds
+
     def __init__(self, store, service, zone, name, work_s, record):
         self.store, self.service, self.zone = store, service, zone
         self.name, self.work_s, self.record = name, work_s, record
@@ -202,10 +205,13 @@
     async def beat(self):
         while True:
             self.beats += 1
-            await self.store.put("keyed.servers", self.name, {
+            entry = {
                 "service": self.service, "address": "127.0.0.1:%d" % self.port, "zone": self.zone,
-                "version": "v1", "slots": 6, "state": "ready", "cold_remaining_ms": 0,
-                "sequence": self.beats, "born": self.born})
+                "version": "v1", "slots": self.slots, "state": "ready", "cold_remaining_ms": 0,
+                "sequence": self.beats, "born": self.born}
+            if self.models is not None:
+                entry.update(phase="both", models=self.models)
+            await self.store.put("keyed.servers", self.name, entry)
             await asyncio.sleep(1.2)
 
     async def serve(self, reader, writer):
@@ -214,13 +220,16 @@
                 request = await read_message(reader, True)
                 if request is None:
                     break
-                writer.write(await self.answer(request))
+                await self.respond(request, writer)
                 await writer.drain()
         except ConnectionError:
             pass
         finally:
             writer.close()
 
+    async def respond(self, request, writer):
+        writer.write(await self.answer(request))
+
     async def answer(self, request):
         expected = request.get("x-expect-instance")
         attempt = request.get("x-attempt-id")
@@ -237,3 +246,53 @@
         body = ("answer to %s\n" % attempt).encode().ljust(800, b".")
         return answer_text(200, [("X-Attempt-Id", attempt), ("X-Server-Stamp", "%s.%d" % (self.name, self.stamp)),
                                  ("Content-Type", "text/plain"), ("Keep-Alive", "timeout=20")], body)
+
+
+class Engine(Runner):
+    """A model runner. Answers each request with a stream of events."""
+
+    slots = 64
+    events = 49
+
+    def __init__(self, store, service, zone, name, work_s, record, model):
+        super().__init__(store, service, zone, name, work_s, record)
+        self.models = [{"name": model, "version": 1, "adapters": []}]
+        self.running = 0
+        self.orders = 0
+
+    async def respond(self, request, writer):
+        if request.start.startswith("GET /api/report"):
+            report = {"phase": "both", "models": self.models, "busy": False,
+                      "sequence": self.orders, "queued": 0, "active": self.running,
+                      "kv_used": 0, "kv_total": 145001, "handles": 0, "born": self.born}
+            writer.write(answer_text(200, [("Content-Type", "application/json")],
+                                     json.dumps(report).encode()))
+            return
+        if request.start.startswith("POST /api/order"):
+            writer.write(answer_text(200, [("Content-Type", "application/json")], b"{}"))
+            return
+        attempt = request.get("x-attempt-id")
+        if request.get("x-expect-instance") != self.name:
+            writer.write(answer_text(421, [("X-Attempt-Id", attempt),
+                                           ("X-Instance-Id", self.name)], b""))
+            return
+        if self.running >= self.slots:
+            writer.write(answer_text(503, [("X-Attempt-Id", attempt), ("X-Not-Executed", "1")], b""))
+            return
+        self.running += 1
+        try:
+            self.runs.append(request)
+            self.record("run", attempt, "at=" + self.name)
+            self.stamp += 1
+            writer.write(("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: %s.%d\r\n"
+                          "Content-Type: text/event-stream\r\nKeep-Alive: timeout=20\r\n"
+                          "Transfer-Encoding: chunked\r\n\r\n"
+                          % (attempt, self.name, self.stamp)).encode())
+            for number in range(1, self.events + 1):
+                await asyncio.sleep(self.work_s / self.events)
+                event = ("id: %d\ndata: %s %d\n\n" % (number, attempt, number)).encode()
+                writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+                await writer.drain()
+            writer.write(b"0\r\n\r\n")
+        finally:
+            self.running -= 1
