--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -84,6 +84,8 @@
 class Host:
     """One process of the system."""
 
+    started = []  # all processes that were started and not stopped
+
     def __init__(self, name, zone, store_port, folder, ip="127.0.0.1", first=None, bounds=None):
         """The hosts of one deployment have different addresses and the same ports."""
         self.name, self.zone, self.ip, self.folder = name, zone, ip, folder
@@ -119,6 +121,7 @@
         self.process = subprocess.Popen(
             command, cwd=ROOT, stdin=subprocess.DEVNULL, stdout=self.log, stderr=self.log,
             env={"PATH": os.environ["PATH"], "LABURNUMWEIR_NODE_FILE": self.settings})
+        self.started.append(self.process)
 
     def is_ready(self):
         try:
@@ -143,8 +146,10 @@
         """Ends the process. Returns its exit status before that; None if it ran."""
         status = self.process.poll()
         if status is None:
-            self.process.send_signal(signal.SIGKILL)
+            self.process.kill()
             self.process.wait()
+        if self.process in self.started:
+            self.started.remove(self.process)
         self.log.close()
         return status
 
@@ -176,8 +181,17 @@
     return False
 
 
+def end_on_signal(_number, _frame):
+    """Ends all started processes and this one; the case could not run to its end."""
+    for process in Host.started:
+        process.kill()
+    os._exit(2)
+
+
 def run_case(main):
     """Runs a case and ends the process with its result, without waiting for open connections."""
+    signal.signal(signal.SIGTERM, end_on_signal)
+    signal.signal(signal.SIGINT, end_on_signal)
     loop = asyncio.new_event_loop()
     try:
         status = loop.run_until_complete(main())
--- a/review/common-3/platform_standin.py
+++ b/review/common-3/platform_standin.py
@@ -187,6 +187,7 @@
     """A runner of a plain service. Answers each request with a body that names it."""
 
     slots = 6
+    cold_until = 0.0
     models = None  # list of the models that an engine holds
 
     def __init__(self, store, service, zone, name, work_s, record):
@@ -207,7 +208,8 @@
             self.beats += 1
             entry = {
                 "service": self.service, "address": "127.0.0.1:%d" % self.port, "zone": self.zone,
-                "version": "v1", "slots": self.slots, "state": "ready", "cold_remaining_ms": 0,
+                "version": "v1", "slots": self.slots, "state": "ready",
+                "cold_remaining_ms": max(0, int(1000 * (self.cold_until - time.monotonic()))),
                 "sequence": self.beats, "born": self.born}
             if self.models is not None:
                 entry.update(phase="both", models=self.models)
