--- a/review/13/run.py
+++ b/review/13/run.py
@@ -17,6 +17,7 @@
 RUNNERS = 12
 CRASHES = 2         # 0.17 of the runners
 DOWN_S = 4.5
+SILENCE_S = 3.6     # three heartbeats, after which the entry of a silent runner is removed
 COLD_S = 3.0
 ROUNDS = 3
 ROUND_S = 14.0
@@ -48,7 +49,9 @@
         self.server.close()
         for writer in list(self.writers):
             writer.transport.abort()
-        await asyncio.sleep(DOWN_S)
+        await asyncio.sleep(SILENCE_S)
+        await self.store.put("keyed.servers", self.name, None)
+        await asyncio.sleep(DOWN_S - SILENCE_S)
         self.lives += 1
         self.name = "%s.%d" % (self.name.split(".")[0], self.lives)
         self.born, self.beats = now_ms(), 0
