review 12: no identity among the codings

HTTP/1.1 once had a coding "identity" that changes nothing, and a server that still knows it may read such a request as one without a body. The case now uses gzip, deflate, and chunked before gzip.

--- a/review/12/run.py
+++ b/review/12/run.py
@@ -8,7 +8,7 @@
                         run_case, service, temporary_folder)
 from platform_standin import Runner, Store, read_message  # noqa: E402
 
-CODINGS = ["gzip", "identity", "chunked, identity"]
+CODINGS = ["gzip", "deflate", "chunked, gzip"]
 CALLERS = 4  # for each coding
 ANSWER_S = 2.0
 
