Refuse requests whose end is unknown

Cause: only answers were checked for codings that are not decoded. The parser of Boost.Beast ignores a Transfer-Encoding whose last coding is not chunked; a request then ends with its head, or after its Content-Length, and what follows is parsed as the next request. `gzip, chunked` was decoded as chunks, but since the field is not passed on, the upstream got the body without its coding. The same parser reads the requests of `serve`, which had the fault too.

Change: MessageFraming (http/message_framing.h) is the one rule for where a message ends, and MessageParser applies it to requests and answers. All codings of all fields count together: chunked, once and last; `identity` before it, or alone in an answer. A length beside codings, codings in HTTP/1.0, and a request with codings but without chunks are errors, found before a byte of the body is read. The caller gets 400, the connection ends, and what follows is discarded.

Answers change in two ways: codings beside a length, of which one order was read by its length, and codings in HTTP/1.0 are malformed.

--- a/src/caller/caller_connection.cpp
+++ b/src/caller/caller_connection.cpp
@@ -5,6 +5,7 @@
 #include "caller/request_head.h"
 #include "caller/request_lifecycle.h"
 #include "http/header_func.h"
+#include "http/message_framing.h"
 #include "http/message_parser.h"
 
 #include <algorithm>
@@ -113,7 +114,7 @@
     if (!lifecycle_.Apply(RequestEvent::Complete)) {
       return;
     }
-    const bool hasBody = aStatus / 100 != 1 && aStatus != 204 && aStatus != 304;
+    const bool hasBody = !EndsWithHead(false, static_cast<unsigned>(aStatus));
     AnswerFrame frame{ id_, std::nullopt, false, IsClosing() };
     if (isHead_) {
       frame.contentLength_ = AnnouncedLength(aHeaders);
@@ -134,7 +135,7 @@
       return;
     }
     isEventStream_ = ToLower(FindField(aHeaders, "content-type")).starts_with("text/event-stream");
-    isBodiless_ = isHead_ || aStatus == 204 || aStatus == 304;
+    isBodiless_ = EndsWithHead(isHead_, static_cast<unsigned>(aStatus));
     remaining_ = AnnouncedLength(aHeaders);
     isChunked_ = !isBodiless_ && !remaining_ && isHttp11_;
     if (!isChunked_ && !remaining_ && !isBodiless_) {
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -4,6 +4,7 @@
 #include "gateway/answer_head.h"
 #include "http/header_func.h"
 #include "http/listen_func.h"
+#include "http/message_framing.h"
 #include "http/message_parser.h"
 
 #include <algorithm>
@@ -147,7 +148,7 @@
     }
     isBegun_ = true;
     mustClose_ = mustClose_ || listener_.isDraining_;
-    const bool isBodiless = isHeadRequest_ || aStatus == 204 || aStatus == 304;
+    const bool isBodiless = EndsWithHead(isHeadRequest_, aStatus);
     isChunked_ = !isBodiless && !aLength && isHttp11_;
     mustClose_ = mustClose_ || (!isBodiless && !aLength && !isHttp11_);
     isBodiless_ = isBodiless;
--- a/src/http/answer_rule_func.cpp
+++ b/src/http/answer_rule_func.cpp
@@ -2,9 +2,6 @@
  */
 #include "http/answer_rule_func.h"
 
-#include "http/header_func.h"
-
-#include <boost/asio/error.hpp>
 #include <boost/beast/http/error.hpp>
 
 namespace laburnumweir {
@@ -39,31 +36,6 @@
   return false;
 }
 
-/**
- * @param aCodings value of a Transfer-Encoding field.
- * @return whether a body with these codings is read as what it stands for. Chunks are decoded and
- * no other coding is; no request allows one.
- */
-bool
-CanDecode(std::string_view aCodings)
-{
-  bool isChunked = false;
-  while (!aCodings.empty()) {
-    const auto coding = TakeListItem(aCodings);
-    if (coding.empty()) {
-      continue;
-    }
-    if (isChunked) {
-      return false;
-    }
-    isChunked = EqualsIgnoreCase(coding, "chunked");
-    if (!isChunked && !EqualsIgnoreCase(coding, "identity")) {
-      return false;
-    }
-  }
-  return true;
-}
-
 } // namespace
 
 boost::system::error_code
@@ -85,22 +57,12 @@
 }
 
 boost::system::error_code
-CheckAnswerField(std::string_view aName, std::string_view aValue)
+CheckAnswerField(std::string_view aValue)
 {
-  if (EqualsIgnoreCase(aName, "transfer-encoding") && !CanDecode(aValue)) {
-    return boost::beast::http::error::bad_transfer_encoding;
-  }
   if (ContainsStatusLine(aValue)) {
     return boost::beast::http::error::bad_value;
   }
   return {};
 }
 
-bool
-IsOrderlyEnd(const boost::system::error_code& aRead, const boost::system::error_code& aWrite)
-{
-  namespace error = boost::asio::error;
-  return aRead == error::eof && (!aWrite || aWrite == error::broken_pipe);
-}
-
 } // namespace laburnumweir
--- a/src/http/answer_rule_func.h
+++ b/src/http/answer_rule_func.h
@@ -13,7 +13,7 @@
 
 // AnswerParser applies the rules for status lines and fields, and so every reader of answers does.
 // The syntax itself, such as the bytes of names and values, is checked by the parser of
-// Boost.Beast.
+// Boost.Beast. Where an answer ends is told by message_framing.h.
 
 /**
  * @param aStatus number of three digits. @param aReason reason phrase; may be empty.
@@ -27,22 +27,11 @@
 IsInterimStatus(int aStatus);
 
 /**
- * @param aName name of a field of a head or a trailer. @param aValue its value.
+ * @param aValue value of a field of a head or a trailer.
  * @return why the field is none of an answer; no error if it is.
  */
 boost::system::error_code
-CheckAnswerField(std::string_view aName, std::string_view aValue);
-
-/**
- * Tells an end of a connection that can complete a body without a length from a lost connection.
- * Linux reports the loss to one call only: if that is the write of the request, the read that
- * follows finds an end without an error. A write fails with broken_pipe if the peer had ended its
- * output before the connection was reset.
- * @param aRead result of the read. @param aWrite result of the write as far as it is known.
- * @return whether the peer ended its output in order.
- */
-bool
-IsOrderlyEnd(const boost::system::error_code& aRead, const boost::system::error_code& aWrite);
+CheckAnswerField(std::string_view aValue);
 
 } // namespace laburnumweir
 
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -4,6 +4,7 @@
 
 #include "http/answer_rule_func.h"
 #include "http/header_func.h"
+#include "http/message_framing.h"
 
 #include <algorithm>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -22,7 +23,8 @@
 
 /**
  * Parser of a request or an answer whose body is appended as it is received. It differs from
- * boost::beast::http::parser in four ways:
+ * boost::beast::http::parser in five ways:
+ * - A message whose end is unknown is an error, by the rules of message_framing.h.
  * - Status lines and fields of answers are checked by the rules of answer_rule_func.h.
  * - A field that is too long for the message is an error, not an exception.
  * - Trailer fields are checked and dropped. Merged into the head, they could replace a field on
@@ -121,9 +123,12 @@
                      Text aValue,
                      Error& aError) override
   {
-    aError = {};
+    aError = framing_.OnField(aField, { aValue.data(), aValue.size() });
+    if (aError) {
+      return;
+    }
     if constexpr (!IsRequest) {
-      aError = CheckAnswerField({ aName.data(), aName.size() }, { aValue.data(), aValue.size() });
+      aError = CheckAnswerField({ aValue.data(), aValue.size() });
       if (aError) {
         return;
       }
@@ -143,7 +148,11 @@
     headBytes_ += aName.size() + aValue.size() + kFieldOverheadBytes;
   }
 
-  void on_header_impl(Error& aError) override { aError = {}; }
+  void on_header_impl(Error& aError) override
+  {
+    aError = framing_.CheckHead(IsRequest ? MessageKind::Request : MessageKind::Answer,
+                                message_.version());
+  }
 
   void on_body_init_impl(const boost::optional<std::uint64_t>& /*aLength*/, Error& aError) override
   {
@@ -179,6 +188,7 @@
   // NOLINTEND(readability-identifier-naming)
 
   Message message_;
+  MessageFraming framing_;                                               ///< Of the head.
   std::size_t trailerBytes_ = 0;                                         ///< See kMaxTrailerBytes.
   std::size_t headBytes_ = 0;                                            ///< See HeadBytes().
   std::uint64_t maxBodyBytes_ = std::numeric_limits<std::size_t>::max(); ///< See SetBodyLimit().
--- a/tests/caller/caller_limit_test.cpp
+++ b/tests/caller/caller_limit_test.cpp
@@ -35,6 +35,7 @@
     return Post(aBody, "", "/v1/chat/completions");
   };
   const std::string model = R"({"model":"a@b",)";
+  const std::string inside = "GET /inside HTTP/1.1\r\n\r\n";
   return {
     { "NoHttp", "\x16\x03\x01\x02\r\n\r\n" },
     { "InvalidMethod", "G@T / HTTP/1.1\r\n\r\n" },
@@ -44,6 +45,13 @@
     { "TwoLengths", "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab" },
     { "LengthAndChunks",
       "POST / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" },
+    { "CodedBody", "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n" + inside },
+    { "CodedChunks", "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" },
+    { "CodingAfterChunks", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked, gzip\r\n\r\n" + inside },
+    { "IdentityCoding", "POST / HTTP/1.1\r\nTransfer-Encoding: identity\r\n\r\n" + inside },
+    { "CodedBodyAndLength",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\nContent-Length: 1\r\n\r\na" + inside },
+    { "ChunksInHttp10", "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" },
     { "InvalidChunk", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n" },
     { "LargeHead", "GET / HTTP/1.1\r\nX: " + std::string(kMegabyte, 'x') + "\r\n\r\n", 431 },
     { "LargeTarget", "GET /" + std::string(kMegabyte, 'x') + " HTTP/1.1\r\n\r\n", 431 },
--- a/tests/gateway/caller_session_test.cpp
+++ b/tests/gateway/caller_session_test.cpp
@@ -183,6 +183,46 @@
   EXPECT_EQ(handler.last_.count("Host"), 1U);
 }
 
+class UnknownEndTest
+  : public CallerSessionTest
+  , public testing::WithParamInterface<std::string>
+{};
+
+// Guards against a request that is run although it stands in the body of another one, of which the
+// host could not tell the end.
+TEST_P(UnknownEndTest, IsRefusedAndNothingBehindItsHeadIsRead)
+{
+  const std::string head = "POST /outside HTTP/1.1\r\nHost: a\r\n" + GetParam() + "\r\n\r\n";
+  const std::string request = head + kRequest;
+  const std::size_t beforeEnd = head.size() - 1;
+  for (const std::size_t cut : { std::size_t{ 0 }, beforeEnd, head.size(), request.size() }) {
+    Peer caller = ConnectTo(endpoint_);
+    caller.Send(request.substr(0, cut));
+    Run();
+    caller.Send(request.substr(cut) + kRequest);
+    Run();
+    const auto answer = caller.ReadAnswer(100ms);
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->result_int(), 400U);
+    EXPECT_EQ((*answer)[boost::beast::http::field::connection], "close");
+    caller.Send(kRequest);
+    Run();
+    EXPECT_FALSE(caller.ReadAnswer(20ms));
+    EXPECT_TRUE(caller.WaitClosed(100ms));
+  }
+  EXPECT_EQ(handler_.requests_, 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(Framings,
+                         UnknownEndTest,
+                         testing::Values("Transfer-Encoding: gzip",
+                                         "Transfer-Encoding: chunked, gzip",
+                                         "Transfer-Encoding: gzip, chunked",
+                                         "Transfer-Encoding: identity",
+                                         "Transfer-Encoding: gzip\r\nContent-Length: 1",
+                                         "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+                                         "Content-Length: 1\r\nTransfer-Encoding: chunked"));
+
 class EndlessRequestTest
   : public CallerSessionTest
   , public testing::WithParamInterface<std::pair<std::string, std::string>>
--- a/tests/http/message_parser_test.cpp
+++ b/tests/http/message_parser_test.cpp
@@ -124,6 +124,109 @@
   EXPECT_EQ(parse("identity").body_, "3\r\nabc\r\n0\r\n\r\n");
 }
 
+/** A request with these fields whose body may be taken for a second request. */
+std::string
+RequestWithFields(const std::string& aFields, const std::string& aVersion = "1.1")
+{
+  return "POST /x HTTP/" + aVersion + "\r\nHost: a\r\n" + aFields +
+         "\r\n\r\nGET /inside HTTP/1.1\r\nHost: a\r\n\r\n";
+}
+
+// Guards against a body that is taken for the next request of its connection: the parser of the
+// HTTP library reads a request with a coding that it does not know as one without a body.
+TEST(MessageParser, RequestWhoseEndIsUnknownIsAnError)
+{
+  for (const auto* codings : { "gzip",
+                               "deflate",
+                               "chunked, gzip",
+                               "gzip, chunked",
+                               "chunked, chunked",
+                               "identity",
+                               "identity, gzip",
+                               "",
+                               ",",
+                               "chunked;a=b",
+                               "x;a=b",
+                               "\"chunked\"",
+                               "chunked chunked",
+                               "@" }) {
+    const std::string field = std::string("Transfer-Encoding: ") + codings;
+    for (const auto& fields : { field,
+                                field + "\r\nContent-Length: 3",
+                                "Content-Length: 3\r\n" + field,
+                                field + "\r\nTransfer-Encoding: gzip" }) {
+      const auto request = RequestWithFields(fields);
+      for (std::size_t cut = 0; cut < request.size(); ++cut) {
+        const auto parsed = Parse<true>(request, cut);
+        EXPECT_FALSE(parsed.isDone_) << fields;
+        EXPECT_TRUE(parsed.error_) << fields;
+        EXPECT_NE(parsed.error_, http::error::need_more) << fields;
+      }
+    }
+  }
+  for (const auto* fields : { "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+                              "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip",
+                              "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+                              "Transfer-Encoding: chunked\r\nContent-Length: 3",
+                              "Content-Length: 3\r\nTransfer-Encoding: chunked",
+                              "Transfer-Encoding: chunked\r\nTransfer-Encoding:",
+                              "Transfer-Encoding:\r\n gzip",
+                              "Transfer-Encoding : chunked",
+                              "Content-Length: 1\r\nContent-Length: 2",
+                              "Content-Length: 1, 2",
+                              "Content-Length: +3",
+                              "Content-Length: 3 3",
+                              "Content-Length:" }) {
+    const auto parsed = Parse<true>(RequestWithFields(fields));
+    EXPECT_FALSE(parsed.isDone_) << fields;
+    EXPECT_TRUE(parsed.error_) << fields;
+  }
+  // HTTP/1.0 has no transfer codings (RFC 9112, 6.1).
+  EXPECT_EQ(Parse<true>(RequestWithFields("Transfer-Encoding: chunked", "1.0")).error_,
+            Error(http::error::bad_transfer_encoding));
+}
+
+// Guards against sound requests that are refused, or whose body ends elsewhere.
+TEST(MessageParser, RequestWithAKnownEndIsRead)
+{
+  const std::string chunks = "3\r\nabc\r\n0\r\n\r\n";
+  for (const auto* codings :
+       { "chunked", "Chunked", " chunked\t", ", chunked", "chunked,", "identity, chunked" }) {
+    const auto parsed =
+      Parse<true>("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: " + std::string(codings) +
+                  "\r\n\r\n" + chunks + "GET");
+    EXPECT_TRUE(parsed.isDone_) << codings << ": " << parsed.error_.message();
+    EXPECT_EQ(parsed.body_, "abc") << codings;
+    EXPECT_EQ(parsed.unused_, 3U) << codings;
+  }
+  for (const auto* lengths : { "Content-Length: 3", "Content-Length: 3\r\nContent-Length: 3" }) {
+    for (const auto* version : { "1.0", "1.1" }) {
+      const auto parsed = Parse<true>(std::string("POST / HTTP/") + version + "\r\nHost: a\r\n" +
+                                      lengths + "\r\n\r\nabcGET");
+      EXPECT_EQ(parsed.body_, "abc") << lengths;
+      EXPECT_EQ(parsed.unused_, 3U) << lengths;
+    }
+  }
+  EXPECT_TRUE(Parse<true>("GET / HTTP/1.1\r\nHost: a\r\nTE: gzip\r\n\r\n").isDone_);
+}
+
+// Guards against an answer whose end depends on its reader: some prefer the length, some the
+// codings, and HTTP/1.0 knows no codings.
+TEST(MessageParser, AnswerWhoseEndIsUnknownIsAnError)
+{
+  for (const auto* head :
+       { "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\nContent-Length: 3",
+         "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: identity",
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 3",
+         "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked",
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\nTransfer-Encoding: gzip",
+         "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked" }) {
+    const auto parsed = Parse<false>(std::string(head) + "\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+    EXPECT_FALSE(parsed.isDone_) << head;
+    EXPECT_TRUE(parsed.error_ && parsed.error_ != http::error::need_more) << head;
+  }
+}
+
 // Guards against memory that a peer takes after the head by a chunk header or trailer without end.
 TEST(MessageParser, BytesThatCannotBeUsedYetAreLimited)
 {
