Refuse bytes behind the head of a request for a relayed connection

No host of ours sends bytes before the answer, so no caller has seen this.

The head is read by RequestParser now, as all others are. A request that is not CONNECT, has a body or coded body, or is followed by bytes is refused with 403, and the connection ends.

RelayTest.BytesBehindTheHeadAreRefused failed before; all tests of the relay pass.

--- a/src/gateway/relay_server.cpp
+++ b/src/gateway/relay_server.cpp
@@ -2,15 +2,17 @@
 #include "gateway/relay_server.h"
 
 #include "http/listen_func.h"
+#include "http/message_parser.h"
 #include "http/socket_option_func.h"
 #include "logging/logging_func.h"
 #include "table/relay_const.h"
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
 #include <charconv>
 #include <optional>
 #include <string>
@@ -18,29 +20,23 @@
 namespace laburnumweir {
 
 namespace asio = boost::asio;
+namespace http = boost::beast::http;
 using asio::ip::tcp;
 using BoostError = boost::system::error_code;
 
 namespace {
 
-constexpr std::string_view kMethod = "CONNECT ";
-
-/** @return the address in the head of a request for a relayed connection; none if it has none. */
+/** @return the address in the target of a request for a relayed connection; none if it has none. */
 std::optional<Endpoint>
-ParseHead(std::string_view aHead)
+ParseTarget(std::string_view aTarget)
 {
-  if (!aHead.starts_with(kMethod)) {
-    return std::nullopt;
-  }
-  const auto target =
-    aHead.substr(kMethod.size(), aHead.find(' ', kMethod.size()) - kMethod.size());
-  const auto colon = target.rfind(':');
+  const auto colon = aTarget.rfind(':');
   if (colon == std::string_view::npos) {
     return std::nullopt;
   }
-  Endpoint endpoint{ std::string(target.substr(0, colon)), 0 };
-  const auto* end = target.data() + target.size();
-  const auto [position, error] = std::from_chars(target.data() + colon + 1, end, endpoint.port_);
+  Endpoint endpoint{ std::string(aTarget.substr(0, colon)), 0 };
+  const auto* end = aTarget.data() + aTarget.size();
+  const auto [position, error] = std::from_chars(aTarget.data() + colon + 1, end, endpoint.port_);
   if (error != std::errc() || position != end) {
     return std::nullopt;
   }
@@ -65,16 +61,14 @@
   {
     SetLivenessOptions(host_.socket_);
     CloseAfter(kRelayHeadTimeout);
-    asio::async_read_until(host_.socket_,
-                           asio::dynamic_buffer(head_, kMaxRelayHeadBytes),
-                           "\r\n\r\n",
-                           [self = shared_from_this()](BoostError aError, std::size_t) {
-                             if (aError) {
-                               self->Close();
-                             } else if (self->isOpen_) {
-                               self->OnHead();
-                             }
-                           });
+    http::async_read_header(host_.socket_,
+                            buffer_,
+                            request_.emplace(),
+                            [self = shared_from_this()](BoostError aError, std::size_t) {
+                              if (self->isOpen_) {
+                                self->OnHead(aError);
+                              }
+                            });
   }
 
   /** Closes both connections so that neither side takes what it has received for complete. */
@@ -117,9 +111,19 @@
     });
   }
 
-  void OnHead()
+  void OnHead(BoostError aError)
   {
-    const auto endpoint = ParseHead(head_);
+    const auto request = std::exchange(request_, std::nullopt);
+    const auto received = buffer_.size();
+    buffer_ = {};
+    if (aError && aError.category() != make_error_code(http::error::bad_method).category()) {
+      Close();
+      return;
+    }
+    // The relayed connection begins with the answer, so bytes behind the head have no place in it.
+    const bool isSound = !aError && request->is_done() && received == 0 &&
+                         request->Get().method() == http::verb::connect;
+    const auto endpoint = isSound ? ParseTarget(request->Get().target()) : std::nullopt;
     const auto& context = server_.context_;
     const bool isFull = server_.connections_.size() > context.maxConnections_;
     if (!endpoint || !context.isUpstream_(*endpoint)) {
@@ -163,10 +167,10 @@
 
   void Answer(std::string_view aStatus, std::function<void()> aThen)
   {
-    head_ = "HTTP/1.1 " + std::string(aStatus) + "\r\n\r\n";
+    answer_ = "HTTP/1.1 " + std::string(aStatus) + "\r\n\r\n";
     asio::async_write(
       host_.socket_,
-      asio::buffer(head_),
+      asio::buffer(answer_),
       [self = shared_from_this(), then = std::move(aThen)](BoostError aError, std::size_t) {
         if (aError) {
           self->Close();
@@ -225,8 +229,10 @@
   Side host_;
   std::optional<Side> upstream_;               ///< Empty until it is connected.
   std::shared_ptr<ConnectAttempt> connecting_; ///< Empty unless upstream_ is being connected.
-  std::string head_;                           ///< Request of the host, then the answer to it.
-  TimePoint lastByte_;                         ///< When bytes were last received.
+  boost::beast::flat_buffer buffer_{ kMaxRelayHeadBytes }; ///< Received head of the request.
+  std::optional<RequestParser> request_; ///< Request of the host; empty once it is read.
+  std::string answer_;                   ///< Answer to the request.
+  TimePoint lastByte_;                   ///< When bytes were last received.
   bool isOpen_ = true;
 };
 
--- a/tests/gateway/relay_test.cpp
+++ b/tests/gateway/relay_test.cpp
@@ -372,6 +372,28 @@
   }
 }
 
+// Guards against an upstream that takes the middle of a message for the start of a request: the
+// relaying host dropped the bytes that it had received with the head.
+TEST_F(RelayTest, BytesBehindTheHeadAreRefused)
+{
+  ScriptedServer upstream([](Peer& aPeer, int) { Serve(aPeer); });
+  upstreams_ = { upstream.Address() };
+  const std::string head =
+    "CONNECT 127.0.0.1:" + std::to_string(upstream.Address().port_) + " HTTP/1.1\r\nHost: u\r\n";
+  for (const auto& request : { head + "\r\nPOST / HTTP/1.1\r\nContent-Length: 99\r\n",
+                               head + "Content-Length: 1\r\n\r\n",
+                               head + "Transfer-Encoding: chunked\r\n\r\n",
+                               head + "Transfer-Encoding: gzip\r\n\r\n",
+                               std::string("CONNECT\r\n\r\n") }) {
+    auto peer = ConnectTo({ "127.0.0.1", port_ });
+    peer.Send(request);
+    peer.ReadUntil("\r\n\r\n");
+    EXPECT_TRUE(peer.Input().starts_with("HTTP/1.1 403 ")) << request;
+    EXPECT_TRUE(peer.WaitClosed(100ms)) << request;
+  }
+  EXPECT_EQ(upstream.Accepted(), 0);
+}
+
 TEST_F(RelayTest, KeptConnectionsAreRelayedOnlyWhileTheLinkIsLost)
 {
   ScriptedServer upstream([](Peer& aPeer, int) { Serve(aPeer); });
