Keep what crashes blame on prompts in proportion to their parts

Cause: Quarantine::FindParts() kept, for each part of each suspect, all parts that its requests have in common: 1,800 x 1,800 identifiers of 32 bytes for one request. It ran over all suspects for each new one. Class: tables whose size or time grows with the square of what a caller sends, or without a limit. Found beside it in the same module: the begins of answers were kept for each part of each request for 5 s without a limit; each begun request went through all contents of all quarantines; each gossip round went through all begins for each suspect.

Change: ContentIndex keeps each content once and counts its holders; suspects and quarantines hold pointers to it. CrashSuspects compares a new suspect with the others, and notes for each of its parts the set of suspects that hold it, in 16 bytes. What the worst parts have in common follows from these sets. Begins are kept up to a number, and a begun request looks only at quarantines that hold its contents. Suspects and quarantines have a limit of parts in all; the oldest of those with more than their share make room. Texts of callers are hashed with a seed of the process. Log lines name 16 contents at most.

Failed before: QuarantineTest.MemoryAndTimeGrowWithThePartsOfPrompts, .BegunRequestsWithLongPromptsTakeLittleMemory; LongPromptsDoNotDisplaceShortOnes did not end in three minutes. The tests of the quarantine pass unchanged, but for the container of MergesReportsInAnyOrderAndNumber: a Quarantine cannot be copied any more.

--- a/src/core/hash_func.cpp
+++ b/src/core/hash_func.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <openssl/rand.h>
 #include <openssl/sha.h>
+#include <random>
 #include <stdexcept>
 #include <vector>
 #include <xxhash.h>
@@ -50,6 +51,16 @@
   return best == nullptr ? HostId() : *best;
 }
 
+std::uint64_t
+ProcessHash(std::string_view aText)
+{
+  static const std::uint64_t kSeed = [] {
+    std::random_device device;
+    return std::uint64_t{ device() } << 32 | device();
+  }();
+  return XXH3_64bits_withSeed(aText.data(), aText.size(), kSeed);
+}
+
 std::string
 Sha256Hex(std::string_view aText)
 {
--- a/src/core/hash_func.h
+++ b/src/core/hash_func.h
@@ -26,6 +26,13 @@
 HostId
 RendezvousOwner(std::span<const HostId> aNodes, std::string_view aKey);
 
+/**
+ * @return 64-bit XXH3 hash of the text with a seed that differs from process to process, so that
+ * callers cannot choose texts that fall into the same bucket of a hash table.
+ */
+std::uint64_t
+ProcessHash(std::string_view aText);
+
 /** @return the SHA-256 digest of the bytes as 64 lower-case hex digits. */
 std::string
 Sha256Hex(std::string_view aText);
--- a/src/fleet/quarantine.h
+++ b/src/fleet/quarantine.h
@@ -4,31 +4,20 @@
 
 #include "core/clock_base.h"
 #include "core/id_type.h"
+#include "fleet/content_index.h"
+#include "fleet/crash_suspects.h"
 
 #include <chrono>
 #include <cstdint>
-#include <functional>
+#include <list>
 #include <map>
 #include <optional>
+#include <span>
 #include <utility>
 #include <vector>
 
 namespace laburnumweir {
 
-/** Something that several requests may have in common: a shared part of their prompts, or the whole
- * request if a caller sends it again. */
-using ContentId = StringId<struct ContentTag>;
-
-/** The contents of a request. */
-struct RequestContents
-{
-  std::vector<ContentId> parts_; ///< Shared parts of its prompt.
-  ContentId request_;            ///< Digest of the whole request; the same if it is sent again.
-};
-
-/** One process of an upstream: its id and its start time in Unix ms. */
-using UpstreamProcess = std::pair<UpstreamId, std::int64_t>;
-
 /** A request whose connection to an upstream broke while the upstream began to answer it. */
 struct CrashSuspect
 {
@@ -75,7 +64,8 @@
  * crashes without being cleared is quarantined. So are the parts that several requests at
  * kMinCrashes crashes have in common, as one combination, since any of them may be the cause; an
  * entry loses the parts that are cleared later. All hosts merge their reports, in any order and any
- * number of times. Not thread-safe.
+ * number of times. Memory and time grow with the parts of the requests, up to the limits of
+ * quarantine_const.h. Not thread-safe.
  */
 class Quarantine
 {
@@ -83,8 +73,12 @@
   /** @param aClock time source; must outlive this. */
   explicit Quarantine(const Clock& aClock)
     : clock_(aClock)
+    , index_(aClock)
+    , suspects_(index_)
   {
   }
+  Quarantine(const Quarantine&) = delete;
+  Quarantine& operator=(const Quarantine&) = delete;
 
   /**
    * Records that a connection broke while an upstream began to answer.
@@ -109,58 +103,44 @@
   /** Removes what has expired. */
   void Expire();
   /** @return the changes since the last call. Quarantines that only others found are left out. */
-  std::vector<QuarantineChange> TakeChanges() { return std::exchange(changes_, {}); }
+  std::vector<QuarantineChange> TakeChanges();
   /** @return number of quarantines. */
   std::size_t Size() const { return entries_.size(); }
+  /** @return estimated bytes of memory. */
+  std::size_t Bytes() const;
 
 private:
-  struct Suspect
-  {
-    UpstreamProcess process_;
-    RequestContents contents_; ///< Parts are sorted.
-    TimePoint at_;             ///< When the connection broke.
-  };
+  using ContentList = std::vector<ContentId>;
   struct Entry
   {
-    std::vector<ContentId> contents_; ///< Sorted, never empty.
-    TimePoint since_; ///< Last crash that led to it; begins after it clear contents.
+    ContentSet contents_; ///< Never empty.
+    TimePoint since_;     ///< Last crash that led to it; begins after it clear contents.
     TimePoint until_;
+    ContentList told_; ///< Contents by the last change of it; empty if there was none.
   };
+  using Entries = std::list<Entry>;
 
-  /** @return false if it is known already or its process has survived. */
-  bool AddSuspect(Suspect aSuspect);
-  /**
-   * Drops the oldest candidate without parts: of the many requests that waited at an upstream, one
-   * more or less says little.
-   * @param aForParts whether a candidate with parts may be dropped if there is no other.
-   * @return false if none was dropped.
-   */
-  bool MakeRoom(const std::function<bool(const Suspect&)>& aIsCandidate, bool aForParts);
+  /** Starts the quarantines that a new suspect justifies, together with the others. */
+  void FindCauses(const UpstreamProcess& aProcess, const ContentId& aRequest);
+  void StartQuarantine(const CrashCause& aCause);
   void AddEntry(Entry aEntry);
-  /** Starts the quarantines that the suspects justify. */
-  void FindCauses();
-  /** Quarantines the request with the most crashes. @return false if none has enough. */
-  bool FindRequest();
-  /** Quarantines the parts with the most crashes. @return false if none has enough. */
-  bool FindParts();
-  void StartQuarantine(std::vector<ContentId> aContents,
-                       TimePoint aLastCrash,
-                       std::size_t aCrashes);
-  /** @return the parts that have not begun since the suspected crash. */
-  std::vector<ContentId> UnclearedParts(const Suspect& aSuspect) const;
-  bool IsCleared(const ContentId& aContent, TimePoint aSince) const;
-  /** @return whether a quarantine includes these contents, which are sorted. */
-  bool IsQuarantined(const std::vector<ContentId>& aContents) const;
+  /** Removes an entry without a change. */
+  Entries::iterator RemoveEntry(Entries::iterator aEntry);
+  /** Removes an entry that has ended. */
+  Entries::iterator EndEntry(Entries::iterator aEntry);
+  /** @return whether the process was seen to serve after the time. */
+  bool HasSurvived(const UpstreamProcess& aProcess, TimePoint aTime) const;
+  /** @return whether a quarantine includes these contents. */
+  bool IsQuarantined(const ContentSet& aContents) const;
   /** Removes contents that are cleared, and entries that another entry includes. */
-  void NarrowEntries();
-  /** @return whether a suspect or a quarantine holds the content. */
-  bool IsOfInterest(const ContentId& aContent) const;
+  void NarrowEntries(std::span<const ContentId> aBegun);
 
   const Clock& clock_;
-  std::vector<QuarantineChange> changes_;         ///< See TakeChanges().
-  std::vector<Suspect> suspects_;                 ///< Oldest first.
-  std::vector<Entry> entries_;                    ///< Quarantines, oldest first.
-  std::map<ContentId, TimePoint> lastBegun_;      ///< When an answer last began, by content.
+  ContentIndex index_; ///< Contents of suspects_ and entries_.
+  CrashSuspects suspects_;
+  Entries entries_;                               ///< Quarantines, oldest first.
+  std::size_t quarantinedContents_ = 0;           ///< Of all entries.
+  std::vector<QuarantineChange> ends_;            ///< Ends since the last TakeChanges().
   std::map<UpstreamProcess, TimePoint> survived_; ///< When a request was sent that it answered.
 };
 
--- a/src/table/quarantine_const.h
+++ b/src/table/quarantine_const.h
@@ -49,15 +49,25 @@
 constexpr Duration kQuarantineWriteRetryDelay = std::chrono::milliseconds(500);
 /** A stream of fewer complete events than this has only begun. */
 constexpr std::size_t kBegunEvents = 2;
-/** Maximum number of crash suspects that are kept, about 200 bytes each. */
+/** Maximum number of crash suspects that are kept, about 200 bytes each beside their parts. */
 constexpr std::size_t kMaxCrashSuspects = 128;
 /** Maximum number of crash suspects of one upstream process; one that is cut off has many. */
 constexpr std::size_t kMaxSuspectsPerUpstream = 8;
-/** Maximum number of crash suspects in one gossip message, about 100 bytes each; those with parts
- * of prompts go first. */
+/** Maximum number of parts of all crash suspects, about 100 bytes each. */
+constexpr std::size_t kMaxSuspectParts = 65536;
+/** Maximum number of crash suspects in one gossip message; those with parts of prompts go first. */
 constexpr std::size_t kMaxReportedSuspects = 16;
+/** Maximum number of begins of answers that are kept for crashes which are reported late, about 100
+ * bytes each. */
+constexpr std::size_t kMaxRecentBegins = 32768;
+/** Maximum number of begins of answers that are reported. */
+constexpr std::size_t kMaxReportedBegins = 1024;
 /** Maximum number of quarantines; the oldest is dropped for a further one. */
 constexpr std::size_t kMaxQuarantines = 64;
+/** Maximum number of contents of all quarantines, about 150 bytes each; the oldest is dropped. */
+constexpr std::size_t kMaxQuarantinedContents = 32768;
+/** Maximum number of contents that a log line names. */
+constexpr std::size_t kMaxLoggedContents = 16;
 
 } // namespace laburnumweir
 
--- a/tests/fleet/quarantine_test.cpp
+++ b/tests/fleet/quarantine_test.cpp
@@ -4,6 +4,9 @@
 #include "dispatch/fake_clock.h"
 #include "table/quarantine_const.h"
 
+#include <chrono>
+#include <deque>
+#include <fstream>
 #include <gtest/gtest.h>
 #include <string>
 #include <vector>
@@ -179,7 +182,10 @@
 // Guards against hosts that each see one crash and together never learn the cause.
 TEST_F(QuarantineTest, MergesReportsInAnyOrderAndNumber)
 {
-  std::vector<Quarantine> hosts(4, Quarantine(clock_));
+  std::deque<Quarantine> hosts;
+  for (int i = 0; i < 4; ++i) {
+    hosts.emplace_back(clock_);
+  }
   for (std::int64_t i = 0; i < 3; ++i) {
     clock_.Advance(200ms);
     hosts[static_cast<std::size_t>(i)].OnCut({ UpstreamId("u"), i },
@@ -255,6 +261,107 @@
   EXPECT_FALSE(quarantine_.TimeLeft(bad));
 }
 
+/** @return a part of a prompt. */
+ContentId
+MakePart(int aNumber)
+{
+  return ContentId("p" + std::to_string(aNumber));
+}
+
+/** @return the contents of a request with many parts that it shares with no other request. */
+RequestContents
+MakeLongContents(int aParts)
+{
+  static int number = 1000000;
+  auto contents = MakeContents({});
+  for (int i = 0; i < aParts; ++i) {
+    contents.parts_.push_back(MakePart(++number));
+  }
+  return contents;
+}
+
+/** Memory of the process since the last call, at its highest. */
+class MemoryPeak
+{
+public:
+  MemoryPeak()
+  {
+    std::ofstream("/proc/self/clear_refs") << "5";
+    start_ = Read("VmRSS:");
+  }
+  /** @return bytes by which it rose. */
+  std::size_t Growth() const { return Read("VmHWM:") - std::min(start_, Read("VmHWM:")); }
+
+private:
+  static std::size_t Read(const std::string& aField)
+  {
+    std::ifstream file("/proc/self/status");
+    for (std::string word; file >> word;) {
+      if (std::size_t kilobytes = 0; word == aField && file >> kilobytes) {
+        return kilobytes << 10;
+      }
+    }
+    return 0;
+  }
+  std::size_t start_;
+};
+
+// Guards against a host that exceeds its memory after a crash: what was kept of a prompt with many
+// parts grew with the square of their number, at the host and at all that learnt of it.
+TEST_F(QuarantineTest, MemoryAndTimeGrowWithThePartsOfPrompts)
+{
+  constexpr int kParts = 1800;
+  constexpr std::size_t kMaxBytes = std::size_t{ 24 } << 20;
+  Quarantine peer(clock_);
+  const MemoryPeak peak;
+  const auto start = std::chrono::steady_clock::now();
+  for (int i = 0; i < 24; ++i) {
+    clock_.Advance(i % 3 == 0 ? 200ms : 1ms);
+    quarantine_.OnCut({ UpstreamId("u"), i / 3 }, MakeLongContents(kParts));
+    quarantine_.Expire();
+    peer.Merge(quarantine_.Report());
+    ASSERT_LT(peak.Growth(), kMaxBytes) << "after " << i + 1 << " requests";
+  }
+  EXPECT_LT(std::chrono::steady_clock::now() - start, 2s);
+}
+
+// Guards against memory that grows with the number of requests that began, whatever their prompts.
+TEST_F(QuarantineTest, BegunRequestsWithLongPromptsTakeLittleMemory)
+{
+  const MemoryPeak peak;
+  for (int i = 0; i < 300; ++i) {
+    clock_.Advance(10ms);
+    quarantine_.OnBegun({ UpstreamId("u"), 1 }, clock_.Now(), MakeLongContents(1800));
+  }
+  EXPECT_LT(peak.Growth(), std::size_t{ 24 } << 20);
+}
+
+// Guards against a deadly part that is no longer found because its prompts are long.
+TEST_F(QuarantineTest, FindsAPartOfLongPrompts)
+{
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_TRUE(MayRun({ "bad" }));
+    clock_.Advance(200ms);
+    auto contents = MakeLongContents(4000);
+    contents.parts_.insert(contents.parts_.begin() + 1000 * i, ContentId("bad"));
+    quarantine_.OnCut({ UpstreamId("u"), ++process_ }, contents);
+  }
+  EXPECT_FALSE(MayRun({ "bad" }));
+}
+
+// Guards against a deadly part of short prompts that long prompts displace.
+TEST_F(QuarantineTest, LongPromptsDoNotDisplaceShortOnes)
+{
+  for (int i = 0; i < 3; ++i) {
+    Crash({ "bad" });
+    for (int other = 0; other < 40; ++other) {
+      clock_.Advance(10ms);
+      quarantine_.OnCut({ UpstreamId("v"), 100 * i + other }, MakeLongContents(2000));
+    }
+  }
+  EXPECT_FALSE(MayRun({ "bad" }));
+}
+
 TEST_F(QuarantineTest, StateAndReportsAreBounded)
 {
   for (int i = 0; i < 500; ++i) {
