Tell other hosts of crashes in messages that fit into a datagram

What callers would see: after a crash that cuts several requests with long prompts, hosts hear nothing of each other for 5 s, neither loads nor permits nor configurations.

Cause: each gossip message held all parts of up to 16 suspects, all begins of contents of interest and all quarantines. For the same reason no other host learnt of the suspects. Class: what is passed on grows with what callers send, without regard to the message.

Change: a report takes its rows in turns of 6 KB, one turn for each gossip round. Prompts with more than 128 parts take several rows and have turns of their own, so that they do not delay others. They are reported for 15 s in place of 5, without the parts that are cleared. Long quarantines are reported in every 16th round; hosts that hear of the suspects find them by themselves, and hosts that start read them from the store.

GossipServiceTest.LongPromptsAtCrashesFitIntoMessages failed before; now all 21 hosts refuse the part within 15 s, with every tenth message lost.

--- a/src/fleet/quarantine.cpp
+++ b/src/fleet/quarantine.cpp
@@ -46,12 +46,6 @@
              { "crashes", std::to_string(aCrashes) } });
 }
 
-std::chrono::milliseconds
-ToMilliseconds(Duration aDuration)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration);
-}
-
 } // namespace
 
 bool
@@ -230,36 +224,6 @@
   return left;
 }
 
-QuarantineReport
-Quarantine::Report() const
-{
-  QuarantineReport report;
-  const auto now = clock_.Now();
-  for (const auto& entry : entries_) {
-    if (entry.until_ - now >= kMinReportedQuarantine) {
-      report.entries_.push_back({ SortedIds(entry.contents_),
-                                  ToMilliseconds(now - entry.since_),
-                                  ToMilliseconds(entry.until_ - now) });
-    }
-  }
-  for (const bool hasParts : { true, false }) {
-    for (auto suspect = suspects_.All().rbegin();
-         suspect != suspects_.All().rend() && now - suspect->at_ < kCrashReportTime &&
-         report.suspects_.size() < kMaxReportedSuspects;
-         ++suspect) {
-      if (suspect->parts_.empty() != hasParts) {
-        report.suspects_.push_back({ suspect->process_,
-                                     { SortedIds(suspect->parts_), suspect->request_->first },
-                                     ToMilliseconds(now - suspect->at_) });
-      }
-    }
-  }
-  for (const auto& [content, time] : index_.RecentOfHeld()) {
-    report.begun_.push_back({ content, ToMilliseconds(now - time) });
-  }
-  return report;
-}
-
 void
 Quarantine::Merge(const QuarantineReport& aReport)
 {
@@ -318,6 +282,7 @@
 Quarantine::Expire()
 {
   const auto now = clock_.Now();
+  ++reportTurn_;
   suspects_.RemoveIf(
     [&](const HeldSuspect& aSuspect) { return now - aSuspect.at_ >= kCrashSuspectTtl; });
   for (auto entry = entries_.begin(); entry != entries_.end();) {
--- a/src/fleet/quarantine.h
+++ b/src/fleet/quarantine.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <map>
 #include <optional>
@@ -49,6 +50,17 @@
   std::vector<QuarantineEntry> entries_;
 };
 
+namespace detail {
+
+/** A row that may be added to a report. */
+struct ReportRow
+{
+  std::size_t bytes_ = 0; ///< Estimated size in a message.
+  std::function<void(QuarantineReport&)> add_;
+};
+
+} // namespace detail
+
 /** Start, change or end of a quarantine. */
 struct QuarantineChange
 {
@@ -96,11 +108,14 @@
   /** @return time until a request with these contents may run; none if it may run now. */
   std::optional<Duration> TimeLeft(const RequestContents& aContents) const;
 
-  /** @return the recent suspects and begins, and all quarantines. */
+  /**
+   * @return the recent suspects and begins, and all quarantines. If they exceed a message, the
+   * reports between two calls of Expire() hold the same rows, and the others follow later.
+   */
   QuarantineReport Report() const;
   /** Applies the report of another host. */
   void Merge(const QuarantineReport& aReport);
-  /** Removes what has expired. */
+  /** Removes what has expired, and ends the turn of the rows that Report() returns. */
   void Expire();
   /** @return the changes since the last call. Quarantines that only others found are left out. */
   std::vector<QuarantineChange> TakeChanges();
@@ -135,6 +150,10 @@
   /** Removes contents that are cleared, and entries that another entry includes. */
   void NarrowEntries(std::span<const ContentId> aBegun);
 
+  /** Appends the rows of the recent suspects. @param aLongRows those of prompts with many parts. */
+  void AppendSuspects(std::vector<detail::ReportRow>& aRows,
+                      std::vector<detail::ReportRow>& aLongRows) const;
+
   const Clock& clock_;
   ContentIndex index_; ///< Contents of suspects_ and entries_.
   CrashSuspects suspects_;
@@ -142,6 +161,7 @@
   std::size_t quarantinedContents_ = 0;           ///< Of all entries.
   std::vector<QuarantineChange> ends_;            ///< Ends since the last TakeChanges().
   std::map<UpstreamProcess, TimePoint> survived_; ///< When a request was sent that it answered.
+  std::size_t reportTurn_ = 0;                    ///< Chooses the rows of Report().
 };
 
 } // namespace laburnumweir
--- a/src/table/quarantine_const.h
+++ b/src/table/quarantine_const.h
@@ -55,8 +55,22 @@
 constexpr std::size_t kMaxSuspectsPerUpstream = 8;
 /** Maximum number of parts of all crash suspects, about 100 bytes each. */
 constexpr std::size_t kMaxSuspectParts = 65536;
-/** Maximum number of crash suspects in one gossip message; those with parts of prompts go first. */
+/** Maximum number of crash suspects that are reported to other hosts, of short and of long prompts
+ * each; those with parts of prompts go first. */
 constexpr std::size_t kMaxReportedSuspects = 16;
+/** Maximum number of parts in one row of a report; longer prompts take several rows. */
+constexpr std::size_t kMaxPartsOfRow = 128;
+/** Maximum size of the rows in one message, of short and of long prompts each. Hosts and changes of
+ * upstreams share the message, which must fit into a datagram. */
+constexpr std::size_t kMaxReportedBytes = std::size_t{ 6 } << 10;
+/** Maximum size of a quarantine in a message. Hosts learn longer ones from the suspects, or from
+ * the store when they start. */
+constexpr std::size_t kMaxLongRowBytes = std::size_t{ 16 } << 10;
+/** Time for which the crash suspects of long prompts are reported, which take many messages. */
+constexpr Duration kLongCrashReportTime = std::chrono::seconds(15);
+/** Gossip rounds between two reports of long quarantines, which are reported as long as they last.
+ */
+constexpr std::size_t kLongQuarantineTurns = 16;
 /** Maximum number of begins of answers that are kept for crashes which are reported late, about 100
  * bytes each. */
 constexpr std::size_t kMaxRecentBegins = 32768;
--- a/tests/gateway/gossip_service_test.cpp
+++ b/tests/gateway/gossip_service_test.cpp
@@ -5,6 +5,7 @@
 #include "fleet/fleet_support.h"
 #include "gateway/gateway_support.h"
 #include "table/fleet_const.h"
+#include "table/quarantine_const.h"
 
 #include <algorithm>
 #include <gtest/gtest.h>
@@ -168,6 +169,7 @@
   void Deliver(const Endpoint& aTo, std::string_view aPayload)
   {
     ++messages_;
+    largest_ = std::max(largest_, aPayload.size());
     // Chosen at random, since a fixed period could lose the same message of each round.
     if (lossEvery_ > 0 && random_() % lossEvery_ == 0) {
       return;
@@ -198,6 +200,7 @@
 
   FakeClock clock_;
   testing_support::FakeScheduler scheduler_{ clock_ };
+  std::size_t largest_ = 0; ///< Bytes of the largest message.
   SharedStore store_;
   std::vector<std::unique_ptr<Host>> hosts_;
   std::uint64_t messages_ = 0;
@@ -332,6 +335,35 @@
   }
 }
 
+// Guards against hosts that hear nothing of each other, since the parts of a long prompt at a crash
+// did not fit into a datagram with the rest, and against a deadly part that is not found for that.
+TEST_F(GossipServiceTest, LongPromptsAtCrashesFitIntoMessages)
+{
+  constexpr std::size_t kMaxDatagram = 65507;
+  network_.lossEvery_ = 10;
+  network_.Start();
+  std::int64_t process = 0;
+  for (const auto* name : { "h4", "h11", "h18" }) {
+    for (int request = 0; request < 6; ++request) {
+      const auto number = std::to_string(++process);
+      RequestContents contents{ {}, ContentId("request:" + number) };
+      for (int part = 0; part < 1800; ++part) {
+        contents.parts_.emplace_back(number + "." + std::to_string(part));
+      }
+      contents.parts_.emplace_back("bad");
+      network_.Find(HostId(name)).quarantine_.OnCut({ UpstreamId("e1"), (process - 1) / 6 }, contents);
+    }
+    network_.scheduler_.Run(200ms);
+  }
+  network_.largest_ = 0;
+  network_.scheduler_.Run(kLongCrashReportTime);
+  EXPECT_LE(network_.largest_, kMaxDatagram);
+  const RequestContents bad{ { ContentId("bad") }, {} };
+  for (const auto& host : network_.hosts_) {
+    EXPECT_TRUE(host->quarantine_.TimeLeft(bad)) << host->self_.id_.Value();
+  }
+}
+
 // Guards against an upstream in need that gets its limit from each host instead of from all
 // together.
 TEST_F(GossipServiceTest, AllHostsTogetherKeepTheLimitOfAnUpstream)
