Pass on only identifiers of prompt parts that messages can hold

What callers would see: after a crash that cuts a request whose prompt lists a part with bytes that are not UTF-8, no host can read the messages of the host that served it, for 5 s.

Cause: the identifiers of parts go into gossip messages and records as callers sent them, of any bytes and any length; JSON holds only UTF-8.

A flow keeps the identifiers once, not twice.

RequestFlowTest.AnyIdOfAPromptPartThatCrashesEnginesFitsIntoMessages failed before: no message was readable, and one had 12,230 bytes for four requests.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -1,7 +1,7 @@
 /** @file request_flow.cpp Choice of an upstream, queueing and sending of one request. */
 #include "gateway/request_flow.h"
 
-#include "core/hash_func.h"
+#include "gateway/request_contents_func.h"
 #include "logging/logging_func.h"
 #include "table/fleet_const.h"
 #include "table/flow_const.h"
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/algorithm/string/join.hpp>
+#include <boost/range/adaptor/transformed.hpp>
 
 namespace laburnumweir {
 
@@ -19,32 +20,13 @@
 
 namespace {
 
-/**
- * @return digest of what stays the same if the caller sends the request again. It cannot equal the
- * id of a part of a prompt.
- */
-ContentId
-DigestOf(const AdmittedRequest& aRequest)
+std::string
+Join(const std::vector<ContentId>& aContents)
 {
-  const auto& message = aRequest.message_;
-  std::string head;
-  for (const auto text :
-       { message.method_string(), message[http::field::host], message.target() }) {
-    head.append(text.data(), text.size()).push_back('\n');
-  }
-  head += aRequest.workspace_ == nullptr ? "" : aRequest.workspace_->id_.Value();
-  return ContentId("request:" + std::to_string(RendezvousWeight(head, message.body().View())));
-}
-
-RequestContents
-ContentsOf(const AdmittedRequest& aRequest)
-{
-  RequestContents contents;
-  for (const auto& part : aRequest.facts_.sharedParts_) {
-    contents.parts_.emplace_back(part);
-  }
-  contents.request_ = DigestOf(aRequest);
-  return contents;
+  return boost::algorithm::join(
+    aContents |
+      boost::adaptors::transformed([](const ContentId& aContent) { return aContent.Value(); }),
+    ",");
 }
 
 } // namespace
@@ -66,7 +48,10 @@
     timeout = std::min<Duration>(timeout, route.timeout_);
   }
   deadline_ = admitted_.arrived_ + timeout;
-  contents_ = ContentsOf(admitted_);
+  contents_ =
+    ContentsOf(admitted_.message_,
+               admitted_.workspace_ == nullptr ? WorkspaceId() : admitted_.workspace_->id_,
+               std::exchange(admitted_.facts_.sharedParts_, {}));
 }
 
 void
@@ -573,7 +558,7 @@
              { "attempt", std::to_string(attempts_) },
              { "resumes", admitted_.facts_.resumes_.Value() },
              { "after_event", isBegun_ ? events_.LastEventId() : admitted_.facts_.lastEventId_ },
-             { "prompt", boost::algorithm::join(admitted_.facts_.sharedParts_, ",") },
+             { "prompt", Join(contents_.parts_) },
              { "version", std::to_string(aChoice.adapterVersion_) },
              { "demanded", std::to_string(aChoice.demandedVersion_) },
              { "released", releases == nullptr ? "none" : std::to_string(releases->Newest()) },
--- a/src/table/quarantine_const.h
+++ b/src/table/quarantine_const.h
@@ -82,6 +82,8 @@
 constexpr std::size_t kMaxQuarantinedContents = 32768;
 /** Maximum number of contents that a log line names. */
 constexpr std::size_t kMaxLoggedContents = 16;
+/** Longest content that is kept and sent as callers sent it; a longer one is kept as its digest. */
+constexpr std::size_t kMaxContentBytes = 64;
 
 } // namespace laburnumweir
 
--- a/tests/gateway/request_flow_crash_test.cpp
+++ b/tests/gateway/request_flow_crash_test.cpp
@@ -59,6 +59,41 @@
   EXPECT_EQ(answer_->status_, 503U) << "a request that is refused for its content has not run";
 }
 
+// Guards against messages that no host can read: callers may send any bytes as the id of a part,
+// and what was at a crash is passed on.
+TEST_F(RequestFlowTest, AnyIdOfAPromptPartThatCrashesEnginesFitsIntoMessages)
+{
+  std::atomic<int> crashes = 0;
+  ScriptedServer server([&](Peer& aPeer, int) {
+    while (const auto request = aPeer.ReadRequest()) {
+      ++crashes;
+      aPeer.Send("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + std::string((*request)["X-Attempt-Id"]) +
+                 "\r\nX-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n");
+      aPeer.Close();
+      return;
+    }
+  });
+  repeat_ = RepeatRule::Stream;
+  for (int i = 0; i < 6; ++i) {
+    startedAt_ = i + 1;
+    SetUpstreams({ server.Address() });
+    answer_ = std::make_shared<FakeAnswer>();
+    id_ = body_ = "r" + std::to_string(i);
+    prompt_ = "\xff\xfe:100," + std::string(3000, 'f') + ":50,own" + std::to_string(i) + ":9";
+    Start();
+    Finish();
+    std::this_thread::sleep_for(120ms);
+    GossipMessage message;
+    message.host_ = { HostId("h1"), { "10.0.0.1", 7600 }, DataCentreId("dc1") };
+    message.startedAt_ = message.number_ = 1;
+    message.quarantine_ = quarantine_.Report();
+    const auto payload = EncodeGossip(message);
+    EXPECT_TRUE(DecodeGossip(payload));
+    EXPECT_LT(payload.size(), 2000U);
+  }
+  EXPECT_LE(crashes, 3);
+}
+
 // Guards against an identical request of a caller that crashes each service it is repeated at.
 TEST_F(RequestFlowTest, RepeatedRequestThatCrashesServicesIsNotSentToFurtherOnes)
 {
