Count the parts of prompts and the quarantine against the host's memory

What callers would see: a host that exceeds its memory by requests with many prompt parts.

Cause: the account of the bytes of requests counted three copies of a head, but not the identifiers of the parts, which take 32 bytes each for four bytes or more of the head; nor what the quarantine keeps of requests that have ended.

Change: a flow charges the identifiers to the account until it ends, and the gateway charges the quarantine's bytes at each tick.

RequestFlowTest.PartsOfPromptsAreCounted is new; the account is a new field of FlowContext, so that the test can't be built before.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -120,8 +120,10 @@
     , callers_(aContext, *this, CallerSessionLimits(), listenerServices_)
     , readiness_(aContext, readyPage_, SessionLimits(), listenerServices_)
     , metricsServer_(aContext, metricsPage_, SessionLimits(), listenerServices_)
+    , quarantineCharge_(listenerServices_.memory_)
     , signals_(aContext, SIGTERM, SIGHUP, SIGINT)
   {
+    flowContext_.memory_ = listenerServices_.memory_;
     gossip_ = std::make_shared<GossipService>(
       GossipContext{ clock_, scheduler_, fleet_, quota_, retries_, peers_, quarantine_ },
       self_,
@@ -444,6 +446,7 @@
 
   void OnTick()
   {
+    quarantineCharge_.Set(quarantine_.Bytes());
     if (queue_.Size() > 0 || !waiting_.empty()) {
       StartQueued();
     }
@@ -570,6 +573,7 @@
   HttpListener callers_;   ///< Serves callers.
   HttpListener readiness_; ///< Serves readiness checks of the balancer.
   HttpListener metricsServer_;
+  MemoryCharge quarantineCharge_; ///< Of quarantine_.
   asio::signal_set signals_;
   bool isStartPending_ = false; ///< A call of StartQueued() is posted.
   bool isReady_ = false;        ///< Last readiness that was reported to the balancer.
--- a/src/gateway/request_contents_func.cpp
+++ b/src/gateway/request_contents_func.cpp
@@ -51,4 +51,16 @@
   return contents;
 }
 
+std::size_t
+BytesOf(const RequestContents& aContents)
+{
+  static const std::size_t kInnerBytes = std::string().capacity();
+  std::size_t bytes = aContents.parts_.capacity() * sizeof(ContentId);
+  for (const auto& part : aContents.parts_) {
+    const auto capacity = part.Value().capacity();
+    bytes += capacity > kInnerBytes ? capacity + 1 : 0;
+  }
+  return bytes;
+}
+
 } // namespace laburnumweir
--- a/src/gateway/request_contents_func.h
+++ b/src/gateway/request_contents_func.h
@@ -6,6 +6,7 @@
 #include "fleet/crash_suspects.h"
 #include "gateway/upstream_link.h"
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,10 @@
            const WorkspaceId& aWorkspace,
            std::vector<std::string> aSharedParts);
 
+/** @return bytes of memory that the contents take. */
+std::size_t
+BytesOf(const RequestContents& aContents);
+
 } // namespace laburnumweir
 
 #endif
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -52,6 +52,10 @@
     ContentsOf(admitted_.message_,
                admitted_.workspace_ == nullptr ? WorkspaceId() : admitted_.workspace_->id_,
                std::exchange(admitted_.facts_.sharedParts_, {}));
+  if (context_.memory_) {
+    contentsCharge_.emplace(context_.memory_);
+    contentsCharge_->Set(BytesOf(contents_));
+  }
 }
 
 void
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -13,6 +13,7 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/gossip_message.h"
 #include "gateway/message_codec_base.h"
+#include "gateway/request_memory.h"
 #include "gateway/slot_source_base.h"
 #include "gateway/stream_origin_base.h"
 #include "gateway/upstream_link.h"
@@ -73,6 +74,8 @@
   /** Called for each attempt that began to run for a workspace: with the first event of a stream,
    * or the head of an answer. May be empty. */
   std::function<void(const WorkspaceId&)> onBegun_ = nullptr;
+  /** Account of the bytes of requests; may be empty. */
+  std::shared_ptr<RequestMemory> memory_ = nullptr;
 };
 
 /** A request that passed the checks of route, key and quota. */
@@ -295,14 +298,15 @@
 
   FlowContext& context_;
   AdmittedRequest admitted_;
-  std::shared_ptr<AnswerStream> answer_; ///< Empty once the request ended or the caller left.
-  boost::asio::steady_timer timer_;      ///< Expires at the next time limit; see ArmTimer().
-  TimePoint deadline_;                   ///< When the caller stops waiting.
-  RequestContents contents_;             ///< What it may have in common with other requests.
-  std::shared_ptr<UpstreamCall> call_;   ///< Running attempt; empty if none.
-  UpstreamAttempt attempt_;              ///< Last attempt, except a hedge.
-  std::shared_ptr<Hedge> hedge_;         ///< Second running attempt; empty if none.
-  std::optional<StreamOrigin> origin_;   ///< What began the stream; none before its first event.
+  std::shared_ptr<AnswerStream> answer_;       ///< Empty once the request ended or the caller left.
+  boost::asio::steady_timer timer_;            ///< Expires at the next time limit; see ArmTimer().
+  TimePoint deadline_;                         ///< When the caller stops waiting.
+  RequestContents contents_;                   ///< What it may have in common with other requests.
+  std::optional<MemoryCharge> contentsCharge_; ///< Of contents_; none without an account.
+  std::shared_ptr<UpstreamCall> call_;         ///< Running attempt; empty if none.
+  UpstreamAttempt attempt_;                    ///< Last attempt, except a hedge.
+  std::shared_ptr<Hedge> hedge_;               ///< Second running attempt; empty if none.
+  std::optional<StreamOrigin> origin_; ///< What began the stream; none before its first event.
   bool isFindingOrigin_ = false; ///< The caller resumes a stream whose origin is not known yet.
   std::optional<TimePoint> firstByte_; ///< When the answer head of the last attempt was received.
   TimePoint lastByte_;                 ///< When bytes of the answer were last received.
--- a/tests/gateway/request_flow_crash_test.cpp
+++ b/tests/gateway/request_flow_crash_test.cpp
@@ -94,6 +94,23 @@
   EXPECT_LE(crashes, 3);
 }
 
+// Guards against a host that exceeds its memory by the parts of many prompts: they take several
+// times the bytes of the head that lists them.
+TEST_F(RequestFlowTest, PartsOfPromptsAreCounted)
+{
+  constexpr std::size_t kParts = 2000;
+  flow_.memory_ = std::make_shared<RequestMemory>();
+  ScriptedServer server([](Peer& aPeer, int) { aPeer.ReadRequest(); });
+  SetUpstreams({ server.Address() });
+  for (std::size_t i = 0; i <= kParts; ++i) {
+    prompt_ += (i == 0 ? "" : ",") + std::to_string(i) + ":1";
+  }
+  Start();
+  EXPECT_GE(flow_.memory_->Held(), kParts * sizeof(ContentId));
+  Finish();
+  EXPECT_EQ(flow_.memory_->Held(), 0U);
+}
+
 // Guards against an identical request of a caller that crashes each service it is repeated at.
 TEST_F(RequestFlowTest, RepeatedRequestThatCrashesServicesIsNotSentToFurtherOnes)
 {
