Limit the records of quarantines that ended

What callers would see: a host that exceeds its memory after a combination of many prompt parts was quarantined and its parts are cleared one after the other.

Cause: for ten minutes a host keeps the contents of each quarantine that ended or changed, since a restored store may hold it again, and without a limit those whose records are to be removed while the store is down. Each content that is cleared of a combination leaves a copy of the others.

Change: both are limited to 16,384 contents; the oldest are dropped. A record that is not removed expires; until then hosts that start refuse requests that hold all of its contents.

QuarantineServiceTest.EndsOfALongCombinationAreLimited failed before: after 40 contents of 1,800 were cleared, records with 71,220 contents were to be removed.

--- a/src/gateway/quarantine_service.cpp
+++ b/src/gateway/quarantine_service.cpp
@@ -5,6 +5,7 @@
 #include "table/fleet_const.h"
 #include "table/quarantine_const.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace laburnumweir {
@@ -92,6 +93,29 @@
       unwritten_[change.after_] = ToWallTime(change.until_);
     }
   }
+  LimitEnds();
+}
+
+void
+QuarantineService::LimitEnds()
+{
+  std::size_t contents = 0;
+  for (const auto& [ended, since] : ended_) {
+    contents += ended.size();
+  }
+  while (contents > kMaxEndedContents) {
+    const auto oldest =
+      std::min_element(ended_.begin(), ended_.end(), [](const auto& aOne, const auto& aOther) {
+        return aOne.second < aOther.second;
+      });
+    contents -= oldest->first.size();
+    ended_.erase(oldest);
+  }
+  contents = 0;
+  std::erase_if(unwritten_, [&](const auto& aItem) {
+    contents += aItem.second ? 0 : aItem.first.size();
+    return !aItem.second && contents > kMaxEndedContents;
+  });
 }
 
 void
--- a/src/gateway/quarantine_service.h
+++ b/src/gateway/quarantine_service.h
@@ -45,6 +45,9 @@
 
 private:
   void QueueChanges();
+  /** Forgets quarantines that ended, and records to be removed, beyond kMaxEndedContents. A record
+   * that is not removed expires. */
+  void LimitEnds();
   WallTime ToWallTime(TimePoint aTime) const;
   void WriteNext();
   void OnWritten(const std::vector<ContentId>& aContents,
--- a/src/table/quarantine_const.h
+++ b/src/table/quarantine_const.h
@@ -80,6 +80,9 @@
 constexpr std::size_t kMaxQuarantines = 64;
 /** Maximum number of contents of all quarantines, about 150 bytes each; the oldest is dropped. */
 constexpr std::size_t kMaxQuarantinedContents = 32768;
+/** Maximum number of contents of quarantines that ended and may have to be removed from a restored
+ * store, and of those whose records are still to be removed. */
+constexpr std::size_t kMaxEndedContents = 16384;
 /** Maximum number of contents that a log line names. */
 constexpr std::size_t kMaxLoggedContents = 16;
 /** Longest content that is kept and sent as callers sent it; a longer one is kept as its digest. */
--- a/tests/gateway/quarantine_service_test.cpp
+++ b/tests/gateway/quarantine_service_test.cpp
@@ -106,6 +106,34 @@
   EXPECT_TRUE(stored_.empty());
 }
 
+// Guards against memory that grows with each content that is cleared of a long combination: each
+// change leaves a record that may have to be removed.
+TEST_F(QuarantineServiceTest, EndsOfALongCombinationAreLimited)
+{
+  Contents parts;
+  for (int i = 0; i < 1800; ++i) {
+    parts.emplace_back("p" + std::to_string(1000 + i));
+  }
+  CrashThree(parts);
+  scheduler_.Run(300ms);
+  for (std::size_t i = 0; i < 40; ++i) {
+    quarantine_.OnBegun({ UpstreamId("sound"), 1 }, clock_.Now(), { { parts[i] }, {} });
+    scheduler_.Run(300ms);
+  }
+  ASSERT_EQ(stored_.size(), 1U);
+  EXPECT_EQ(stored_.begin()->first.size(), parts.size() - 40);
+  std::size_t removed = 0;
+  ON_CALL(store_, RemoveQuarantine)
+    .WillByDefault([&](std::span<const ContentId> aContents, const auto& aCallback) {
+      removed += aContents.size();
+      aCallback({});
+    });
+  service_->WriteAll();
+  scheduler_.Run(2s);
+  EXPECT_GT(removed, 0U);
+  EXPECT_LE(removed, kMaxEndedContents);
+}
+
 // Guards against hosts that start after the store was restored and run what crashes upstreams: the
 // copy is older than the quarantine. And against a quarantine that comes back: the copy is older
 // than its end.
