--- a/src/gateway/upstream_link.cpp
+++ b/src/gateway/upstream_link.cpp
@@ -3,8 +3,8 @@
 
 #include "gateway/direct_connector.h"
 #include "http/answer_rule_func.h"
-#include "http/message_framing.h"
 #include "http/header_func.h"
+#include "http/message_framing.h"
 #include "http/message_parser.h"
 
 #include <boost/asio/post.hpp>
--- a/tests/gateway/gossip_service_test.cpp
+++ b/tests/gateway/gossip_service_test.cpp
@@ -351,7 +351,8 @@
         contents.parts_.emplace_back(number + "." + std::to_string(part));
       }
       contents.parts_.emplace_back("bad");
-      network_.Find(HostId(name)).quarantine_.OnCut({ UpstreamId("e1"), (process - 1) / 6 }, contents);
+      network_.Find(HostId(name))
+        .quarantine_.OnCut({ UpstreamId("e1"), (process - 1) / 6 }, contents);
     }
     network_.scheduler_.Run(200ms);
   }
