Report all long quarantines in turn

Found by reading the diff, not seen at callers: long quarantines are reported in every 16th round, and the rows of such a round were chosen by the number of the round. With 2, 4 or 8 turns of rows that is always the first one, so hosts that restart would not hear of the others by gossip.

Long quarantines have turns of their own now, counted in such rounds.

--- a/src/fleet/quarantine_report.cpp
+++ b/src/fleet/quarantine_report.cpp
@@ -91,20 +91,20 @@
 {
   const auto now = clock_.Now();
   std::vector<detail::ReportRow> rows;
-  std::vector<detail::ReportRow> longRows; // of prompts with many parts
+  std::vector<detail::ReportRow> longRows; // of suspects with many parts
+  std::vector<detail::ReportRow> longEntries;
   for (const auto& entry : entries_) {
-    const bool isLong = entry.contents_.size() > kMaxPartsOfRow;
     const auto bytes = BytesOf(entry.contents_);
-    if (entry.until_ - now < kMinReportedQuarantine || bytes > kMaxLongRowBytes ||
-        (isLong && reportTurn_ % kLongQuarantineTurns != 0)) {
+    if (entry.until_ - now < kMinReportedQuarantine || bytes > kMaxLongRowBytes) {
       continue;
     }
-    (isLong ? longRows : rows).push_back({ bytes, [&entry, now](QuarantineReport& aReport) {
-                                            aReport.entries_.push_back(
-                                              { IdsOf(entry.contents_),
-                                                ToMilliseconds(now - entry.since_),
-                                                ToMilliseconds(entry.until_ - now) });
-                                          } });
+    const bool isLong = entry.contents_.size() > kMaxPartsOfRow;
+    (isLong ? longEntries : rows).push_back({ bytes, [&entry, now](QuarantineReport& aReport) {
+                                               aReport.entries_.push_back(
+                                                 { IdsOf(entry.contents_),
+                                                   ToMilliseconds(now - entry.since_),
+                                                   ToMilliseconds(entry.until_ - now) });
+                                             } });
   }
   AppendSuspects(rows, longRows);
   for (const auto& [content, time] : index_.RecentOfHeld()) {
@@ -116,6 +116,9 @@
   QuarantineReport report;
   AddRowsOfTurn(rows, kMaxReportedBytes, reportTurn_, report);
   AddRowsOfTurn(longRows, kMaxReportedBytes, reportTurn_, report);
+  if (reportTurn_ % kLongQuarantineTurns == 0) {
+    AddRowsOfTurn(longEntries, kMaxReportedBytes, reportTurn_ / kLongQuarantineTurns, report);
+  }
   return report;
 }
 
--- a/tests/fleet/quarantine_test.cpp
+++ b/tests/fleet/quarantine_test.cpp
@@ -349,6 +349,30 @@
   EXPECT_FALSE(MayRun({ "bad" }));
 }
 
+// Guards against a long quarantine that restarted hosts never hear of, since the turns of the
+// reports that may hold it always choose another one.
+TEST_F(QuarantineTest, AllLongQuarantinesAreReportedInTurn)
+{
+  constexpr int kQuarantines = 4;
+  for (int i = 0; i < kQuarantines; ++i) {
+    const auto parts = MakeLongContents(600).parts_;
+    for (int crash = 0; crash < 3; ++crash) {
+      clock_.Advance(200ms);
+      auto contents = MakeContents({});
+      contents.parts_ = parts;
+      quarantine_.OnCut({ UpstreamId("u"), ++process_ }, contents);
+    }
+  }
+  ASSERT_EQ(quarantine_.Size(), static_cast<std::size_t>(kQuarantines));
+  clock_.Advance(kLongCrashReportTime);
+  Quarantine restarted(clock_);
+  for (std::size_t turn = 0; turn < kQuarantines * kLongQuarantineTurns; ++turn) {
+    quarantine_.Expire();
+    restarted.Merge(quarantine_.Report());
+  }
+  EXPECT_EQ(restarted.Size(), static_cast<std::size_t>(kQuarantines));
+}
+
 // Guards against a deadly part of short prompts that long prompts displace.
 TEST_F(QuarantineTest, LongPromptsDoNotDisplaceShortOnes)
 {
